Lay out the workspace and its vocabulary

Cause: the repository is empty, and several people start on it at once. Change: one crate for each job, shared names, ids, outcomes, findings and the invariant check in base; the model of documents and settings; the messages between entry and owner; log and metrics. Conclusion: the seams between entry, owner and fleet are fixed in code.

--- /dev/null
+++ b/crates/base/src/ids.rs
@@ -0,0 +1,115 @@
+//! Ids and versions that travel between processes.
+
+use std::{fmt, str::FromStr};
+
+/// A caller's request, unique over all hosts and incarnations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u128);
+
+/// One send of one subquery to one target. A retry gets a new id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId(pub u128);
+
+/// Number of a shard within a partition map, from 0.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ShardId(pub u32);
+
+/// One life of a process. A later start has a higher one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(pub u64);
+
+/// Revision of a document or of the whole configuration; only ever rises.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision(pub u64);
+
+/// The data a query reads: a partition map and an index version.
+///
+/// Ordered by map first, then index. Written `map.index`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Snapshot {
+    pub map: u32,
+    pub index: u64,
+}
+
+/// Text that is not an id of the expected kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ParseIdError;
+
+impl fmt::Display for ParseIdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("malformed id")
+    }
+}
+
+impl std::error::Error for ParseIdError {}
+
+impl fmt::Display for Snapshot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.map, self.index)
+    }
+}
+
+impl FromStr for Snapshot {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let (map, index) = text.split_once('.').ok_or(ParseIdError)?;
+        let map = map.parse().map_err(|_| ParseIdError)?;
+        let index = index.parse().map_err(|_| ParseIdError)?;
+        Ok(Snapshot { map, index })
+    }
+}
+
+macro_rules! hex_ids {
+    ($($name:ident)*) => {$(
+        impl $name {
+            /// High and low halves, as wire formats carry them.
+            pub fn halves(self) -> (u64, u64) {
+                ((self.0 >> 64) as u64, self.0 as u64)
+            }
+
+            pub fn from_halves(high: u64, low: u64) -> Self {
+                Self((u128::from(high) << 64) | u128::from(low))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                let is_hex = text.len() == 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
+                if !is_hex {
+                    return Err(ParseIdError);
+                }
+                u128::from_str_radix(text, 16).map(Self).map_err(|_| ParseIdError)
+            }
+        }
+    )*};
+}
+
+macro_rules! decimal_ids {
+    ($($name:ident)*) => {$(
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                text.parse().map(Self).map_err(|_| ParseIdError)
+            }
+        }
+    )*};
+}
+
+hex_ids! { RequestId AttemptId }
+decimal_ids! { ShardId Incarnation Revision }
--- /dev/null
+++ b/crates/base/src/invariant.rs
@@ -0,0 +1,61 @@
+//! The invariant check, kept in release builds.
+//!
+//! A broken invariant is counted under its name and handed to the reporter
+//! that the daemon installs (a log line and a metric). Under
+//! [`panic_when_broken`] it panics instead, so that a randomised run stops at
+//! the first one. The daemon goes on: one wrong request beats a dead host.
+
+use std::sync::{
+    OnceLock,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+type Reporter = fn(name: &'static str, detail: &str);
+
+static BROKEN: AtomicU64 = AtomicU64::new(0);
+static PANIC: AtomicBool = AtomicBool::new(false);
+static REPORTER: OnceLock<Reporter> = OnceLock::new();
+
+/// Checks an invariant; evaluates to whether it held.
+///
+/// `always!(condition, "invariant-name", "format {}", args)`
+#[macro_export]
+macro_rules! always {
+    ($condition:expr, $name:literal $(,)?) => {
+        $crate::always!($condition, $name, "")
+    };
+    ($condition:expr, $name:literal, $($detail:tt)+) => {{
+        let holds: bool = $condition;
+        if !holds {
+            $crate::invariant::broken($name, &format!($($detail)+));
+        }
+        holds
+    }};
+}
+
+/// Invariants broken in this process so far.
+pub fn broken_count() -> u64 {
+    BROKEN.load(Ordering::Relaxed)
+}
+
+/// Makes every broken invariant panic, for tests and randomised runs.
+pub fn panic_when_broken() {
+    PANIC.store(true, Ordering::Relaxed);
+}
+
+/// Installs what reports a broken invariant; the first call wins.
+pub fn set_reporter(reporter: Reporter) {
+    let _ = REPORTER.set(reporter);
+}
+
+#[doc(hidden)]
+#[cold]
+pub fn broken(name: &'static str, detail: &str) {
+    BROKEN.fetch_add(1, Ordering::Relaxed);
+    if let Some(report) = REPORTER.get() {
+        report(name, detail);
+    }
+    if PANIC.load(Ordering::Relaxed) {
+        panic!("invariant broken: {name}: {detail}");
+    }
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,24 @@
+//! Vocabulary shared by every crate: names, ids, time, outcomes, findings and
+//! the invariant check.
+//!
+//! It does no I/O, reads no clock and draws no random numbers. It decides
+//! nothing: policies live in `policy` and `fleet`.
+
+pub mod collections;
+pub mod finding;
+pub mod ids;
+pub mod invariant;
+pub mod name;
+pub mod outcome;
+pub mod share;
+pub mod time;
+
+pub use crate::{
+    collections::{HashMap, HashSet},
+    finding::{Finding, Findings, Place},
+    ids::{AttemptId, Incarnation, RequestId, Revision, ShardId, Snapshot},
+    name::{DomainName, HostName, PoolName, RegionName, ServiceName, TargetName, TeamName},
+    outcome::{Missing, Outcome, Reason},
+    share::Share,
+    time::Time,
+};
--- /dev/null
+++ b/crates/godwityard/src/main.rs
@@ -0,0 +1,3 @@
+//! Under construction.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under construction.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,12 @@
+//! Logs with a fixed prefix for each part, and OpenTelemetry instruments.
+//!
+//! It decides nothing and never blocks its callers: a full log buffer drops
+//! lines and counts them.
+
+pub mod log;
+pub mod metrics;
+
+pub use crate::{
+    log::{LogGuard, Part, part_logger, root_logger},
+    metrics::Metrics,
+};
--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,78 @@
+//! The daemon's log: asynchronous, JSON lines or terminal text, each line
+//! with the part of the program it comes from.
+
+use std::io;
+
+use documents::model::{LogFormat, LogLevel, LogSettings};
+use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog_async::OverflowStrategy;
+
+/// Lines buffered before the log drops some.
+const BUFFER_LINES: usize = 8_192;
+
+/// Flushes the log when dropped.
+pub type LogGuard = slog_async::AsyncGuard;
+
+/// A part of the program, for the prefix of its log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    Daemon,
+    Entry,
+    Owner,
+    Fleet,
+    Peer,
+    Platform,
+}
+
+impl Part {
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Part::Daemon => "daemon",
+            Part::Entry => "entry",
+            Part::Owner => "owner",
+            Part::Fleet => "fleet",
+            Part::Peer => "peer",
+            Part::Platform => "platform",
+        }
+    }
+}
+
+/// The root logger of a process, writing to standard error.
+///
+/// When the buffer is full, lines are dropped and their count is logged.
+pub fn root_logger(cfg: &LogSettings, host: &str) -> (Logger, LogGuard) {
+    let (drain, guard) = match cfg.format {
+        LogFormat::Json => buffered(slog_json::Json::default(io::stderr()).fuse()),
+        LogFormat::Terminal => {
+            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            buffered(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+    };
+    let drain = LevelFilter::new(drain, level(cfg.level)).fuse();
+    (Logger::root(drain, o!("host" => host.to_owned())), guard)
+}
+
+/// A logger for one part of the program.
+pub fn part_logger(root: &Logger, part: Part) -> Logger {
+    root.new(o!("part" => part.as_str()))
+}
+
+fn buffered<D>(drain: D) -> (slog::Fuse<slog_async::Async>, LogGuard)
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    let (drain, guard) = slog_async::Async::new(drain)
+        .chan_size(BUFFER_LINES)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    (drain.fuse(), guard)
+}
+
+fn level(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Info => Level::Info,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Error => Level::Error,
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Instruments of the daemon, made once, and their text for scrapers.
+//!
+//! Labels come from bounded sets only: never a request, caller or ticket.
+
+use std::sync::Arc;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of latency histograms, in milliseconds.
+const LATENCY_BOUNDS_MS: [f64; 14] =
+    [1.0, 2.0, 5.0, 10.0, 20.0, 35.0, 50.0, 75.0, 100.0, 150.0, 250.0, 500.0, 1_000.0, 5_000.0];
+
+/// Every instrument of the daemon.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    // Instruments stop reporting once their provider is gone.
+    _provider: Arc<SdkMeterProvider>,
+    pub requests: Counter<u64>,
+    pub request_latency: Histogram<f64>,
+    pub subqueries: Counter<u64>,
+    pub refusals: Counter<u64>,
+    pub hedges: Counter<u64>,
+    pub retries: Counter<u64>,
+    pub quarantined: Counter<u64>,
+    pub connections_condemned: Counter<u64>,
+    pub limit_changes: Counter<u64>,
+    pub assignment_changes: Counter<u64>,
+    pub platform_calls: Counter<u64>,
+    pub control_bytes: Counter<u64>,
+    pub revision_in_force: Gauge<u64>,
+    pub members_alive: Gauge<u64>,
+    pub invariants_broken: Gauge<u64>,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum MetricsError {
+    #[error("the metrics exporter did not start: {0}")]
+    Exporter(String),
+    #[error("the metrics could not be written: {0}")]
+    Encoding(String),
+}
+
+impl Metrics {
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|err| MetricsError::Exporter(err.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("godwityard");
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        let request_latency = meter
+            .f64_histogram("request_latency_ms")
+            .with_description("Time from arrival to answer")
+            .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
+            .build();
+        Ok(Metrics {
+            requests: counter("requests", "Callers' requests by result"),
+            request_latency,
+            subqueries: counter("subqueries", "Subqueries by result"),
+            refusals: counter("refusals", "Refused requests by reason"),
+            hedges: counter("hedges", "Hedged subqueries"),
+            retries: counter("retries", "Retried subqueries"),
+            quarantined: counter("quarantined", "Fingerprints put in quarantine"),
+            connections_condemned: counter("connections_condemned", "Connections given up"),
+            limit_changes: counter("limit_changes", "Target limits raised or lowered"),
+            assignment_changes: counter("assignment_changes", "Changes of this host's shares"),
+            platform_calls: counter("platform_calls", "Calls to the platform by kind"),
+            control_bytes: counter("control_bytes", "Bytes of control traffic by direction"),
+            revision_in_force: gauge("revision_in_force", "Highest revision in force"),
+            members_alive: gauge("members_alive", "Hosts believed alive"),
+            invariants_broken: gauge("invariants_broken", "Invariants broken so far"),
+            registry,
+            _provider: Arc::new(provider),
+        })
+    }
+
+    /// The instruments in Prometheus text format.
+    pub fn encode(&self) -> Result<String, MetricsError> {
+        self.invariants_broken.record(base::invariant::broken_count(), &[]);
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .map_err(|err| MetricsError::Encoding(err.to_string()))?;
+        String::from_utf8(buf).map_err(|err| MetricsError::Encoding(err.to_string()))
+    }
+}
+
+/// A label of an instrument.
+pub fn label(key: &'static str, value: &'static str) -> KeyValue {
+    KeyValue::new(key, value)
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Automation: `cargo xtask ci | codegen | demo | bench`.
+
+fn main() {}
