--- /dev/null
+++ b/crates/entry/src/callers/mod.rs
@@ -0,0 +1,91 @@
+//! The callers' HTTP interface.
+
+mod health;
+mod query;
+
+use base::Reason;
+use documents::Service;
+use policy::message::Refusal;
+use rocket::{
+    Build, Data, Request, Rocket, Route,
+    data::ToByteUnit,
+    http::Method,
+    route::{Handler, Outcome},
+};
+
+use crate::{
+    cx::EntryCx,
+    filter::{self, Head},
+    http,
+    seams::{Owners, State},
+};
+
+/// Where a path names the service.
+const SERVICE_SEGMENT: usize = 2;
+
+/// The server for callers. Address, port and workers are the daemon's to
+/// configure, and so is its shutdown.
+pub fn callers_rocket<S: State, O: Owners>(cx: EntryCx<S, O>) -> Rocket<Build> {
+    let handler = |call| CallHandler { cx: cx.clone(), call };
+    let routes = vec![
+        Route::new(Method::Post, "/v1/services/<service>/query", handler(Call::Query)),
+        Route::new(Method::Get, "/healthz", handler(Call::Healthz)),
+        Route::new(Method::Get, "/readyz", handler(Call::Readyz)),
+    ];
+    rocket::custom(http::server_config()).mount("/", routes).register("/", [http::catcher()])
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Call {
+    Query,
+    Healthz,
+    Readyz,
+}
+
+struct CallHandler<S, O> {
+    cx: EntryCx<S, O>,
+    call: Call,
+}
+
+impl<S, O> Clone for CallHandler<S, O> {
+    fn clone(&self) -> Self {
+        CallHandler { cx: self.cx.clone(), call: self.call }
+    }
+}
+
+#[rocket::async_trait]
+impl<S: State, O: Owners> Handler for CallHandler<S, O> {
+    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let reply = match self.call {
+            Call::Query => query::answer(&self.cx, head(req), data).await,
+            Call::Healthz => health::healthz(),
+            Call::Readyz => health::readyz(&self.cx),
+        };
+        Outcome::Success(reply.into_response())
+    }
+}
+
+fn head(req: &Request<'_>) -> Head {
+    let header = |name| req.headers().get_one(name).map(str::to_owned);
+    Head {
+        service: req
+            .param::<&str>(SERVICE_SEGMENT)
+            .and_then(Result::ok)
+            .unwrap_or_default()
+            .to_owned(),
+        deadline_ms: header("godwityard-deadline-ms"),
+        min_coverage: header("godwityard-min-coverage"),
+        shard: header("godwityard-shard"),
+        content_length: header("content-length").and_then(|it| it.parse().ok()),
+    }
+}
+
+/// The whole body, if it is no longer than the service allows.
+async fn read_body(data: Data<'_>, service: &Service) -> Result<Vec<u8>, Refusal> {
+    let body = data.open(service.max_body_bytes.bytes()).into_bytes().await;
+    let body = body.map_err(|_| filter::refuse(Reason::BadRequest, "the body was cut off"))?;
+    if !body.is_complete() {
+        return Err(filter::too_large(service));
+    }
+    Ok(body.into_inner())
+}
--- /dev/null
+++ b/crates/entry/src/cx/mod.rs
@@ -0,0 +1,118 @@
+//! What all requests of an entry share.
+
+mod builder;
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
+
+use base::{HashMap, HostName, PoolName, TargetName, Time};
+use documents::Configuration;
+use policy::request::{Decisions, PoolView, Routes};
+use slog::Logger;
+use telemetry::Metrics;
+
+use crate::{
+    learn::Learning,
+    seams::{Owners, State},
+};
+
+pub use self::builder::EntryBuilder;
+
+/// The entry part of a host. Clones share everything.
+pub struct EntryCx<S, O> {
+    pub(crate) inner: Arc<Inner<S, O>>,
+}
+
+pub(crate) struct Inner<S, O> {
+    pub state: S,
+    pub owners: O,
+    pub log: Logger,
+    pub metrics: Metrics,
+    pub learning: Learning,
+    decisions: Mutex<Decisions>,
+    views: Mutex<HashMap<PoolName, Arc<PoolView>>>,
+    is_stopping: AtomicBool,
+}
+
+/// The owners of targets as the state sees them now.
+pub(crate) struct StateRoutes<'a, S>(pub &'a S);
+
+impl<S, O> Clone for EntryCx<S, O> {
+    fn clone(&self) -> Self {
+        EntryCx { inner: Arc::clone(&self.inner) }
+    }
+}
+
+impl<S: State, O: Owners> EntryCx<S, O> {
+    /// Stops being ready for callers and hands out no more tickets; requests
+    /// are still served.
+    pub fn stop(&self) {
+        self.inner.is_stopping.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.inner.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Why the host is not ready for callers, if it is not.
+    pub(crate) fn not_ready(&self) -> Option<String> {
+        if self.is_stopping() {
+            return Some("the host is stopping".to_owned());
+        }
+        self.inner.state.not_ready()
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.inner.state.now()
+    }
+
+    pub(crate) fn state(&self) -> &S {
+        &self.inner.state
+    }
+
+    pub(crate) fn owners(&self) -> &O {
+        &self.inner.owners
+    }
+
+    pub(crate) fn log(&self) -> &Logger {
+        &self.inner.log
+    }
+
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.inner.metrics
+    }
+
+    pub(crate) fn decisions(&self) -> MutexGuard<'_, Decisions> {
+        lock(&self.inner.decisions)
+    }
+
+    /// The pool in force, ordered by shard.
+    pub(crate) fn view(&self, cfg: &Configuration, pool: &PoolName) -> Option<Arc<PoolView>> {
+        let pool = cfg.pools.get(pool)?;
+        let mut views = lock(&self.inner.views);
+        if let Some(view) = views.get(&pool.name)
+            && Arc::ptr_eq(&view.pool, pool)
+        {
+            return Some(Arc::clone(view));
+        }
+        views.retain(|name, _| cfg.pools.contains_key(name));
+        let view = Arc::new(PoolView::new(Arc::clone(pool)));
+        views.insert(pool.name.clone(), Arc::clone(&view));
+        Some(view)
+    }
+}
+
+impl<S: State> Routes for StateRoutes<'_, S> {
+    fn owners(&self, target: &TargetName) -> Option<(HostName, Option<HostName>)> {
+        let route = self.0.route(target)?;
+        Some((route.primary, route.standby))
+    }
+}
+
+/// A panic elsewhere leaves the data whole: each critical section is a single
+/// step of a state machine that reports its broken invariants itself.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/entry/src/entropy/mod.rs
@@ -0,0 +1,22 @@
+//! Random numbers of this process: ids, ticket secrets and seeds. Drawn from
+//! a cryptographic generator, so that tickets cannot be guessed.
+
+use std::sync::{LazyLock, Mutex};
+
+use rand::{
+    Rng, SeedableRng,
+    rngs::{SmallRng, StdRng},
+};
+
+use crate::cx::lock;
+
+static GENERATOR: LazyLock<Mutex<StdRng>> = LazyLock::new(|| Mutex::new(StdRng::from_os_rng()));
+
+pub(crate) fn random_u128() -> u128 {
+    lock(&GENERATOR).random()
+}
+
+/// A fast generator for the decisions of one request.
+pub(crate) fn request_rng() -> SmallRng {
+    SmallRng::seed_from_u64(lock(&GENERATOR).random())
+}
--- /dev/null
+++ b/crates/entry/src/learn/mod.rs
@@ -0,0 +1,195 @@
+//! Learning what owners know of the targets of a pool in use.
+//!
+//! The first request of a pool waits until its shards are known; later ones
+//! find the last word, and set off a new round in the background once it is
+//! old. Owners in other failure domains are asked less often.
+
+use std::{sync::Mutex, time::Duration};
+
+use base::{HashMap, HashSet, HostName, PoolName, Time};
+use documents::Configuration;
+use futures::{StreamExt, stream::FuturesUnordered};
+use policy::request::{PoolView, choose_snapshot};
+use tokio::{sync::watch, time};
+
+use crate::{
+    cx::{EntryCx, lock},
+    seams::{Owners, State},
+};
+
+/// Age at which the word of owners in this failure domain is renewed.
+const LOCAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Age at which the word of owners elsewhere is renewed.
+const REMOTE_INTERVAL: Duration = Duration::from_secs(4);
+/// Least time between rounds while some shard cannot be served.
+const URGENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest wait for one owner's word.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Rounds of asking, by pool.
+#[derive(Debug, Default)]
+pub(crate) struct Learning {
+    pools: Mutex<HashMap<PoolName, Rounds>>,
+}
+
+#[derive(Debug)]
+struct Rounds {
+    local_at: Option<Time>,
+    remote_at: Option<Time>,
+    /// Changes with each owner's word and at the end of a round.
+    progress: watch::Sender<Progress>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    words: u64,
+    open_rounds: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Due {
+    local: bool,
+    remote: bool,
+}
+
+/// Sees to it that the pool's targets are known as far as owners tell; waits
+/// only if not every shard can be served by what is known, until `deadline`.
+pub(crate) async fn ensure_known<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    cfg: &Configuration,
+    view: &PoolView,
+    deadline: Time,
+) {
+    let is_known = is_complete(cx, cfg, view);
+    let mut progress = start_due_rounds(cx, view, is_known);
+    if is_known {
+        return;
+    }
+    let wait = deadline.until(cx.now()) / 2;
+    let learned = async {
+        while progress.borrow_and_update().open_rounds > 0 && !is_complete(cx, cfg, view) {
+            if progress.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    // Past the wait the request goes on with what is known.
+    let _ = time::timeout(wait, learned).await;
+}
+
+fn is_complete<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    cfg: &Configuration,
+    view: &PoolView,
+) -> bool {
+    let pin = choose_snapshot(cfg, &cx.decisions().table, view);
+    pin.is_some_and(|it| it.is_complete())
+}
+
+fn start_due_rounds<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    view: &PoolView,
+    is_known: bool,
+) -> watch::Receiver<Progress> {
+    let now = cx.now();
+    let mut pools = lock(&cx.inner.learning.pools);
+    let rounds = pools.entry(view.pool.name.clone()).or_insert_with(Rounds::new);
+    let due = rounds.take_due(now, is_known);
+    let receiver = rounds.progress.subscribe();
+    if due.local || due.remote {
+        rounds.progress.send_modify(|it| it.open_rounds += 1);
+        tokio::spawn(ask_owners(
+            cx.clone(),
+            owners_of(cx, view, due),
+            rounds.progress.clone(),
+            view.pool.name.clone(),
+        ));
+    }
+    receiver
+}
+
+/// Owners of the pool's targets, each with the standby to ask in its place.
+fn owners_of<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    view: &PoolView,
+    due: Due,
+) -> HashSet<(HostName, Option<HostName>)> {
+    let is_due = |is_local: bool| if is_local { due.local } else { due.remote };
+    let targets = view.pool.targets.iter().filter(|it| is_due(it.domain == *cx.state().domain()));
+    let routes = targets.filter_map(|it| cx.state().route(&it.name));
+    routes.map(|it| (it.primary, it.standby)).collect()
+}
+
+async fn ask_owners<S: State, O: Owners>(
+    cx: EntryCx<S, O>,
+    owners: HashSet<(HostName, Option<HostName>)>,
+    progress: watch::Sender<Progress>,
+    pool: PoolName,
+) {
+    let mut words: FuturesUnordered<_> = owners
+        .iter()
+        .map(|(primary, standby)| ask(&cx, &pool, primary, standby.as_ref()))
+        .collect();
+    while words.next().await.is_some() {
+        progress.send_modify(|it| it.words += 1);
+    }
+    progress.send_modify(|it| it.open_rounds -= 1);
+}
+
+async fn ask<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    pool: &PoolName,
+    primary: &HostName,
+    standby: Option<&HostName>,
+) {
+    if ask_one(cx, pool, primary).await {
+        return;
+    }
+    cx.decisions().table.mark_silent(cx.now(), primary);
+    let Some(standby) = standby else { return };
+    ask_one(cx, pool, standby).await;
+}
+
+/// False if the owner did not answer or knows no target of the pool.
+async fn ask_one<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    pool: &PoolName,
+    owner: &HostName,
+) -> bool {
+    let status = time::timeout(STATUS_TIMEOUT, cx.owners().status(owner, pool)).await;
+    let Ok(status) = status else { return false };
+    let mut decisions = cx.decisions();
+    for target in &status {
+        decisions.table.learn(target);
+    }
+    !status.is_empty()
+}
+
+impl Rounds {
+    fn new() -> Self {
+        let (progress, _) = watch::channel(Progress::default());
+        Rounds { local_at: None, remote_at: None, progress }
+    }
+
+    fn take_due(&mut self, now: Time, is_known: bool) -> Due {
+        let (local, remote) = match is_known {
+            true => (LOCAL_INTERVAL, REMOTE_INTERVAL),
+            false => (URGENT_INTERVAL, URGENT_INTERVAL),
+        };
+        let due = Due {
+            local: is_due(self.local_at, now, local),
+            remote: is_due(self.remote_at, now, remote),
+        };
+        if due.local {
+            self.local_at = Some(now);
+        }
+        if due.remote {
+            self.remote_at = Some(now);
+        }
+        due
+    }
+}
+
+fn is_due(last: Option<Time>, now: Time, interval: Duration) -> bool {
+    last.is_none_or(|it| now.since(it) >= interval)
+}
--- /dev/null
+++ b/crates/entry/tests/query.rs
@@ -0,0 +1,171 @@
+//! Queries over HTTP against a fleet of plain data: whole answers, and one
+//! test for each way a shard can fail.
+
+mod common;
+
+use assert_matches::assert_matches;
+use base::{Missing, Outcome, Snapshot};
+use rocket::{
+    http::{Header, Status},
+    local::asynchronous::Client,
+};
+use serde_json::Value;
+
+use crate::common::{Behaviour, Fleet, INDEX, Shape, service, target};
+
+async fn post(client: &Client, headers: &[(&'static str, &'static str)]) -> (Status, Value) {
+    let mut req = client.post("/v1/services/planeador-01/query").body("wax");
+    for (name, value) in headers {
+        req.add_header(Header::new(*name, *value));
+    }
+    let response = req.dispatch().await;
+    let status = response.status();
+    let body = response.into_string().await.unwrap();
+    (status, serde_json::from_str(&body).unwrap())
+}
+
+async fn client(fleet: &Fleet) -> Client {
+    base::invariant::panic_when_broken();
+    Client::untracked(entry::callers_rocket(fleet.entry())).await.unwrap()
+}
+
+#[tokio::test(start_paused = true)]
+async fn answers_from_every_shard_with_snapshot_and_coverage() {
+    let fleet = Fleet::new(&Shape::default());
+    let (status, body) = post(&client(&fleet).await, &[]).await;
+    assert_eq!(status, Status::Ok);
+    assert_eq!(body["snapshot"], "1.5");
+    assert_eq!(body["coverage"], serde_json::json!({"answered": 2, "total": 2, "missing": []}));
+    assert_eq!(body["parts"][1], serde_json::json!({"shard": 1, "body": "shard 1"}));
+}
+
+#[tokio::test(start_paused = true)]
+async fn prefers_targets_of_its_own_domain() {
+    let fleet = Fleet::new(&Shape::default());
+    post(&client(&fleet).await, &[]).await;
+    let runs = fleet.with(|it| it.runs.clone());
+    assert!(runs.iter().all(|(owner, ..)| owner.as_str() == "a-1"), "{runs:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_from_another_snapshot_never_counts() {
+    let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
+    let other = Snapshot { index: 6, ..INDEX };
+    fleet.set(target(1, "a"), Behaviour::AnswerFrom(other));
+    let (status, body) = post(&client(&fleet).await, &[("godwityard-min-coverage", "0.5")]).await;
+    assert_eq!(status, Status::Ok);
+    let missing = serde_json::json!([{"shard": 1, "reason": "wrong_snapshot"}]);
+    assert_eq!(body["coverage"]["missing"], missing);
+    assert_eq!(body["parts"].as_array().unwrap().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_part_for_another_shard_never_counts() {
+    let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
+    fleet.set(target(0, "a"), Behaviour::WrongShard);
+    let (_, body) = post(&client(&fleet).await, &[("godwityard-min-coverage", "0.5")]).await;
+    let missing = serde_json::json!([{"shard": 0, "reason": "wrong_id"}]);
+    assert_eq!(body["coverage"]["missing"], missing);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_doubled_answer_counts_once() {
+    let fleet = Fleet::new(&Shape::default());
+    fleet.set(target(0, "a"), Behaviour::AnswerTwice);
+    let (_, body) = post(&client(&fleet).await, &[]).await;
+    assert_eq!(body["coverage"]["answered"], 2);
+    assert_eq!(body["parts"].as_array().unwrap().len(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_refused_subquery_goes_to_another_replica() {
+    let fleet = Fleet::new(&Shape::default());
+    fleet.set(target(0, "a"), Behaviour::Fail(Missing::TargetLeaving, Outcome::NotRun));
+    let (status, _) = post(&client(&fleet).await, &[]).await;
+    assert_eq!(status, Status::Ok);
+    assert_eq!(fleet.with(|it| it.runs.len()), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_owner_is_replaced_by_its_standby() {
+    let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
+    fleet.with(|it| it.unreachable.insert("a-1".into()));
+    let (status, _) = post(&client(&fleet).await, &[]).await;
+    assert_eq!(status, Status::Ok);
+    let runs = fleet.with(|it| it.runs.clone());
+    assert!(runs.iter().all(|(owner, ..)| owner.as_str() == "a-2"), "{runs:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn too_little_coverage_by_the_deadline_is_refused_as_may_have_run() {
+    let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
+    fleet.set(target(0, "a"), Behaviour::Silent);
+    let (status, body) = post(&client(&fleet).await, &[]).await;
+    assert_eq!(status, Status::GatewayTimeout);
+    assert_eq!(body["reason"], "deadline_passed");
+    assert_eq!(body["outcome"], "may_have_run");
+    assert_eq!(fleet.with(|it| it.cancelled.len()), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_no_target_took_is_refused_as_not_run() {
+    let fleet = Fleet::new(&Shape { shards: 1, domains: vec!["a"], ..Shape::default() });
+    fleet.set(target(0, "a"), Behaviour::Fail(Missing::Shed, Outcome::NotRun));
+    let (status, body) = post(&client(&fleet).await, &[]).await;
+    assert_eq!(status, Status::ServiceUnavailable);
+    assert_eq!(body["reason"], "overloaded");
+    assert_eq!(body["outcome"], "not_run");
+}
+
+#[tokio::test(start_paused = true)]
+async fn moves_whole_to_a_newer_snapshot_when_the_pinned_one_is_gone() {
+    let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
+    let client = client(&fleet).await;
+    post(&client, &[]).await;
+    let newer = Snapshot { index: 6, ..INDEX };
+    fleet.with(|it| it.held.values_mut().for_each(|it| *it = vec![newer]));
+    let (status, body) = post(&client, &[]).await;
+    assert_eq!((status, body["snapshot"].as_str()), (Status::Ok, Some("1.6")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn bad_requests_are_refused_with_a_typed_body() {
+    let fleet = Fleet::new(&Shape::default());
+    let client = client(&fleet).await;
+    let cases = [
+        ("godwityard-deadline-ms", "soon", 400, "bad_request"),
+        ("godwityard-deadline-ms", "1", 400, "deadline_too_short"),
+        ("godwityard-min-coverage", "1.5", 400, "bad_request"),
+        ("godwityard-min-coverage", "NaN", 400, "bad_request"),
+    ];
+    for (name, value, code, reason) in cases {
+        let (status, body) = post(&client, &[(name, value)]).await;
+        assert_eq!((status.code, body["reason"].as_str()), (code, Some(reason)), "{name}: {value}");
+        assert_eq!(body["outcome"], "not_run");
+    }
+    let response = client.post("/v1/services/nobody/query").body("").dispatch().await;
+    assert_eq!(response.status(), Status::NotFound);
+    let response = client.get("/v1/nothing").dispatch().await;
+    let body: Value = serde_json::from_str(&response.into_string().await.unwrap()).unwrap();
+    assert_matches!(body["reason"].as_str(), Some("bad_request"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_body_over_the_limit_is_refused() {
+    let fleet = Fleet::new(&Shape::default());
+    let client = client(&fleet).await;
+    let body = "x".repeat(service().max_body_bytes as usize + 1);
+    let response = client.post("/v1/services/planeador-01/query").body(body).dispatch().await;
+    assert_eq!(response.status(), Status::PayloadTooLarge);
+    assert_eq!(fleet.with(|it| it.runs.len()), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn readiness_follows_the_state() {
+    let fleet = Fleet::new(&Shape::default());
+    let client = client(&fleet).await;
+    assert_eq!(client.get("/readyz").dispatch().await.status(), Status::Ok);
+    fleet.with(|it| it.not_ready = Some("no configuration yet".to_owned()));
+    assert_eq!(client.get("/readyz").dispatch().await.status(), Status::ServiceUnavailable);
+    assert_eq!(client.get("/healthz").dispatch().await.status(), Status::Ok);
+}
--- /dev/null
+++ b/crates/policy/src/request/mod.rs
@@ -0,0 +1,26 @@
+//! Decisions on one caller's request, from its snapshot to its answer.
+//!
+//! [`Query`] is the state machine of a request: parts and wake-ups go in,
+//! sends, cancellations and the verdict come out. What requests of one host
+//! share (target table, latencies, budgets, quarantine) is [`Decisions`].
+
+mod budget;
+mod decisions;
+mod gather;
+mod latency;
+mod plan;
+mod pool_view;
+mod query;
+mod snapshot;
+mod table;
+
+pub use self::{
+    budget::Budgets,
+    decisions::{Decisions, QueryCx, Routes},
+    gather::{Attempt, Coverage, Gather, SendKind, Settled, Settlement},
+    latency::{LatencyHistogram, PoolLoad},
+    pool_view::PoolView,
+    query::{Action, Answer, Query, QueryRequest, Verdict},
+    snapshot::{Pin, choose_snapshot},
+    table::TargetTable,
+};
--- /dev/null
+++ b/crates/policy/src/request/plan.rs
@@ -0,0 +1,99 @@
+//! Which replica of a shard gets a subquery.
+//!
+//! Replicas are compared by expected wait and latency. One in another failure
+//! domain bears a handicap, so it is taken as spill: when the local domain has
+//! no usable replica, or one that is slower by more than the handicap.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{DomainName, Missing, ShardId, Snapshot, TargetName, Time};
+use documents::{Configuration, Target};
+use rand::{Rng, rngs::SmallRng};
+
+use super::{
+    decisions::Routes,
+    pool_view::PoolView,
+    snapshot::{holds, is_usable},
+    table::TargetTable,
+};
+
+/// What a replica in another failure domain must be faster by.
+const REMOTE_HANDICAP: Duration = Duration::from_millis(4);
+/// What a replica whose primary owner is silent must be faster by; its standby
+/// owner has few slots.
+const SILENT_OWNER_HANDICAP: Duration = Duration::from_millis(8);
+/// Scores vary by up to this part, so that hosts do not all choose alike.
+const SCORE_JITTER: f64 = 0.1;
+
+/// What a choice looks at.
+pub(super) struct PlanCx<'a, R> {
+    pub now: Time,
+    pub configuration: &'a Configuration,
+    pub domain: &'a DomainName,
+    pub routes: &'a R,
+    pub table: &'a TargetTable,
+    pub view: &'a PoolView,
+    pub snapshot: Snapshot,
+}
+
+/// The best usable replica that holds the snapshot, other than those in
+/// `tried`; else the reason why there is none.
+pub(super) fn choose_replica<R: Routes>(
+    cx: &PlanCx<'_, R>,
+    shard: ShardId,
+    tried: &[TargetName],
+    rng: &mut SmallRng,
+) -> Result<Arc<Target>, Missing> {
+    let candidates = cx.view.replicas(shard).iter().filter(|it| why_not(cx, it).is_none());
+    let untried = candidates.filter(|it| !tried.contains(&it.name));
+    let best = untried.min_by_key(|it| score(cx, it, rng));
+    best.cloned().ok_or_else(|| reason_for_none(cx, shard))
+}
+
+/// The nearest reason to being usable among all replicas of a shard.
+fn reason_for_none<R>(cx: &PlanCx<'_, R>, shard: ShardId) -> Missing {
+    let reasons = cx.view.replicas(shard).iter().filter_map(|it| why_not(cx, it));
+    reasons.min_by_key(|&it| severity(it)).unwrap_or(Missing::NoTarget)
+}
+
+fn why_not<R>(cx: &PlanCx<'_, R>, target: &Target) -> Option<Missing> {
+    if !cx.configuration.is_domain_in(&target.domain) {
+        return Some(Missing::DomainOut);
+    }
+    let status = cx.table.status(&target.name);
+    if target.leaving || status.is_some_and(|it| it.is_leaving) {
+        return Some(Missing::TargetLeaving);
+    }
+    if status.is_none() {
+        return Some(Missing::OwnerUnreachable);
+    }
+    if !is_usable(cx.configuration, cx.table, target) {
+        return Some(Missing::Refused);
+    }
+    (!holds(cx.table, target, cx.snapshot)).then_some(Missing::WrongSnapshot)
+}
+
+fn severity(missing: Missing) -> u8 {
+    match missing {
+        Missing::WrongSnapshot => 0,
+        Missing::Refused => 1,
+        Missing::OwnerUnreachable => 2,
+        Missing::TargetLeaving => 3,
+        _ => 4,
+    }
+}
+
+fn score<R: Routes>(cx: &PlanCx<'_, R>, target: &Target, rng: &mut SmallRng) -> u64 {
+    let expected = cx.table.expected_latency(cx.now, &target.name);
+    let jittered = expected.mul_f64(1.0 + rng.random::<f64>() * SCORE_JITTER);
+    let is_local = target.domain == *cx.domain;
+    let handicap = if is_local { Duration::ZERO } else { REMOTE_HANDICAP };
+    let is_silent = is_primary_silent(cx, target);
+    let silence = if is_silent { SILENT_OWNER_HANDICAP } else { Duration::ZERO };
+    (jittered + handicap + silence).as_micros() as u64
+}
+
+fn is_primary_silent<R: Routes>(cx: &PlanCx<'_, R>, target: &Target) -> bool {
+    let owners = cx.routes.owners(&target.name);
+    owners.is_none_or(|(primary, _)| cx.table.is_silent(cx.now, &primary))
+}
--- /dev/null
+++ b/crates/policy/src/request/query/mod.rs
@@ -0,0 +1,222 @@
+//! The state machine of one request.
+//!
+//! It pins a snapshot, sends one subquery for each shard, and answers parts
+//! and wake-ups with further sends until it has a verdict. Only idempotent
+//! work is hedged; other work is sent again only after a failure that
+//! certainly did not run it. After the verdict it does nothing more.
+
+mod recover;
+mod send;
+mod verdict;
+
+use std::{sync::Arc, time::Duration};
+
+use base::{AttemptId, HostName, Missing, Outcome, Reason, RequestId, ShardId, Snapshot, Time};
+use documents::{Service, model::Preference};
+
+use super::{
+    decisions::{QueryCx, Routes},
+    gather::{Gather, Settlement},
+    pool_view::PoolView,
+    snapshot::choose_snapshot,
+};
+use crate::message::{Batch, Part, PartResult};
+
+use self::send::{Outbox, ShardPlan};
+pub use self::verdict::{Answer, Verdict};
+
+/// With latency preferred, an answer with enough shards waits for the others
+/// up to this many times the pool's high latency.
+const PATIENCE_FACTOR: u32 = 3;
+
+/// A caller's request, after all checks.
+#[derive(Clone, Debug)]
+pub struct QueryRequest {
+    pub id: RequestId,
+    pub service: Arc<Service>,
+    pub view: Arc<PoolView>,
+    /// The only shard to ask; every shard if none.
+    pub shard: Option<ShardId>,
+    pub body: Arc<[u8]>,
+    pub fingerprint: u64,
+    pub is_idempotent: bool,
+    pub min_coverage: f64,
+    pub started: Time,
+    pub deadline: Time,
+}
+
+/// What the host has to do for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Send { owner: HostName, batch: Batch },
+    Cancel { owner: HostName, attempts: Vec<AttemptId> },
+    Finish(Verdict),
+}
+
+#[derive(Clone, Debug)]
+pub struct Query {
+    req: QueryRequest,
+    gather: Gather,
+    plans: Vec<ShardPlan>,
+    /// Snapshots pinned so far, the last one in use.
+    pins: Vec<Snapshot>,
+    patience_ends: Time,
+    is_finished: bool,
+}
+
+impl Query {
+    pub fn new(req: QueryRequest) -> Self {
+        let gather = Gather::new(Snapshot::default(), std::iter::empty(), req.deadline);
+        let patience_ends = req.deadline;
+        Query {
+            req,
+            gather,
+            plans: Vec::new(),
+            pins: Vec::new(),
+            patience_ends,
+            is_finished: false,
+        }
+    }
+
+    /// Pins a snapshot and sends the first subqueries.
+    pub fn start<R: Routes>(&mut self, cx: &mut QueryCx<'_, R>) -> Vec<Action> {
+        let pin = choose_snapshot(cx.configuration, &cx.decisions.table, &self.req.view);
+        let Some(pin) = pin else {
+            let detail = "no usable target of the pool has told which snapshots it holds";
+            return self.refuse(Reason::NoSnapshot, Outcome::NotRun, detail.to_owned());
+        };
+        self.pin(pin.snapshot);
+        self.gather = Gather::new(pin.snapshot, self.shards(), self.req.deadline);
+        self.patience_ends = self.patience_ends(cx);
+        let mut outbox = Outbox::default();
+        self.send_first(cx, &mut outbox);
+        self.conclude(cx, outbox)
+    }
+
+    /// Takes in a part.
+    pub fn on_part<R: Routes>(&mut self, cx: &mut QueryCx<'_, R>, part: &Part) -> Vec<Action> {
+        self.learn(cx, part);
+        if self.is_finished {
+            return Vec::new();
+        }
+        let mut outbox = Outbox::default();
+        match self.gather.accept(cx.now, part) {
+            Settlement::Ignored => return Vec::new(),
+            Settlement::Answered { shard } => self.on_answer(cx, shard, &mut outbox),
+            Settlement::Failed { shard, missing, outcome } => {
+                self.on_failure(cx, part, shard, missing, outcome, &mut outbox);
+            }
+        }
+        self.conclude(cx, outbox)
+    }
+
+    /// Acts on what has become due; to be called at [`Query::next_wakeup`].
+    pub fn on_wakeup<R: Routes>(&mut self, cx: &mut QueryCx<'_, R>) -> Vec<Action> {
+        if self.is_finished {
+            return Vec::new();
+        }
+        let mut outbox = Outbox::default();
+        if cx.now < self.req.deadline {
+            self.send_due_hedges(cx, &mut outbox);
+            self.send_due_retries(cx, &mut outbox);
+        }
+        self.conclude(cx, outbox)
+    }
+
+    pub fn next_wakeup(&self) -> Time {
+        let timers = self.plans.iter().flat_map(|it| [it.hedge_at, it.retry_at]).flatten();
+        let first = timers.min().unwrap_or(self.req.deadline).min(self.req.deadline);
+        if self.is_answer_enough() { first.min(self.patience_ends) } else { first }
+    }
+
+    pub fn request(&self) -> &QueryRequest {
+        &self.req
+    }
+
+    pub fn gather(&self) -> &Gather {
+        &self.gather
+    }
+
+    pub fn pins(&self) -> &[Snapshot] {
+        &self.pins
+    }
+
+    fn pin(&mut self, snapshot: Snapshot) {
+        self.pins.push(snapshot);
+        self.plans = self.shards().map(ShardPlan::new).collect();
+    }
+
+    /// The shards asked, in ascending order.
+    fn shards(&self) -> impl Iterator<Item = ShardId> + use<> {
+        let shards = match self.req.shard {
+            Some(ShardId(shard)) => shard..shard.saturating_add(1),
+            None => 0..self.req.view.pool.shards,
+        };
+        shards.map(ShardId)
+    }
+
+    fn patience_ends<R>(&self, cx: &QueryCx<'_, R>) -> Time {
+        if self.req.service.prefer == Preference::Coverage {
+            return self.req.deadline;
+        }
+        let Some(latency) = cx.decisions.high_latency(&self.req.service.pool) else {
+            return self.req.deadline;
+        };
+        (self.req.started + latency * PATIENCE_FACTOR).min(self.req.deadline)
+    }
+
+    fn learn<R>(&mut self, cx: &mut QueryCx<'_, R>, part: &Part) {
+        let table = &mut cx.decisions.table;
+        if let Some(status) = &part.status {
+            table.learn(status);
+        }
+        let Some(attempt) = self.gather.attempt(part.attempt) else { return };
+        let is_unreachable =
+            matches!(part.result, PartResult::Failed { missing: Missing::OwnerUnreachable, .. });
+        if is_unreachable {
+            table.mark_silent(cx.now, &attempt.owner);
+        } else {
+            table.mark_heard(cx.now, &attempt.owner);
+        }
+    }
+
+    fn on_answer<R>(&mut self, cx: &mut QueryCx<'_, R>, shard: ShardId, outbox: &mut Outbox) {
+        if let Some(plan) = self.plan_mut(shard) {
+            plan.hedge_at = None;
+            plan.retry_at = None;
+        }
+        self.record_latencies(cx, shard);
+        let losers = self.gather.abandon_open(cx.now, |it| it.shard == shard);
+        outbox.cancel(losers);
+    }
+
+    /// Feeds the latency of an answered shard's attempts. A loser counts with
+    /// the time it has taken so far, else slow targets would look fast.
+    fn record_latencies<R>(&mut self, cx: &mut QueryCx<'_, R>, shard: ShardId) {
+        let load = cx.decisions.pools.entry(self.req.service.pool.clone()).or_default();
+        for attempt in self.gather.attempts_of(shard) {
+            if attempt.settled.is_some_and(|(at, _)| at != cx.now) {
+                continue;
+            }
+            let latency = cx.now.since(attempt.sent);
+            load.latency.record(cx.now, latency);
+            cx.decisions.table.observe_latency(cx.now, &attempt.target, latency);
+            let is_loser = attempt.settled.is_none();
+            if is_loser {
+                cx.decisions.table.mark_unheard(cx.now, &attempt.owner, attempt.sent);
+            }
+        }
+        load.record_part(cx.now, false);
+    }
+
+    fn plan_mut(&mut self, shard: ShardId) -> Option<&mut ShardPlan> {
+        let index = self.plans.binary_search_by_key(&shard, |it| it.shard).ok()?;
+        self.plans.get_mut(index)
+    }
+
+    /// Time left for subqueries, less what the way back needs.
+    fn time_left(&self, now: Time) -> Duration {
+        const RETURN_MARGIN: Duration = Duration::from_millis(1);
+        self.req.deadline.until(now).saturating_sub(RETURN_MARGIN)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/request/query/recover.rs
@@ -0,0 +1,196 @@
+//! What follows a failed subquery: another replica, the target's other owner,
+//! a later try, a restart on a newer snapshot, or a missing shard.
+
+use std::time::Duration;
+
+use base::{Missing, Outcome, ShardId};
+use documents::model::Preference;
+
+use super::{Outbox, Query};
+use crate::{
+    message::Part,
+    request::{
+        decisions::{QueryCx, Routes},
+        gather::SendKind,
+        snapshot::{choose_snapshot, shards_served},
+    },
+};
+
+/// Most subqueries for one shard, hedges included.
+const MAX_SENDS: u32 = 4;
+/// Most times that a request starts again on another snapshot.
+const MAX_RESTARTS: usize = 2;
+/// Wait before replicas that failed or are not usable are looked at again.
+const RETRY_BACKOFF: Duration = Duration::from_millis(10);
+
+impl Query {
+    pub(super) fn on_failure<R: Routes>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        part: &Part,
+        shard: ShardId,
+        missing: Missing,
+        outcome: Outcome,
+        outbox: &mut Outbox,
+    ) {
+        self.note_failure(cx, part, missing);
+        let is_settled = self.gather.is_answered(shard) || self.gather.is_open(shard);
+        if is_settled {
+            return;
+        }
+        if !self.may_send_again(shard, outcome) {
+            return;
+        }
+        let is_owner_lost = missing == Missing::OwnerUnreachable;
+        if is_owner_lost && self.retry_through_other_owner(cx, part, outcome, outbox) {
+            return;
+        }
+        self.retry(cx, shard, missing, outcome, outbox);
+    }
+
+    /// Tries shards again whose wait is over.
+    pub(super) fn send_due_retries<R: Routes>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        outbox: &mut Outbox,
+    ) {
+        for i in 0..self.plans.len() {
+            let plan = &mut self.plans[i];
+            if plan.retry_at.is_none_or(|at| at > cx.now) {
+                continue;
+            }
+            plan.retry_at = None;
+            plan.tried.clear();
+            let shard = plan.shard;
+            match self.choose_untried(cx, shard) {
+                Ok(target) => {
+                    if cx.decisions.budgets.try_spend(&self.req.service.name, &target.name) {
+                        self.send(cx, shard, &target, SendKind::Retry, outbox);
+                    }
+                }
+                Err(missing) => self.on_no_replica(cx, shard, missing),
+            }
+        }
+    }
+
+    /// No replica of a shard can be asked now; later perhaps.
+    pub(super) fn on_no_replica<R>(
+        &mut self,
+        cx: &QueryCx<'_, R>,
+        shard: ShardId,
+        missing: Missing,
+    ) {
+        self.gather.set_missing(shard, missing);
+        if self.wants_more() {
+            self.retry_later(cx, shard);
+        }
+    }
+
+    fn note_failure<R>(&mut self, cx: &mut QueryCx<'_, R>, part: &Part, missing: Missing) {
+        let load = cx.decisions.pools.entry(self.req.service.pool.clone()).or_default();
+        load.record_part(cx.now, missing == Missing::Shed);
+        let table = &mut cx.decisions.table;
+        match missing {
+            Missing::WrongSnapshot => table.forget_snapshot(&part.target, self.gather.snapshot()),
+            Missing::TargetLeaving => table.mark_leaving(&part.target),
+            _ => (),
+        }
+    }
+
+    fn may_send_again(&self, shard: ShardId, outcome: Outcome) -> bool {
+        let sends = self.plans.iter().find(|it| it.shard == shard).map_or(0, |it| it.sends);
+        let is_safe = self.req.is_idempotent || outcome == Outcome::NotRun;
+        is_safe && sends < MAX_SENDS
+    }
+
+    fn retry_through_other_owner<R: Routes>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        part: &Part,
+        outcome: Outcome,
+        outbox: &mut Outbox,
+    ) -> bool {
+        let replicas = self.req.view.replicas(part.shard);
+        let Some(target) = replicas.iter().find(|it| it.name == part.target).cloned() else {
+            return false;
+        };
+        if self.choose_owner(cx, part.shard, &target.name).is_none() {
+            return false;
+        }
+        if is_charged(Missing::OwnerUnreachable, outcome)
+            && !cx.decisions.budgets.try_spend(&self.req.service.name, &target.name)
+        {
+            return false;
+        }
+        self.send(cx, part.shard, &target, SendKind::Retry, outbox)
+    }
+
+    fn retry<R: Routes>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        shard: ShardId,
+        missing: Missing,
+        outcome: Outcome,
+        outbox: &mut Outbox,
+    ) {
+        let target = match self.choose_untried(cx, shard) {
+            Ok(target) => target,
+            Err(Missing::WrongSnapshot) if self.restart(cx, outbox) => return,
+            Err(_) => {
+                // The failure says more than the lack of another replica.
+                return self.on_no_replica(cx, shard, missing);
+            }
+        };
+        let is_paid = !is_charged(missing, outcome)
+            || cx.decisions.budgets.try_spend(&self.req.service.name, &target.name);
+        if is_paid {
+            self.send(cx, shard, &target, SendKind::Retry, outbox);
+        }
+    }
+
+    fn retry_later<R>(&mut self, cx: &QueryCx<'_, R>, shard: ShardId) {
+        let at = cx.now + RETRY_BACKOFF;
+        if at >= self.req.deadline {
+            return;
+        }
+        let Some(plan) = self.plan_mut(shard) else { return };
+        if plan.sends < MAX_SENDS {
+            plan.retry_at = Some(at);
+        }
+    }
+
+    /// Starts the whole request again if a newer snapshot serves more shards
+    /// than the pinned one still does.
+    fn restart<R: Routes>(&mut self, cx: &mut QueryCx<'_, R>, outbox: &mut Outbox) -> bool {
+        if !self.req.is_idempotent || self.pins.len() > MAX_RESTARTS {
+            return false;
+        }
+        let table = &cx.decisions.table;
+        let Some(pin) = choose_snapshot(cx.configuration, table, &self.req.view) else {
+            return false;
+        };
+        let pinned = self.gather.snapshot();
+        let still_served = shards_served(cx.configuration, table, &self.req.view, pinned);
+        let expected = cx.decisions.high_latency(&self.req.service.pool).unwrap_or_default();
+        let is_time_left = self.req.deadline.until(cx.now) > expected;
+        if pin.snapshot <= pinned || pin.served <= still_served || !is_time_left {
+            return false;
+        }
+        self.pin(pin.snapshot);
+        let open = self.gather.restart(cx.now, pin.snapshot, self.shards());
+        outbox.restart(open);
+        self.send_first(cx, outbox);
+        true
+    }
+
+    /// Whether missing shards are worth the time that is left.
+    fn wants_more(&self) -> bool {
+        self.req.service.prefer == Preference::Coverage || !self.is_answer_enough()
+    }
+}
+
+/// Whether a retry is extra load. Work that was not run was no load, but a
+/// shed subquery asked a target that had too much already.
+fn is_charged(missing: Missing, outcome: Outcome) -> bool {
+    outcome != Outcome::NotRun || missing == Missing::Shed
+}
--- /dev/null
+++ b/crates/policy/src/request/query/send.rs
@@ -0,0 +1,237 @@
+//! First sends and hedges, grouped into one batch for each owner.
+
+use base::{AttemptId, HostName, ShardId, TargetName, Time};
+use documents::Target;
+use rand::Rng;
+
+use super::{Action, Query};
+use crate::{
+    message::{Batch, Subquery},
+    request::{
+        decisions::{QueryCx, Routes},
+        gather::{Attempt, SendKind},
+        plan::{PlanCx, choose_replica},
+    },
+};
+
+/// What is planned for one shard.
+#[derive(Clone, Debug)]
+pub(super) struct ShardPlan {
+    pub shard: ShardId,
+    /// Each target tried, with the owner it was tried through.
+    pub tried: Vec<(TargetName, HostName)>,
+    pub sends: u32,
+    pub hedge_at: Option<Time>,
+    pub retry_at: Option<Time>,
+}
+
+/// Sends and cancellations of one step, grouped by owner.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    sends: Vec<Send>,
+    cancels: Vec<(HostName, Vec<AttemptId>)>,
+}
+
+#[derive(Debug)]
+struct Send {
+    owner: HostName,
+    is_extra: bool,
+    subqueries: Vec<Subquery>,
+}
+
+impl ShardPlan {
+    pub(super) fn new(shard: ShardId) -> Self {
+        ShardPlan { shard, tried: Vec::new(), sends: 0, hedge_at: None, retry_at: None }
+    }
+
+    pub(super) fn tried_targets(&self) -> Vec<TargetName> {
+        self.tried.iter().map(|(target, _)| target.clone()).collect()
+    }
+}
+
+impl Outbox {
+    pub(super) fn cancel(&mut self, attempts: Vec<(AttemptId, HostName)>) {
+        for (attempt, owner) in attempts {
+            match self.cancels.iter_mut().find(|it| it.0 == owner) {
+                Some((_, attempts)) => attempts.push(attempt),
+                None => self.cancels.push((owner, vec![attempt])),
+            }
+        }
+    }
+
+    /// Drops the sends of this step and cancels what was open before.
+    pub(super) fn restart(&mut self, open: Vec<(AttemptId, HostName)>) {
+        self.sends.clear();
+        self.cancel(open);
+    }
+
+    fn send(&mut self, owner: HostName, is_extra: bool, subquery: Subquery) {
+        let open = self.sends.iter_mut().find(|it| it.owner == owner && it.is_extra == is_extra);
+        match open {
+            Some(send) => send.subqueries.push(subquery),
+            None => self.sends.push(Send { owner, is_extra, subqueries: vec![subquery] }),
+        }
+    }
+}
+
+impl Query {
+    pub(super) fn send_first<R: Routes>(&mut self, cx: &mut QueryCx<'_, R>, outbox: &mut Outbox) {
+        let is_restart = self.pins.len() > 1;
+        let kind = if is_restart { SendKind::Restart } else { SendKind::First };
+        for i in 0..self.plans.len() {
+            let shard = self.plans[i].shard;
+            match self.choose_untried(cx, shard) {
+                Ok(target) => {
+                    if !is_restart {
+                        self.earn_budget(cx, shard);
+                    }
+                    self.send(cx, shard, &target, kind, outbox);
+                }
+                Err(missing) => self.on_no_replica(cx, shard, missing),
+            }
+        }
+    }
+
+    fn earn_budget<R>(&self, cx: &mut QueryCx<'_, R>, shard: ShardId) {
+        let replicas = self.req.view.replicas(shard).iter().map(|it| &it.name);
+        cx.decisions.budgets.earn(&self.req.service.name, replicas);
+    }
+
+    /// Sends a second subquery for each shard that has waited too long, to
+    /// another replica or else through the target's other owner.
+    pub(super) fn send_due_hedges<R: Routes>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        outbox: &mut Outbox,
+    ) {
+        for i in 0..self.plans.len() {
+            let plan = &mut self.plans[i];
+            if plan.hedge_at.is_none_or(|at| at > cx.now) {
+                continue;
+            }
+            plan.hedge_at = None;
+            let shard = plan.shard;
+            if cx.decisions.hedge_delay(&self.req.service.pool).is_none() {
+                continue;
+            }
+            let Some(target) = self.choose_hedge(cx, shard) else { continue };
+            if !cx.decisions.budgets.try_spend(&self.req.service.name, &target.name) {
+                continue;
+            }
+            self.send(cx, shard, &target, SendKind::Hedge, outbox);
+        }
+    }
+
+    pub(super) fn choose_untried<R: Routes>(
+        &self,
+        cx: &mut QueryCx<'_, R>,
+        shard: ShardId,
+    ) -> Result<std::sync::Arc<Target>, base::Missing> {
+        let plan = self.plans.iter().find(|it| it.shard == shard);
+        let tried = plan.map(ShardPlan::tried_targets).unwrap_or_default();
+        let plan_cx = PlanCx {
+            now: cx.now,
+            configuration: cx.configuration,
+            domain: cx.domain,
+            routes: cx.routes,
+            table: &cx.decisions.table,
+            view: &self.req.view,
+            snapshot: self.gather.snapshot(),
+        };
+        choose_replica(&plan_cx, shard, &tried, cx.rng)
+    }
+
+    /// Hands a subquery to the target's owner; false if no owner is left
+    /// that it was not tried through.
+    pub(super) fn send<R: Routes>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        shard: ShardId,
+        target: &Target,
+        kind: SendKind,
+        outbox: &mut Outbox,
+    ) -> bool {
+        let Some(owner) = self.choose_owner(cx, shard, &target.name) else {
+            self.gather.set_missing(shard, base::Missing::OwnerUnreachable);
+            return false;
+        };
+        let delay = cx.decisions.hedge_delay(&self.req.service.pool);
+        let may_hedge = self.req.is_idempotent && kind != SendKind::Hedge;
+        let hedge_at = delay.filter(|_| may_hedge).map(|it| cx.now + it);
+        let Some(plan) = self.plan_mut(shard) else { return false };
+        plan.tried.push((target.name.clone(), owner.clone()));
+        plan.sends += 1;
+        plan.retry_at = None;
+        plan.hedge_at = hedge_at;
+        let id = AttemptId(cx.rng.random());
+        let attempt = Attempt {
+            shard,
+            target: target.name.clone(),
+            owner: owner.clone(),
+            kind,
+            sent: cx.now,
+            snapshot: self.gather.snapshot(),
+            settled: None,
+        };
+        self.gather.open(id, attempt);
+        let subquery = Subquery { attempt: id, shard, target: target.name.clone() };
+        outbox.send(owner, kind != SendKind::First, subquery);
+        true
+    }
+
+    /// The actions of a step, one batch for each owner.
+    pub(super) fn flush(&self, now: Time, outbox: Outbox) -> Vec<Action> {
+        let cancels = outbox.cancels.into_iter();
+        let cancels = cancels.map(|(owner, attempts)| Action::Cancel { owner, attempts });
+        let sends = outbox.sends.into_iter().map(|send| {
+            let batch = self.batch(now, send.is_extra, send.subqueries);
+            Action::Send { owner: send.owner, batch }
+        });
+        cancels.chain(sends).collect()
+    }
+
+    fn choose_hedge<R: Routes>(
+        &self,
+        cx: &mut QueryCx<'_, R>,
+        shard: ShardId,
+    ) -> Option<std::sync::Arc<Target>> {
+        if let Ok(target) = self.choose_untried(cx, shard) {
+            return Some(target);
+        }
+        let plan = self.plans.iter().find(|it| it.shard == shard)?;
+        let (last, _) = plan.tried.last()?;
+        let target = self.req.view.replicas(shard).iter().find(|it| it.name == *last)?;
+        self.choose_owner(cx, shard, last).map(|_| target.clone())
+    }
+
+    /// The primary, unless it was tried or is silent.
+    pub(super) fn choose_owner<R: Routes>(
+        &self,
+        cx: &QueryCx<'_, R>,
+        shard: ShardId,
+        target: &TargetName,
+    ) -> Option<HostName> {
+        let (primary, standby) = cx.routes.owners(target)?;
+        let plan = self.plans.iter().find(|it| it.shard == shard)?;
+        let is_tried =
+            |owner: &HostName| plan.tried.iter().any(|it| it.0 == *target && it.1 == *owner);
+        let owners = std::iter::once(primary).chain(standby);
+        let untried = owners.filter(|it| !is_tried(it));
+        untried.min_by_key(|it| cx.decisions.table.is_silent(cx.now, it))
+    }
+
+    fn batch(&self, now: Time, is_extra: bool, subqueries: Vec<Subquery>) -> Batch {
+        Batch {
+            request: self.req.id,
+            service: self.req.service.name.clone(),
+            pool: self.req.service.pool.clone(),
+            snapshot: self.gather.snapshot(),
+            time_left: self.time_left(now),
+            is_idempotent: self.req.is_idempotent,
+            is_extra,
+            fingerprint: self.req.fingerprint,
+            body: self.req.body.clone(),
+            subqueries,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/request/query/verdict.rs
@@ -0,0 +1,128 @@
+//! When a request is over, and with what.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{Missing, Outcome, Reason, ShardId, Snapshot};
+
+use super::{Action, Outbox, Query};
+use crate::{
+    message::Refusal,
+    request::{decisions::QueryCx, gather::Coverage},
+};
+
+/// Slack for comparing coverage with its bound.
+const COVERAGE_EPSILON: f64 = 1e-9;
+/// When a caller may try again after a pool had too much work.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    Answer(Answer),
+    Refused(Refusal),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub snapshot: Snapshot,
+    pub coverage: Coverage,
+    pub parts: Vec<(ShardId, Arc<[u8]>)>,
+}
+
+impl Query {
+    /// Ends the step: with the verdict if the request is over.
+    pub(super) fn conclude<R>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        mut outbox: Outbox,
+    ) -> Vec<Action> {
+        if !self.is_over(cx) {
+            return self.flush(cx.now, outbox);
+        }
+        self.note_silent_owners(cx);
+        // Work that must not be cut short runs on; nobody waits for it.
+        let open = self.gather.abandon_open(cx.now, |_| true);
+        if self.req.is_idempotent {
+            outbox.cancel(open);
+        }
+        let verdict = self.verdict(cx.now >= self.req.deadline);
+        self.is_finished = true;
+        let mut actions = self.flush(cx.now, outbox);
+        actions.push(Action::Finish(verdict));
+        actions
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        reason: Reason,
+        outcome: Outcome,
+        detail: String,
+    ) -> Vec<Action> {
+        self.is_finished = true;
+        let retry_after = Some(OVERLOAD_RETRY_AFTER);
+        let refusal = Refusal { reason, outcome, detail, retry_after };
+        vec![Action::Finish(Verdict::Refused(refusal))]
+    }
+
+    pub(super) fn is_answer_enough(&self) -> bool {
+        is_enough(&self.gather.coverage(), self.req.min_coverage)
+    }
+
+    fn is_over<R>(&self, cx: &QueryCx<'_, R>) -> bool {
+        if cx.now >= self.req.deadline || self.gather.is_complete() {
+            return true;
+        }
+        let is_waiting = self.plans.iter().any(|it| it.retry_at.is_some())
+            || self.plans.iter().any(|it| self.gather.is_open(it.shard));
+        !is_waiting || (cx.now >= self.patience_ends && self.is_answer_enough())
+    }
+
+    fn note_silent_owners<R>(&self, cx: &mut QueryCx<'_, R>) {
+        for (_, attempt) in self.gather.attempts().filter(|(_, it)| it.settled.is_none()) {
+            cx.decisions.table.mark_unheard(cx.now, &attempt.owner, attempt.sent);
+        }
+    }
+
+    fn verdict(&self, is_late: bool) -> Verdict {
+        let coverage = self.gather.coverage();
+        let snapshot = self.gather.snapshot();
+        if !is_enough(&coverage, self.req.min_coverage) {
+            return Verdict::Refused(self.refusal(&coverage, is_late));
+        }
+        let parts: Vec<_> =
+            self.gather.answers().map(|(shard, body)| (shard, body.clone())).collect();
+        base::always!(
+            parts.len() == coverage.answered as usize
+                && coverage.answered + coverage.missing.len() as u32 == coverage.total,
+            "coverage-is-true",
+            "request {}",
+            self.req.id
+        );
+        Verdict::Answer(Answer { snapshot, coverage, parts })
+    }
+
+    fn refusal(&self, coverage: &Coverage, is_late: bool) -> Refusal {
+        let is_shed = coverage.missing.iter().any(|it| it.1 == Missing::Shed);
+        let reason = match (is_late, is_shed) {
+            (_, true) => Reason::Overloaded,
+            (true, false) => Reason::DeadlinePassed,
+            (false, false) => Reason::CoverageTooLow,
+        };
+        let detail = describe(coverage, self.req.min_coverage);
+        let retry_after = is_shed.then_some(OVERLOAD_RETRY_AFTER);
+        Refusal { reason, outcome: self.gather.outcome(), detail, retry_after }
+    }
+}
+
+fn is_enough(coverage: &Coverage, min_coverage: f64) -> bool {
+    coverage.answered > 0 && coverage.ratio() + COVERAGE_EPSILON >= min_coverage
+}
+
+fn describe(coverage: &Coverage, min_coverage: f64) -> String {
+    const MAX_SHARDS_NAMED: usize = 8;
+    let named = coverage.missing.iter().take(MAX_SHARDS_NAMED);
+    let named: Vec<_> = named.map(|(shard, missing)| format!("{shard}: {missing}")).collect();
+    let Coverage { answered, total, .. } = coverage;
+    let shards = named.join(", ");
+    format!("{answered} of {total} shards answered, {min_coverage} is asked for; missing {shards}")
+}
