Let a ticket run its request at most once

Cause: a non-idempotent request sent again through another host could run twice; a key kept by a hash owner fails under split views. Change: policy::request::TicketTable; only the minting process uses a ticket up, before the send. An unused expired ticket says not_run, an unknown one may_have_run. Bounded by count, bytes and lifetimes. Conclusion: the minter alone decides, so views of the fleet do not matter.

--- a/crates/policy/src/request/mod.rs
+++ b/crates/policy/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod query;
 mod snapshot;
 mod table;
+mod tickets;
 
 pub use self::{
     budget::Budgets,
@@ -23,4 +24,5 @@
     query::{Action, Answer, Query, QueryRequest, Verdict},
     snapshot::{Pin, choose_snapshot},
     table::TargetTable,
+    tickets::{RECORD_LIFETIME, Standing, TICKET_LIFETIME, TicketTable, parse_ticket, ticket_text},
 };
