Try suspect requests alone before they spread

Cause: a request that crashes every target it runs on was retried and hedged like any other, and a resend through another host would do it again. Change: policy::request::Quarantine. A death implicates what was in flight; a suspect runs first as one subquery, is cleared by an answer and quarantined by another death. Notes for peers; bounded table; rivals in one death released. Non-idempotent work is gated in one place: no send for a shard unless every earlier one is known not to have run.

--- a/crates/policy/src/request/decisions.rs
+++ b/crates/policy/src/request/decisions.rs
@@ -10,7 +10,7 @@
 };
 use rand::rngs::SmallRng;
 
-use super::{budget::Budgets, latency::PoolLoad, table::TargetTable};
+use super::{budget::Budgets, latency::PoolLoad, quarantine::Quarantine, table::TargetTable};
 
 /// Hedges start at this quantile of what the pool does now, so that they stay
 /// under the budget of extra load while retries have some of it too.
@@ -27,6 +27,7 @@
     pub table: TargetTable,
     pub budgets: Budgets,
     pub pools: HashMap<PoolName, PoolLoad>,
+    pub quarantine: Quarantine,
     hedging: Hedging,
 }
 
@@ -47,6 +48,7 @@
             table: TargetTable::default(),
             budgets: Budgets::new(cfg.extra_load_budget),
             pools: HashMap::default(),
+            quarantine: Quarantine::default(),
             hedging: cfg.hedging,
         }
     }
--- a/crates/policy/src/request/gather.rs
+++ b/crates/policy/src/request/gather.rs
@@ -198,6 +198,16 @@
         self.shard(shard).is_some_and(|it| it.open > 0)
     }
 
+    /// Whether every send for a shard, on whatever snapshot, is known not to
+    /// have run.
+    pub fn is_certainly_not_run(&self, shard: ShardId) -> bool {
+        let mut sends = self.attempts.values().filter(|it| it.shard == shard);
+        sends.all(|it| {
+            let settled = it.settled.map(|(_, settled)| settled);
+            matches!(settled, Some(Settled::Failed { outcome: Outcome::NotRun, .. }))
+        })
+    }
+
     pub fn is_complete(&self) -> bool {
         self.shards.iter().all(|it| it.answer.is_some())
     }
--- a/crates/policy/src/request/mod.rs
+++ b/crates/policy/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod latency;
 mod plan;
 mod pool_view;
+mod quarantine;
 mod query;
 mod snapshot;
 mod table;
@@ -21,6 +22,7 @@
     gather::{Attempt, Coverage, Gather, SendKind, Settled, Settlement},
     latency::{LatencyHistogram, PoolLoad},
     pool_view::PoolView,
+    quarantine::{Admission, Death, Quarantine, SuspectNote},
     query::{Action, Answer, Query, QueryRequest, Verdict},
     snapshot::{Pin, choose_snapshot},
     table::TargetTable,
--- a/crates/policy/src/request/plan.rs
+++ b/crates/policy/src/request/plan.rs
@@ -44,12 +44,19 @@
     tried: &[TargetName],
     rng: &mut SmallRng,
 ) -> Result<Arc<Target>, Missing> {
-    let candidates = cx.view.replicas(shard).iter().filter(|it| why_not(cx, it).is_none());
-    let untried = candidates.filter(|it| !tried.contains(&it.name));
+    let untried = usable_replicas(cx, shard).filter(|it| !tried.contains(&it.name));
     let best = untried.min_by_key(|it| score(cx, it, rng));
     best.cloned().ok_or_else(|| reason_for_none(cx, shard))
 }
 
+/// Replicas of a shard that may get work and hold the snapshot.
+pub(super) fn usable_replicas<'a, R>(
+    cx: &'a PlanCx<'a, R>,
+    shard: ShardId,
+) -> impl Iterator<Item = &'a Arc<Target>> {
+    cx.view.replicas(shard).iter().filter(move |it| why_not(cx, it).is_none())
+}
+
 /// The nearest reason to being usable among all replicas of a shard.
 fn reason_for_none<R>(cx: &PlanCx<'_, R>, shard: ShardId) -> Missing {
     let reasons = cx.view.replicas(shard).iter().filter_map(|it| why_not(cx, it));
--- /dev/null
+++ b/crates/policy/src/request/quarantine/mod.rs
@@ -0,0 +1,236 @@
+//! Requests that crash the targets which run them.
+//!
+//! When a target dies, every request in flight there is implicated and becomes
+//! a suspect, known by its fingerprint. A suspect is not spread over targets:
+//! it first runs on trial, as one subquery to one target, on a shard where it
+//! was implicated. If that target answers, the suspect is cleared; if it dies
+//! as well, the suspect is quarantined. An innocent request that ran beside a
+//! crashing one is thus delayed by its trial, but not refused.
+//!
+//! Two suspects may be on trial at one target when it dies. The one that was
+//! implicated in fewer deaths is then released for another trial.
+//!
+//! Hosts tell each other their [`SuspectNote`]s. The table is bounded and
+//! everything in it expires.
+
+mod note;
+
+use std::time::Duration;
+
+use base::{HashMap, Incarnation, ShardId, TargetName, Time};
+
+pub use self::note::SuspectNote;
+
+/// How long an implication is remembered.
+const SUSPECT_LIFETIME: Duration = Duration::from_secs(60);
+/// First quarantine; each further one is twice as long.
+const FIRST_QUARANTINE: Duration = Duration::from_secs(300);
+const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
+/// Quarantine of a suspect when another one is more likely to blame.
+const AMBIGUOUS_QUARANTINE: Duration = Duration::from_millis(500);
+/// A trial without a result for this long is over.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(800);
+const MAX_SUSPECTS: usize = 1_024;
+/// Deaths remembered for each suspect.
+const MAX_DEATHS: usize = 8;
+
+/// The death of one life of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Death {
+    pub target: TargetName,
+    pub incarnation: Incarnation,
+    pub shard: ShardId,
+}
+
+/// How a request may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    Free,
+    /// Only as a trial: one subquery, on one of these shards.
+    Trial {
+        shards: Vec<ShardId>,
+    },
+    /// Another request with this fingerprint is on trial.
+    Wait,
+    Refused {
+        retry_after: Duration,
+    },
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    suspects: HashMap<u64, Suspect>,
+    /// Notes that peers have not been told yet.
+    untold: Vec<u64>,
+    quarantined: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Suspect {
+    deaths: Vec<Death>,
+    verdict: Verdict,
+    /// Quarantines so far.
+    strikes: u32,
+    expires: Time,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Verdict {
+    Open,
+    Trial { target: TargetName, until: Time },
+    Quarantined { until: Time },
+}
+
+impl Quarantine {
+    pub fn admit(&mut self, now: Time, fingerprint: u64) -> Admission {
+        self.forget_expired(now);
+        let Some(suspect) = self.suspects.get(&fingerprint) else { return Admission::Free };
+        match suspect.verdict {
+            Verdict::Quarantined { until } if until > now => {
+                Admission::Refused { retry_after: until.until(now) }
+            }
+            Verdict::Trial { until, .. } if until > now => Admission::Wait,
+            _ => Admission::Trial { shards: suspect.deaths.iter().map(|it| it.shard).collect() },
+        }
+    }
+
+    pub fn is_suspect(&self, fingerprint: u64) -> bool {
+        self.suspects.contains_key(&fingerprint)
+    }
+
+    /// Starts a trial at a target; false if another suspect is on trial there
+    /// or the suspect may not run.
+    #[must_use]
+    pub fn start_trial(&mut self, now: Time, fingerprint: u64, target: &TargetName) -> bool {
+        let is_taken = self.suspects.values().any(|it| it.is_on_trial_at(now, target));
+        let may_run = matches!(self.admit(now, fingerprint), Admission::Trial { .. });
+        if is_taken || !may_run {
+            return false;
+        }
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
+        suspect.verdict = Verdict::Trial { target: target.clone(), until: now + TRIAL_TIMEOUT };
+        true
+    }
+
+    /// Ends a trial that had no result.
+    pub fn end_trial(&mut self, fingerprint: u64, target: &TargetName) {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return };
+        if matches!(&suspect.verdict, Verdict::Trial { target: at, .. } if at == target) {
+            suspect.verdict = Verdict::Open;
+        }
+    }
+
+    /// Clears a suspect whose trial ended with an answer.
+    pub fn clear(&mut self, fingerprint: u64) {
+        if self.suspects.remove(&fingerprint).is_some() {
+            self.untold.push(fingerprint);
+        }
+    }
+
+    /// Records that a target died while a request was in flight there. A
+    /// death during the trial at that target means quarantine.
+    pub fn implicate(&mut self, now: Time, fingerprint: u64, death: Death) {
+        self.make_room(fingerprint);
+        let suspect = self.suspects.entry(fingerprint).or_insert_with(Suspect::new);
+        let is_trial = suspect.is_on_trial_at(now, &death.target);
+        suspect.add_death(death);
+        suspect.expires = suspect.expires.max(now + SUSPECT_LIFETIME);
+        if is_trial {
+            suspect.quarantine(now);
+            self.quarantined += 1;
+        }
+        self.untold.push(fingerprint);
+        self.release_less_likely(now);
+    }
+
+    /// Quarantines imposed by this host so far.
+    pub fn quarantined_count(&self) -> u64 {
+        self.quarantined
+    }
+
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// A quarantined suspect is released if another one was implicated in the
+    /// same last death and in at least as many in all.
+    fn release_less_likely(&mut self, now: Time) {
+        let released: Vec<u64> = self
+            .suspects
+            .iter()
+            .filter(|(fingerprint, it)| it.is_quarantined(now) && self.has_rival(**fingerprint, it))
+            .map(|(&fingerprint, _)| fingerprint)
+            .collect();
+        for fingerprint in released {
+            let Some(suspect) = self.suspects.get_mut(&fingerprint) else { continue };
+            suspect.release(now);
+        }
+    }
+
+    fn has_rival(&self, fingerprint: u64, suspect: &Suspect) -> bool {
+        let Some(last) = suspect.deaths.last() else { return false };
+        self.suspects.iter().any(|(&other, it)| {
+            let is_as_likely = it.deaths.len() >= suspect.deaths.len();
+            other != fingerprint && is_as_likely && it.deaths.contains(last)
+        })
+    }
+
+    fn forget_expired(&mut self, now: Time) {
+        self.suspects.retain(|_, it| it.expires > now);
+    }
+
+    fn make_room(&mut self, fingerprint: u64) {
+        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&fingerprint) {
+            return;
+        }
+        let least = self.suspects.iter().min_by_key(|(_, it)| (it.strikes, it.expires));
+        let Some((&least, _)) = least else { return };
+        self.suspects.remove(&least);
+    }
+}
+
+impl Suspect {
+    fn new() -> Self {
+        Suspect { deaths: Vec::new(), verdict: Verdict::Open, strikes: 0, expires: Time::ZERO }
+    }
+
+    fn is_on_trial_at(&self, now: Time, target: &TargetName) -> bool {
+        matches!(&self.verdict, Verdict::Trial { target: at, until } if at == target && *until > now)
+    }
+
+    fn is_quarantined(&self, now: Time) -> bool {
+        matches!(self.verdict, Verdict::Quarantined { until } if until > now + AMBIGUOUS_QUARANTINE)
+    }
+
+    fn add_death(&mut self, death: Death) {
+        if self.deaths.contains(&death) {
+            return;
+        }
+        if self.deaths.len() == MAX_DEATHS {
+            self.deaths.remove(0);
+        }
+        self.deaths.push(death);
+    }
+
+    fn quarantine(&mut self, now: Time) {
+        let length = FIRST_QUARANTINE * 2_u32.saturating_pow(self.strikes);
+        self.strikes = (self.strikes + 1).min(8);
+        self.quarantine_until(now + length.min(MAX_QUARANTINE));
+    }
+
+    fn quarantine_until(&mut self, until: Time) {
+        self.verdict = Verdict::Quarantined { until };
+        // Remembered past its end, so that the next run is a trial again.
+        self.expires = self.expires.max(until + SUSPECT_LIFETIME);
+    }
+
+    fn release(&mut self, now: Time) {
+        self.strikes = self.strikes.saturating_sub(1);
+        self.verdict = Verdict::Quarantined { until: now + AMBIGUOUS_QUARANTINE };
+        self.expires = now + SUSPECT_LIFETIME;
+    }
+}
--- a/crates/policy/src/request/query/mod.rs
+++ b/crates/policy/src/request/query/mod.rs
@@ -7,11 +7,15 @@
 
 mod recover;
 mod send;
+mod trial;
 mod verdict;
 
 use std::{sync::Arc, time::Duration};
 
-use base::{AttemptId, HostName, Missing, Outcome, Reason, RequestId, ShardId, Snapshot, Time};
+use base::{
+    AttemptId, HashMap, HostName, Incarnation, Missing, Outcome, Reason, RequestId, ShardId,
+    Snapshot, TargetName, Time,
+};
 use documents::{Service, model::Preference};
 
 use super::{
@@ -20,10 +24,14 @@
     pool_view::PoolView,
     snapshot::choose_snapshot,
 };
-use crate::message::{Batch, Part, PartResult};
+use crate::message::{Batch, Part, PartResult, Refusal};
 
-use self::send::{Outbox, ShardPlan};
 pub use self::verdict::{Answer, Verdict};
+use self::{
+    recover::Failure,
+    send::{Outbox, ShardPlan},
+    trial::Trial,
+};
 
 /// With latency preferred, an answer with enough shards waits for the others
 /// up to this many times the pool's high latency.
@@ -61,19 +69,25 @@
     /// Snapshots pinned so far, the last one in use.
     pins: Vec<Snapshot>,
     patience_ends: Time,
+    trial: Trial,
+    /// Incarnations of targets when they were sent to.
+    sent_to: HashMap<TargetName, Incarnation>,
+    is_implicated: bool,
     is_finished: bool,
 }
 
 impl Query {
     pub fn new(req: QueryRequest) -> Self {
         let gather = Gather::new(Snapshot::default(), std::iter::empty(), req.deadline);
-        let patience_ends = req.deadline;
         Query {
+            patience_ends: req.deadline,
             req,
             gather,
             plans: Vec::new(),
             pins: Vec::new(),
-            patience_ends,
+            trial: Trial::None,
+            sent_to: HashMap::default(),
+            is_implicated: false,
             is_finished: false,
         }
     }
@@ -83,13 +97,15 @@
         let pin = choose_snapshot(cx.configuration, &cx.decisions.table, &self.req.view);
         let Some(pin) = pin else {
             let detail = "no usable target of the pool has told which snapshots it holds";
-            return self.refuse(Reason::NoSnapshot, Outcome::NotRun, detail.to_owned());
+            return self.refuse(no_snapshot(detail));
         };
         self.pin(pin.snapshot);
         self.gather = Gather::new(pin.snapshot, self.shards(), self.req.deadline);
         self.patience_ends = self.patience_ends(cx);
         let mut outbox = Outbox::default();
-        self.send_first(cx, &mut outbox);
+        if let Err(refusal) = self.send_admitted(cx, &mut outbox) {
+            return self.finish_refused(cx, outbox, refusal);
+        }
         self.conclude(cx, outbox)
     }
 
@@ -104,9 +120,13 @@
             Settlement::Ignored => return Vec::new(),
             Settlement::Answered { shard } => self.on_answer(cx, shard, &mut outbox),
             Settlement::Failed { shard, missing, outcome } => {
-                self.on_failure(cx, part, shard, missing, outcome, &mut outbox);
+                let failure = Failure { part, shard, missing, outcome };
+                self.on_failure(cx, &failure, &mut outbox);
             }
         }
+        if let Err(refusal) = self.send_due_trial(cx, &mut outbox) {
+            return self.finish_refused(cx, outbox, refusal);
+        }
         self.conclude(cx, outbox)
     }
 
@@ -117,6 +137,9 @@
         }
         let mut outbox = Outbox::default();
         if cx.now < self.req.deadline {
+            if let Err(refusal) = self.send_due_trial(cx, &mut outbox) {
+                return self.finish_refused(cx, outbox, refusal);
+            }
             self.send_due_hedges(cx, &mut outbox);
             self.send_due_retries(cx, &mut outbox);
         }
@@ -125,6 +148,7 @@
 
     pub fn next_wakeup(&self) -> Time {
         let timers = self.plans.iter().flat_map(|it| [it.hedge_at, it.retry_at]).flatten();
+        let timers = timers.chain(self.trial_wakeup());
         let first = timers.min().unwrap_or(self.req.deadline).min(self.req.deadline);
         if self.is_answer_enough() { first.min(self.patience_ends) } else { first }
     }
@@ -141,6 +165,11 @@
         &self.pins
     }
 
+    /// Whether a target died while it ran this request.
+    pub fn is_implicated(&self) -> bool {
+        self.is_implicated
+    }
+
     fn pin(&mut self, snapshot: Snapshot) {
         self.pins.push(snapshot);
         self.plans = self.shards().map(ShardPlan::new).collect();
@@ -180,7 +209,12 @@
         }
     }
 
-    fn on_answer<R>(&mut self, cx: &mut QueryCx<'_, R>, shard: ShardId, outbox: &mut Outbox) {
+    fn on_answer<R: Routes>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        shard: ShardId,
+        outbox: &mut Outbox,
+    ) {
         if let Some(plan) = self.plan_mut(shard) {
             plan.hedge_at = None;
             plan.retry_at = None;
@@ -188,6 +222,7 @@
         self.record_latencies(cx, shard);
         let losers = self.gather.abandon_open(cx.now, |it| it.shard == shard);
         outbox.cancel(losers);
+        self.on_trial_answer(cx, shard, outbox);
     }
 
     /// Feeds the latency of an answered shard's attempts. A loser counts with
@@ -220,3 +255,13 @@
         self.req.deadline.until(now).saturating_sub(RETURN_MARGIN)
     }
 }
+
+fn no_snapshot(detail: &str) -> Refusal {
+    const RETRY_AFTER: Duration = Duration::from_secs(1);
+    Refusal {
+        reason: Reason::NoSnapshot,
+        outcome: Outcome::NotRun,
+        detail: detail.to_owned(),
+        retry_after: Some(RETRY_AFTER),
+    }
+}
--- a/crates/policy/src/request/query/recover.rs
+++ b/crates/policy/src/request/query/recover.rs
@@ -6,7 +6,7 @@
 use base::{Missing, Outcome, ShardId};
 use documents::model::Preference;
 
-use super::{Outbox, Query};
+use super::{Outbox, Query, Trial};
 use crate::{
     message::Part,
     request::{
@@ -23,29 +23,36 @@
 /// Wait before replicas that failed or are not usable are looked at again.
 const RETRY_BACKOFF: Duration = Duration::from_millis(10);
 
+/// A subquery that failed.
+pub(super) struct Failure<'a> {
+    pub part: &'a Part,
+    pub shard: ShardId,
+    pub missing: Missing,
+    pub outcome: Outcome,
+}
+
 impl Query {
     pub(super) fn on_failure<R: Routes>(
         &mut self,
         cx: &mut QueryCx<'_, R>,
-        part: &Part,
-        shard: ShardId,
-        missing: Missing,
-        outcome: Outcome,
+        failure: &Failure<'_>,
         outbox: &mut Outbox,
     ) {
-        self.note_failure(cx, part, missing);
+        self.note_failure(cx, failure);
+        let shard = failure.shard;
         let is_settled = self.gather.is_answered(shard) || self.gather.is_open(shard);
-        if is_settled {
-            return;
-        }
-        if !self.may_send_again(shard, outcome) {
+        let is_death = self.note_death(cx, failure);
+        let is_trial = !is_death && self.on_trial_failure(cx, &failure.part.target);
+        // After a death, or while a trial is open, only a trial may follow.
+        let is_suspect = is_death || is_trial || self.trial != Trial::None;
+        if is_settled || is_suspect || !self.may_send_again(failure) {
             return;
         }
-        let is_owner_lost = missing == Missing::OwnerUnreachable;
-        if is_owner_lost && self.retry_through_other_owner(cx, part, outcome, outbox) {
+        let is_owner_lost = failure.missing == Missing::OwnerUnreachable;
+        if is_owner_lost && self.retry_through_other_owner(cx, failure, outbox) {
             return;
         }
-        self.retry(cx, shard, missing, outcome, outbox);
+        self.retry(cx, failure, outbox);
     }
 
     /// Tries shards again whose wait is over.
@@ -54,6 +61,9 @@
         cx: &mut QueryCx<'_, R>,
         outbox: &mut Outbox,
     ) {
+        if self.trial != Trial::None {
+            return;
+        }
         for i in 0..self.plans.len() {
             let plan = &mut self.plans[i];
             if plan.retry_at.is_none_or(|at| at > cx.now) {
@@ -86,7 +96,8 @@
         }
     }
 
-    fn note_failure<R>(&mut self, cx: &mut QueryCx<'_, R>, part: &Part, missing: Missing) {
+    fn note_failure<R>(&mut self, cx: &mut QueryCx<'_, R>, failure: &Failure<'_>) {
+        let &Failure { part, missing, .. } = failure;
         let load = cx.decisions.pools.entry(self.req.service.pool.clone()).or_default();
         load.record_part(cx.now, missing == Missing::Shed);
         let table = &mut cx.decisions.table;
@@ -97,19 +108,19 @@
         }
     }
 
-    fn may_send_again(&self, shard: ShardId, outcome: Outcome) -> bool {
-        let sends = self.plans.iter().find(|it| it.shard == shard).map_or(0, |it| it.sends);
-        let is_safe = self.req.is_idempotent || outcome == Outcome::NotRun;
-        is_safe && sends < MAX_SENDS
+    fn may_send_again(&self, failure: &Failure<'_>) -> bool {
+        let plan = self.plans.iter().find(|it| it.shard == failure.shard);
+        let sends = plan.map_or(0, |it| it.sends);
+        self.may_send(failure.shard) && sends < MAX_SENDS
     }
 
     fn retry_through_other_owner<R: Routes>(
         &mut self,
         cx: &mut QueryCx<'_, R>,
-        part: &Part,
-        outcome: Outcome,
+        failure: &Failure<'_>,
         outbox: &mut Outbox,
     ) -> bool {
+        let &Failure { part, outcome, .. } = failure;
         let replicas = self.req.view.replicas(part.shard);
         let Some(target) = replicas.iter().find(|it| it.name == part.target).cloned() else {
             return false;
@@ -128,11 +139,10 @@
     fn retry<R: Routes>(
         &mut self,
         cx: &mut QueryCx<'_, R>,
-        shard: ShardId,
-        missing: Missing,
-        outcome: Outcome,
+        failure: &Failure<'_>,
         outbox: &mut Outbox,
     ) {
+        let &Failure { shard, missing, outcome, .. } = failure;
         let target = match self.choose_untried(cx, shard) {
             Ok(target) => target,
             Err(Missing::WrongSnapshot) if self.restart(cx, outbox) => return,
--- a/crates/policy/src/request/query/send.rs
+++ b/crates/policy/src/request/query/send.rs
@@ -1,6 +1,6 @@
 //! First sends and hedges, grouped into one batch for each owner.
 
-use base::{AttemptId, HostName, ShardId, TargetName, Time};
+use base::{AttemptId, HostName, Incarnation, ShardId, TargetName, Time};
 use documents::Target;
 use rand::Rng;
 
@@ -75,23 +75,44 @@
 }
 
 impl Query {
+    /// Sends a subquery for each shard that has no answer and none in flight.
     pub(super) fn send_first<R: Routes>(&mut self, cx: &mut QueryCx<'_, R>, outbox: &mut Outbox) {
-        let is_restart = self.pins.len() > 1;
-        let kind = if is_restart { SendKind::Restart } else { SendKind::First };
         for i in 0..self.plans.len() {
-            let shard = self.plans[i].shard;
+            let ShardPlan { shard, sends, .. } = self.plans[i];
+            if self.gather.is_open(shard) || !self.may_send(shard) {
+                continue;
+            }
             match self.choose_untried(cx, shard) {
-                Ok(target) => {
-                    if !is_restart {
-                        self.earn_budget(cx, shard);
-                    }
-                    self.send(cx, shard, &target, kind, outbox);
-                }
+                Ok(target) => self.send_in_turn(cx, shard, &target, sends, outbox),
                 Err(missing) => self.on_no_replica(cx, shard, missing),
             }
         }
     }
 
+    fn send_in_turn<R: Routes>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        shard: ShardId,
+        target: &Target,
+        sends: u32,
+        outbox: &mut Outbox,
+    ) {
+        let is_restart = self.pins.len() > 1;
+        let kind = match (is_restart, sends) {
+            (true, _) => SendKind::Restart,
+            (false, 0) => SendKind::First,
+            (false, _) => SendKind::Retry,
+        };
+        if kind == SendKind::First {
+            self.earn_budget(cx, shard);
+        }
+        let is_paid = kind != SendKind::Retry
+            || cx.decisions.budgets.try_spend(&self.req.service.name, &target.name);
+        if is_paid {
+            self.send(cx, shard, target, kind, outbox);
+        }
+    }
+
     fn earn_budget<R>(&self, cx: &mut QueryCx<'_, R>, shard: ShardId) {
         let replicas = self.req.view.replicas(shard).iter().map(|it| &it.name);
         cx.decisions.budgets.earn(&self.req.service.name, replicas);
@@ -111,7 +132,8 @@
             }
             plan.hedge_at = None;
             let shard = plan.shard;
-            if cx.decisions.hedge_delay(&self.req.service.pool).is_none() {
+            let is_suspect = cx.decisions.quarantine.is_suspect(self.req.fingerprint);
+            if is_suspect || cx.decisions.hedge_delay(&self.req.service.pool).is_none() {
                 continue;
             }
             let Some(target) = self.choose_hedge(cx, shard) else { continue };
@@ -151,18 +173,25 @@
         kind: SendKind,
         outbox: &mut Outbox,
     ) -> bool {
+        if !self.may_send(shard) {
+            return false;
+        }
         let Some(owner) = self.choose_owner(cx, shard, &target.name) else {
             self.gather.set_missing(shard, base::Missing::OwnerUnreachable);
             return false;
         };
         let delay = cx.decisions.hedge_delay(&self.req.service.pool);
-        let may_hedge = self.req.is_idempotent && kind != SendKind::Hedge;
+        let is_suspect = cx.decisions.quarantine.is_suspect(self.req.fingerprint);
+        let may_hedge = self.req.is_idempotent && kind != SendKind::Hedge && !is_suspect;
         let hedge_at = delay.filter(|_| may_hedge).map(|it| cx.now + it);
         let Some(plan) = self.plan_mut(shard) else { return false };
         plan.tried.push((target.name.clone(), owner.clone()));
         plan.sends += 1;
         plan.retry_at = None;
         plan.hedge_at = hedge_at;
+        let status = cx.decisions.table.status(&target.name);
+        let incarnation = status.map_or(Incarnation::default(), |it| it.incarnation);
+        self.sent_to.insert(target.name.clone(), incarnation);
         let id = AttemptId(cx.rng.random());
         let attempt = Attempt {
             shard,
@@ -179,6 +208,13 @@
         true
     }
 
+    /// Whether a subquery for the shard may be sent. Work that is not
+    /// idempotent may be sent again only if no send of it can have run.
+    pub(super) fn may_send(&self, shard: ShardId) -> bool {
+        !self.gather.is_answered(shard)
+            && (self.req.is_idempotent || self.gather.is_certainly_not_run(shard))
+    }
+
     /// The actions of a step, one batch for each owner.
     pub(super) fn flush(&self, now: Time, outbox: Outbox) -> Vec<Action> {
         let cancels = outbox.cancels.into_iter();
--- a/crates/policy/src/request/query/verdict.rs
+++ b/crates/policy/src/request/query/verdict.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Missing, Outcome, Reason, ShardId, Snapshot};
+use base::{Missing, Reason, ShardId, Snapshot};
 
-use super::{Action, Outbox, Query};
+use super::{Action, Outbox, Query, Trial};
 use crate::{
     message::Refusal,
     request::{decisions::QueryCx, gather::Coverage},
@@ -40,6 +40,7 @@
             return self.flush(cx.now, outbox);
         }
         self.note_silent_owners(cx);
+        self.end_trial(cx);
         // Work that must not be cut short runs on; nobody waits for it.
         let open = self.gather.abandon_open(cx.now, |_| true);
         if self.req.is_idempotent {
@@ -52,15 +53,8 @@
         actions
     }
 
-    pub(super) fn refuse(
-        &mut self,
-        reason: Reason,
-        outcome: Outcome,
-        detail: String,
-    ) -> Vec<Action> {
+    pub(super) fn refuse(&mut self, refusal: Refusal) -> Vec<Action> {
         self.is_finished = true;
-        let retry_after = Some(OVERLOAD_RETRY_AFTER);
-        let refusal = Refusal { reason, outcome, detail, retry_after };
         vec![Action::Finish(Verdict::Refused(refusal))]
     }
 
@@ -72,7 +66,8 @@
         if cx.now >= self.req.deadline || self.gather.is_complete() {
             return true;
         }
-        let is_waiting = self.plans.iter().any(|it| it.retry_at.is_some())
+        let is_waiting = self.trial != Trial::None
+            || self.plans.iter().any(|it| it.retry_at.is_some())
             || self.plans.iter().any(|it| self.gather.is_open(it.shard));
         !is_waiting || (cx.now >= self.patience_ends && self.is_answer_enough())
     }
