Serve tickets, their one run, and the operators' interface

Cause: non-idempotent requests had no way in, and operators could not see why a request was routed, refused or left partial. Change: POST .../tickets and .../execute; the run has a task of its own and a record; other entries hand it to the minter. A refusal under a ticket says not_run only if this host minted it and it is unused. stop() and drained(). Administration views of status, domains, targets, services, decisions, explain.

--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -1,9 +1,10 @@
 //! The callers' HTTP interface.
 
+mod execute;
 mod health;
 mod query;
 
-use base::Reason;
+use base::{Reason, RequestId};
 use documents::Service;
 use policy::message::Refusal;
 use rocket::{
@@ -12,6 +13,7 @@
     http::Method,
     route::{Handler, Outcome},
 };
+use slog::info;
 
 use crate::{
     cx::EntryCx,
@@ -29,6 +31,8 @@
     let handler = |call| CallHandler { cx: cx.clone(), call };
     let routes = vec![
         Route::new(Method::Post, "/v1/services/<service>/query", handler(Call::Query)),
+        Route::new(Method::Post, "/v1/services/<service>/tickets", handler(Call::Mint)),
+        Route::new(Method::Post, "/v1/services/<service>/execute", handler(Call::Execute)),
         Route::new(Method::Get, "/healthz", handler(Call::Healthz)),
         Route::new(Method::Get, "/readyz", handler(Call::Readyz)),
     ];
@@ -38,6 +42,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Call {
     Query,
+    Mint,
+    Execute,
     Healthz,
     Readyz,
 }
@@ -58,6 +64,11 @@
     async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let reply = match self.call {
             Call::Query => query::answer(&self.cx, head(req), data).await,
+            Call::Mint => execute::mint(&self.cx, &head(req)),
+            Call::Execute => {
+                let ticket = req.headers().get_one("godwityard-ticket");
+                execute::execute(&self.cx, head(req), ticket, data).await
+            }
             Call::Healthz => health::healthz(),
             Call::Readyz => health::readyz(&self.cx),
         };
@@ -80,6 +91,16 @@
     }
 }
 
+fn log_refusal<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    id: RequestId,
+    head: &Head,
+    refusal: &Refusal,
+) {
+    info!(cx.log(), "request refused"; "request" => %id, "service" => &head.service,
+        "reason" => %refusal.reason, "outcome" => %refusal.outcome, "detail" => &refusal.detail);
+}
+
 /// The whole body, if it is no longer than the service allows.
 async fn read_body(data: Data<'_>, service: &Service) -> Result<Vec<u8>, Refusal> {
     let body = data.open(service.max_body_bytes.bytes()).into_bytes().await;
--- a/crates/entry/src/callers/query.rs
+++ b/crates/entry/src/callers/query.rs
@@ -1,24 +1,28 @@
 //! An idempotent query.
 
+use std::time::Duration;
+
 use base::{RequestId, Time};
 use policy::{
     message::Refusal,
-    request::{QueryRequest, Verdict},
+    request::{Query, Verdict},
 };
 use rocket::Data;
-use slog::info;
 use telemetry::metrics::label;
 
+use super::{log_refusal, read_body};
 use crate::{
     cx::EntryCx,
-    filter::{self, Draft, Head},
+    filter::{self, Head},
     http::{self, Reply},
     scatter,
     seams::{Owners, State},
     wire::AnswerBody,
 };
 
-use super::read_body;
+/// How long an answer is held back after a target died under the request, so
+/// that other hosts hear of the suspect before its caller can send it again.
+const SUSPECT_HEAD_START: Duration = Duration::from_millis(20);
 
 pub(super) async fn answer<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
@@ -32,8 +36,7 @@
     match result {
         Ok(reply) => reply,
         Err(refusal) => {
-            info!(cx.log(), "request refused"; "request" => %id, "service" => head.service,
-                "reason" => %refusal.reason, "outcome" => %refusal.outcome);
+            log_refusal(cx, id, &head, &refusal);
             Reply::refusal(id, &refusal)
         }
     }
@@ -46,14 +49,24 @@
     data: Data<'_>,
 ) -> Result<Reply, Refusal> {
     let draft = filter::run(cx, id, head)?;
+    let _in_flight = filter::enter(cx, &draft.service)?;
     let body = read_body(data, &draft.service).await?;
-    let (verdict, _query) = scatter::run(cx, request(draft, body)).await;
+    let (verdict, query) = scatter::run(cx, draft.into_query(body)).await;
+    cx.remember(&query, &verdict);
+    hold_back_suspect(cx, &query).await;
     match verdict {
         Verdict::Answer(answer) => Ok(Reply::json(200, &AnswerBody::new(id, &answer))),
         Verdict::Refused(refusal) => Err(refusal),
     }
 }
 
+async fn hold_back_suspect<S: State, O: Owners>(cx: &EntryCx<S, O>, query: &Query) {
+    if query.is_implicated() {
+        let left = query.request().deadline.until(cx.now());
+        tokio::time::sleep(left.min(SUSPECT_HEAD_START)).await;
+    }
+}
+
 fn count_request<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     started: Time,
@@ -68,18 +81,3 @@
         metrics.refusals.add(1, &[label("reason", refusal.reason.as_str())]);
     }
 }
-
-fn request(draft: Draft, body: Vec<u8>) -> QueryRequest {
-    QueryRequest {
-        id: draft.id,
-        fingerprint: 0,
-        service: draft.service,
-        view: draft.view,
-        shard: draft.shard,
-        body: body.into(),
-        is_idempotent: true,
-        min_coverage: draft.min_coverage,
-        started: draft.started,
-        deadline: draft.deadline,
-    }
-}
--- a/crates/entry/src/cx/builder.rs
+++ b/crates/entry/src/cx/builder.rs
@@ -4,13 +4,16 @@
 
 use base::HashMap;
 use documents::model::PolicySettings;
-use policy::request::Decisions;
+use policy::request::{Decisions, TicketTable};
 use slog::Logger;
 use telemetry::Metrics;
+use tokio::sync::Notify;
 
 use super::{EntryCx, Inner};
 use crate::{
+    execute::{Executions, InFlight},
     learn::Learning,
+    recent::Recent,
     seams::{Owners, State},
 };
 
@@ -21,12 +24,20 @@
     metrics: Metrics,
     log: Logger,
     policy: PolicySettings,
+    admin_token: Option<Arc<str>>,
 }
 
 impl<S: State, O: Owners> EntryBuilder<S, O> {
     pub fn new(state: S, owners: O, metrics: Metrics) -> Self {
         let log = Logger::root(slog::Discard, slog::o!());
-        EntryBuilder { state, owners, metrics, log, policy: PolicySettings::default() }
+        EntryBuilder {
+            state,
+            owners,
+            metrics,
+            log,
+            policy: PolicySettings::default(),
+            admin_token: None,
+        }
     }
 
     /// The logger of this part of the program.
@@ -40,13 +51,27 @@
         self
     }
 
+    /// The token that operators must show.
+    pub fn admin_token(mut self, token: Option<Arc<str>>) -> Self {
+        self.admin_token = token;
+        self
+    }
+
     pub fn build(self) -> EntryCx<S, O> {
+        let minter = self.state.host().clone();
+        let tickets = TicketTable::new(minter, self.state.incarnation());
         let inner = Inner {
             state: self.state,
             owners: self.owners,
             log: self.log,
             metrics: self.metrics,
             learning: Learning::default(),
+            executions: Executions::default(),
+            in_flight: InFlight::new(),
+            recent: Recent::default(),
+            suspects_changed: Notify::new(),
+            admin_token: self.admin_token,
+            tickets: Mutex::new(tickets),
             decisions: Mutex::new(Decisions::new(&self.policy)),
             views: Mutex::new(HashMap::default()),
             is_stopping: AtomicBool::new(false),
--- a/crates/entry/src/cx/mod.rs
+++ b/crates/entry/src/cx/mod.rs
@@ -2,19 +2,27 @@
 
 mod builder;
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use base::{HashMap, HostName, PoolName, TargetName, Time};
 use documents::Configuration;
-use policy::request::{Decisions, PoolView, Routes};
+use policy::request::{
+    Decisions, PoolView, Query, Routes, SendKind, SuspectNote, TicketTable, Verdict,
+};
 use slog::Logger;
 use telemetry::Metrics;
+use tokio::{sync::Notify, time};
 
 use crate::{
+    execute::{Executions, InFlight},
     learn::Learning,
+    recent::Recent,
     seams::{Owners, State},
 };
 
@@ -31,6 +39,12 @@
     pub log: Logger,
     pub metrics: Metrics,
     pub learning: Learning,
+    pub executions: Executions,
+    pub in_flight: InFlight,
+    pub recent: Recent,
+    pub suspects_changed: Notify,
+    pub admin_token: Option<Arc<str>>,
+    tickets: Mutex<TicketTable>,
     decisions: Mutex<Decisions>,
     views: Mutex<HashMap<PoolName, Arc<PoolView>>>,
     is_stopping: AtomicBool,
@@ -50,6 +64,43 @@
     /// are still served.
     pub fn stop(&self) {
         self.inner.is_stopping.store(true, Ordering::Release);
+        self.tickets().stop();
+    }
+
+    /// Ends once no request is in flight and no ticket can be used any more.
+    pub async fn drained(&self) {
+        const POLL_INTERVAL: Duration = Duration::from_millis(50);
+        loop {
+            self.inner.in_flight.emptied().await;
+            if !self.tickets().is_busy(self.now()) {
+                return;
+            }
+            time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Ends when there are notes to take by [`EntryCx::take_suspect_notes`].
+    pub async fn suspects_changed(&self) {
+        self.inner.suspects_changed.notified().await;
+    }
+
+    /// Notes on suspect requests that all other hosts are to be told at once.
+    pub fn take_suspect_notes(&self) -> Vec<SuspectNote> {
+        self.decisions().quarantine.take_untold(self.now())
+    }
+
+    /// Notes on all suspects, for a host that may have missed some.
+    pub fn suspect_notes(&self) -> Vec<SuspectNote> {
+        self.decisions().quarantine.notes(self.now())
+    }
+
+    /// Takes in the notes of another host.
+    pub fn merge_suspect_notes(&self, notes: &[SuspectNote]) {
+        let now = self.now();
+        let mut decisions = self.decisions();
+        for note in notes {
+            decisions.quarantine.merge(now, note);
+        }
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
@@ -84,6 +135,23 @@
         &self.inner.metrics
     }
 
+    pub(crate) fn tickets(&self) -> MutexGuard<'_, TicketTable> {
+        lock(&self.inner.tickets)
+    }
+
+    pub(crate) fn admin_token(&self) -> Option<&str> {
+        self.inner.admin_token.as_deref()
+    }
+
+    /// Keeps a finished request for operators and counts its extra sends.
+    pub(crate) fn remember(&self, query: &Query, verdict: &Verdict) {
+        self.inner.recent.remember(self.now(), query, verdict);
+        let count = |kind| query.gather().attempts().filter(|(_, it)| it.kind == kind).count();
+        let metrics = self.metrics();
+        metrics.hedges.add(count(SendKind::Hedge) as u64, &[]);
+        metrics.retries.add(count(SendKind::Retry) as u64, &[]);
+    }
+
     pub(crate) fn decisions(&self) -> MutexGuard<'_, Decisions> {
         lock(&self.inner.decisions)
     }
--- /dev/null
+++ b/crates/entry/src/execute/in_flight.rs
@@ -0,0 +1,89 @@
+//! Counts of requests in flight, and the runs that others may wait for.
+
+use std::sync::{Arc, Mutex};
+
+use base::{HashMap, ServiceName};
+use tokio::sync::watch;
+
+use crate::cx::lock;
+
+/// Runs of tickets in flight, by ticket secret.
+#[derive(Debug, Default)]
+pub(crate) struct Executions {
+    running: Mutex<HashMap<u128, watch::Sender<()>>>,
+}
+
+/// Requests in flight, by service and in all.
+#[derive(Clone, Debug)]
+pub(crate) struct InFlight {
+    counts: Arc<Mutex<HashMap<ServiceName, u32>>>,
+    total: Arc<watch::Sender<u32>>,
+}
+
+/// One request in flight; counted until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlightGuard {
+    in_flight: InFlight,
+    service: ServiceName,
+}
+
+impl Executions {
+    pub(crate) fn start(&self, secret: u128) {
+        lock(&self.running).insert(secret, watch::channel(()).0);
+    }
+
+    pub(crate) fn finish(&self, secret: u128) {
+        lock(&self.running).remove(&secret);
+    }
+
+    /// Ends once no run of the ticket is in flight.
+    pub(crate) async fn finished(&self, secret: u128) {
+        let receiver = lock(&self.running).get(&secret).map(watch::Sender::subscribe);
+        let Some(mut receiver) = receiver else { return };
+        // Nothing is ever sent: the sender is dropped when the run ends.
+        while receiver.changed().await.is_ok() {}
+    }
+}
+
+impl InFlight {
+    pub(crate) fn new() -> Self {
+        let total = Arc::new(watch::channel(0).0);
+        InFlight { counts: Arc::default(), total }
+    }
+
+    /// Counts a request in; `None` if its service has `limit` already.
+    pub(crate) fn enter(&self, service: &ServiceName, limit: u32) -> Option<InFlightGuard> {
+        let mut counts = lock(&self.counts);
+        let count = counts.entry(service.clone()).or_default();
+        if *count >= limit {
+            return None;
+        }
+        *count += 1;
+        self.total.send_modify(|it| *it += 1);
+        Some(InFlightGuard { in_flight: self.clone(), service: service.clone() })
+    }
+
+    pub(crate) fn of(&self, service: &ServiceName) -> u32 {
+        lock(&self.counts).get(service).copied().unwrap_or_default()
+    }
+
+    /// Ends once nothing is in flight.
+    pub(crate) async fn emptied(&self) {
+        let mut total = self.total.subscribe();
+        // The sender lives as long as `self`, so this waits for zero.
+        let _ = total.wait_for(|it| *it == 0).await;
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        let mut counts = lock(&self.in_flight.counts);
+        if let Some(count) = counts.get_mut(&self.service) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.service);
+            }
+        }
+        self.in_flight.total.send_modify(|it| *it -= 1);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/execute/mod.rs
@@ -0,0 +1,110 @@
+//! Non-idempotent requests: minted tickets and their one run.
+//!
+//! A run has a task of its own, so that neither a caller's disconnect nor a
+//! lost link of another entry ends it midway. All who show its ticket while
+//! it runs wait for its record.
+
+mod in_flight;
+mod run;
+
+use std::time::Duration;
+
+use base::{Outcome, Reason};
+use policy::{
+    message::{Redeemed, Redemption, Refusal},
+    request::Standing,
+};
+use tokio::time;
+
+use crate::{
+    cx::EntryCx,
+    fingerprint::redemption_fingerprint,
+    http::{self, Reply},
+    seams::{LinkError, Owners, State},
+};
+
+pub(crate) use self::in_flight::{Executions, InFlight, InFlightGuard};
+
+/// What the answer of a minter needs on its way back.
+const REDEEM_MARGIN: Duration = Duration::from_millis(20);
+
+/// Runs the request of a ticket that this host minted, or joins its run, or
+/// returns its record. Called for callers of this host and, by the daemon's
+/// links, for other entries.
+pub async fn redeem<S: State, O: Owners>(cx: &EntryCx<S, O>, redemption: Redemption) -> Redeemed {
+    match redeem_here(cx, redemption).await {
+        Ok(redeemed) => redeemed,
+        Err(refusal) => refused(&refusal),
+    }
+}
+
+/// Hands a redemption to whoever minted its ticket.
+pub(crate) async fn dispatch<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    redemption: Redemption,
+) -> Redeemed {
+    if redemption.ticket.minter == *cx.state().host() {
+        return redeem(cx, redemption).await;
+    }
+    let limit = redemption.time_left + REDEEM_MARGIN;
+    let minter = redemption.ticket.minter.clone();
+    let sent = cx.owners().redeem(&minter, redemption);
+    let result = time::timeout(limit, sent).await.unwrap_or(Err(LinkError::NoAnswer));
+    result.unwrap_or_else(|err| {
+        // Even if nothing was sent now, an earlier send may have arrived.
+        let detail = format!("the ticket's minter {minter} gave no answer: {err}");
+        let retry_after = Some(Duration::from_secs(1));
+        let reason = Reason::MinterUnreachable;
+        refused(&Refusal { reason, outcome: Outcome::MayHaveRun, detail, retry_after })
+    })
+}
+
+async fn redeem_here<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    redemption: Redemption,
+) -> Result<Redeemed, Refusal> {
+    let fingerprint = redemption_fingerprint(&redemption);
+    let Redemption { ticket, service, .. } = &redemption;
+    // Whatever ran under the ticket comes first: no check of the request may
+    // refuse it as not run once it has.
+    let standing = cx.tickets().standing(cx.now(), ticket, service, fingerprint)?;
+    if let Standing::Recorded(redeemed) = standing {
+        return Ok(redeemed);
+    }
+    if standing == Standing::Unused {
+        run::start(cx, &redemption, fingerprint)?;
+    }
+    join(cx, &redemption, fingerprint).await
+}
+
+/// Waits for the record of the run in flight.
+async fn join<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    redemption: &Redemption,
+    fingerprint: u64,
+) -> Result<Redeemed, Refusal> {
+    let Redemption { ticket, service, time_left, .. } = redemption;
+    let finished = cx.inner.executions.finished(ticket.secret);
+    if time::timeout(*time_left + REDEEM_MARGIN, finished).await.is_err() {
+        return Err(still_running());
+    }
+    match cx.tickets().standing(cx.now(), ticket, service, fingerprint)? {
+        Standing::Recorded(redeemed) => Ok(redeemed),
+        Standing::Running | Standing::Unused => Err(still_running()),
+    }
+}
+
+fn still_running() -> Refusal {
+    let detail = "the request is still running; send it again under the same ticket";
+    Refusal {
+        reason: Reason::DeadlinePassed,
+        outcome: Outcome::MayHaveRun,
+        detail: detail.to_owned(),
+        retry_after: Some(Duration::from_secs(1)),
+    }
+}
+
+fn refused(refusal: &Refusal) -> Redeemed {
+    let reply = Reply::refusal(http::new_request_id(), refusal);
+    Redeemed { status: reply.status, body: reply.body.into() }
+}
--- a/crates/entry/src/filter/mod.rs
+++ b/crates/entry/src/filter/mod.rs
@@ -4,21 +4,27 @@
 //! completes the draft or refuses the request. Nothing has been sent by then,
 //! so what these refuse was not run.
 
+mod read;
+
 use std::{sync::Arc, time::Duration};
 
 use base::{Outcome, Reason, RequestId, ShardId, Time};
-use documents::{Configuration, Service};
-use policy::{message::Refusal, request::PoolView};
+use documents::Service;
+use policy::{
+    message::{Redemption, Refusal},
+    request::{PoolView, QueryRequest},
+};
 
 use crate::{
     cx::EntryCx,
+    execute::InFlightGuard,
+    fingerprint::request_fingerprint,
+    http,
     seams::{Owners, State},
 };
 
-/// Shortest deadline that a caller may set.
-const MIN_DEADLINE: Duration = Duration::from_millis(5);
-/// Longest deadline that a caller may set.
-const MAX_DEADLINE: Duration = Duration::from_secs(60);
+/// When a caller may try again after a limit was reached.
+const LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What a caller's request says, before any check.
 #[derive(Clone, Debug, Default)]
@@ -49,90 +55,123 @@
     head: &Head,
 ) -> Result<Draft, Refusal> {
     let started = cx.now();
-    let cfg = cx.state().configuration();
-    let service = find_service(cx, &cfg, head)?;
-    check_length(&service, head)?;
-    let deadline = started + read_deadline(&service, head)?;
-    let min_coverage = read_min_coverage(&service, head)?;
-    let view = cx.view(&cfg, &service.pool).ok_or_else(|| unknown_pool(&service))?;
-    let shard = read_shard(&view, head)?;
+    let service = find_service(cx, head)?;
+    check_length(&service, head.content_length)?;
+    let deadline = started + read::deadline(&service, head)?;
+    let min_coverage = read::min_coverage(&service, head)?;
+    let view = find_pool(cx, &service)?;
+    let shard = read::shard(&view, head)?;
     Ok(Draft { id, started, service, view, deadline, min_coverage, shard })
 }
 
-pub(crate) fn refuse(reason: Reason, detail: impl Into<String>) -> Refusal {
-    let detail = detail.into();
-    Refusal { reason, outcome: Outcome::NotRun, detail, retry_after: None }
+/// Passes a redemption, which another entry may have read, through the chain.
+pub(crate) fn run_redemption<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    redemption: &Redemption,
+) -> Result<(QueryRequest, InFlightGuard), Refusal> {
+    let head = Head { service: redemption.service.to_string(), ..Head::default() };
+    let started = cx.now();
+    let service = find_service(cx, &head)?;
+    check_non_idempotent(&service)?;
+    check_length(&service, Some(redemption.body.len() as u64))?;
+    read::check_deadline(redemption.time_left)?;
+    let view = find_pool(cx, &service)?;
+    read::check_shard(&view, redemption.shard)?;
+    let in_flight = enter(cx, &service)?;
+    let req = QueryRequest {
+        id: http::new_request_id(),
+        fingerprint: request_fingerprint(&service.name, &redemption.body),
+        min_coverage: service.min_coverage,
+        service,
+        view,
+        shard: redemption.shard,
+        body: redemption.body.clone(),
+        is_idempotent: false,
+        started,
+        deadline: started + redemption.time_left,
+    };
+    Ok((req, in_flight))
 }
 
-pub(crate) fn too_large(service: &Service) -> Refusal {
-    let limit = service.max_body_bytes;
-    refuse(Reason::TooLarge, format!("the body is longer than the service's {limit} bytes"))
+/// Counts a request in, within its service's limit.
+pub(crate) fn enter<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    service: &Service,
+) -> Result<InFlightGuard, Refusal> {
+    let limit = service.max_in_flight;
+    cx.inner.in_flight.enter(&service.name, limit).ok_or_else(|| {
+        let detail = format!("the service has {limit} requests in flight at this host already");
+        let retry_after = Some(LIMIT_RETRY_AFTER);
+        Refusal { retry_after, ..refuse(Reason::ServiceLimit, detail) }
+    })
 }
 
-fn find_service<S: State, O: Owners>(
+pub(crate) fn find_service<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
-    cfg: &Configuration,
     head: &Head,
 ) -> Result<Arc<Service>, Refusal> {
+    let cfg = cx.state().configuration();
     if let Some(service) = cfg.services.get(head.service.as_str()) {
         return Ok(Arc::clone(service));
     }
     // A host without configuration knows no service, which says nothing.
     if let Some(reason) = cx.state().not_ready() {
-        let retry_after = Some(Duration::from_secs(1));
+        let retry_after = Some(LIMIT_RETRY_AFTER);
         return Err(Refusal { retry_after, ..refuse(Reason::NotReady, reason) });
     }
     let name: String = head.service.chars().take(base::name::MAX_NAME_BYTES).collect();
     Err(refuse(Reason::UnknownService, format!("no document names a service {name:?}")))
 }
 
-fn check_length(service: &Service, head: &Head) -> Result<(), Refusal> {
-    match head.content_length {
-        Some(length) if length > service.max_body_bytes => Err(too_large(service)),
-        _ => Ok(()),
+pub(crate) fn check_non_idempotent(service: &Service) -> Result<(), Refusal> {
+    if service.allows_non_idempotent {
+        return Ok(());
     }
+    let detail = "the service's document does not allow requests that are not idempotent";
+    Err(refuse(Reason::NotIdempotent, detail))
 }
 
-fn read_deadline(service: &Service, head: &Head) -> Result<Duration, Refusal> {
-    let Some(text) = &head.deadline_ms else { return Ok(service.deadline) };
-    let millis: u64 = text.parse().map_err(|_| {
-        refuse(Reason::BadRequest, "godwityard-deadline-ms is not a whole number of milliseconds")
-    })?;
-    let deadline = Duration::from_millis(millis);
-    if deadline < MIN_DEADLINE {
-        let detail = format!("the deadline is shorter than {} ms", MIN_DEADLINE.as_millis());
-        return Err(refuse(Reason::DeadlineTooShort, detail));
-    }
-    if deadline > MAX_DEADLINE {
-        let detail = format!("the deadline is longer than {} ms", MAX_DEADLINE.as_millis());
-        return Err(refuse(Reason::BadRequest, detail));
-    }
-    Ok(deadline)
+pub(crate) fn refuse(reason: Reason, detail: impl Into<String>) -> Refusal {
+    let detail = detail.into();
+    Refusal { reason, outcome: Outcome::NotRun, detail, retry_after: None }
 }
 
-fn read_min_coverage(service: &Service, head: &Head) -> Result<f64, Refusal> {
-    let Some(text) = &head.min_coverage else { return Ok(service.min_coverage) };
-    let coverage: f64 = text.parse().unwrap_or(f64::NAN);
-    if !(0.0..=1.0).contains(&coverage) {
-        let detail = "godwityard-min-coverage is not a number from 0 to 1";
-        return Err(refuse(Reason::BadRequest, detail));
-    }
-    Ok(coverage)
+pub(crate) fn too_large(service: &Service) -> Refusal {
+    let limit = service.max_body_bytes;
+    refuse(Reason::TooLarge, format!("the body is longer than the service's {limit} bytes"))
 }
 
-fn read_shard(view: &PoolView, head: &Head) -> Result<Option<ShardId>, Refusal> {
-    let Some(text) = &head.shard else { return Ok(None) };
-    let shard: Option<u32> = text.parse().ok();
-    match shard.filter(|it| *it < view.pool.shards) {
-        Some(shard) => Ok(Some(ShardId(shard))),
-        None => {
-            let detail =
-                format!("godwityard-shard is not a shard of 0 to {}", view.pool.shards - 1);
-            Err(refuse(Reason::BadRequest, detail))
+impl Draft {
+    pub(crate) fn into_query(self, body: Vec<u8>) -> QueryRequest {
+        QueryRequest {
+            id: self.id,
+            fingerprint: request_fingerprint(&self.service.name, &body),
+            service: self.service,
+            view: self.view,
+            shard: self.shard,
+            body: body.into(),
+            is_idempotent: true,
+            min_coverage: self.min_coverage,
+            started: self.started,
+            deadline: self.deadline,
         }
     }
 }
 
-fn unknown_pool(service: &Service) -> Refusal {
-    refuse(Reason::Internal, format!("the service's pool {} has no document", service.pool))
+fn find_pool<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    service: &Service,
+) -> Result<Arc<PoolView>, Refusal> {
+    let view = cx.view(&cx.state().configuration(), &service.pool);
+    view.ok_or_else(|| {
+        let detail = format!("the service's pool {} has no document in force", service.pool);
+        refuse(Reason::NotReady, detail)
+    })
+}
+
+fn check_length(service: &Service, length: Option<u64>) -> Result<(), Refusal> {
+    match length {
+        Some(length) if length > service.max_body_bytes => Err(too_large(service)),
+        _ => Ok(()),
+    }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,17 +5,23 @@
 //! traits in [`seams`]. What to do with a request is decided in
 //! `policy::request`; this crate carries it out.
 
+mod admin;
 mod callers;
 mod cx;
 mod entropy;
+mod execute;
 mod filter;
+mod fingerprint;
 mod http;
 mod learn;
+mod recent;
 mod scatter;
 pub mod seams;
 mod wire;
 
 pub use crate::{
+    admin::{admin_rocket, is_authorized},
     callers::callers_rocket,
     cx::{EntryBuilder, EntryCx},
+    execute::redeem,
 };
--- a/crates/entry/src/scatter/mod.rs
+++ b/crates/entry/src/scatter/mod.rs
@@ -93,7 +93,11 @@
             decisions: &mut decisions,
             rng: &mut self.rng,
         };
-        step(&mut self.query, &mut cx)
+        let actions = step(&mut self.query, &mut cx);
+        if decisions.quarantine.has_untold() {
+            self.cx.inner.suspects_changed.notify_one();
+        }
+        actions
     }
 
     fn perform(&mut self, actions: Vec<Action>) -> Option<Verdict> {
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -49,6 +49,8 @@
     pub runs: Vec<(HostName, TargetName, bool)>,
     pub cancelled: Vec<AttemptId>,
     pub minters: HashMap<HostName, EntryCx<Fleet, Fleet>>,
+    /// Whether answers of minters get lost on their way back.
+    pub loses_replies: bool,
     started: tokio::time::Instant,
     host_name: &'static HostName,
     domain_name: &'static DomainName,
@@ -132,6 +134,7 @@
             runs: Vec::new(),
             cancelled: Vec::new(),
             minters: HashMap::default(),
+            loses_replies: false,
             started: tokio::time::Instant::now(),
             host_name: Box::leak(Box::new(host.into())),
             domain_name: Box::leak(Box::new(domain.into())),
@@ -287,9 +290,12 @@
 
     async fn redeem(
         &self,
-        _minter: &HostName,
-        _redemption: Redemption,
+        minter: &HostName,
+        redemption: Redemption,
     ) -> Result<Redeemed, LinkError> {
-        Err(LinkError::NotSent)
+        let minter = self.with(|it| it.minters.get(minter).cloned()).ok_or(LinkError::NotSent)?;
+        let redeemed = entry::redeem(&minter, redemption).await;
+        let is_lost = self.with(|it| it.loses_replies);
+        if is_lost { Err(LinkError::NoAnswer) } else { Ok(redeemed) }
     }
 }
