Carry batches, parts and fleet messages between hosts

Cause: entry and owner run on different hosts and need a link that says what can be vouched for when it fails. Change: capnp schema with committed generated code; links opened on demand by one thread, with a hello under an optional shared secret, pings while calls are under way, and one part for every subquery whatever happens; datagrams with a code. Conclusion: a lost link gives NotRun only where no call was sent.

--- /dev/null
+++ b/crates/peer/src/datagram.rs
@@ -0,0 +1,59 @@
+//! Small fleet messages as UDP datagrams on the host's peer address.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use slog::{Logger, debug};
+use tokio::net::UdpSocket;
+
+use crate::identity::Identity;
+
+/// Largest datagram sent, in bytes; larger messages go by link.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+/// Largest datagram accepted, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
+/// The host's datagram socket.
+#[derive(Clone)]
+pub struct Datagrams {
+    socket: Arc<UdpSocket>,
+    identity: Identity,
+    log: Logger,
+}
+
+impl Datagrams {
+    /// Wraps a bound socket; needs a tokio runtime.
+    pub fn new(socket: std::net::UdpSocket, identity: Identity, log: Logger) -> io::Result<Self> {
+        socket.set_nonblocking(true)?;
+        let socket = Arc::new(UdpSocket::from_std(socket)?);
+        Ok(Datagrams { socket, identity, log })
+    }
+
+    /// Sends a message; a full socket buffer drops it, as the network may.
+    pub fn send(&self, to: SocketAddr, message: &[u8]) -> usize {
+        let mut buf = message.to_vec();
+        self.identity.seal(&mut buf);
+        match self.socket.try_send_to(&buf, to) {
+            Ok(sent) => sent,
+            Err(err) => {
+                debug!(self.log, "peer: datagram not sent"; "to" => %to, "error" => %err);
+                0
+            }
+        }
+    }
+
+    /// The next message of a host of this fleet.
+    pub async fn receive(&self) -> (SocketAddr, Vec<u8>) {
+        let mut buf = vec![0; RECEIVE_BUFFER_BYTES];
+        loop {
+            // Errors here report the fate of earlier sends; nothing is lost.
+            let Ok((len, from)) = self.socket.recv_from(&mut buf).await else { continue };
+            match self.identity.open(&buf[..len]) {
+                Ok(body) => return (from, body.to_vec()),
+                Err(err) => {
+                    debug!(self.log, "peer: datagram dropped"; "from" => %from, "error" => %err);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/identity.rs
@@ -0,0 +1,126 @@
+//! Who a host says it is when a link opens, and the proof that it belongs to
+//! the fleet: an HMAC over a challenge under a secret that all hosts share.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use base::{HostName, Incarnation};
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+/// Version of the protocol between hosts. Versions one apart may link.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// Bytes of a challenge.
+pub const NONCE_BYTES: usize = 16;
+
+/// Bytes of a truncated code on a datagram.
+pub const DATAGRAM_MAC_BYTES: usize = 16;
+
+/// This host's identity.
+#[derive(Clone)]
+pub struct Identity {
+    pub fleet: Arc<str>,
+    pub host: HostName,
+    /// Where the host listens for other hosts.
+    pub address: SocketAddr,
+    pub incarnation: Incarnation,
+    /// Shared by all hosts of the fleet; none switches the proof off.
+    pub secret: Option<Arc<[u8]>>,
+}
+
+/// A peer's claim, as read from its hello.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Claim {
+    pub fleet: String,
+    pub version: u16,
+    pub host: HostName,
+    pub address: SocketAddr,
+    pub incarnation: Incarnation,
+    pub mac: Vec<u8>,
+}
+
+/// Why a peer was turned away.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum IdentityError {
+    #[error("the peer belongs to fleet {theirs:?}, this host to {ours:?}")]
+    OtherFleet { ours: String, theirs: String },
+    #[error("the peer speaks protocol version {theirs}, this host {PROTOCOL_VERSION}")]
+    Version { theirs: u16 },
+    #[error("the peer's proof of the fleet secret is wrong")]
+    WrongMac,
+}
+
+impl Identity {
+    /// The claim this host makes in answer to a challenge.
+    pub fn claim(&self, nonce: &[u8]) -> Claim {
+        let mut claim = Claim {
+            fleet: self.fleet.to_string(),
+            version: PROTOCOL_VERSION,
+            host: self.host.clone(),
+            address: self.address,
+            incarnation: self.incarnation,
+            mac: Vec::new(),
+        };
+        if let Some(secret) = &self.secret {
+            claim.mac = claim_mac(secret, nonce, &claim).finalize().into_bytes().to_vec();
+        }
+        claim
+    }
+
+    /// Checks a peer's claim against the challenge it was given.
+    pub fn verify(&self, nonce: &[u8], claim: &Claim) -> Result<(), IdentityError> {
+        if *claim.fleet != *self.fleet {
+            let (ours, theirs) = (self.fleet.to_string(), claim.fleet.clone());
+            return Err(IdentityError::OtherFleet { ours, theirs });
+        }
+        if claim.version.abs_diff(PROTOCOL_VERSION) > 1 {
+            return Err(IdentityError::Version { theirs: claim.version });
+        }
+        let Some(secret) = &self.secret else { return Ok(()) };
+        claim_mac(secret, nonce, claim)
+            .verify_slice(&claim.mac)
+            .map_err(|_| IdentityError::WrongMac)
+    }
+
+    /// Appends the code of a datagram to its bytes.
+    pub fn seal(&self, buf: &mut Vec<u8>) {
+        let Some(secret) = &self.secret else { return };
+        let mut mac = keyed(secret);
+        mac.update(self.fleet.as_bytes());
+        mac.update(buf);
+        buf.extend_from_slice(&mac.finalize().into_bytes()[..DATAGRAM_MAC_BYTES]);
+    }
+
+    /// The bytes of a sealed datagram, if its code is right.
+    pub fn open<'a>(&self, buf: &'a [u8]) -> Result<&'a [u8], IdentityError> {
+        let Some(secret) = &self.secret else { return Ok(buf) };
+        let Some(split) = buf.len().checked_sub(DATAGRAM_MAC_BYTES) else {
+            return Err(IdentityError::WrongMac);
+        };
+        let (body, code) = buf.split_at(split);
+        let mut mac = keyed(secret);
+        mac.update(self.fleet.as_bytes());
+        mac.update(body);
+        mac.verify_truncated_left(code).map_err(|_| IdentityError::WrongMac)?;
+        Ok(body)
+    }
+}
+
+fn claim_mac(secret: &[u8], nonce: &[u8], claim: &Claim) -> Hmac<Sha256> {
+    let mut mac = keyed(secret);
+    let address = claim.address.to_string();
+    for field in [nonce, claim.fleet.as_bytes(), claim.host.as_bytes(), address.as_bytes()] {
+        mac.update(&(field.len() as u64).to_le_bytes());
+        mac.update(field);
+    }
+    mac.update(&claim.version.to_le_bytes());
+    mac.update(&claim.incarnation.0.to_le_bytes());
+    mac
+}
+
+fn keyed(secret: &[u8]) -> Hmac<Sha256> {
+    let Ok(mac) = Hmac::<Sha256>::new_from_slice(secret) else {
+        unreachable!("HMAC takes keys of any length")
+    };
+    mac
+}
--- /dev/null
+++ b/crates/peer/src/links/calls.rs
@@ -0,0 +1,106 @@
+//! The calls that go over links, each with what can be vouched for when the
+//! answer does not come.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use base::{AttemptId, Outcome, PoolName, RequestId};
+use policy::message::{Batch, Part, Redeemed, Redemption, TargetStatus};
+use tokio::{sync::mpsc, time::timeout};
+
+use super::{
+    LinkError,
+    pending::{Pending, Sink},
+    table::Table,
+};
+use crate::wire;
+
+/// Time after a batch's deadline until its call is given up.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Longest wait for a status.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+pub(super) async fn run(table: &Table, to: SocketAddr, batch: Batch, parts: mpsc::Sender<Part>) {
+    let pending = Rc::new(Pending::new(&batch.subqueries, parts));
+    let Some(link) = table.link(to).await else {
+        pending.fail_rest(Outcome::NotRun).await;
+        return;
+    };
+    let (host, _guard) = link.begin_call();
+    let mut req = host.run_request();
+    wire::write_batch(req.get().init_batch(), &batch);
+    req.get().set_sink(capnp_rpc::new_client(Sink(Rc::clone(&pending))));
+    let is_idempotent = batch.is_idempotent;
+    let limit = batch.time_left + DEADLINE_MARGIN;
+    drop(batch);
+    let call = req.send().promise;
+    tokio::select! {
+        _ = call => (),
+        () = link.closed() => link.warn_lost(table.log(), "run"),
+        () = tokio::time::sleep(limit) => (),
+        // Dropping the call would cancel work that must not stop midway.
+        () = pending.abandoned(), if is_idempotent => (),
+    }
+    pending.fail_rest(Outcome::MayHaveRun).await;
+}
+
+pub(super) async fn cancel(
+    table: &Table,
+    to: SocketAddr,
+    request: RequestId,
+    attempts: &[AttemptId],
+) {
+    let Some(link) = table.link(to).await else { return };
+    let (host, _guard) = link.begin_call();
+    let mut req = host.cancel_request();
+    wire::write_request_id(req.get().init_request(), request);
+    let mut list = req.get().init_attempts(attempts.len() as u32);
+    for (i, &attempt) in attempts.iter().enumerate() {
+        wire::write_attempt_id(list.reborrow().get(i as u32), attempt);
+    }
+    let _ = timeout(STATUS_TIMEOUT, req.send().promise).await;
+}
+
+pub(super) async fn status(
+    table: &Table,
+    to: SocketAddr,
+    pool: &PoolName,
+) -> Option<Vec<TargetStatus>> {
+    let link = table.link(to).await?;
+    let (host, _guard) = link.begin_call();
+    let mut req = host.status_request();
+    req.get().set_pool(pool.as_str());
+    let answer = timeout(STATUS_TIMEOUT, req.send().promise).await.ok()?.ok()?;
+    let targets = answer.get().ok()?.get_targets().ok()?;
+    targets.iter().map(|it| wire::read_status(it).ok()).collect()
+}
+
+pub(super) async fn redeem(
+    table: &Table,
+    to: SocketAddr,
+    redemption: &Redemption,
+) -> Result<Redeemed, LinkError> {
+    let link = table.link(to).await.ok_or(LinkError::NotSent)?;
+    let (host, _guard) = link.begin_call();
+    let mut req = host.redeem_request();
+    wire::write_redemption(req.get().init_redemption(), redemption);
+    let call = req.send().promise;
+    let answer = tokio::select! {
+        answer = call => answer.map_err(|_| LinkError::NoAnswer)?,
+        () = link.closed() => return Err(LinkError::NoAnswer),
+        () = tokio::time::sleep(redemption.time_left + DEADLINE_MARGIN) => {
+            return Err(LinkError::NoAnswer);
+        }
+    };
+    let answer = answer.get().map_err(|_| LinkError::NoAnswer)?;
+    let body = answer.get_body().map_err(|_| LinkError::NoAnswer)?;
+    Ok(Redeemed { status: answer.get_status(), body: body.into() })
+}
+
+pub(super) async fn deliver(table: &Table, to: SocketAddr, message: &[u8]) {
+    let Some(link) = table.link(to).await else { return };
+    let (host, _guard) = link.begin_call();
+    let mut req = host.deliver_request();
+    req.get().set_message(message);
+    let _ = timeout(STATUS_TIMEOUT, req.send().promise).await;
+}
--- /dev/null
+++ b/crates/peer/src/links/link.rs
@@ -0,0 +1,199 @@
+//! One link to a peer: opening, the hello, and the watch for silence.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::Duration,
+};
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use slog::{Logger, info, warn};
+use tokio::{
+    net::TcpStream,
+    sync::watch,
+    task,
+    time::{Instant, sleep, timeout},
+};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::{
+    generated::peer_capnp::{gate, host},
+    identity::Identity,
+    server::message_limits,
+    wire,
+};
+
+/// Longest time until a link must stand, hello included.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How often a link in use is looked at.
+const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Longest silence after a ping on a link in use.
+const PING_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A link unused for so long is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+pub(super) struct Link {
+    peer: SocketAddr,
+    host: host::Client,
+    calls: Cell<u32>,
+    last_use: Cell<Instant>,
+    closed: watch::Sender<bool>,
+}
+
+/// Why a link did not open.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum OpenError {
+    #[error("not reached in time")]
+    Timeout,
+    #[error("{0}")]
+    Connect(std::io::Error),
+    #[error("turned away: {0}")]
+    Hello(capnp::Error),
+}
+
+/// Marks a call as under way on a link while it lives.
+pub(super) struct CallGuard(Rc<Link>);
+
+impl Link {
+    pub(super) async fn open(
+        to: SocketAddr,
+        identity: &Identity,
+        log: &Logger,
+    ) -> Result<Rc<Link>, OpenError> {
+        let opened = timeout(OPEN_TIMEOUT, connect(to, identity));
+        let (system, host) = opened.await.map_err(|_| OpenError::Timeout)??;
+        let (closed, _) = watch::channel(false);
+        let (calls, last_use) = (Cell::new(0), Cell::new(Instant::now()));
+        let link = Rc::new(Link { peer: to, host, calls, last_use, closed });
+        let (watched, log) = (Rc::downgrade(&link), log.clone());
+        task::spawn_local(async move {
+            let reason = tokio::select! {
+                reason = watch_silence(watched.clone()) => reason,
+                _ = system => "the peer closed it",
+            };
+            info!(log, "peer: link closed"; "to" => %to, "reason" => reason);
+            if let Some(link) = watched.upgrade() {
+                link.closed.send_replace(true);
+            }
+        });
+        Ok(link)
+    }
+
+    pub(super) fn begin_call(self: &Rc<Self>) -> (host::Client, CallGuard) {
+        self.calls.set(self.calls.get() + 1);
+        self.last_use.set(Instant::now());
+        (self.host.clone(), CallGuard(Rc::clone(self)))
+    }
+
+    /// Returns once the link is closed.
+    pub(super) async fn closed(&self) {
+        // The sender lives in self, so waiting cannot fail.
+        let _ = self.closed.subscribe().wait_for(|&closed| closed).await;
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        *self.closed.borrow()
+    }
+
+    pub(super) fn is_unused(&self) -> bool {
+        self.calls.get() == 0
+    }
+
+    pub(super) fn last_use(&self) -> Instant {
+        self.last_use.get()
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.0.calls.set(self.0.calls.get() - 1);
+        self.0.last_use.set(Instant::now());
+    }
+}
+
+type System = task::JoinHandle<Result<(), capnp::Error>>;
+
+/// Aborts the link's system when the link is given up.
+struct RunningSystem(System);
+
+impl Drop for RunningSystem {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Future for RunningSystem {
+    type Output = ();
+
+    fn poll(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<()> {
+        std::pin::Pin::new(&mut self.0).poll(cx).map(|_| ())
+    }
+}
+
+async fn connect(
+    to: SocketAddr,
+    identity: &Identity,
+) -> Result<(RunningSystem, host::Client), OpenError> {
+    let stream = TcpStream::connect(to).await.map_err(OpenError::Connect)?;
+    stream.set_nodelay(true).map_err(OpenError::Connect)?;
+    let (reader, writer) = stream.into_split();
+    let network = twoparty::VatNetwork::new(
+        reader.compat(),
+        writer.compat_write(),
+        rpc_twoparty_capnp::Side::Client,
+        message_limits(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let gate: gate::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let system = RunningSystem(task::spawn_local(system));
+    let host = greet(&gate, identity).await.map_err(OpenError::Hello)?;
+    Ok((system, host))
+}
+
+async fn greet(gate: &gate::Client, identity: &Identity) -> Result<host::Client, capnp::Error> {
+    let challenge = gate.challenge_request().send().promise.await?;
+    let nonce = challenge.get()?.get_nonce()?.to_vec();
+    let mut req = gate.hello_request();
+    wire::write_hello(req.get().init_hello(), &identity.claim(&nonce));
+    let welcome = req.send().promise.await?;
+    welcome.get()?.get_host()
+}
+
+/// Pings the link while calls are under way; returns why it must close.
+async fn watch_silence(link: Weak<Link>) -> &'static str {
+    loop {
+        sleep(WATCH_INTERVAL).await;
+        let Some(link) = link.upgrade() else { return "it was dropped" };
+        if link.is_unused() {
+            if link.last_use().elapsed() > IDLE_LIMIT {
+                return "it was idle";
+            }
+            continue;
+        }
+        let ping = link.host.ping_request().send().promise;
+        match timeout(PING_TIMEOUT, ping).await {
+            Ok(Ok(_)) => (),
+            Ok(Err(_)) => return "a ping failed",
+            Err(_) => return "it went silent",
+        }
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.closed.send_replace(true);
+    }
+}
+
+impl Link {
+    pub(super) fn warn_lost(&self, log: &Logger, what: &str) {
+        warn!(log, "peer: call lost"; "to" => %self.peer, "call" => what);
+    }
+}
--- /dev/null
+++ b/crates/peer/src/links/mod.rs
@@ -0,0 +1,138 @@
+//! The calling side of links: opened on demand, one a peer, closed when idle,
+//! given up and replaced when silent.
+
+mod calls;
+mod link;
+mod pending;
+mod table;
+
+use std::{io, net::SocketAddr, thread};
+
+use base::{AttemptId, Missing, Outcome, PoolName, RequestId};
+use policy::message::{Batch, Part, PartResult, Redeemed, Redemption, Subquery, TargetStatus};
+use slog::Logger;
+use tokio::{
+    sync::{mpsc, oneshot},
+    task,
+};
+
+use self::table::Table;
+use crate::identity::Identity;
+
+/// Commands that may wait for the link thread.
+const COMMAND_BUFFER: usize = 16_384;
+
+/// A call to another host that got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum LinkError {
+    #[error("no link could be opened; nothing was sent")]
+    NotSent,
+    #[error("the call was sent and no answer came")]
+    NoAnswer,
+}
+
+/// Handle to the thread that keeps this host's links.
+#[derive(Clone)]
+pub struct Links {
+    tx: mpsc::Sender<Command>,
+}
+
+enum Command {
+    Run { to: SocketAddr, batch: Batch, parts: mpsc::Sender<Part> },
+    Cancel { to: SocketAddr, request: RequestId, attempts: Vec<AttemptId> },
+    Status { to: SocketAddr, pool: PoolName, reply: oneshot::Sender<Vec<TargetStatus>> },
+    Redeem { to: SocketAddr, redemption: Redemption, reply: Reply<Redeemed> },
+    Deliver { to: SocketAddr, message: Vec<u8> },
+}
+
+type Reply<T> = oneshot::Sender<Result<T, LinkError>>;
+
+impl Links {
+    /// Starts the link thread, as capnp-rpc objects stay on one.
+    pub fn start(identity: Identity, log: Logger) -> io::Result<Links> {
+        let (tx, rx) = mpsc::channel(COMMAND_BUFFER);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        thread::Builder::new().name("peer-links".to_owned()).spawn(move || {
+            let local = task::LocalSet::new();
+            local.block_on(&runtime, serve_commands(rx, identity, log));
+        })?;
+        Ok(Links { tx })
+    }
+
+    /// Runs a batch at another host. Exactly one part follows each subquery:
+    /// what the link loses comes as `OwnerUnreachable`.
+    pub fn run(&self, to: SocketAddr, batch: Batch, parts: mpsc::Sender<Part>) {
+        let Err(err) = self.tx.try_send(Command::Run { to, batch, parts }) else { return };
+        let Command::Run { batch, parts, .. } = err.into_inner() else { return };
+        for subquery in &batch.subqueries {
+            // A full buffer at the receiver means that nobody reads any more.
+            let _ = parts.try_send(unreachable_part(subquery, Outcome::NotRun));
+        }
+    }
+
+    pub fn cancel(&self, to: SocketAddr, request: RequestId, attempts: Vec<AttemptId>) {
+        // A lost cancellation costs work, not truth.
+        let _ = self.tx.try_send(Command::Cancel { to, request, attempts });
+    }
+
+    /// What the host knows of its targets of a pool; empty if unreachable.
+    pub async fn status(&self, to: SocketAddr, pool: PoolName) -> Vec<TargetStatus> {
+        let (reply, rx) = oneshot::channel();
+        if self.tx.try_send(Command::Status { to, pool, reply }).is_err() {
+            return Vec::new();
+        }
+        rx.await.unwrap_or_default()
+    }
+
+    pub async fn redeem(
+        &self,
+        to: SocketAddr,
+        redemption: Redemption,
+    ) -> Result<Redeemed, LinkError> {
+        let (reply, rx) = oneshot::channel();
+        let command = Command::Redeem { to, redemption, reply };
+        self.tx.try_send(command).map_err(|_| LinkError::NotSent)?;
+        rx.await.unwrap_or(Err(LinkError::NoAnswer))
+    }
+
+    /// Sends a fleet message that is too large for a datagram. Best effort.
+    pub fn deliver(&self, to: SocketAddr, message: Vec<u8>) {
+        let _ = self.tx.try_send(Command::Deliver { to, message });
+    }
+}
+
+fn unreachable_part(subquery: &Subquery, outcome: Outcome) -> Part {
+    Part {
+        attempt: subquery.attempt,
+        shard: subquery.shard,
+        target: subquery.target.clone(),
+        result: PartResult::Failed { missing: Missing::OwnerUnreachable, outcome },
+        queued: Default::default(),
+        service_time: Default::default(),
+        status: None,
+    }
+}
+
+async fn serve_commands(mut rx: mpsc::Receiver<Command>, identity: Identity, log: Logger) {
+    let table = Table::new(identity, log);
+    while let Some(command) = rx.recv().await {
+        let table = table.clone();
+        task::spawn_local(serve_command(table, command));
+    }
+}
+
+async fn serve_command(table: Table, command: Command) {
+    match command {
+        Command::Run { to, batch, parts } => calls::run(&table, to, batch, parts).await,
+        Command::Cancel { to, request, attempts } => {
+            calls::cancel(&table, to, request, &attempts).await;
+        }
+        Command::Status { to, pool, reply } => {
+            let _ = reply.send(calls::status(&table, to, &pool).await.unwrap_or_default());
+        }
+        Command::Redeem { to, redemption, reply } => {
+            let _ = reply.send(calls::redeem(&table, to, &redemption).await);
+        }
+        Command::Deliver { to, message } => calls::deliver(&table, to, &message).await,
+    }
+}
--- /dev/null
+++ b/crates/peer/src/links/table.rs
@@ -0,0 +1,107 @@
+//! The links of this host by peer address.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use base::HashMap;
+use futures::{
+    FutureExt,
+    future::{LocalBoxFuture, Shared},
+};
+use slog::{Logger, info};
+use tokio::{task, time::Instant};
+
+use super::link::Link;
+use crate::identity::Identity;
+
+/// After a failed attempt, calls fail at once for this long.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Links kept; the longest unused one goes first.
+const MAX_LINKS: usize = 2_048;
+
+type Opening = Shared<LocalBoxFuture<'static, Option<Rc<Link>>>>;
+
+#[derive(Clone)]
+pub(super) struct Table {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    identity: Identity,
+    log: Logger,
+    entries: RefCell<HashMap<SocketAddr, Entry>>,
+}
+
+#[derive(Clone)]
+enum Entry {
+    Opening(Opening),
+    Open(Rc<Link>),
+    Failed { retry_at: Instant },
+}
+
+impl Table {
+    pub(super) fn new(identity: Identity, log: Logger) -> Self {
+        Table { inner: Rc::new(Inner { identity, log, entries: RefCell::default() }) }
+    }
+
+    pub(super) fn log(&self) -> &Logger {
+        &self.inner.log
+    }
+
+    /// The link to a peer, opened if need be; none if it cannot be reached.
+    pub(super) async fn link(&self, to: SocketAddr) -> Option<Rc<Link>> {
+        let entry = self.inner.entries.borrow().get(&to).cloned();
+        match entry {
+            Some(Entry::Open(link)) if !link.is_closed() => Some(link),
+            Some(Entry::Opening(opening)) => opening.await,
+            Some(Entry::Failed { retry_at }) if Instant::now() < retry_at => None,
+            _ => self.start_opening(to).await,
+        }
+    }
+
+    fn start_opening(&self, to: SocketAddr) -> Opening {
+        self.make_room();
+        let table = self.clone();
+        let opening = async move { table.open(to).await }.boxed_local().shared();
+        self.inner.entries.borrow_mut().insert(to, Entry::Opening(opening.clone()));
+        // Opening goes on also when the call that began it is dropped.
+        task::spawn_local(opening.clone());
+        opening
+    }
+
+    async fn open(&self, to: SocketAddr) -> Option<Rc<Link>> {
+        let result = Link::open(to, &self.inner.identity, &self.inner.log).await;
+        let (entry, link) = match result {
+            Ok(link) => (Entry::Open(Rc::clone(&link)), Some(link)),
+            Err(err) => {
+                info!(self.inner.log, "peer: no link"; "to" => %to, "error" => %err);
+                (Entry::Failed { retry_at: Instant::now() + RECONNECT_PAUSE }, None)
+            }
+        };
+        self.inner.entries.borrow_mut().insert(to, entry);
+        link
+    }
+
+    fn make_room(&self) {
+        let mut entries = self.inner.entries.borrow_mut();
+        let now = Instant::now();
+        entries.retain(|_, entry| match entry {
+            Entry::Opening(_) => true,
+            Entry::Open(link) => !link.is_closed(),
+            Entry::Failed { retry_at } => now < *retry_at,
+        });
+        if entries.len() < MAX_LINKS {
+            return;
+        }
+        let longest_unused = entries
+            .iter()
+            .filter_map(|(&to, entry)| match entry {
+                Entry::Open(link) if link.is_unused() => Some((link.last_use(), to)),
+                _ => None,
+            })
+            .min();
+        if let Some((_, to)) = longest_unused {
+            entries.remove(&to);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/server/mod.rs
@@ -0,0 +1,112 @@
+//! The listening side of links: greets a peer, checks that it belongs to the
+//! fleet, and hands what it asks for to the host's service.
+
+mod gate;
+mod host;
+
+use std::{cell::Cell, future::Future, io, net::SocketAddr, rc::Rc, thread};
+
+use base::{AttemptId, PoolName, RequestId};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use policy::message::{Batch, Part, Redeemed, Redemption, TargetStatus};
+use slog::{Logger, info, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    task,
+};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use self::gate::Gate;
+use crate::{generated::peer_capnp, identity::Identity};
+
+/// Links accepted at once.
+const MAX_LINKS: usize = 4_096;
+
+/// Words that one message may hold, as a bound on what a peer can make us
+/// keep (8 bytes a word).
+const MAX_MESSAGE_WORDS: usize = 4 << 20;
+
+/// What the host does for its peers.
+pub trait HostService: Clone + Send + 'static {
+    /// Runs a batch; exactly one part follows each subquery.
+    fn run(&self, batch: Batch, parts: mpsc::Sender<Part>);
+    fn cancel(&self, request: RequestId, attempts: Vec<AttemptId>);
+    fn status(&self, pool: PoolName) -> impl Future<Output = Vec<TargetStatus>> + Send;
+    fn redeem(&self, redemption: Redemption) -> impl Future<Output = Redeemed> + Send;
+    /// Takes a fleet message; `from` is where the sender listens.
+    fn deliver(&self, from: SocketAddr, message: Vec<u8>);
+}
+
+/// Serves peers on a thread of its own, as capnp-rpc objects stay on one.
+pub fn serve<S: HostService>(
+    listener: std::net::TcpListener,
+    identity: Identity,
+    service: S,
+    log: Logger,
+) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new().name("peer-server".to_owned()).spawn(move || {
+        let local = task::LocalSet::new();
+        local.block_on(&runtime, accept_links(listener, identity, service, log));
+    })?;
+    Ok(())
+}
+
+async fn accept_links<S: HostService>(
+    listener: std::net::TcpListener,
+    identity: Identity,
+    service: S,
+    log: Logger,
+) {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(it) => it,
+        Err(err) => {
+            slog::error!(log, "peer: cannot listen"; "error" => %err);
+            return;
+        }
+    };
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, address)) = listener.accept().await else {
+            // Out of file descriptors or the like; a short rest lets links end.
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            continue;
+        };
+        if open.get() >= MAX_LINKS {
+            warn!(log, "peer: refused a link, too many are open"; "from" => %address);
+            continue;
+        }
+        open.set(open.get() + 1);
+        let gate = Gate::new(identity.clone(), service.clone(), log.clone());
+        let (open, log) = (Rc::clone(&open), log.clone());
+        task::spawn_local(async move {
+            if let Err(err) = serve_link(stream, gate).await {
+                info!(log, "peer: link ended"; "from" => %address, "error" => %err);
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn serve_link<S: HostService>(stream: TcpStream, gate: Gate<S>) -> Result<(), capnp::Error> {
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.into_split();
+    let network = twoparty::VatNetwork::new(
+        reader.compat(),
+        writer.compat_write(),
+        rpc_twoparty_capnp::Side::Server,
+        message_limits(),
+    );
+    let client: peer_capnp::gate::Client = capnp_rpc::new_client(gate);
+    RpcSystem::new(Box::new(network), Some(client.client)).await
+}
+
+/// Limits on what one message of a peer may hold.
+pub(crate) fn message_limits() -> capnp::message::ReaderOptions {
+    let mut limits = capnp::message::ReaderOptions::new();
+    limits.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    limits.nesting_limit(16);
+    limits
+}
--- /dev/null
+++ b/crates/peer/src/wire/mod.rs
@@ -0,0 +1,81 @@
+//! Conversion between the capnp messages and the plain data of
+//! `policy::message`. Whatever a peer sends is checked here: a bad field is an
+//! error that closes the link, never a panic.
+
+mod batch;
+mod hello;
+mod part;
+mod redemption;
+
+use base::{AttemptId, RequestId, Snapshot};
+
+use crate::generated::peer_capnp::{id, snapshot};
+
+pub(crate) use self::{
+    batch::{read_batch, write_batch},
+    hello::{read_hello, write_hello},
+    part::{read_part, read_status, write_part, write_status},
+    redemption::{read_redemption, write_redemption},
+};
+
+pub(crate) type Result<T> = std::result::Result<T, capnp::Error>;
+
+/// Longest body that a link carries, in bytes.
+pub(crate) const MAX_BODY_BYTES: usize = 8 << 20;
+
+pub(crate) fn malformed(what: &str) -> capnp::Error {
+    capnp::Error::failed(format!("malformed message: {what}"))
+}
+
+pub(crate) fn text(reader: capnp::text::Reader<'_>) -> Result<&str> {
+    reader.to_str().map_err(|_| malformed("text is not UTF-8"))
+}
+
+/// A name as it may stand in a document.
+pub(crate) fn name<N: for<'a> From<&'a str>>(reader: capnp::text::Reader<'_>) -> Result<N> {
+    let text = text(reader)?;
+    if !base::name::is_valid(text) {
+        return Err(malformed("not a name"));
+    }
+    Ok(N::from(text))
+}
+
+pub(crate) fn body(bytes: &[u8]) -> Result<std::sync::Arc<[u8]>> {
+    if bytes.len() > MAX_BODY_BYTES {
+        return Err(malformed("body too long"));
+    }
+    Ok(bytes.into())
+}
+
+pub(crate) fn write_request_id(mut to: id::Builder<'_>, it: RequestId) {
+    let (high, low) = it.halves();
+    to.set_high(high);
+    to.set_low(low);
+}
+
+pub(crate) fn read_request_id(from: id::Reader<'_>) -> RequestId {
+    RequestId::from_halves(from.get_high(), from.get_low())
+}
+
+pub(crate) fn write_attempt_id(mut to: id::Builder<'_>, it: AttemptId) {
+    let (high, low) = it.halves();
+    to.set_high(high);
+    to.set_low(low);
+}
+
+pub(crate) fn read_attempt_id(from: id::Reader<'_>) -> AttemptId {
+    AttemptId::from_halves(from.get_high(), from.get_low())
+}
+
+pub(crate) fn write_snapshot(mut to: snapshot::Builder<'_>, it: Snapshot) {
+    to.set_map(it.map);
+    to.set_index(it.index);
+}
+
+pub(crate) fn read_snapshot(from: snapshot::Reader<'_>) -> Snapshot {
+    Snapshot { map: from.get_map(), index: from.get_index() }
+}
+
+pub(crate) fn micros(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/peer/tests/links.rs
@@ -0,0 +1,261 @@
+//! Links over loopback sockets: what is carried, and what is vouched for when
+//! the other end refuses, dies or goes silent.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use assert_matches::assert_matches;
+use base::{AttemptId, Incarnation, Missing, Outcome, PoolName, RequestId, ShardId, Snapshot};
+use peer::{HostService, Identity, LinkError, Links, serve};
+use policy::message::{
+    Batch, Part, PartResult, Redeemed, Redemption, Subquery, TargetStatus, Ticket,
+};
+use tokio::sync::mpsc;
+
+/// Longest wait of a test for what must come; only a hang reaches it.
+const HANG: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Behaviour {
+    Answer,
+    /// Answers every subquery but shard 0, twice.
+    Duplicate,
+    NeverAnswer,
+}
+
+#[derive(Clone)]
+struct Fake {
+    behaviour: Behaviour,
+    held: Arc<Mutex<Vec<mpsc::Sender<Part>>>>,
+    delivered: mpsc::UnboundedSender<(SocketAddr, Vec<u8>)>,
+}
+
+impl HostService for Fake {
+    fn run(&self, batch: Batch, parts: mpsc::Sender<Part>) {
+        for subquery in &batch.subqueries {
+            match self.behaviour {
+                Behaviour::Answer => parts.try_send(answer(subquery)).unwrap(),
+                Behaviour::Duplicate if subquery.shard == ShardId(0) => (),
+                Behaviour::Duplicate => {
+                    let parts = parts.clone();
+                    let part = answer(subquery);
+                    tokio::task::spawn_local(async move {
+                        parts.send(part.clone()).await.unwrap();
+                        parts.send(part).await.unwrap();
+                    });
+                }
+                Behaviour::NeverAnswer => self.held.lock().unwrap().push(parts.clone()),
+            }
+        }
+    }
+
+    fn cancel(&self, _: RequestId, _: Vec<AttemptId>) {}
+
+    async fn status(&self, _: PoolName) -> Vec<TargetStatus> {
+        vec![status()]
+    }
+
+    async fn redeem(&self, redemption: Redemption) -> Redeemed {
+        Redeemed { status: 200, body: redemption.body }
+    }
+
+    fn deliver(&self, from: SocketAddr, message: Vec<u8>) {
+        self.delivered.send((from, message)).unwrap();
+    }
+}
+
+struct Host {
+    address: SocketAddr,
+    delivered: mpsc::UnboundedReceiver<(SocketAddr, Vec<u8>)>,
+}
+
+fn log() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
+fn identity(address: SocketAddr, fleet: &str, secret: Option<&str>) -> Identity {
+    Identity {
+        fleet: fleet.into(),
+        host: "a-1".into(),
+        address,
+        incarnation: Incarnation(1),
+        secret: secret.map(|it| it.as_bytes().into()),
+    }
+}
+
+fn start(behaviour: Behaviour, secret: Option<&str>) -> Host {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tx, delivered) = mpsc::unbounded_channel();
+    let fake = Fake { behaviour, held: Arc::default(), delivered: tx };
+    serve(listener, identity(address, "test", secret), fake, log()).unwrap();
+    Host { address, delivered }
+}
+
+fn links(fleet: &str, secret: Option<&str>) -> Links {
+    let here = "127.0.0.1:1".parse().unwrap();
+    Links::start(identity(here, fleet, secret), log()).unwrap()
+}
+
+fn batch(shards: u32) -> Batch {
+    let subquery = |shard| Subquery {
+        attempt: AttemptId(u128::from(shard) << 64 | 7),
+        shard: ShardId(shard),
+        target: format!("t-{shard}").into(),
+    };
+    Batch {
+        request: RequestId(9),
+        service: "s".into(),
+        pool: "p".into(),
+        snapshot: snapshot(),
+        time_left: Duration::from_millis(200),
+        is_idempotent: true,
+        is_extra: false,
+        fingerprint: 3,
+        body: (*b"body").into(),
+        subqueries: (0..shards).map(subquery).collect(),
+    }
+}
+
+fn snapshot() -> Snapshot {
+    Snapshot { map: 2, index: 5 }
+}
+
+fn status() -> TargetStatus {
+    TargetStatus {
+        target: "t-1".into(),
+        incarnation: Incarnation(4),
+        is_leaving: true,
+        is_up: true,
+        limit: 3,
+        in_flight: 2,
+        wait: Duration::from_micros(1_234),
+        snapshots: vec![snapshot()],
+    }
+}
+
+fn answer(subquery: &Subquery) -> Part {
+    Part {
+        attempt: subquery.attempt,
+        shard: subquery.shard,
+        target: subquery.target.clone(),
+        result: PartResult::Answer { snapshot: snapshot(), body: (*b"answer").into() },
+        queued: Duration::from_micros(10),
+        service_time: Duration::from_micros(20),
+        status: Some(status()),
+    }
+}
+
+async fn collect(links: &Links, to: SocketAddr, batch: Batch) -> Vec<Part> {
+    let (tx, mut rx) = mpsc::channel(batch.subqueries.len());
+    links.run(to, batch, tx);
+    let mut parts = Vec::new();
+    let all = async {
+        while let Some(part) = rx.recv().await {
+            parts.push(part);
+        }
+    };
+    tokio::time::timeout(HANG, all).await.expect("parts end");
+    parts.sort_by_key(|it| it.shard);
+    parts
+}
+
+fn check_lost(parts: &[Part], shards: u32, expected: Outcome) {
+    assert_eq!(parts.len(), shards as usize);
+    for part in parts {
+        assert_matches!(
+            part.result,
+            PartResult::Failed { missing: Missing::OwnerUnreachable, outcome } if outcome == expected
+        );
+    }
+}
+
+#[tokio::test]
+async fn batch_and_parts_arrive_whole() {
+    let host = start(Behaviour::Answer, Some("secret"));
+    let batch = batch(220);
+    let parts = collect(&links("test", Some("secret")), host.address, batch.clone()).await;
+    let expected: Vec<_> = batch.subqueries.iter().map(answer).collect();
+    assert_eq!(parts, expected);
+}
+
+#[tokio::test]
+async fn second_part_of_a_subquery_is_dropped_and_a_lost_one_may_have_run() {
+    let host = start(Behaviour::Duplicate, None);
+    let parts = collect(&links("test", None), host.address, batch(3)).await;
+    assert_eq!(parts.len(), 3);
+    check_lost(&parts[..1], 1, Outcome::MayHaveRun);
+    assert_matches!(parts[1].result, PartResult::Answer { .. });
+    assert_matches!(parts[2].result, PartResult::Answer { .. });
+}
+
+#[tokio::test]
+async fn unreachable_host_means_not_run() {
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let parts = collect(&links("test", None), nobody, batch(4)).await;
+    check_lost(&parts, 4, Outcome::NotRun);
+}
+
+#[tokio::test]
+async fn silent_host_means_may_have_run() {
+    let host = start(Behaviour::NeverAnswer, None);
+    let parts = collect(&links("test", None), host.address, batch(4)).await;
+    check_lost(&parts, 4, Outcome::MayHaveRun);
+}
+
+#[tokio::test]
+async fn other_fleet_and_wrong_secret_are_turned_away() {
+    let host = start(Behaviour::Answer, Some("secret"));
+    for links in [links("other", Some("secret")), links("test", Some("wrong")), links("test", None)]
+    {
+        let parts = collect(&links, host.address, batch(1)).await;
+        check_lost(&parts, 1, Outcome::NotRun);
+    }
+}
+
+#[tokio::test]
+async fn status_redeem_and_deliver_round_trip() {
+    let mut host = start(Behaviour::Answer, None);
+    let links = links("test", None);
+    assert_eq!(links.status(host.address, "p".into()).await, [status()]);
+    let redemption = Redemption {
+        ticket: Ticket { minter: "a-1".into(), incarnation: Incarnation(1), secret: 1 << 100 | 5 },
+        service: "s".into(),
+        time_left: Duration::from_secs(1),
+        shard: Some(ShardId(3)),
+        body: (*b"order").into(),
+    };
+    let redeemed = links.redeem(host.address, redemption.clone()).await;
+    assert_matches!(redeemed, Ok(Redeemed { status: 200, body }) if *body == *b"order");
+    links.deliver(host.address, b"digest".to_vec());
+    let (from, message) = host.delivered.recv().await.unwrap();
+    assert_eq!((from.to_string().as_str(), &*message), ("127.0.0.1:1", &b"digest"[..]));
+
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    assert_matches!(links.redeem(nobody, redemption).await, Err(LinkError::NotSent));
+    assert!(links.status(nobody, "p".into()).await.is_empty());
+}
+
+/// A port that accepts and never says a word must not hold calls beyond the
+/// time in which a link must stand.
+#[tokio::test]
+async fn host_that_never_greets_means_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let parts = collect(&links("test", None), listener.local_addr().unwrap(), batch(2)).await;
+    check_lost(&parts, 2, Outcome::NotRun);
+}
+
+/// Bytes that are no capnp message close the link and nothing else.
+#[tokio::test]
+async fn garbage_from_a_peer_closes_only_its_link() {
+    use std::io::Write;
+
+    let host = start(Behaviour::Answer, None);
+    let mut stream = std::net::TcpStream::connect(host.address).unwrap();
+    stream.write_all(&[0xff; 4_096]).unwrap();
+    let parts = collect(&links("test", None), host.address, batch(2)).await;
+    assert_matches!(parts[0].result, PartResult::Answer { .. });
+}
--- /dev/null
+++ b/xtask/src/codegen/mod.rs
@@ -0,0 +1,22 @@
+//! `cargo xtask codegen`: makes the capnp code anew from the schema.
+//!
+//! Needs the `capnp` program; the generated code is committed, so nothing
+//! else does.
+
+use eyre::WrapErr;
+
+const SCHEMA_DIR: &str = "crates/peer/schema";
+const OUTPUT_DIR: &str = "crates/peer/src/generated";
+const SCHEMAS: [&str; 1] = ["peer.capnp"];
+
+pub fn run() -> eyre::Result<()> {
+    let mut command = capnpc::CompilerCommand::new();
+    command
+        .src_prefix(SCHEMA_DIR)
+        .output_path(OUTPUT_DIR)
+        .default_parent_module(vec!["generated".to_owned()]);
+    for schema in SCHEMAS {
+        command.file(format!("{SCHEMA_DIR}/{schema}"));
+    }
+    command.run().wrap_err("the capnp compiler failed; is `capnp` installed?")
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,3 +1,7 @@
 //! Automation: `cargo xtask ci | codegen | demo | bench`.
 
-fn main() {}
+mod codegen;
+
+fn main() -> eyre::Result<()> {
+    codegen::run()
+}
