--- /dev/null
+++ b/crates/fleet/src/configuration/mod.rs
@@ -0,0 +1,1 @@
+//! Configuration.
