Parse documents and settings, with all findings and their places

Cause: The parsers were stubs; serde alone stops at the first mistake, and an operator then needs one run a mistake. Change: YAML becomes a tree in which each key and value keeps its place; wire types read lenient fields from it and convert to the model by TryFrom, going on after each mistake. Unknown, doubled and missing fields, wrong kinds, ranges, names, addresses, limits and shards are found together.

--- /dev/null
+++ b/crates/documents/src/model/document.rs
@@ -0,0 +1,50 @@
+//! A document of any kind, and where its values were written.
+
+use base::{HashMap, Place};
+
+use crate::model::{Domain, Pool, Service};
+
+/// One checked document.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Document {
+    Service(Service),
+    Pool(Pool),
+    Domain(Domain),
+}
+
+/// A value together with the places of its parts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Located<T> {
+    pub value: T,
+    pub place: Place,
+    pub places: Places,
+}
+
+/// Places by path, such as `pool` or `targets/3/domain`.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Places(HashMap<String, Place>);
+
+impl Document {
+    /// Key under which the platform publishes the document: `service/NAME`,
+    /// `pool/NAME` or `domain/NAME`.
+    pub fn key(&self) -> String {
+        match self {
+            Document::Service(it) => format!("service/{}", it.name),
+            Document::Pool(it) => format!("pool/{}", it.name),
+            Document::Domain(it) => format!("domain/{}", it.name),
+        }
+    }
+}
+
+impl<T> Located<T> {
+    /// Place of the value at `path`; of the whole if that was not written.
+    pub fn place_of(&self, path: &str) -> Place {
+        self.places.0.get(path).unwrap_or(&self.place).clone()
+    }
+}
+
+impl Places {
+    pub(crate) fn insert(&mut self, path: String, place: Place) {
+        self.0.insert(path, place);
+    }
+}
--- a/crates/documents/src/model/mod.rs
+++ b/crates/documents/src/model/mod.rs
@@ -1,12 +1,14 @@
 //! Checked documents and settings as plain data.
 
 mod configuration;
+mod document;
 mod settings;
 
 pub use self::{
     configuration::{
         Configuration, Domain, DomainState, Pool, Preference, Service, Target, TargetIndex,
     },
+    document::{Document, Located, Places},
     settings::{
         EarlyRefusal, FairTurns, Hedging, LogFormat, LogLevel, LogSettings, OwnerMode,
         PlatformSettings, PolicySettings, SeedHost, Settings, WarmUp,
--- /dev/null
+++ b/crates/documents/src/wire/mod.rs
@@ -0,0 +1,91 @@
+//! Documents and settings as written: every field optional and untyped beyond
+//! YAML's own kinds, so that one mistake does not hide the next. Each type
+//! reads itself from a [`Node`] and converts to its model by `TryFrom`.
+
+mod domain;
+mod pool;
+mod service;
+mod settings;
+
+use base::{Finding, Findings};
+
+use crate::{
+    model::Document,
+    reader::{Fields, FromValue},
+    tree::{Node, Value},
+    wire::{domain::DomainWire, pool::PoolWire, service::ServiceWire},
+};
+
+pub(crate) use self::settings::SettingsWire;
+
+/// A document of any kind as written.
+pub(crate) enum DocumentWire {
+    Service(ServiceWire),
+    Pool(PoolWire),
+    Domain(DomainWire),
+    /// No kind, or an unknown one.
+    Unknown(Findings),
+}
+
+impl From<Node> for DocumentWire {
+    fn from(node: Node) -> Self {
+        match kind(&node) {
+            Some("service") => DocumentWire::Service(node.into()),
+            Some("pool") => DocumentWire::Pool(node.into()),
+            Some("domain") => DocumentWire::Domain(node.into()),
+            _ => DocumentWire::Unknown(unknown_kind(node)),
+        }
+    }
+}
+
+impl TryFrom<DocumentWire> for Document {
+    type Error = Findings;
+
+    fn try_from(wire: DocumentWire) -> Result<Self, Findings> {
+        match wire {
+            DocumentWire::Service(it) => it.try_into().map(Document::Service),
+            DocumentWire::Pool(it) => it.try_into().map(Document::Pool),
+            DocumentWire::Domain(it) => it.try_into().map(Document::Domain),
+            DocumentWire::Unknown(findings) => Err(findings),
+        }
+    }
+}
+
+fn kind(node: &Node) -> Option<&str> {
+    let Value::Mapping(entries) = &node.value else { return None };
+    let entry = entries.iter().find(|it| it.key == "kind")?;
+    match &entry.node.value {
+        Value::Text(it) => Some(it),
+        _ => None,
+    }
+}
+
+/// Without its kind a document's other fields cannot be judged.
+fn unknown_kind(node: Node) -> Findings {
+    let place = node.place.clone();
+    let mut findings = Findings::default();
+    let mut push = |place, message: String| {
+        let finding = Finding::new(place, message);
+        findings.push(finding.with_hint("use one of: service, pool, domain"));
+    };
+    let Value::Mapping(entries) = node.value else {
+        push(place, format!("expected a document, found {}", node.value.kind()));
+        return findings;
+    };
+    match entries.into_iter().find(|it| it.key == "kind") {
+        None => push(place, "the field `kind` is missing".to_owned()),
+        Some(entry) => {
+            let place = entry.node.place;
+            match String::from_value(entry.node.value) {
+                Ok(kind) => push(place, format!("unknown kind {kind:?}")),
+                Err(value) => push(place, format!("`kind` is {}", value.kind())),
+            }
+        }
+    }
+    findings
+}
+
+/// Marks `kind` as known; [`DocumentWire`] has looked at it already.
+fn skip_kind(fields: &mut Fields) {
+    let _ = fields.optional::<String>("kind");
+}
