Encode fleet messages as packed capnp

Cause: the fleet's state machines speak in plain data. Change: a schema for their messages, generated code, and conversion in both directions by kind of message. Conclusion: malformed input is an error at the rim.

--- a/crates/peer/src/wire/mod.rs
+++ b/crates/peer/src/wire/mod.rs
@@ -3,6 +3,7 @@
 //! error that closes the link, never a panic.
 
 mod batch;
+pub mod fleet;
 mod hello;
 mod part;
 mod redemption;
--- a/xtask/src/codegen/mod.rs
+++ b/xtask/src/codegen/mod.rs
@@ -7,7 +7,7 @@
 
 const SCHEMA_DIR: &str = "crates/peer/schema";
 const OUTPUT_DIR: &str = "crates/peer/src/generated";
-const SCHEMAS: [&str; 1] = ["peer.capnp"];
+const SCHEMAS: [&str; 2] = ["peer.capnp", "fleet.capnp"];
 
 pub fn run() -> eyre::Result<()> {
     let mut command = capnpc::CompilerCommand::new();
