--- a/crates/documents/src/cross/mod.rs
+++ b/crates/documents/src/cross/mod.rs
@@ -1,10 +1,109 @@
 //! Checks of documents against each other.
+//!
+//! A set without any pool or any domain document is taken as a part of the
+//! whole, so that services can be checked alone: references into the missing
+//! kind are then not followed.
 
-use base::Findings;
+use std::{fmt, hash::Hash, net::SocketAddr};
 
-use crate::model::{Document, Located};
+use base::{Finding, Findings, HashMap, HashSet, Place, TargetName};
+
+use crate::{
+    model::{Document, Domain, Located, Pool, Service},
+    reader::sorted,
+};
 
 /// Findings against documents that are valid alone but not together.
-pub fn cross_check(_documents: &[Located<Document>]) -> Findings {
-    Findings::default()
+pub fn cross_check(documents: &[Located<Document>]) -> Findings {
+    let mut cx = CrossCheck::new(documents);
+    for document in documents {
+        cx.keys.check(&mut cx.findings, document.value.key(), document.place.clone(), "documents");
+        match &document.value {
+            Document::Service(it) => cx.check_service(document, it),
+            Document::Pool(it) => cx.check_pool(document, it),
+            Document::Domain(_) => (),
+        }
+    }
+    sorted(cx.findings)
+}
+
+struct CrossCheck<'a> {
+    pools: HashSet<&'a str>,
+    domains: HashSet<&'a str>,
+    keys: Unique<String>,
+    targets: Unique<TargetName>,
+    addresses: Unique<SocketAddr>,
+    findings: Findings,
+}
+
+/// Values seen so far, each with the place where it was first seen.
+struct Unique<T> {
+    what: &'static str,
+    places: HashMap<T, Place>,
+}
+
+impl<'a> CrossCheck<'a> {
+    fn new(documents: &'a [Located<Document>]) -> Self {
+        let mut pools = HashSet::default();
+        let mut domains = HashSet::default();
+        for document in documents {
+            match &document.value {
+                Document::Pool(Pool { name, .. }) => pools.insert(name.as_str()),
+                Document::Domain(Domain { name, .. }) => domains.insert(name.as_str()),
+                Document::Service(_) => false,
+            };
+        }
+        CrossCheck {
+            pools,
+            domains,
+            keys: Unique::new("key"),
+            targets: Unique::new("name"),
+            addresses: Unique::new("address"),
+            findings: Findings::default(),
+        }
+    }
+
+    fn check_service(&mut self, document: &Located<Document>, service: &Service) {
+        if self.pools.is_empty() || self.pools.contains(service.pool.as_str()) {
+            return;
+        }
+        let message = format!("no document describes the pool {}", service.pool);
+        let finding = Finding::new(document.place_of("pool"), message);
+        self.findings.push(finding.with_hint("correct the name or add the pool's document"));
+    }
+
+    fn check_pool(&mut self, document: &Located<Document>, pool: &Pool) {
+        for (i, target) in pool.targets.iter().enumerate() {
+            let place = |field: &str| document.place_of(&format!("targets/{i}/{field}"));
+            self.targets.check(&mut self.findings, target.name.clone(), place("name"), "targets");
+            let address = place("address");
+            self.addresses.check(&mut self.findings, target.address, address, "targets");
+            self.check_domain(target.domain.as_str(), place("domain"));
+        }
+    }
+
+    fn check_domain(&mut self, domain: &str, place: Place) {
+        if self.domains.is_empty() || self.domains.contains(domain) {
+            return;
+        }
+        let message = format!("no document describes the domain {domain}");
+        let finding = Finding::new(place, message);
+        self.findings.push(finding.with_hint("correct the name or add the domain's document"));
+    }
+}
+
+impl<T: Hash + Eq + fmt::Display> Unique<T> {
+    fn new(what: &'static str) -> Self {
+        Unique { what, places: HashMap::default() }
+    }
+
+    fn check(&mut self, findings: &mut Findings, value: T, place: Place, things: &str) {
+        if let Some(first) = self.places.get(&value) {
+            let message = format!("two {things} have the {} {value}", self.what);
+            findings
+                .push(Finding::new(place, message).with_hint(format!("the other is at {first}")));
+            return;
+        }
+        self.places.insert(value, place);
+    }
 }
--- a/crates/documents/src/reader/mod.rs
+++ b/crates/documents/src/reader/mod.rs
@@ -141,10 +141,7 @@
     }
 
     pub(crate) fn into_findings(self) -> Findings {
-        match self.findings.into_result(()) {
-            Ok(()) => Findings::default(),
-            Err(findings) => findings,
-        }
+        sorted(self.findings)
     }
 
     /// `value` if nothing was found.
@@ -299,6 +296,11 @@
     }
 }
 
+/// The findings in order of place.
+pub(crate) fn sorted(findings: Findings) -> Findings {
+    findings.into_result(Findings::default()).unwrap_or_else(|it| it)
+}
+
 /// The known key that `key` was most likely meant to be.
 fn nearest(key: &str, known: &[&'static str]) -> Option<&'static str> {
     let limit = (key.chars().count() / 3).max(1);
--- a/crates/documents/tests/documents.rs
+++ b/crates/documents/tests/documents.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use base::ShardId;
 use documents::{
-    Document, DomainState, Pool, Preference, Service, parse_document, parse_documents,
+    Document, DomainState, Pool, Preference, Service, cross_check, parse_document, parse_documents,
 };
 
 const STREAM: &str = r#"
@@ -169,3 +169,56 @@
     let lines: Vec<_> = findings.iter().map(|it| it.place.line).collect();
     assert_eq!(lines, [5, 6]);
 }
+
+#[test]
+fn documents_that_do_not_fit_together_are_found() {
+    let others = r#"
+kind: service
+name: planeador-01
+team: planeacion
+pool: planner
+deadline-ms: 100
+prefer: latency
+---
+kind: pool
+name: bodega
+team: almacen
+map: 1
+shards: 1
+slots: 3
+connections: 30
+cold-slots: 1
+targets:
+  - {name: planeador-0-a, shard: 0, domain: bajio-z, address: "127.0.0.1:9002"}
+"#;
+    let (mut documents, _) = parse_documents("first", STREAM);
+    assert!(cross_check(&documents).is_empty());
+    let (second, findings) = parse_documents("second", others);
+    assert!(findings.is_empty(), "{findings}");
+    documents.extend(second);
+    let findings = cross_check(&documents);
+    let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        lines,
+        [
+            "second:2:1: two documents have the key service/planeador-01 (hint: the other is at \
+             first:2:1)",
+            "second:5:7: no document describes the pool planner (hint: correct the name or add \
+             the pool's document)",
+            "second:18:12: two targets have the name planeador-0-a (hint: the other is at \
+             first:20:12)",
+            "second:18:45: no document describes the domain bajio-z (hint: correct the name or \
+             add the domain's document)",
+            "second:18:63: two targets have the address 127.0.0.1:9002 (hint: the other is at \
+             first:21:63)",
+        ]
+    );
+}
+
+#[test]
+fn services_can_be_checked_without_their_pools() {
+    let service = STREAM.split("---").next().unwrap();
+    let (documents, findings) = parse_documents("service", service);
+    assert!(findings.is_empty(), "{findings}");
+    assert!(cross_check(&documents).is_empty());
+}
