--- a/crates/documents/src/cross/mod.rs
+++ b/crates/documents/src/cross/mod.rs
@@ -9,7 +9,7 @@
 use base::{Finding, Findings, HashMap, HashSet, Place, TargetName};
 
 use crate::{
-    model::{Document, Domain, Located, Pool, Service},
+    model::{Document, Domain, Located, Pool, Service, Settings},
     reader::sorted,
 };
 
@@ -27,6 +27,21 @@
     sorted(cx.findings)
 }
 
+/// Findings against settings of several hosts that cannot hold together.
+pub fn cross_check_settings(settings: &[Located<Settings>]) -> Findings {
+    let mut findings = Findings::default();
+    let mut hosts = Unique::new("host");
+    let mut addresses = Unique::new("address");
+    for it in settings {
+        hosts.check(&mut findings, it.value.host.clone(), it.place_of("host"), "settings");
+        let Settings { callers, admin, peers, .. } = it.value;
+        for (field, address) in [("callers", callers), ("admin", admin), ("peers", peers)] {
+            addresses.check(&mut findings, address, it.place_of(field), "settings");
+        }
+    }
+    sorted(findings)
+}
+
 struct CrossCheck<'a> {
     pools: HashSet<&'a str>,
     domains: HashSet<&'a str>,
--- a/crates/documents/src/lib.rs
+++ b/crates/documents/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod model;
 
 pub use crate::{
-    cross::cross_check,
+    cross::{cross_check, cross_check_settings},
     model::{
         Configuration, Document, Domain, DomainState, Located, Places, Pool, Preference, Service,
         Settings, Target,
@@ -43,7 +43,7 @@
     let mut documents = Vec::new();
     let (nodes, mut findings) = tree::parse_stream(source, text);
     for node in nodes {
-        match locate(node) {
+        match locate::<_, DocumentWire>(node) {
             Ok(document) => documents.push(document),
             Err(found) => findings.extend(found),
         }
@@ -57,9 +57,49 @@
     Settings::try_from(SettingsWire::from(node))
 }
 
-fn locate(node: Node) -> Result<Located<Document>, Findings> {
+/// Parses a file of documents, settings or both, as `godwityard check` takes
+/// it. A mapping without `kind` but with `host` holds settings.
+pub fn parse_file(source: &str, text: &str) -> (ParsedFile, Findings) {
+    let mut file = ParsedFile::default();
+    let (nodes, mut findings) = tree::parse_stream(source, text);
+    for node in nodes {
+        if let Err(found) = file.add(node) {
+            findings.extend(found);
+        }
+    }
+    (file, findings)
+}
+
+/// The valid parts of one file or of several.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ParsedFile {
+    pub documents: Vec<Located<Document>>,
+    pub settings: Vec<Located<Settings>>,
+}
+
+impl ParsedFile {
+    fn add(&mut self, node: Node) -> Result<(), Findings> {
+        if node.has_key("host") && !node.has_key("kind") {
+            self.settings.push(locate::<_, SettingsWire>(node)?);
+        } else {
+            self.documents.push(locate::<_, DocumentWire>(node)?);
+        }
+        Ok(())
+    }
+
+    pub fn extend(&mut self, other: ParsedFile) {
+        self.documents.extend(other.documents);
+        self.settings.extend(other.settings);
+    }
+}
+
+fn locate<T, W>(node: Node) -> Result<Located<T>, Findings>
+where
+    T: TryFrom<W, Error = Findings>,
+    W: From<Node>,
+{
     let place = node.place.clone();
     let places = Places::from(&node);
-    let value = Document::try_from(DocumentWire::from(node))?;
+    let value = T::try_from(W::from(node))?;
     Ok(Located { value, place, places })
 }
--- a/crates/documents/src/tree/mod.rs
+++ b/crates/documents/src/tree/mod.rs
@@ -146,6 +146,18 @@
     }
 }
 
+impl Node {
+    /// The value under `key`, if this is a mapping that has it.
+    pub(crate) fn get(&self, key: &str) -> Option<&Node> {
+        let Value::Mapping(entries) = &self.value else { return None };
+        entries.iter().find(|it| it.key == key).map(|it| &it.node)
+    }
+
+    pub(crate) fn has_key(&self, key: &str) -> bool {
+        self.get(key).is_some()
+    }
+}
+
 impl Value {
     /// What the value is, in the words of a finding.
     pub(crate) fn kind(&self) -> &'static str {
--- a/crates/documents/src/wire/mod.rs
+++ b/crates/documents/src/wire/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     model::Document,
-    reader::{Fields, FromValue},
+    reader::Fields,
     tree::{Node, Value},
     wire::{domain::DomainWire, pool::PoolWire, service::ServiceWire},
 };
@@ -33,7 +33,7 @@
             Some("service") => DocumentWire::Service(node.into()),
             Some("pool") => DocumentWire::Pool(node.into()),
             Some("domain") => DocumentWire::Domain(node.into()),
-            _ => DocumentWire::Unknown(unknown_kind(node)),
+            _ => DocumentWire::Unknown(unknown_kind(&node)),
         }
     }
 }
@@ -52,36 +52,25 @@
 }
 
 fn kind(node: &Node) -> Option<&str> {
-    let Value::Mapping(entries) = &node.value else { return None };
-    let entry = entries.iter().find(|it| it.key == "kind")?;
-    match &entry.node.value {
+    match &node.get("kind")?.value {
         Value::Text(it) => Some(it),
         _ => None,
     }
 }
 
 /// Without its kind a document's other fields cannot be judged.
-fn unknown_kind(node: Node) -> Findings {
-    let place = node.place.clone();
-    let mut findings = Findings::default();
-    let mut push = |place, message: String| {
-        let finding = Finding::new(place, message);
-        findings.push(finding.with_hint("use one of: service, pool, domain"));
-    };
-    let Value::Mapping(entries) = node.value else {
-        push(place, format!("expected a document, found {}", node.value.kind()));
-        return findings;
-    };
-    match entries.into_iter().find(|it| it.key == "kind") {
-        None => push(place, "the field `kind` is missing".to_owned()),
-        Some(entry) => {
-            let place = entry.node.place;
-            match String::from_value(entry.node.value) {
-                Ok(kind) => push(place, format!("unknown kind {kind:?}")),
-                Err(value) => push(place, format!("`kind` is {}", value.kind())),
-            }
+fn unknown_kind(node: &Node) -> Findings {
+    let (place, message) = match (node.get("kind"), &node.value) {
+        (Some(Node { place, value: Value::Text(kind) }), _) => {
+            (place, format!("unknown kind {kind:?}"))
         }
-    }
+        (Some(Node { place, value }), _) => (place, format!("`kind` is {}", value.kind())),
+        (None, Value::Mapping(_)) => (&node.place, "the field `kind` is missing".to_owned()),
+        (None, other) => (&node.place, format!("expected a document, found {}", other.kind())),
+    };
+    let mut findings = Findings::default();
+    let finding = Finding::new(place.clone(), message);
+    findings.push(finding.with_hint("use one of: service, pool, domain"));
     findings
 }
 
--- a/crates/documents/src/wire/settings.rs
+++ b/crates/documents/src/wire/settings.rs
@@ -176,6 +176,7 @@
         let domain = cx.name("domain", wire.domain);
         let region = cx.name("region", wire.region);
         let fleet = cx.name("fleet", wire.fleet);
+        check_addresses_differ(&mut cx, [&wire.callers, &wire.admin, &wire.peers]);
         let callers = cx.address("callers", wire.callers);
         let admin = cx.address("admin", wire.admin);
         let peers = cx.address("peers", wire.peers);
@@ -283,6 +284,16 @@
     })
 }
 
+fn check_addresses_differ(cx: &mut Checker, fields: [&Field<String>; 3]) {
+    let written: Vec<_> = fields.into_iter().flatten().collect();
+    for (i, At { value, place }) in written.iter().enumerate() {
+        if written[..i].iter().any(|it| it.value == *value) {
+            let message = format!("the address {value:?} is used twice");
+            cx.push(place, message, "`callers`, `admin` and `peers` each need a port of their own");
+        }
+    }
+}
+
 fn check_seeds(cx: &mut Checker, field: Field<Vec<Node>>) -> Vec<SeedHost> {
     let Some(At { value: nodes, .. }) = field else { return Vec::new() };
     let mut seeds: Vec<(SeedHost, Place)> = Vec::new();
--- a/crates/documents/tests/mutations.rs
+++ b/crates/documents/tests/mutations.rs
@@ -2,7 +2,10 @@
 //! mutated at random, from a fixed seed.
 
 use base::Findings;
-use documents::{Document, cross_check, parse_document, parse_documents, parse_settings};
+use documents::{
+    Document, cross_check, cross_check_settings, parse_document, parse_documents, parse_file,
+    parse_settings,
+};
 use proptest::{
     collection::vec,
     prelude::*,
@@ -115,6 +118,9 @@
         assert!(!findings.is_empty());
         assert_placed(text, &findings);
     }
+    let (file, found) = parse_file("text", text);
+    assert_placed(text, &found);
+    assert_placed(text, &cross_check_settings(&file.settings));
     let (documents, findings) = parse_documents("text", text);
     assert_placed(text, &findings);
     assert_placed(text, &cross_check(&documents));
--- a/crates/documents/tests/settings.rs
+++ b/crates/documents/tests/settings.rs
@@ -3,10 +3,11 @@
 use std::{path::PathBuf, time::Duration};
 
 use documents::{
+    cross_check_settings,
     model::{
         EarlyRefusal, FairTurns, Hedging, LogFormat, LogLevel, OwnerMode, PolicySettings, WarmUp,
     },
-    parse_settings,
+    parse_file, parse_settings,
 };
 
 const SMALL: &str = r#"
@@ -107,3 +108,33 @@
         ]
     );
 }
+
+#[test]
+fn one_address_cannot_serve_two_purposes() {
+    let text = SMALL.replace("20201", "20101");
+    let findings = parse_settings("settings.yaml", &text).unwrap_err();
+    let found: Vec<_> = findings.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        found,
+        ["settings.yaml:7:8: the address \"127.0.0.1:20101\" is used twice (hint: `callers`, \
+          `admin` and `peers` each need a port of their own)"]
+    );
+}
+
+#[test]
+fn two_hosts_cannot_share_a_name_or_an_address() {
+    let (one, _) = parse_file("one", SMALL);
+    let (two, findings) = parse_file("two", &SMALL.replace("203", "213"));
+    assert!(findings.is_empty(), "{findings}");
+    let settings = [one.settings, two.settings].concat();
+    let findings = cross_check_settings(&settings);
+    let found: Vec<_> = findings.iter().map(|it| (it.place.line, &*it.message)).collect();
+    assert_eq!(
+        found,
+        [
+            (2, "two settings have the host bajio-a-1"),
+            (6, "two settings have the address 127.0.0.1:20101"),
+            (7, "two settings have the address 127.0.0.1:20201"),
+        ]
+    );
+}
