--- /dev/null
+++ b/crates/standins/src/platform/api.rs
@@ -0,0 +1,132 @@
+//! The platform's HTTP interface, and the control API beside it.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use rocket::{
+    Build, Request, Rocket, State, delete, get,
+    http::{ContentType, Header, Status},
+    post, put,
+    request::{FromRequest, Outcome},
+    response::{Responder, Response},
+    routes,
+    serde::json::Json,
+};
+
+use super::store::{Host, Index, Outage, ReplicaChange, Store};
+use crate::serve::quiet_rocket;
+
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+struct ReplicaNumber(usize);
+
+/// A counted read at a replica that is not in an outage.
+struct Read {
+    store: Store,
+    replica: usize,
+}
+
+#[derive(rocket::serde::Serialize)]
+#[serde(crate = "rocket::serde")]
+struct Hosts {
+    hosts: Vec<Host>,
+}
+
+struct DocumentText {
+    text: String,
+    revision: u64,
+}
+
+pub fn rocket(store: Store, replica: usize, address: SocketAddr) -> Rocket<Build> {
+    quiet_rocket(address)
+        .manage(store)
+        .manage(ReplicaNumber(replica))
+        .mount("/v1", routes![documents, document, hosts])
+        .mount("/control", routes![put_document, delete_document, restore])
+        .mount("/control", routes![set_hosts, change_replica, calls, revision])
+}
+
+#[get("/documents?<after>&<wait_ms>")]
+async fn documents(read: Read, after: Option<u64>, wait_ms: Option<u64>) -> Json<Index> {
+    let wait = Duration::from_millis(wait_ms.unwrap_or(0)).min(MAX_WAIT);
+    Json(read.store.watch(read.replica, after.unwrap_or(0), wait).await)
+}
+
+#[get("/documents/<kind>/<name>")]
+fn document(read: Read, kind: &str, name: &str) -> Option<DocumentText> {
+    let (text, revision) = read.store.document(read.replica, &format!("{kind}/{name}"))?;
+    Some(DocumentText { text: text.to_string(), revision })
+}
+
+#[get("/hosts")]
+fn hosts(read: Read) -> Json<Hosts> {
+    Json(Hosts { hosts: read.store.hosts() })
+}
+
+#[put("/documents/<key..>", data = "<text>")]
+fn put_document(store: &State<Store>, key: PathBuf, text: String) -> String {
+    store.write(&key.to_string_lossy(), Some(&text)).to_string()
+}
+
+#[delete("/documents/<key..>")]
+fn delete_document(store: &State<Store>, key: PathBuf) -> String {
+    store.write(&key.to_string_lossy(), None).to_string()
+}
+
+/// Forgets every revision after the given one.
+#[post("/restore/<revision>")]
+fn restore(store: &State<Store>, revision: u64) -> Status {
+    store.restore(revision);
+    Status::NoContent
+}
+
+#[put("/hosts?<lag_ms>", data = "<hosts>")]
+fn set_hosts(store: &State<Store>, lag_ms: Option<u64>, hosts: Json<Vec<Host>>) -> Status {
+    store.set_hosts(hosts.into_inner(), Duration::from_millis(lag_ms.unwrap_or(0)));
+    Status::NoContent
+}
+
+#[put("/replicas/<number>", data = "<change>")]
+fn change_replica(store: &State<Store>, number: usize, change: Json<ReplicaChange>) -> Status {
+    store.change_replica(number, change.into_inner());
+    Status::NoContent
+}
+
+/// Calls to the platform so far; a waiting watch is one.
+#[get("/calls")]
+fn calls(store: &State<Store>) -> String {
+    store.calls().to_string()
+}
+
+#[get("/revision")]
+fn revision(store: &State<Store>) -> String {
+    store.revision().to_string()
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Read {
+    type Error = ();
+
+    async fn from_request(req: &'r Request<'_>) -> Outcome<Self, ()> {
+        let store = req.rocket().state::<Store>();
+        let replica = req.rocket().state::<ReplicaNumber>();
+        let (Some(store), Some(replica)) = (store, replica) else {
+            return Outcome::Error((Status::InternalServerError, ()));
+        };
+        store.count_call();
+        match store.outage(replica.0) {
+            Outage::None => Outcome::Success(Read { store: store.clone(), replica: replica.0 }),
+            Outage::Refuse => Outcome::Error((Status::ServiceUnavailable, ())),
+            Outage::Hang => std::future::pending().await,
+        }
+    }
+}
+
+impl<'r> Responder<'r, 'static> for DocumentText {
+    fn respond_to(self, req: &'r Request<'_>) -> rocket::response::Result<'static> {
+        Response::build_from(self.text.respond_to(req)?)
+            .header(ContentType::new("application", "yaml"))
+            .header(Header::new("godwityard-revision", self.revision.to_string()))
+            .ok()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/store.rs
@@ -0,0 +1,206 @@
+//! Documents as a log of revisions. A replica shows the log up to some
+//! revision, so a stale one is a replica that was told to stop there.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use base::Revision;
+use serde::{Deserialize, Serialize};
+use tokio::{sync::watch, time};
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IndexEntry {
+    pub key: String,
+    pub revision: u64,
+    pub deleted: bool,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Index {
+    pub revision: u64,
+    pub documents: Vec<IndexEntry>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostState {
+    Live,
+    Leaving,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    pub host: String,
+    pub domain: String,
+    pub address: String,
+    pub state: HostState,
+}
+
+/// How a replica fails, if it does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Outage {
+    #[default]
+    None,
+    /// Answers 503.
+    Refuse,
+    /// Never answers.
+    Hang,
+}
+
+/// A change to one replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct ReplicaChange {
+    pub outage: Outage,
+    /// Shows nothing newer than this revision; none shows everything.
+    pub stale_at: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct LogEntry {
+    key: String,
+    revision: u64,
+    text: Option<Arc<str>>,
+}
+
+#[derive(Default)]
+struct State {
+    log: Vec<LogEntry>,
+    replicas: BTreeMap<usize, ReplicaChange>,
+    /// Lists with the time from which they show.
+    hosts: Vec<(Instant, Vec<Host>)>,
+    calls: u64,
+}
+
+/// The platform's documents, hosts and faults, shared by its replicas.
+#[derive(Clone)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Store { state: Arc::default(), changed: watch::channel(0).0 }
+    }
+}
+
+impl Store {
+    /// Writes a document, or deletes it; returns its revision.
+    pub fn write(&self, key: &str, text: Option<&str>) -> Revision {
+        let mut state = self.lock();
+        let revision = state.revision() + 1;
+        let text = text.map(Arc::from);
+        state.log.push(LogEntry { key: key.to_owned(), revision, text });
+        drop(state);
+        self.notify();
+        Revision(revision)
+    }
+
+    /// Forgets everything after a revision, as a restored backup does.
+    pub fn restore(&self, revision: u64) {
+        self.lock().log.retain(|it| it.revision <= revision);
+        self.notify();
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.lock().revision()
+    }
+
+    pub fn change_replica(&self, replica: usize, change: ReplicaChange) {
+        self.lock().replicas.insert(replica, change);
+        self.notify();
+    }
+
+    /// Sets the list of hosts, which shows after `lag`.
+    pub fn set_hosts(&self, hosts: Vec<Host>, lag: Duration) {
+        self.lock().hosts.push((Instant::now() + lag, hosts));
+    }
+
+    pub fn hosts(&self) -> Vec<Host> {
+        let now = Instant::now();
+        let state = self.lock();
+        let shown = state.hosts.iter().rev().find(|(from, _)| *from <= now);
+        shown.map(|(_, hosts)| hosts.clone()).unwrap_or_default()
+    }
+
+    pub fn count_call(&self) {
+        self.lock().calls += 1;
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    pub fn outage(&self, replica: usize) -> Outage {
+        self.lock().replica(replica).outage
+    }
+
+    /// Entries newer than `after`, as one replica shows them.
+    pub fn index(&self, replica: usize, after: u64) -> Index {
+        let state = self.lock();
+        let latest = state.latest(replica);
+        let entries = latest.values().filter(|it| it.revision > after);
+        let entry = |it: &LogEntry| IndexEntry {
+            key: it.key.clone(),
+            revision: it.revision,
+            deleted: it.text.is_none(),
+        };
+        Index {
+            revision: latest.values().map(|it| it.revision).max().unwrap_or(0),
+            documents: entries.map(|it| entry(it)).collect(),
+        }
+    }
+
+    /// The same, once there is one or the wait is over.
+    pub async fn watch(&self, replica: usize, after: u64, wait: Duration) -> Index {
+        let mut changed = self.changed.subscribe();
+        let until = time::Instant::now() + wait;
+        loop {
+            let index = self.index(replica, after);
+            if !index.documents.is_empty() {
+                return index;
+            }
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = time::sleep_until(until) => return index,
+            }
+        }
+    }
+
+    /// A document's newest text and revision on one replica.
+    pub fn document(&self, replica: usize, key: &str) -> Option<(Arc<str>, u64)> {
+        let state = self.lock();
+        let latest = state.latest(replica);
+        let entry = latest.get(key)?;
+        Some((entry.text.clone()?, entry.revision))
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|it| *it += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn revision(&self) -> u64 {
+        self.log.last().map_or(0, |it| it.revision)
+    }
+
+    fn replica(&self, replica: usize) -> ReplicaChange {
+        self.replicas.get(&replica).cloned().unwrap_or_default()
+    }
+
+    fn latest(&self, replica: usize) -> BTreeMap<&str, &LogEntry> {
+        let limit = self.replica(replica).stale_at.unwrap_or(u64::MAX);
+        let shown = self.log.iter().filter(|it| it.revision <= limit);
+        shown.map(|it| (it.key.as_str(), it)).collect()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/targets/mod.rs
@@ -0,0 +1,89 @@
+//! Many targets in one process, each with a listener, knobs and a record.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use documents::Pool;
+use eyre::WrapErr;
+use serde_json::Value;
+
+pub mod control;
+mod knobs;
+mod listener;
+mod query;
+mod record;
+mod state;
+mod target;
+
+pub use self::{
+    knobs::{Change, Command, Distribution, Knobs, Selection},
+    record::{Record, Run},
+    target::Target,
+};
+
+/// How often a listener asks whether its target is up again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// All targets of the process.
+#[derive(Clone, Default)]
+pub struct TargetSet(Arc<Vec<Arc<Target>>>);
+
+impl TargetSet {
+    /// Targets of the pools; `seed` sets service times and random faults.
+    pub fn new(pools: &[Pool], seed: u64) -> Self {
+        let targets = pools
+            .iter()
+            .flat_map(|pool| pool.targets.iter().map(move |it| (pool.map, it)))
+            .map(|(map, it)| Arc::new(Target::new(Arc::clone(it), map, seed)));
+        TargetSet(Arc::new(targets.collect()))
+    }
+
+    /// Starts a listener for each target. Needs a tokio runtime.
+    pub fn spawn(&self) {
+        for target in self.0.iter() {
+            tokio::spawn(listener::run(Arc::clone(target)));
+        }
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.0.iter()
+    }
+
+    /// Applies a change to the selected targets; returns how many they are.
+    pub fn apply(&self, change: &Change) -> Result<usize, String> {
+        let mut count = 0;
+        for target in self.0.iter().filter(|it| change.select.matches(it.spec())) {
+            target.apply(change)?;
+            count += 1;
+        }
+        Ok(count)
+    }
+
+    pub fn records(&self) -> Vec<Record> {
+        self.0.iter().map(|it| it.record()).collect()
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.0.iter().flat_map(|it| it.runs()).collect()
+    }
+
+    pub fn reset(&self) {
+        self.0.iter().for_each(|it| it.reset());
+    }
+}
+
+/// Serves the targets and their control API until the process ends.
+pub async fn serve(set: TargetSet, control: SocketAddr) -> eyre::Result<()> {
+    set.spawn();
+    control::rocket(set, control).launch().await.wrap_err("control server")?;
+    Ok(())
+}
+
+/// `knobs` with the keys of `set` replaced; unknown keys are refused.
+fn overlay(knobs: &Knobs, set: &Value) -> Result<Knobs, String> {
+    let mut all = serde_json::to_value(knobs).map_err(|err| err.to_string())?;
+    let Some(changes) = set.as_object() else { return Err("`set` must be an object".to_owned()) };
+    for (key, value) in changes {
+        all[key] = value.clone();
+    }
+    serde_json::from_value(all).map_err(|err| err.to_string())
+}
--- /dev/null
+++ b/crates/standins/src/targets/target.rs
@@ -0,0 +1,206 @@
+//! One target: its state behind a lock, and what may be done to it.
+
+use std::{
+    hash::{Hash, Hasher},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use base::{AttemptId, Snapshot};
+use documents::Target as Spec;
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::watch;
+
+use super::{
+    knobs::{Change, Command, Knobs, parse_snapshot},
+    overlay,
+    record::{Record, Run},
+    state::{LoadReport, State},
+};
+
+pub struct Target {
+    spec: Arc<Spec>,
+    state: Mutex<State>,
+    /// Incarnation; a change ends all that the former one had open.
+    life: watch::Sender<u64>,
+}
+
+/// An open connection, counted until it is dropped.
+pub struct ConnectionGuard {
+    target: Arc<Target>,
+    incarnation: u64,
+    number: u64,
+}
+
+impl Target {
+    pub fn new(spec: Arc<Spec>, map: u32, seed: u64) -> Self {
+        let mut hasher = seeded_hasher(seed);
+        spec.name.hash(&mut hasher);
+        let rng = SmallRng::seed_from_u64(hasher.finish());
+        let state = State::new(Knobs::new(&spec), Snapshot { map, index: 1 }, spec.shard.0, rng);
+        let (life, _) = watch::channel(state.incarnation);
+        Target { spec, state: Mutex::new(state), life }
+    }
+
+    pub fn spec(&self) -> &Spec {
+        &self.spec
+    }
+
+    pub fn record(&self) -> Record {
+        let state = self.lock();
+        Record {
+            target: self.spec.name.to_string(),
+            pool: self.spec.pool.to_string(),
+            domain: self.spec.domain.to_string(),
+            shard: self.spec.shard.0,
+            incarnation: state.incarnation,
+            ..state.record.clone()
+        }
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        let state = self.lock();
+        let run = |(key, count): (&super::state::RunKey, &u32)| Run {
+            service: key.service.clone(),
+            shard: key.shard,
+            key: key.key.clone(),
+            is_idempotent: key.is_idempotent,
+            count: *count,
+        };
+        state.runs.iter().map(run).collect()
+    }
+
+    pub fn reset(&self) {
+        let mut state = self.lock();
+        state.record = Record::default();
+        state.runs.clear();
+    }
+
+    pub fn load_report(&self) -> LoadReport {
+        self.lock().load_report(Instant::now())
+    }
+
+    /// Applies a change's knobs, then its commands.
+    pub fn apply(&self, change: &Change) -> Result<(), String> {
+        if let Some(set) = &change.set {
+            let knobs = overlay(&self.lock().knobs, set)?;
+            self.set_knobs(knobs);
+        }
+        for command in &change.commands {
+            self.command(command)?;
+        }
+        Ok(())
+    }
+
+    /// Cancels an attempt that waits or runs.
+    pub fn cancel(&self, attempt: AttemptId) {
+        let state = self.lock();
+        if !state.knobs.honours_cancel {
+            return;
+        }
+        if let Some(notify) = state.attempts.get(&attempt) {
+            notify.notify_one();
+        }
+    }
+
+    /// Dies now and comes back cold after the time that the knobs give.
+    pub fn fall(&self, state: &mut State) {
+        let up_at = state.falls_until(Instant::now());
+        state.die(up_at);
+        self.life.send_replace(state.incarnation);
+    }
+
+    /// Whether the target is up, after bringing it up if its time has come.
+    pub fn poll_up(&self) -> bool {
+        let mut state = self.lock();
+        let is_due = state.up_at.is_some_and(|at| at <= Instant::now());
+        if is_due {
+            state.up_at = None;
+            state.is_up = true;
+        }
+        state.is_up
+    }
+
+    pub fn watch_life(&self) -> watch::Receiver<u64> {
+        self.life.subscribe()
+    }
+
+    /// Counts a new connection; none if it is beyond the limit.
+    pub fn open_connection(self: &Arc<Self>) -> Option<ConnectionGuard> {
+        let mut state = self.lock();
+        if state.connections >= state.knobs.connections {
+            state.record.connections_over_limit += 1;
+            return None;
+        }
+        state.connections += 1;
+        state.record.max_connections = state.record.max_connections.max(state.connections);
+        state.next_connection += 1;
+        let number = state.next_connection;
+        Some(ConnectionGuard { target: Arc::clone(self), incarnation: state.incarnation, number })
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_knobs(&self, knobs: Knobs) {
+        let mut state = self.lock();
+        if knobs.leaving && !state.knobs.leaving {
+            state.leaving_since = Some(Instant::now());
+        }
+        if !knobs.leaving {
+            state.leaving_since = None;
+        }
+        let was_warm = !state.is_cold();
+        if was_warm {
+            state.warmed = knobs.warm_requests;
+        }
+        state.knobs = knobs;
+    }
+
+    fn command(&self, command: &Command) -> Result<(), String> {
+        let mut state = self.lock();
+        match command {
+            Command::Silence => state.silent_below = state.next_connection + 1,
+            Command::Down => {
+                state.die(None);
+                self.life.send_replace(state.incarnation);
+            }
+            Command::Up => state.is_up = true,
+            Command::TurnCold => state.warmed = 0,
+            Command::ToldOut => state.out_since = Some(Instant::now()),
+            Command::ToldIn => state.out_since = None,
+            Command::Hold { snapshot, shard } => {
+                let shard = shard.unwrap_or(self.spec.shard.0);
+                state.snapshots.insert(parse_snapshot(snapshot)?, shard);
+            }
+            Command::Drop { snapshot } => {
+                state.snapshots.remove(&parse_snapshot(snapshot)?);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl ConnectionGuard {
+    /// Whether the connection has gone silent, or the whole target has.
+    pub fn is_silent(&self) -> bool {
+        let state = self.target.lock();
+        state.knobs.frozen || self.number < state.silent_below
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let mut state = self.target.lock();
+        if state.incarnation == self.incarnation {
+            state.connections = state.connections.saturating_sub(1);
+        }
+    }
+}
+
+fn seeded_hasher(seed: u64) -> impl Hasher {
+    let mut hasher = std::hash::DefaultHasher::new();
+    seed.hash(&mut hasher);
+    hasher
+}
--- /dev/null
+++ b/crates/standins/tests/platform.rs
@@ -0,0 +1,82 @@
+//! The platform's views, faults and counts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use assert_matches::assert_matches;
+use rocket::{http::Status, local::blocking::Client};
+use standins::platform::{Host, HostState, Index, Outage, ReplicaChange, Store, api};
+
+fn client(store: &Store, replica: usize) -> Client {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    Client::untracked(api::rocket(store.clone(), replica, address)).unwrap()
+}
+
+fn index(client: &Client, after: u64) -> Index {
+    let response = client.get(format!("/v1/documents?after={after}")).dispatch();
+    serde_json::from_str(&response.into_string().unwrap()).unwrap()
+}
+
+#[test]
+fn documents_rise_in_revision_and_deletions_are_revisions() {
+    let store = Store::default();
+    let client = client(&store, 0);
+    client.put("/control/documents/service/a").body("kind: service").dispatch();
+    client.put("/control/documents/pool/p").body("kind: pool").dispatch();
+    client.delete("/control/documents/service/a").dispatch();
+    let index = index(&client, 2);
+    assert_eq!(index.revision, 3);
+    assert_matches!(index.documents.as_slice(), [it] if it.key == "service/a" && it.deleted);
+    assert_eq!(client.get("/v1/documents/service/a").dispatch().status(), Status::NotFound);
+    let pool = client.get("/v1/documents/pool/p").dispatch();
+    assert_eq!(pool.headers().get_one("godwityard-revision"), Some("2"));
+    assert_eq!(store.calls(), 3);
+}
+
+#[test]
+fn one_replica_may_be_stale_and_another_down() {
+    let store = Store::default();
+    store.write("service/a", Some("one"));
+    store.write("service/a", Some("two"));
+    store.change_replica(0, ReplicaChange { stale_at: Some(1), ..ReplicaChange::default() });
+    store.change_replica(1, ReplicaChange { outage: Outage::Refuse, ..ReplicaChange::default() });
+    assert_eq!(index(&client(&store, 0), 0).revision, 1);
+    let down = client(&store, 1).get("/v1/hosts").dispatch().status();
+    assert_eq!(down, Status::ServiceUnavailable);
+    assert_eq!(index(&client(&store, 2), 0).revision, 2);
+}
+
+#[test]
+fn restored_state_uses_revisions_again() {
+    let store = Store::default();
+    store.write("service/a", Some("one"));
+    store.write("service/a", Some("two"));
+    store.restore(1);
+    assert_eq!(store.document(0, "service/a").unwrap().0.as_ref(), "one");
+    assert_eq!(store.write("service/a", Some("three")).0, 2);
+}
+
+#[tokio::test]
+async fn watch_ends_with_a_change_or_with_its_time() {
+    let store = Store::default();
+    let watch = store.watch(0, 0, Duration::from_secs(30));
+    let of_writer = store.clone();
+    let write = async move { of_writer.write("service/a", Some("one")) };
+    let (index, _) = tokio::join!(watch, write);
+    assert_eq!(index.revision, 1);
+    let index = store.watch(0, 1, Duration::from_millis(1)).await;
+    assert!(index.documents.is_empty());
+}
+
+#[test]
+fn host_list_lags() {
+    let store = Store::default();
+    let host = Host {
+        host: "bajio-a-1".to_owned(),
+        domain: "bajio-a".to_owned(),
+        address: "127.0.0.1:7201".to_owned(),
+        state: HostState::Live,
+    };
+    store.set_hosts(vec![host.clone()], Duration::ZERO);
+    store.set_hosts(Vec::new(), Duration::from_secs(600));
+    assert_eq!(store.hosts(), [host]);
+}
--- /dev/null
+++ b/crates/standins/tests/targets.rs
@@ -0,0 +1,243 @@
+//! The targets' faults, as a client on a socket meets them.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use assert_matches::assert_matches;
+use documents::{Pool, Target};
+use serde_json::json;
+use standins::targets::{Change, Command, TargetSet};
+
+/// Longest wait for anything, against hanging.
+const TIMEOUT: Duration = Duration::from_secs(10);
+const ATTEMPT: &str = "000000000000000000000000000000aa";
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn start() -> (TargetSet, SocketAddr) {
+    let address = free_address();
+    let target = Target {
+        name: "planeador-0-a".into(),
+        pool: "planeador".into(),
+        shard: base::ShardId(0),
+        domain: "bajio-a".into(),
+        address,
+        slots: 2,
+        connections: 4,
+        cold_slots: 1,
+        leaving: false,
+    };
+    let pool = Pool {
+        name: "planeador".into(),
+        team: "planeacion".into(),
+        map: 1,
+        shards: 1,
+        targets: vec![Arc::new(target)],
+    };
+    let set = TargetSet::new(&[pool], 7);
+    set_knobs(&set, json!({"service-ms": 1.0, "distribution": "constant"}));
+    set.spawn();
+    (set, address)
+}
+
+fn set_knobs(set: &TargetSet, knobs: serde_json::Value) {
+    set.apply(&Change { set: Some(knobs), ..Change::default() }).unwrap();
+}
+
+fn command(set: &TargetSet, command: Command) {
+    set.apply(&Change { commands: vec![command], ..Change::default() }).unwrap();
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let mut tries = 0;
+    loop {
+        match TcpStream::connect(address) {
+            Ok(stream) => {
+                stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+                return stream;
+            }
+            Err(err) if tries > 500 => panic!("no listener: {err}"),
+            Err(_) => tries += 1,
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn send(stream: &mut TcpStream, snapshot: &str, deadline_ms: u64, body: &str) {
+    let text = format!(
+        "POST /v1/query HTTP/1.1\r\ngodwityard-attempt: {ATTEMPT}\r\ngodwityard-service: s\r\n\
+         godwityard-shard: 0\r\ngodwityard-snapshot: {snapshot}\r\n\
+         godwityard-deadline-ms: {deadline_ms}\r\ngodwityard-idempotent: true\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).unwrap();
+}
+
+/// One whole response, or what came until the connection closed.
+fn receive(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let mut buf = [0; 4096];
+    loop {
+        let read = stream.read(&mut buf).unwrap_or(0);
+        text.push_str(std::str::from_utf8(&buf[..read]).unwrap());
+        if read == 0 || is_whole(&text) {
+            return text;
+        }
+    }
+}
+
+fn is_whole(text: &str) -> bool {
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    let len = head.lines().find_map(|it| it.strip_prefix("content-length: "));
+    len.is_some_and(|it| it.parse::<usize>().unwrap() == body.len())
+}
+
+fn ask(address: SocketAddr, body: &str) -> String {
+    let mut stream = connect(address);
+    send(&mut stream, "1.1", 5_000, body);
+    receive(&mut stream)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_name_attempt_snapshot_and_key() {
+    let (set, address) = start();
+    let text = tokio::task::spawn_blocking(move || ask(address, "k1 body")).await.unwrap();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    assert!(text.contains(&format!("godwityard-attempt: {ATTEMPT}")), "{text}");
+    assert!(text.contains("godwityard-snapshot: 1.1"), "{text}");
+    assert!(text.contains("\"key\":\"k1\""), "{text}");
+    let runs = set.runs();
+    assert_matches!(runs.as_slice(), [run] if run.key == "k1" && run.count == 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn snapshot_not_held_is_refused_as_not_run() {
+    let (set, address) = start();
+    let text = tokio::task::spawn_blocking(move || {
+        let mut stream = connect(address);
+        send(&mut stream, "1.9", 5_000, "k");
+        receive(&mut stream)
+    });
+    let text = text.await.unwrap();
+    assert!(text.starts_with("HTTP/1.1 409"), "{text}");
+    assert!(text.contains("godwityard-outcome: not_run"), "{text}");
+    assert_eq!(set.records()[0].started, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_target_falls_over_beyond_what_it_bears() {
+    let (set, address) = start();
+    set_knobs(&set, json!({"service-ms": 500.0, "fall-ms": 100}));
+    command(&set, Command::TurnCold);
+    let texts = tokio::task::spawn_blocking(move || {
+        let mut first = connect(address);
+        let mut second = connect(address);
+        send(&mut first, "1.1", 5_000, "k1");
+        send(&mut second, "1.1", 5_000, "k2");
+        let texts = [receive(&mut first), receive(&mut second)];
+        connect(address);
+        texts
+    });
+    let texts = texts.await.unwrap();
+    assert_eq!(texts, ["", ""]);
+    let record = &set.records()[0];
+    assert_eq!(record.cold_overload_events, 1);
+    assert_eq!(record.incarnation, 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_mark_kills_the_target() {
+    let (set, address) = start();
+    set_knobs(&set, json!({"fall-ms": 50}));
+    let text = tokio::task::spawn_blocking(move || {
+        let text = ask(address, "CRASH-1");
+        ask(address, "k");
+        text
+    });
+    assert_eq!(text.await.unwrap(), "");
+    assert_eq!(set.records()[0].crashes, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_hang_while_new_ones_work() {
+    let (set, address) = start();
+    let of_client = set.clone();
+    let task = tokio::task::spawn_blocking(move || {
+        let mut old = connect(address);
+        send(&mut old, "1.1", 5_000, "k1");
+        receive(&mut old);
+        command(&of_client, Command::Silence);
+        send(&mut old, "1.1", 5_000, "k2");
+        let fresh = ask(address, "k3");
+        old.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+        (receive(&mut old), fresh)
+    });
+    let (old, fresh) = task.await.unwrap();
+    assert_eq!(old, "");
+    assert!(fresh.starts_with("HTTP/1.1 200"), "{fresh}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_ends_a_run() {
+    let (set, address) = start();
+    set_knobs(&set, json!({"service-ms": 60_000.0}));
+    let text = tokio::task::spawn_blocking(move || {
+        let mut stream = connect(address);
+        send(&mut stream, "1.1", 30, "k");
+        receive(&mut stream)
+    });
+    let text = text.await.unwrap();
+    assert!(text.starts_with("HTTP/1.1 504"), "{text}");
+    assert!(text.contains("godwityard-outcome: may_have_run"), "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_and_crossed_answers() {
+    let (set, address) = start();
+    set_knobs(&set, json!({"truncated-probability": 1.0}));
+    let text = tokio::task::spawn_blocking(move || ask(address, "k1")).await.unwrap();
+    assert!(text.starts_with("HTTP/1.1 200") && !is_whole(&text), "{text}");
+    set_knobs(&set, json!({"truncated-probability": 0.0, "crossed-probability": 1.0}));
+    let text = tokio::task::spawn_blocking(move || ask(address, "k2")).await.unwrap();
+    assert!(text.contains("\"key\":\"k1\""), "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_beyond_the_limit_are_closed_and_counted() {
+    let (set, address) = start();
+    let task = tokio::task::spawn_blocking(move || {
+        let held: Vec<_> = (0..4).map(|_| connect(address)).collect();
+        let mut fifth = connect(address);
+        send(&mut fifth, "1.1", 5_000, "k");
+        (receive(&mut fifth), held.len())
+    });
+    assert_eq!(task.await.unwrap(), (String::new(), 4));
+    assert_eq!(set.records()[0].connections_over_limit, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_after_leaving_is_recorded() {
+    let (set, address) = start();
+    set_knobs(&set, json!({"leaving": true}));
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    let text = tokio::task::spawn_blocking(move || ask(address, "k")).await.unwrap();
+    assert!(text.contains("godwityard-state: leaving"), "{text}");
+    assert!(set.records()[0].work_after_leaving_ms_max >= 30);
+}
+
+#[test]
+fn unknown_knob_is_refused() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let _guard = runtime.enter();
+    let (set, _) = start();
+    let change = Change { set: Some(json!({"slotz": 1})), ..Change::default() };
+    assert_matches!(set.apply(&change), Err(detail) if detail.contains("slotz"));
+}
