Wire the daemon: driver, servers, graceful stop

Cause: entry, owner and fleet are libraries without a process. Change: godwityardd reads its settings, drives the fleet's state machine, publishes views to requests and shares to the owner, serves callers, operators and peers, and stops in order on SIGTERM.

--- /dev/null
+++ b/crates/godwityardd/src/fleet_driver/mod.rs
@@ -0,0 +1,169 @@
+//! Drives this host's fleet state machine: feeds it with datagrams, link
+//! messages, platform answers and time, carries out its actions, and publishes
+//! what follows to the entry and the owner.
+
+mod platform_reader;
+mod publish;
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::Time;
+use documents::model::OwnerMode;
+use fleet::{Action, Input, Node};
+use owner::OwnerHandle;
+use peer::{Datagrams, Links, decode_fleet_message, encode_fleet_message};
+use slog::{Logger, debug, info, warn};
+use telemetry::{Metrics, metrics::label};
+use tokio::sync::{mpsc, oneshot};
+
+pub use self::platform_reader::PlatformReader;
+use crate::{clock, view::SharedView};
+
+/// A pause of the process longer than this is reported to the node.
+const PAUSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Longest time between two looks at the clock.
+const TICK_LIMIT: Duration = Duration::from_millis(100);
+
+/// Shares are published anew at least this often, as leases move on.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A fleet message, by datagram or by link.
+pub struct Delivery {
+    pub from: SocketAddr,
+    pub message: Vec<u8>,
+}
+
+/// Asks the driver to leave; the reply comes when peers took over.
+pub struct Leave(pub oneshot::Sender<()>);
+
+/// What the driver works with.
+pub struct DriverCx {
+    pub datagrams: Datagrams,
+    pub links: Links,
+    pub owner: OwnerHandle,
+    pub view: SharedView,
+    pub owner_mode: OwnerMode,
+    pub platform: PlatformReader,
+    pub metrics: Metrics,
+    pub log: Logger,
+}
+
+/// Channels into the driver.
+pub struct Inbox {
+    pub deliveries: mpsc::Receiver<Delivery>,
+    pub platform: mpsc::Receiver<Input>,
+    pub leave: mpsc::Receiver<Leave>,
+}
+
+/// Hands datagrams to the driver until it is gone.
+pub async fn receive_datagrams(datagrams: Datagrams, tx: mpsc::Sender<Delivery>) {
+    loop {
+        let (from, message) = datagrams.receive().await;
+        if tx.send(Delivery { from, message }).await.is_err() {
+            return;
+        }
+    }
+}
+
+pub struct Driver {
+    cx: DriverCx,
+    node: Node,
+    last_look: Time,
+    last_publish: Time,
+    leaving: Option<oneshot::Sender<()>>,
+}
+
+impl Driver {
+    pub fn new(node: Node, cx: DriverCx) -> Self {
+        let now = clock::now();
+        Driver { cx, node, last_look: now, last_publish: Time::ZERO, leaving: None }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self, mut inbox: Inbox) {
+        loop {
+            let wake = self.node.next_wakeup().min(clock::now() + TICK_LIMIT);
+            let input = tokio::select! {
+                Some(it) = inbox.deliveries.recv() => self.decode(it.from, &it.message),
+                Some(input) = inbox.platform.recv() => Some(input),
+                Some(Leave(reply)) = inbox.leave.recv() => {
+                    self.leaving = Some(reply);
+                    Some(Input::Leave)
+                }
+                () = tokio::time::sleep_until(clock::instant(wake).into()) => None,
+            };
+            self.notice_pause();
+            self.step(input.unwrap_or(Input::Tick));
+            self.publish_if_due();
+        }
+    }
+
+    /// Tells the node of a pause before anything that waited is handled, so
+    /// that nothing is done on beliefs from before it.
+    fn notice_pause(&mut self) {
+        let now = clock::now();
+        let pause = now.since(self.last_look);
+        self.last_look = now;
+        if pause > PAUSE_LIMIT {
+            warn!(self.cx.log, "fleet: woke from a pause"; "pause_ms" => pause.as_millis() as u64);
+            self.step(Input::Woke);
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        let actions = self.node.handle(clock::now(), input);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(to, &message),
+            Action::ReadIndex { after, wait } => self.cx.platform.read_index(after, wait),
+            Action::ReadDocument { key } => self.cx.platform.read_document(key),
+            Action::ReadHosts => self.cx.platform.read_hosts(),
+            Action::ConfigurationChanged => {
+                let configuration = self.node.configuration();
+                info!(self.cx.log, "fleet: configuration in force";
+                    "revision" => configuration.revision.0);
+                self.cx.metrics.revision_in_force.record(configuration.revision.0, &[]);
+                self.cx.owner.configure(configuration);
+                self.publish();
+            }
+            Action::SharesChanged => {
+                self.cx.metrics.assignment_changes.add(1, &[]);
+                self.publish();
+            }
+            Action::Left => {
+                info!(self.cx.log, "fleet: left");
+                if let Some(reply) = self.leaving.take() {
+                    // The waiting side may have passed its grace limit.
+                    let _ = reply.send(());
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: &fleet::Message) {
+        let bytes = encode_fleet_message(message);
+        self.cx.metrics.control_bytes.add(bytes.len() as u64, &[label("direction", "out")]);
+        if message.is_bulk() || bytes.len() > peer::datagram::MAX_DATAGRAM_BYTES {
+            self.cx.links.deliver(to, bytes);
+        } else {
+            self.cx.datagrams.send(to, &bytes);
+        }
+    }
+
+    fn decode(&self, from: SocketAddr, bytes: &[u8]) -> Option<Input> {
+        self.cx.metrics.control_bytes.add(bytes.len() as u64, &[label("direction", "in")]);
+        match decode_fleet_message(bytes) {
+            Ok(message) => Some(Input::Message { from, message }),
+            Err(err) => {
+                debug!(self.cx.log, "fleet: message dropped"; "from" => %from, "error" => %err);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwityardd/src/servers/mod.rs
@@ -0,0 +1,109 @@
+//! The HTTP servers of a host and the signals that stop it.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use documents::Settings;
+use entry::EntryCx;
+use eyre::WrapErr;
+use rocket::{Build, Rocket, State, config::LogLevel, http::Status, routes};
+use telemetry::Metrics;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::JoinHandle,
+};
+
+use crate::{owners::FleetOwners, view::SharedView};
+
+pub struct Servers {
+    callers: rocket::Shutdown,
+    callers_task: JoinHandle<()>,
+}
+
+impl Servers {
+    pub async fn start(
+        cfg: &Settings,
+        entry: &EntryCx<SharedView, FleetOwners>,
+        admin_token: Option<Arc<str>>,
+        metrics: Metrics,
+    ) -> eyre::Result<Servers> {
+        let callers = configure(entry::callers_rocket(entry.clone()), cfg.callers);
+        let admin = configure(entry::admin_rocket(entry.clone(), admin_token), cfg.admin)
+            .mount("/", routes![metrics_text])
+            .manage(metrics);
+        let (callers, callers_task) = launch(callers).await?;
+        launch(admin).await?;
+        Ok(Servers { callers, callers_task })
+    }
+
+    /// Accepts no more callers and returns when those being served are done.
+    pub async fn stop_callers(self) {
+        self.callers.notify();
+        // The task ends by itself; a panic in it has been logged.
+        let _ = self.callers_task.await;
+    }
+}
+
+/// Returns when a signal asks the process to stop.
+pub async fn stop_signal() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => (),
+        _ = interrupt.recv() => (),
+    }
+    Ok(())
+}
+
+fn configure(rocket: Rocket<Build>, address: SocketAddr) -> Rocket<Build> {
+    let shutdown = rocket::config::Shutdown {
+        ctrlc: false,
+        signals: Default::default(),
+        force: false,
+        ..Default::default()
+    };
+    let figment = rocket
+        .figment()
+        .clone()
+        .merge(("address", address.ip()))
+        .merge(("port", address.port()))
+        .merge(("log_level", LogLevel::Off))
+        .merge(("cli_colors", false))
+        .merge(("shutdown", shutdown));
+    rocket.configure(figment)
+}
+
+/// Starts a server; returns once it listens.
+async fn launch(rocket: Rocket<Build>) -> eyre::Result<(rocket::Shutdown, JoinHandle<()>)> {
+    let (tx, listening) = tokio::sync::oneshot::channel();
+    let tx = std::sync::Mutex::new(Some(tx));
+    let liftoff = rocket::fairing::AdHoc::on_liftoff("listening", move |_| {
+        let tx = tx.lock().ok().and_then(|mut it| it.take());
+        Box::pin(async move {
+            if let Some(tx) = tx {
+                // The starting side may have given up.
+                let _ = tx.send(());
+            }
+        })
+    });
+    let rocket = rocket.attach(liftoff).ignite().await.wrap_err("bad server settings")?;
+    let shutdown = rocket.shutdown();
+    let (failed, failure) = tokio::sync::oneshot::channel();
+    let task = tokio::spawn(async move {
+        if let Err(err) = rocket.launch().await {
+            let _ = failed.send(err);
+        }
+    });
+    tokio::select! {
+        Ok(()) = listening => Ok((shutdown, task)),
+        Ok(err) = failure => Err(eyre::eyre!("a server did not start: {err}")),
+        else => Err(eyre::eyre!("a server ended at once")),
+    }
+}
+
+#[rocket::get("/metrics")]
+fn metrics_text(metrics: &State<Metrics>) -> (Status, String) {
+    match metrics.encode() {
+        Ok(text) => (Status::Ok, text),
+        Err(err) => (Status::InternalServerError, err.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/godwityardd/src/service.rs
@@ -0,0 +1,42 @@
+//! What this host does for its peers.
+
+use std::net::SocketAddr;
+
+use base::{AttemptId, PoolName, RequestId};
+use entry::EntryCx;
+use owner::OwnerHandle;
+use peer::HostService;
+use policy::message::{Batch, Part, Redeemed, Redemption, TargetStatus};
+use tokio::sync::mpsc;
+
+use crate::{fleet_driver::Delivery, owners::FleetOwners, view::SharedView};
+
+#[derive(Clone)]
+pub struct Service {
+    pub owner: OwnerHandle,
+    pub entry: EntryCx<SharedView, FleetOwners>,
+    pub deliveries: mpsc::Sender<Delivery>,
+}
+
+impl HostService for Service {
+    fn run(&self, batch: Batch, parts: mpsc::Sender<Part>) {
+        self.owner.run(batch, parts);
+    }
+
+    fn cancel(&self, request: RequestId, attempts: Vec<AttemptId>) {
+        self.owner.cancel(request, attempts);
+    }
+
+    async fn status(&self, pool: PoolName) -> Vec<TargetStatus> {
+        self.owner.status(Some(pool)).await
+    }
+
+    async fn redeem(&self, redemption: Redemption) -> Redeemed {
+        entry::redeem(&self.entry, redemption).await
+    }
+
+    fn deliver(&self, from: SocketAddr, message: Vec<u8>) {
+        // The driver being behind is like a lost message: digests repair it.
+        let _ = self.deliveries.try_send(Delivery { from, message });
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,6 +7,6 @@
 pub mod metrics;
 
 pub use crate::{
-    log::{LogGuard, Part, part_logger, root_logger},
+    log::{LogGuard, Part, part_logger, report_broken_invariants, root_logger},
     metrics::Metrics,
 };
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,7 +1,7 @@
 //! The daemon's log: asynchronous, JSON lines or terminal text, each line
 //! with the part of the program it comes from.
 
-use std::io;
+use std::{io, sync::OnceLock};
 
 use documents::model::{LogFormat, LogLevel, LogSettings};
 use slog::{Drain, Level, LevelFilter, Logger, o};
@@ -10,6 +10,8 @@
 /// Lines buffered before the log drops some.
 const BUFFER_LINES: usize = 8_192;
 
+static INVARIANT_LOG: OnceLock<Logger> = OnceLock::new();
+
 /// Flushes the log when dropped.
 pub type LogGuard = slog_async::AsyncGuard;
 
@@ -57,6 +59,18 @@
     root.new(o!("part" => part.as_str()))
 }
 
+/// Logs every broken invariant of this process under the root logger.
+pub fn report_broken_invariants(root: &Logger) {
+    if INVARIANT_LOG.set(root.clone()).is_err() {
+        return;
+    }
+    base::invariant::set_reporter(|name, detail| {
+        if let Some(log) = INVARIANT_LOG.get() {
+            slog::crit!(log, "invariant: broken"; "invariant" => name, "detail" => detail);
+        }
+    });
+}
+
 fn buffered<D>(drain: D) -> (slog::Fuse<slog_async::Async>, LogGuard)
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
