Add the owner of targets: state machine, actor, HTTP protocol

Cause: subqueries had nobody who holds a target's connections and slots. Change: policy::owner decides (queue, limit, connections, trust, verdicts), crates/owner carries it out; a connection slot is one reqwest client that may connect once, so a closed connection is never reopened unseen.

--- /dev/null
+++ b/crates/owner/src/handle.rs
@@ -0,0 +1,115 @@
+//! The handle by which the rest of the host reaches the owner.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{AttemptId, HostName, Missing, Outcome, PoolName, RequestId, Share, TargetName, Time};
+use documents::{Configuration, model::PolicySettings};
+use policy::message::{Batch, Part, PartResult, Subquery, TargetStatus};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::{
+    actor::{Actor, Command},
+    protocol::{HttpProtocol, TargetProtocol},
+};
+
+/// Commands that may wait for the owner; more are refused.
+const MAX_COMMANDS: usize = 4_096;
+
+/// What the owner needs of its host.
+#[derive(Clone)]
+pub struct OwnerCx {
+    pub host: HostName,
+    pub policy: PolicySettings,
+    pub log: slog::Logger,
+    pub metrics: telemetry::Metrics,
+    pub clock: fn() -> Time,
+    pub seed: u64,
+}
+
+/// Reaches the owner's actor, which ends when the last handle is dropped.
+#[derive(Clone, Debug)]
+pub struct OwnerHandle {
+    commands: mpsc::Sender<Command>,
+    configuration: Arc<watch::Sender<Arc<Configuration>>>,
+    shares: Arc<watch::Sender<Vec<(TargetName, Share)>>>,
+}
+
+impl OwnerHandle {
+    /// Starts the owner on the current tokio runtime.
+    pub fn start(cx: OwnerCx) -> Self {
+        Self::start_with(cx, HttpProtocol)
+    }
+
+    /// Starts the owner with another way to talk to targets.
+    pub fn start_with<P: TargetProtocol>(cx: OwnerCx, protocol: P) -> Self {
+        let (commands, commands_rx) = mpsc::channel(MAX_COMMANDS);
+        let (configuration, configuration_rx) = watch::channel(Arc::default());
+        let (shares, shares_rx) = watch::channel(Vec::new());
+        let actor = Actor::new(cx, protocol, commands_rx, configuration_rx, shares_rx);
+        tokio::spawn(actor.run());
+        OwnerHandle { commands, configuration: Arc::new(configuration), shares: Arc::new(shares) }
+    }
+
+    /// Runs a batch; exactly one part follows each subquery.
+    pub fn run(&self, batch: Batch, parts: mpsc::Sender<Part>) {
+        let Err(err) = self.commands.try_send(Command::Run { batch, parts }) else { return };
+        let Command::Run { batch, parts } = err.into_inner() else { return };
+        for subquery in batch.subqueries {
+            deliver(&parts, refused(subquery));
+        }
+    }
+
+    /// Cancels attempts, down to the targets. Best effort.
+    pub fn cancel(&self, request: RequestId, attempts: Vec<AttemptId>) {
+        let _ = self.commands.try_send(Command::Cancel { request, attempts });
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, cfg: Arc<Configuration>) {
+        self.configuration.send_replace(cfg);
+    }
+
+    /// Sets the full set of shares. A target that is not listed is let go:
+    /// what is in flight there ends, and its connections are closed.
+    pub fn assign(&self, shares: Vec<(TargetName, Share)>) {
+        self.shares.send_replace(shares);
+    }
+
+    /// What is known of the assigned targets, or of those of one pool.
+    pub async fn status(&self, pool: Option<PoolName>) -> Vec<TargetStatus> {
+        let (reply, status) = oneshot::channel();
+        if self.commands.send(Command::Status { pool, reply }).await.is_err() {
+            return Vec::new();
+        }
+        status.await.unwrap_or_default()
+    }
+
+    /// Refuses new work; returns when nothing is queued or in flight.
+    pub async fn drain(&self) {
+        let (reply, drained) = oneshot::channel();
+        if self.commands.send(Command::Drain { reply }).await.is_ok() {
+            let _ = drained.await;
+        }
+    }
+}
+
+/// Hands a part over without waiting; a full channel gets a task that waits.
+pub(crate) fn deliver(parts: &mpsc::Sender<Part>, part: Part) {
+    let Err(mpsc::error::TrySendError::Full(part)) = parts.try_send(part) else { return };
+    let parts = parts.clone();
+    tokio::spawn(async move {
+        let _ = parts.send(part).await;
+    });
+}
+
+fn refused(subquery: Subquery) -> Part {
+    Part {
+        attempt: subquery.attempt,
+        shard: subquery.shard,
+        target: subquery.target,
+        result: PartResult::Failed { missing: Missing::Refused, outcome: Outcome::NotRun },
+        queued: Duration::ZERO,
+        service_time: Duration::ZERO,
+        status: None,
+    }
+}
--- /dev/null
+++ b/crates/owner/src/journal.rs
@@ -0,0 +1,91 @@
+//! Log lines and metrics of the owner's decisions.
+
+use base::TargetName;
+use policy::owner::Note;
+use slog::{Logger, debug, info, o, warn};
+use telemetry::{Metrics, metrics::label};
+
+use crate::handle::OwnerCx;
+
+pub(crate) struct Journal {
+    log: Logger,
+    metrics: Metrics,
+}
+
+impl Journal {
+    pub fn new(cx: &OwnerCx) -> Self {
+        let log = telemetry::part_logger(&cx.log, telemetry::Part::Owner);
+        let log = log.new(o!("owner" => cx.host.to_string()));
+        Journal { log, metrics: cx.metrics.clone() }
+    }
+
+    pub fn record(&self, target: &TargetName, note: &Note) {
+        self.count(note);
+        self.write(target, note);
+    }
+
+    fn count(&self, note: &Note) {
+        match note {
+            Note::LimitRaised { .. } => {
+                self.metrics.limit_changes.add(1, &[label("cause", "proven")]);
+            }
+            Note::LimitLowered { cause, .. } => {
+                self.metrics.limit_changes.add(1, &[label("cause", cause.as_str())]);
+            }
+            Note::Condemned { cause, .. } => {
+                self.metrics.connections_condemned.add(1, &[label("cause", cause.as_str())]);
+            }
+            Note::Assigned { .. } | Note::LetGo => {
+                self.metrics.assignment_changes.add(1, &[]);
+            }
+            Note::Refused { missing, .. } => {
+                let labels = [label("result", missing.as_str())];
+                self.metrics.subqueries.add(1, &labels);
+            }
+            Note::QueueFailed { jobs, missing } => {
+                let labels = [label("result", missing.as_str())];
+                self.metrics.subqueries.add(*jobs as u64, &labels);
+            }
+            Note::Up { .. } | Note::Down | Note::Leaving { .. } => {}
+        }
+    }
+
+    fn write(&self, target: &TargetName, note: &Note) {
+        let log = &self.log;
+        let target = target.as_str();
+        match note {
+            Note::Assigned { slots, connections } => {
+                info!(log, "target assigned";
+                    "target" => target, "slots" => slots, "connections" => connections);
+            }
+            Note::LetGo => info!(log, "target let go"; "target" => target),
+            Note::LimitRaised { to } => {
+                info!(log, "limit raised"; "target" => target, "to" => to);
+            }
+            Note::LimitLowered { to, cause } => {
+                info!(log, "limit lowered";
+                    "target" => target, "to" => to, "cause" => cause.as_str());
+            }
+            Note::Condemned { connection, cause } => {
+                info!(log, "connection closed";
+                    "target" => target, "connection" => connection.0, "cause" => cause.as_str());
+            }
+            Note::Up { incarnation } => {
+                info!(log, "target up"; "target" => target, "incarnation" => incarnation.0);
+            }
+            Note::Down => warn!(log, "target down"; "target" => target),
+            Note::Leaving { incarnation } => {
+                info!(log, "target leaving"; "target" => target, "incarnation" => incarnation.0);
+            }
+            Note::QueueFailed { jobs, missing } => {
+                info!(log, "queue failed as not run";
+                    "target" => target, "jobs" => jobs, "reason" => missing.as_str());
+            }
+            Note::Refused { service, missing } => {
+                debug!(log, "subquery refused";
+                    "target" => target, "service" => service.as_str(),
+                    "reason" => missing.as_str());
+            }
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,3 +6,4 @@
 //! (snapshot, plan, hedges, coverage, tickets).
 
 pub mod message;
+pub mod owner;
--- /dev/null
+++ b/crates/policy/src/owner/mod.rs
@@ -0,0 +1,28 @@
+//! The owner of targets: connections, slots and queue of each target that is
+//! assigned to this host.
+//!
+//! [`OwnerCore`] is a state machine: it is handed an [`Input`] with the time
+//! and gives back [`Action`]s. It opens no socket and reads no clock, so a
+//! randomised run can drive it through any order of faults. What must hold is
+//! asserted where it could break: at the send, at the opening of a connection
+//! and at the reply.
+
+mod action;
+mod connections;
+mod input;
+mod limit;
+mod machine;
+mod queue;
+mod target;
+mod trust;
+mod verdict;
+
+pub use self::{
+    action::{Action, CloseCause, Job, JobBatch, LimitCause, Note},
+    input::{
+        AnswerHead, AttemptResult, ConnectionId, ControlResult, Input, LoadReport, NotSent,
+        RefusalKind, RequesterId,
+    },
+    machine::OwnerCore,
+    queue::FairQueue,
+};
--- /dev/null
+++ b/crates/policy/src/owner/queue.rs
@@ -0,0 +1,265 @@
+//! Queue of one target: equal turns between services by slot time.
+//!
+//! Deficit round robin: a service's turn adds a quantum of slot time to its
+//! deficit counter and lasts while the counter covers the cost of its next
+//! job. The cost is an estimate at the send and set right when the job ends.
+//! An idle service keeps no credit, and a slot is never left free while any
+//! service waits. First come, first served is the same queue with one flow
+//! for all services.
+
+use std::{collections::VecDeque, time::Duration};
+
+use base::{AttemptId, HashMap, ServiceName, Time, always};
+use documents::model::FairTurns;
+
+use super::action::Job;
+
+/// Cost of a job of a service that has finished none yet.
+const INITIAL_COST: Duration = Duration::from_millis(5);
+/// Least quantum, so that turns advance on any estimate.
+const MIN_QUANTUM_US: i64 = 100;
+/// Bound of a job's cost and of a flow's debt, in quanta of its weight.
+const MAX_QUANTA: i64 = 16;
+/// Part of a new observation in the average cost.
+const COST_GAIN: f64 = 1.0 / 8.0;
+
+#[derive(Clone, Debug)]
+pub struct FairQueue {
+    policy: FairTurns,
+    flows: HashMap<ServiceName, Flow>,
+    /// Flows with jobs, the one whose turn it is in front.
+    ring: VecDeque<ServiceName>,
+    shared_flow: ServiceName,
+    len: usize,
+    /// Mean cost over all services; a turn's worth of slot time.
+    quantum_us: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Flow {
+    jobs: VecDeque<Job>,
+    weight: i64,
+    deficit_us: i64,
+    cost_us: f64,
+    has_turn: bool,
+}
+
+impl FairQueue {
+    pub fn new(policy: FairTurns) -> Self {
+        FairQueue {
+            policy,
+            flows: HashMap::default(),
+            ring: VecDeque::new(),
+            shared_flow: ServiceName::new("all"),
+            len: 0,
+            quantum_us: INITIAL_COST.as_micros() as f64,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub fn push(&mut self, job: Job) {
+        let key = self.flow_key(&job);
+        let flow = self.activate(&key, &job);
+        flow.jobs.push_back(job);
+        self.len += 1;
+    }
+
+    /// Puts a popped job back in front; its cost is returned to its service.
+    pub fn push_front(&mut self, job: Job) {
+        let key = self.flow_key(&job);
+        let flow = self.activate(&key, &job);
+        flow.deficit_us += micros(job.charged);
+        flow.jobs.push_front(job);
+        self.len += 1;
+    }
+
+    /// Takes the job whose turn it is.
+    pub fn pop(&mut self) -> Option<Job> {
+        let quantum = self.quantum();
+        loop {
+            let key = self.ring.front()?.clone();
+            let Some(flow) = self.flows.get_mut(&key) else {
+                self.ring.pop_front();
+                continue;
+            };
+            if let Some(job) = flow.take(quantum) {
+                self.len -= 1;
+                self.retire_if_empty(&key);
+                return Some(job);
+            }
+            flow.has_turn = false;
+            self.ring.rotate_left(1);
+        }
+    }
+
+    /// Sets the cost of a job right that ended after `service_time`.
+    pub fn settle(&mut self, job: &Job, service_time: Duration) {
+        let actual = micros(service_time);
+        self.quantum_us += COST_GAIN * (actual as f64 - self.quantum_us);
+        let quantum = self.quantum();
+        let key = if self.is_shared() { &self.shared_flow } else { &job.batch.service };
+        let Some(flow) = self.flows.get_mut(key) else { return };
+        flow.cost_us += COST_GAIN * (actual as f64 - flow.cost_us);
+        flow.charge(actual - micros(job.charged), quantum);
+    }
+
+    /// Takes the jobs whose deadline has passed.
+    pub fn take_expired(&mut self, now: Time) -> Vec<Job> {
+        self.take_where(|job| job.batch.deadline <= now)
+    }
+
+    pub fn take(&mut self, attempt: AttemptId) -> Option<Job> {
+        self.take_where(|job| job.attempt == attempt).pop()
+    }
+
+    pub fn take_all(&mut self) -> Vec<Job> {
+        self.take_where(|_| true)
+    }
+
+    /// Forgets services that wait for nothing and that `keep` does not name.
+    pub fn prune(&mut self, keep: impl Fn(&ServiceName) -> bool) {
+        self.flows.retain(|name, flow| !flow.jobs.is_empty() || keep(name));
+    }
+
+    /// Slot time that goes ahead of a new job of `service`.
+    pub fn work_ahead(&self, service: &ServiceName, weight: u32) -> Duration {
+        if self.is_shared() {
+            return self.work();
+        }
+        let own = self.flows.get(service).map_or(0.0, Flow::work_us);
+        let cost = self.cost(service).as_micros() as f64;
+        let turns = (own + cost) / f64::from(weight.max(1));
+        let others = self.ring.iter().filter(|it| *it != service);
+        let ahead = others
+            .filter_map(|it| self.flows.get(it))
+            .map(|it| it.work_us().min(turns * it.weight as f64))
+            .sum::<f64>();
+        Duration::from_micros((own + ahead) as u64)
+    }
+
+    /// Slot time of everything queued.
+    pub fn work(&self) -> Duration {
+        let work = self.flows.values().map(Flow::work_us).sum::<f64>();
+        Duration::from_micros(work as u64)
+    }
+
+    /// Expected slot time of a job of `service`.
+    pub fn cost(&self, service: &ServiceName) -> Duration {
+        let key = if self.is_shared() { &self.shared_flow } else { service };
+        let cost = self.flows.get(key).map_or(self.quantum_us, |it| it.cost_us);
+        Duration::from_micros(cost as u64)
+    }
+
+    /// Expected slot time of a job of any service.
+    pub fn mean_cost(&self) -> Duration {
+        Duration::from_micros(self.quantum_us as u64)
+    }
+
+    fn is_shared(&self) -> bool {
+        self.policy == FairTurns::FirstComeFirstServed
+    }
+
+    fn flow_key(&self, job: &Job) -> ServiceName {
+        if self.is_shared() { self.shared_flow.clone() } else { job.batch.service.clone() }
+    }
+
+    fn quantum(&self) -> i64 {
+        (self.quantum_us as i64).max(MIN_QUANTUM_US)
+    }
+
+    fn activate(&mut self, key: &ServiceName, job: &Job) -> &mut Flow {
+        let cost_us = self.quantum_us;
+        let flow = self.flows.entry(key.clone()).or_insert_with(|| Flow::new(cost_us));
+        flow.weight = i64::from(job.batch.weight.max(1));
+        if flow.jobs.is_empty() {
+            self.ring.push_back(key.clone());
+        }
+        flow
+    }
+
+    fn retire_if_empty(&mut self, key: &ServiceName) {
+        let Some(flow) = self.flows.get_mut(key) else { return };
+        if !flow.jobs.is_empty() {
+            return;
+        }
+        flow.has_turn = false;
+        flow.deficit_us = flow.deficit_us.min(0);
+        self.ring.retain(|it| it != key);
+    }
+
+    fn take_where(&mut self, mut wanted: impl FnMut(&Job) -> bool) -> Vec<Job> {
+        let mut taken = Vec::new();
+        if self.len == 0 {
+            return taken;
+        }
+        for flow in self.flows.values_mut() {
+            if !flow.jobs.iter().any(&mut wanted) {
+                continue;
+            }
+            let jobs = std::mem::take(&mut flow.jobs);
+            let (out, kept) = jobs.into_iter().partition::<VecDeque<_>, _>(&mut wanted);
+            flow.jobs = kept;
+            taken.extend(out);
+        }
+        self.len -= taken.len();
+        for key in self.ring.clone() {
+            self.retire_if_empty(&key);
+        }
+        taken
+    }
+}
+
+impl Flow {
+    fn new(cost_us: f64) -> Self {
+        Flow { jobs: VecDeque::new(), weight: 1, deficit_us: 0, cost_us, has_turn: false }
+    }
+
+    /// The next job, if the deficit covers its cost.
+    fn take(&mut self, quantum: i64) -> Option<Job> {
+        if !self.has_turn {
+            self.has_turn = true;
+            let ceiling = quantum * (self.weight + MAX_QUANTA);
+            self.deficit_us = (self.deficit_us + quantum * self.weight).min(ceiling);
+        }
+        let cost = self.cost(quantum);
+        if self.deficit_us < cost {
+            return None;
+        }
+        let mut job = self.jobs.pop_front()?;
+        job.charged = Duration::from_micros(cost.unsigned_abs());
+        self.deficit_us -= cost;
+        always!(
+            self.deficit_us <= quantum * (self.weight + MAX_QUANTA),
+            "owner-queue-credit-bounded",
+            "{} us of credit at a quantum of {quantum} us",
+            self.deficit_us
+        );
+        Some(job)
+    }
+
+    /// Takes `cost_us` off the deficit within the bound of debt and credit.
+    fn charge(&mut self, cost_us: i64, quantum: i64) {
+        let bound = MAX_QUANTA * quantum;
+        let ceiling = if self.jobs.is_empty() { 0 } else { quantum * self.weight };
+        self.deficit_us = (self.deficit_us - cost_us).clamp(-bound, ceiling.max(0));
+    }
+
+    fn cost(&self, quantum: i64) -> i64 {
+        (self.cost_us as i64).clamp(1, MAX_QUANTA * quantum)
+    }
+
+    fn work_us(&self) -> f64 {
+        self.jobs.len() as f64 * self.cost_us
+    }
+}
+
+fn micros(duration: Duration) -> i64 {
+    i64::try_from(duration.as_micros()).unwrap_or(i64::MAX)
+}
