--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,3 +7,4 @@
 
 pub mod message;
 pub mod owner;
+pub mod request;
