Give callers and operators a command-line tool

Cause: The product had no tool: no way to send a query, to check documents before they are published, or to read a host's state. Nothing is sent twice: no retries, no proxy, no redirects. Before: no tool. Conclusion: The tool is whole against prepared answers; against a daemon it has not been tried.

--- /dev/null
+++ b/crates/godwityard/src/args/mod.rs
@@ -0,0 +1,160 @@
+//! Arguments of each subcommand.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Queries a godwityard fleet, checks its documents and shows its state.
+///
+/// Exit codes: 0 done; 1 findings, or a refused request that did not run;
+/// 2 wrong usage; 3 host unreachable, or its status not to be had; 4 partial
+/// answer; 5 request without a usable answer, which may have run.
+#[derive(FromArgs)]
+pub(crate) struct Args {
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Query(Query),
+    Ticket(Ticket),
+    Execute(Execute),
+    Check(Check),
+    Status(Status),
+    Explain(Explain),
+    Version(Version),
+}
+
+/// Sends a query to a service and prints its answer with the coverage.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "query")]
+pub(crate) struct Query {
+    /// name of the service
+    #[argh(positional)]
+    pub(crate) service: String,
+    /// body of the query
+    #[argh(positional)]
+    pub(crate) body: Option<String>,
+    /// file with the body; `-` reads standard input
+    #[argh(option)]
+    pub(crate) file: Option<PathBuf>,
+    /// time for the answer in ms, in place of the service's own
+    #[argh(option)]
+    pub(crate) deadline_ms: Option<u64>,
+    /// least coverage, 0.0 to 1.0, in place of the service's own
+    #[argh(option)]
+    pub(crate) min_coverage: Option<f64>,
+    /// callers' address of a host, IP:PORT; else GODWITYARD_ADDRESS
+    #[argh(option)]
+    pub(crate) address: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Gets a ticket for one non-idempotent request and prints it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "ticket")]
+pub(crate) struct Ticket {
+    /// name of the service
+    #[argh(positional)]
+    pub(crate) service: String,
+    /// callers' address of a host, IP:PORT; else GODWITYARD_ADDRESS
+    #[argh(option)]
+    pub(crate) address: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Runs a non-idempotent request under a ticket. Sending it again under the
+/// same ticket is safe: it runs at most once.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "execute")]
+pub(crate) struct Execute {
+    /// name of the service
+    #[argh(positional)]
+    pub(crate) service: String,
+    /// body of the request
+    #[argh(positional)]
+    pub(crate) body: Option<String>,
+    /// ticket that `godwityard ticket` printed
+    #[argh(option)]
+    pub(crate) ticket: String,
+    /// shard to run on; every shard if not given
+    #[argh(option)]
+    pub(crate) shard: Option<u32>,
+    /// file with the body; `-` reads standard input
+    #[argh(option)]
+    pub(crate) file: Option<PathBuf>,
+    /// time for the answer in ms, in place of the service's own
+    #[argh(option)]
+    pub(crate) deadline_ms: Option<u64>,
+    /// callers' address of a host, IP:PORT; else GODWITYARD_ADDRESS
+    #[argh(option)]
+    pub(crate) address: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Checks documents and settings, alone and against each other, and prints
+/// every finding with its place.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct Check {
+    /// files, or folders whose .yaml and .yml files are read
+    #[argh(positional)]
+    pub(crate) paths: Vec<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Shows what a host knows of the fleet.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct Status {
+    /// what to show: status (the default), domains, targets, services or
+    /// decisions
+    #[argh(positional, default = "\"status\".to_owned()")]
+    pub(crate) view: String,
+    /// admin address of a host, IP:PORT; else GODWITYARD_ADMIN
+    #[argh(option)]
+    pub(crate) admin: Option<String>,
+    /// file with the admin token; else GODWITYARD_TOKEN
+    #[argh(option)]
+    pub(crate) token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Shows why a recent request was routed, refused or left partial.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Explain {
+    /// id of the request, as its answer or refusal gives it
+    #[argh(positional)]
+    pub(crate) request: String,
+    /// admin address of the host that took the request; else GODWITYARD_ADMIN
+    #[argh(option)]
+    pub(crate) admin: Option<String>,
+    /// file with the admin token; else GODWITYARD_TOKEN
+    #[argh(option)]
+    pub(crate) token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+/// Prints the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+pub(crate) struct Version {
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
--- /dev/null
+++ b/crates/godwityard/src/client/mod.rs
@@ -0,0 +1,162 @@
+//! HTTP to one host. Each request is sent once: no retries, no proxy, no
+//! redirects.
+
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use eyre::{WrapErr, eyre};
+use reqwest::{RequestBuilder, StatusCode, redirect, retry};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for an answer where the caller names none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time on top of the caller's deadline, so that the host's own answer to a
+/// passed deadline arrives.
+const TIMEOUT_SLACK: Duration = Duration::from_secs(2);
+
+const DEFAULT_ADDRESS: &str = "127.0.0.1:20101";
+const DEFAULT_ADMIN: &str = "127.0.0.1:20201";
+const ADDRESS_VAR: &str = "GODWITYARD_ADDRESS";
+const ADMIN_VAR: &str = "GODWITYARD_ADMIN";
+const TOKEN_VAR: &str = "GODWITYARD_TOKEN";
+
+/// A host that did not answer as expected.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ClientError {
+    #[error("no connection to {address}: {detail}")]
+    Unreachable { address: SocketAddr, detail: String },
+    #[error("the request was sent to {address}, and no answer came: {detail}")]
+    NoAnswer { address: SocketAddr, detail: String },
+    #[error("{address} answered {status} with a body that is not understood: {detail}")]
+    NotUnderstood { address: SocketAddr, status: StatusCode, detail: String },
+    /// A page of the administration API that was not to be had.
+    #[error(transparent)]
+    Admin(Box<ClientError>),
+    #[error("{address} answered {status}: {detail}")]
+    AdminRefused { address: SocketAddr, status: StatusCode, detail: String },
+}
+
+pub(crate) struct Client {
+    http: reqwest::Client,
+    address: SocketAddr,
+    token: Option<String>,
+}
+
+/// Status and body of an answer, whatever the status.
+pub(crate) struct Response {
+    pub(crate) status: StatusCode,
+    pub(crate) body: serde_json::Value,
+}
+
+impl Client {
+    /// Client of a host's callers' address.
+    pub(crate) fn for_callers(address: Option<&str>) -> eyre::Result<Self> {
+        Client::new(address_or(address, ADDRESS_VAR, DEFAULT_ADDRESS)?, None)
+    }
+
+    /// Client of a host's admin address.
+    pub(crate) fn for_admin(
+        address: Option<&str>,
+        token_file: Option<&Path>,
+    ) -> eyre::Result<Self> {
+        let token = token(token_file)?;
+        Client::new(address_or(address, ADMIN_VAR, DEFAULT_ADMIN)?, token)
+    }
+
+    fn new(address: SocketAddr, token: Option<String>) -> eyre::Result<Self> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .retry(retry::never())
+            .redirect(redirect::Policy::none())
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .build()?;
+        Ok(Client { http, address, token })
+    }
+
+    pub(crate) fn post(&self, path: &str) -> RequestBuilder {
+        self.http.post(self.url(path))
+    }
+
+    /// Sends a request and waits for `deadline` and some slack.
+    pub(crate) async fn send(
+        &self,
+        req: RequestBuilder,
+        deadline: Option<Duration>,
+    ) -> Result<Response, ClientError> {
+        let timeout = deadline.map_or(DEFAULT_TIMEOUT, |it| it + TIMEOUT_SLACK);
+        let sent = req.timeout(timeout).send().await;
+        let response = sent.map_err(|e| self.send_error(&e))?;
+        let status = response.status();
+        let body = response.bytes().await.map_err(|e| self.send_error(&e))?;
+        let body = serde_json::from_slice(&body).map_err(|e| ClientError::NotUnderstood {
+            address: self.address,
+            status,
+            detail: e.to_string(),
+        })?;
+        Ok(Response { status, body })
+    }
+
+    /// Gets a page of the administration API.
+    pub(crate) async fn get_admin(&self, path: &str) -> Result<serde_json::Value, ClientError> {
+        let mut req = self.http.get(self.url(path));
+        if let Some(token) = &self.token {
+            req = req.bearer_auth(token);
+        }
+        let response = self.send(req, None).await;
+        let Response { status, body } = response.map_err(|e| ClientError::Admin(Box::new(e)))?;
+        if status.is_success() {
+            return Ok(body);
+        }
+        let detail = match &body["detail"] {
+            serde_json::Value::String(detail) => detail.clone(),
+            _ => body.to_string(),
+        };
+        Err(ClientError::AdminRefused { address: self.address, status, detail })
+    }
+
+    /// Reads an answer's body into a type.
+    pub(crate) fn decode<T: serde::de::DeserializeOwned>(
+        &self,
+        response: &Response,
+    ) -> Result<T, ClientError> {
+        T::deserialize(&response.body).map_err(|e| ClientError::NotUnderstood {
+            address: self.address,
+            status: response.status,
+            detail: e.to_string(),
+        })
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    fn send_error(&self, e: &reqwest::Error) -> ClientError {
+        let address = self.address;
+        let detail = innermost(e);
+        if e.is_connect() {
+            return ClientError::Unreachable { address, detail };
+        }
+        ClientError::NoAnswer { address, detail }
+    }
+}
+
+/// The cause at the root; the outer errors only repeat the URL.
+fn innermost(e: &reqwest::Error) -> String {
+    let mut source: &dyn std::error::Error = e;
+    while let Some(inner) = source.source() {
+        source = inner;
+    }
+    source.to_string()
+}
+
+fn address_or(given: Option<&str>, var: &str, default: &str) -> eyre::Result<SocketAddr> {
+    let from_env = std::env::var(var).ok();
+    let text = given.or(from_env.as_deref()).unwrap_or(default);
+    text.parse().map_err(|_| eyre!("not an address: {text:?}; use IP:PORT"))
+}
+
+fn token(file: Option<&Path>) -> eyre::Result<Option<String>> {
+    let Some(file) = file else { return Ok(std::env::var(TOKEN_VAR).ok()) };
+    let text = fs::read_to_string(file).wrap_err_with(|| format!("reading {}", file.display()))?;
+    Ok(Some(text.trim().to_owned()))
+}
--- /dev/null
+++ b/crates/godwityard/src/commands/check.rs
@@ -0,0 +1,144 @@
+//! `check`: documents and settings, alone and against each other.
+
+use std::{
+    fs,
+    io::Write,
+    path::{Path, PathBuf},
+};
+
+use base::{Finding, Findings, Place};
+use documents::{Document, ParsedFile, cross_check, cross_check_settings, parse_file};
+use eyre::{WrapErr, ensure};
+use serde_json::{Value, json};
+
+use crate::{
+    args::Check,
+    output::{Exit, print_json},
+};
+
+pub(crate) fn check(args: &Check, out: &mut impl Write) -> eyre::Result<Exit> {
+    ensure!(!args.paths.is_empty(), "name at least one file or folder");
+    let mut files = Vec::new();
+    for path in &args.paths {
+        collect_files(path, &mut files)?;
+    }
+    ensure!(!files.is_empty(), "no .yaml or .yml file in the folders named");
+
+    let mut parsed = ParsedFile::default();
+    let mut findings = Findings::default();
+    for file in &files {
+        check_file(file, &mut parsed, &mut findings)?;
+    }
+    findings.extend(cross_check(&parsed.documents));
+    findings.extend(cross_check_settings(&parsed.settings));
+
+    let counts = Counts::new(files.len(), &parsed);
+    if args.json {
+        print_json(out, &report(&counts, &findings))?;
+    } else {
+        print_report(out, &counts, &findings)?;
+    }
+    Ok(if findings.is_empty() { Exit::Done } else { Exit::Refused })
+}
+
+/// What was read and found valid.
+struct Counts {
+    files: usize,
+    services: usize,
+    pools: usize,
+    domains: usize,
+    settings: usize,
+}
+
+impl Counts {
+    fn new(files: usize, parsed: &ParsedFile) -> Self {
+        let mut counts =
+            Counts { files, services: 0, pools: 0, domains: 0, settings: parsed.settings.len() };
+        for document in &parsed.documents {
+            match document.value {
+                Document::Service(_) => counts.services += 1,
+                Document::Pool(_) => counts.pools += 1,
+                Document::Domain(_) => counts.domains += 1,
+            }
+        }
+        counts
+    }
+}
+
+/// A file named is read whatever its name; of a folder, only YAML files are.
+fn collect_files(path: &Path, files: &mut Vec<PathBuf>) -> eyre::Result<()> {
+    let context = || format!("reading {}", path.display());
+    if !fs::metadata(path).wrap_err_with(context)?.is_dir() {
+        files.push(path.to_owned());
+        return Ok(());
+    }
+    let entries: Result<Vec<_>, _> = fs::read_dir(path).wrap_err_with(context)?.collect();
+    let mut entries = entries.wrap_err_with(context)?;
+    entries.sort_by_key(fs::DirEntry::file_name);
+    for entry in entries {
+        let path = entry.path();
+        // A link to a folder could lead back up; it is not followed.
+        let is_dir = entry.file_type().wrap_err_with(context)?.is_dir();
+        let extension = path.extension().unwrap_or_default();
+        if is_dir {
+            collect_files(&path, files)?;
+        } else if extension == "yaml" || extension == "yml" {
+            files.push(path);
+        }
+    }
+    Ok(())
+}
+
+fn check_file(file: &Path, parsed: &mut ParsedFile, findings: &mut Findings) -> eyre::Result<()> {
+    let source = file.display().to_string();
+    let bytes = fs::read(file).wrap_err_with(|| format!("reading {source}"))?;
+    let Ok(text) = String::from_utf8(bytes) else {
+        let place = Place { source: source.into(), line: 0, column: 0 };
+        let finding = Finding::new(place, "the file is not UTF-8 text");
+        findings.push(finding.with_hint("save it as UTF-8"));
+        return Ok(());
+    };
+    let (file, found) = parse_file(&source, &text);
+    parsed.extend(file);
+    findings.extend(found);
+    Ok(())
+}
+
+fn print_report(out: &mut impl Write, counts: &Counts, findings: &Findings) -> std::io::Result<()> {
+    for finding in findings.iter() {
+        writeln!(out, "{finding}")?;
+    }
+    let Counts { files, services, pools, domains, settings } = counts;
+    let verdict = match findings.len() {
+        0 => "no findings".to_owned(),
+        1 => "1 finding".to_owned(),
+        n => format!("{n} findings"),
+    };
+    writeln!(
+        out,
+        "{verdict}; valid in {files} files: {services} services, {pools} pools, \
+         {domains} domains, {settings} settings"
+    )
+}
+
+fn report(counts: &Counts, findings: &Findings) -> Value {
+    let findings: Vec<_> = findings.iter().map(finding_json).collect();
+    json!({
+        "findings": findings,
+        "files": counts.files,
+        "services": counts.services,
+        "pools": counts.pools,
+        "domains": counts.domains,
+        "settings": counts.settings,
+    })
+}
+
+fn finding_json(finding: &Finding) -> Value {
+    json!({
+        "source": &*finding.place.source,
+        "line": finding.place.line,
+        "column": finding.place.column,
+        "message": finding.message,
+        "hint": finding.hint,
+    })
+}
--- /dev/null
+++ b/crates/godwityard/src/commands/request.rs
@@ -0,0 +1,147 @@
+//! `query`, `ticket` and `execute`: a caller's requests.
+
+use std::{
+    fs,
+    io::{self, Read, Write},
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use base::name;
+use eyre::{WrapErr, bail, ensure};
+use reqwest::RequestBuilder;
+use serde_json::Value;
+
+use crate::{
+    args::{Execute, Query, Ticket},
+    client::{Client, Response},
+    output::{Exit, print_json, printable},
+    wire::{Answer, MintedTicket, Refusal},
+};
+
+const DEADLINE_HEADER: &str = "godwityard-deadline-ms";
+const MIN_COVERAGE_HEADER: &str = "godwityard-min-coverage";
+const TICKET_HEADER: &str = "godwityard-ticket";
+const SHARD_HEADER: &str = "godwityard-shard";
+
+pub(crate) async fn query(args: Query, out: &mut impl Write) -> eyre::Result<Exit> {
+    let client = Client::for_callers(args.address.as_deref())?;
+    let mut req = post(&client, &args.service, "query")?.body(body(args.body, args.file)?);
+    if let Some(millis) = args.deadline_ms {
+        req = req.header(DEADLINE_HEADER, millis);
+    }
+    if let Some(ratio) = args.min_coverage {
+        ensure!((0.0..=1.0).contains(&ratio), "--min-coverage must be 0.0 to 1.0");
+        req = req.header(MIN_COVERAGE_HEADER, ratio.to_string());
+    }
+    let response = client.send(req, args.deadline_ms.map(Duration::from_millis)).await?;
+    print_answer(out, &client, &response, args.json)
+}
+
+pub(crate) async fn ticket(args: &Ticket, out: &mut impl Write) -> eyre::Result<Exit> {
+    let client = Client::for_callers(args.address.as_deref())?;
+    let response = client.send(post(&client, &args.service, "tickets")?, None).await?;
+    if !response.status.is_success() {
+        return print_refusal(out, &client, &response, args.json);
+    }
+    let minted: MintedTicket = client.decode(&response)?;
+    if args.json {
+        print_json(out, &response.body)?;
+    } else {
+        writeln!(out, "{}", printable(&minted.ticket))?;
+    }
+    Ok(Exit::Done)
+}
+
+pub(crate) async fn execute(args: Execute, out: &mut impl Write) -> eyre::Result<Exit> {
+    let client = Client::for_callers(args.address.as_deref())?;
+    let is_sendable = args.ticket.bytes().all(|it| it.is_ascii_graphic());
+    ensure!(is_sendable && !args.ticket.is_empty(), "not a ticket: {:?}", args.ticket);
+    let mut req = post(&client, &args.service, "execute")?
+        .header(TICKET_HEADER, &args.ticket)
+        .body(body(args.body, args.file)?);
+    if let Some(shard) = args.shard {
+        req = req.header(SHARD_HEADER, shard);
+    }
+    if let Some(millis) = args.deadline_ms {
+        req = req.header(DEADLINE_HEADER, millis);
+    }
+    let response = client.send(req, args.deadline_ms.map(Duration::from_millis)).await?;
+    print_answer(out, &client, &response, args.json)
+}
+
+fn post(client: &Client, service: &str, action: &str) -> eyre::Result<RequestBuilder> {
+    ensure!(name::is_valid(service), "not a service's name: {service:?}");
+    Ok(client.post(&format!("/v1/services/{service}/{action}")))
+}
+
+fn body(text: Option<String>, file: Option<PathBuf>) -> eyre::Result<Vec<u8>> {
+    match (text, file) {
+        (Some(_), Some(_)) => bail!("give the body or --file, not both"),
+        (Some(text), None) => Ok(text.into_bytes()),
+        (None, Some(file)) if file == Path::new("-") => {
+            let mut buf = Vec::new();
+            io::stdin().read_to_end(&mut buf).wrap_err("reading standard input")?;
+            Ok(buf)
+        }
+        (None, Some(file)) => {
+            fs::read(&file).wrap_err_with(|| format!("reading {}", file.display()))
+        }
+        (None, None) => Ok(Vec::new()),
+    }
+}
+
+fn print_answer(
+    out: &mut impl Write,
+    client: &Client,
+    response: &Response,
+    json: bool,
+) -> eyre::Result<Exit> {
+    if !response.status.is_success() {
+        return print_refusal(out, client, response, json);
+    }
+    let answer: Answer = client.decode(response)?;
+    if json {
+        print_json(out, &response.body)?;
+    } else {
+        print_parts(out, &answer)?;
+    }
+    Ok(if answer.coverage.is_full() { Exit::Done } else { Exit::Partial })
+}
+
+fn print_parts(out: &mut impl Write, answer: &Answer) -> io::Result<()> {
+    let Answer { request, snapshot, coverage, parts } = answer;
+    writeln!(out, "request   {}", printable(request))?;
+    writeln!(out, "snapshot  {}", printable(snapshot))?;
+    writeln!(out, "coverage  {} of {} shards", coverage.answered, coverage.total)?;
+    for missing in &coverage.missing {
+        writeln!(out, "missing   shard {}: {}", missing.shard, printable(&missing.reason))?;
+    }
+    for part in parts {
+        let body = match &part.body {
+            Value::String(text) => printable(text),
+            other => other.to_string(),
+        };
+        writeln!(out, "shard {}: {body}", part.shard)?;
+    }
+    Ok(())
+}
+
+fn print_refusal(
+    out: &mut impl Write,
+    client: &Client,
+    response: &Response,
+    json: bool,
+) -> eyre::Result<Exit> {
+    let refusal: Refusal = client.decode(response)?;
+    if json {
+        print_json(out, &response.body)?;
+    } else {
+        let Refusal { request, reason, outcome, detail } = &refusal;
+        writeln!(out, "refused   {} ({})", printable(reason), response.status.as_u16())?;
+        writeln!(out, "outcome   {}", printable(outcome))?;
+        writeln!(out, "request   {}", printable(request))?;
+        writeln!(out, "detail    {}", printable(detail))?;
+    }
+    Ok(if refusal.is_not_run() { Exit::Refused } else { Exit::MayHaveRun })
+}
--- /dev/null
+++ b/crates/godwityard/src/wire/mod.rs
@@ -0,0 +1,67 @@
+//! Bodies that hosts answer with. Decoding is lenient: unknown fields are
+//! ignored and missing ones left empty, so that this tool understands hosts of
+//! other versions.
+
+use serde::Deserialize;
+use serde_json::Value;
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Answer {
+    pub(crate) request: String,
+    pub(crate) snapshot: String,
+    pub(crate) coverage: Coverage,
+    pub(crate) parts: Vec<Part>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Coverage {
+    pub(crate) answered: u32,
+    pub(crate) total: u32,
+    pub(crate) missing: Vec<MissingShard>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct MissingShard {
+    pub(crate) shard: u32,
+    pub(crate) reason: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Part {
+    pub(crate) shard: u32,
+    pub(crate) body: Value,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct MintedTicket {
+    pub(crate) ticket: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Refusal {
+    pub(crate) request: String,
+    pub(crate) reason: String,
+    pub(crate) outcome: String,
+    pub(crate) detail: String,
+}
+
+impl Coverage {
+    /// Whether no shard is missing; never true of an answer without coverage.
+    pub(crate) fn is_full(&self) -> bool {
+        self.total > 0 && self.answered == self.total
+    }
+}
+
+impl Refusal {
+    /// Whether the request certainly did not run. An answer that does not say
+    /// so counts as one that may have run.
+    pub(crate) fn is_not_run(&self) -> bool {
+        self.outcome == base::Outcome::NotRun.as_str()
+    }
+}
