Show bodies in hex, Retry-After and the shard option in the tool

Cause: The entry answers `body_hex` for parts that are not text, sends Retry-After and takes `godwityard-shard` on queries; the tool knew none. Change: It prints and sends them; exit codes stand in the help as argh's own section.

--- a/crates/godwityard/src/args/mod.rs
+++ b/crates/godwityard/src/args/mod.rs
@@ -5,11 +5,12 @@
 use argh::FromArgs;
 
 /// Queries a godwityard fleet, checks its documents and shows its state.
-///
-/// Exit codes: 0 done; 1 findings, or a refused request that did not run;
-/// 2 wrong usage; 3 host unreachable, or its status not to be had; 4 partial
-/// answer; 5 request without a usable answer, which may have run.
 #[derive(FromArgs)]
+#[argh(error_code(1, "findings, or a refused request that did not run"))]
+#[argh(error_code(2, "wrong usage"))]
+#[argh(error_code(3, "host unreachable, or its status not to be had"))]
+#[argh(error_code(4, "partial answer"))]
+#[argh(error_code(5, "request without a usable answer, which may have run"))]
 pub(crate) struct Args {
     #[argh(subcommand)]
     pub(crate) command: Command,
@@ -37,6 +38,9 @@
     /// body of the query
     #[argh(positional)]
     pub(crate) body: Option<String>,
+    /// shard to ask; every shard if not given
+    #[argh(option)]
+    pub(crate) shard: Option<u32>,
     /// file with the body; `-` reads standard input
     #[argh(option)]
     pub(crate) file: Option<PathBuf>,
--- a/crates/godwityard/src/client/mod.rs
+++ b/crates/godwityard/src/client/mod.rs
@@ -4,7 +4,7 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use eyre::{WrapErr, eyre};
-use reqwest::{RequestBuilder, StatusCode, redirect, retry};
+use reqwest::{RequestBuilder, StatusCode, header::RETRY_AFTER, redirect, retry};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for an answer where the caller names none.
@@ -45,6 +45,8 @@
 pub(crate) struct Response {
     pub(crate) status: StatusCode,
     pub(crate) body: serde_json::Value,
+    /// When to try again, if the host says so.
+    pub(crate) retry_after_s: Option<u64>,
 }
 
 impl Client {
@@ -87,13 +89,14 @@
         let sent = req.timeout(timeout).send().await;
         let response = sent.map_err(|e| self.send_error(&e))?;
         let status = response.status();
+        let retry_after_s = retry_after_s(&response);
         let body = response.bytes().await.map_err(|e| self.send_error(&e))?;
         let body = serde_json::from_slice(&body).map_err(|e| ClientError::NotUnderstood {
             address: self.address,
             status,
             detail: e.to_string(),
         })?;
-        Ok(Response { status, body })
+        Ok(Response { status, body, retry_after_s })
     }
 
     /// Gets a page of the administration API.
@@ -103,7 +106,8 @@
             req = req.bearer_auth(token);
         }
         let response = self.send(req, None).await;
-        let Response { status, body } = response.map_err(|e| ClientError::Admin(Box::new(e)))?;
+        let Response { status, body, .. } =
+            response.map_err(|e| ClientError::Admin(Box::new(e)))?;
         if status.is_success() {
             return Ok(body);
         }
@@ -140,6 +144,10 @@
     }
 }
 
+fn retry_after_s(response: &reqwest::Response) -> Option<u64> {
+    response.headers().get(RETRY_AFTER)?.to_str().ok()?.parse().ok()
+}
+
 /// The cause at the root; the outer errors only repeat the URL.
 fn innermost(e: &reqwest::Error) -> String {
     let mut source: &dyn std::error::Error = e;
--- a/crates/godwityard/src/commands/request.rs
+++ b/crates/godwityard/src/commands/request.rs
@@ -16,7 +16,7 @@
     args::{Execute, Query, Ticket},
     client::{Client, Response},
     output::{Exit, print_json, printable},
-    wire::{Answer, MintedTicket, Refusal},
+    wire::{Answer, MintedTicket, Part, Refusal},
 };
 
 const DEADLINE_HEADER: &str = "godwityard-deadline-ms";
@@ -27,6 +27,9 @@
 pub(crate) async fn query(args: Query, out: &mut impl Write) -> eyre::Result<Exit> {
     let client = Client::for_callers(args.address.as_deref())?;
     let mut req = post(&client, &args.service, "query")?.body(body(args.body, args.file)?);
+    if let Some(shard) = args.shard {
+        req = req.header(SHARD_HEADER, shard);
+    }
     if let Some(millis) = args.deadline_ms {
         req = req.header(DEADLINE_HEADER, millis);
     }
@@ -118,15 +121,19 @@
         writeln!(out, "missing   shard {}: {}", missing.shard, printable(&missing.reason))?;
     }
     for part in parts {
-        let body = match &part.body {
-            Value::String(text) => printable(text),
-            other => other.to_string(),
-        };
-        writeln!(out, "shard {}: {body}", part.shard)?;
+        writeln!(out, "shard {}: {}", part.shard, part_body(part))?;
     }
     Ok(())
 }
 
+fn part_body(part: &Part) -> String {
+    match (&part.body_hex, &part.body) {
+        (Some(hex), _) => format!("0x{}", printable(hex)),
+        (None, Value::String(text)) => printable(text),
+        (None, other) => other.to_string(),
+    }
+}
+
 fn print_refusal(
     out: &mut impl Write,
     client: &Client,
@@ -142,6 +149,9 @@
         writeln!(out, "outcome   {}", printable(outcome))?;
         writeln!(out, "request   {}", printable(request))?;
         writeln!(out, "detail    {}", printable(detail))?;
+        if let Some(seconds) = response.retry_after_s {
+            writeln!(out, "retry     after {seconds} s")?;
+        }
     }
     Ok(if refusal.is_not_run() { Exit::Refused } else { Exit::MayHaveRun })
 }
--- a/crates/godwityard/src/wire/mod.rs
+++ b/crates/godwityard/src/wire/mod.rs
@@ -34,6 +34,8 @@
 pub(crate) struct Part {
     pub(crate) shard: u32,
     pub(crate) body: Value,
+    /// In place of a body that is not UTF-8 text.
+    pub(crate) body_hex: Option<String>,
 }
 
 #[derive(Debug, Default, Deserialize)]
