--- a/crates/documents/src/cross/mod.rs
+++ b/crates/documents/src/cross/mod.rs
@@ -4,20 +4,20 @@
 //! whole, so that services can be checked alone: references into the missing
 //! kind are then not followed.
 
-use std::{fmt, hash::Hash, net::SocketAddr};
+use std::net::SocketAddr;
 
-use base::{Finding, Findings, HashMap, HashSet, Place, TargetName};
+use base::{Finding, Findings, HashSet, Place, TargetName};
 
 use crate::{
     model::{Document, Domain, Located, Pool, Service, Settings},
-    reader::sorted,
+    reader::{Unique, sorted},
 };
 
 /// Findings against documents that are valid alone but not together.
 pub fn cross_check(documents: &[Located<Document>]) -> Findings {
     let mut cx = CrossCheck::new(documents);
     for document in documents {
-        cx.keys.check(&mut cx.findings, document.value.key(), document.place.clone(), "documents");
+        cx.keys.check(&mut cx.findings, document.value.key(), document.place.clone());
         match &document.value {
             Document::Service(it) => cx.check_service(document, it),
             Document::Pool(it) => cx.check_pool(document, it),
@@ -30,13 +30,13 @@
 /// Findings against settings of several hosts that cannot hold together.
 pub fn cross_check_settings(settings: &[Located<Settings>]) -> Findings {
     let mut findings = Findings::default();
-    let mut hosts = Unique::new("host");
-    let mut addresses = Unique::new("address");
+    let mut hosts = Unique::new("settings", "host");
+    let mut addresses = Unique::new("settings", "address");
     for it in settings {
-        hosts.check(&mut findings, it.value.host.clone(), it.place_of("host"), "settings");
+        hosts.check(&mut findings, it.value.host.clone(), it.place_of("host"));
         let Settings { callers, admin, peers, .. } = it.value;
         for (field, address) in [("callers", callers), ("admin", admin), ("peers", peers)] {
-            addresses.check(&mut findings, address, it.place_of(field), "settings");
+            addresses.check(&mut findings, address, it.place_of(field));
         }
     }
     sorted(findings)
@@ -51,12 +51,6 @@
     findings: Findings,
 }
 
-/// Values seen so far, each with the place where it was first seen.
-struct Unique<T> {
-    what: &'static str,
-    places: HashMap<T, Place>,
-}
-
 impl<'a> CrossCheck<'a> {
     fn new(documents: &'a [Located<Document>]) -> Self {
         let mut pools = HashSet::default();
@@ -71,9 +65,9 @@
         CrossCheck {
             pools,
             domains,
-            keys: Unique::new("key"),
-            targets: Unique::new("name"),
-            addresses: Unique::new("address"),
+            keys: Unique::new("documents", "key"),
+            targets: Unique::new("targets", "name"),
+            addresses: Unique::new("targets", "address"),
             findings: Findings::default(),
         }
     }
@@ -90,9 +84,9 @@
     fn check_pool(&mut self, document: &Located<Document>, pool: &Pool) {
         for (i, target) in pool.targets.iter().enumerate() {
             let place = |field: &str| document.place_of(&format!("targets/{i}/{field}"));
-            self.targets.check(&mut self.findings, target.name.clone(), place("name"), "targets");
+            self.targets.check(&mut self.findings, target.name.clone(), place("name"));
             let address = place("address");
-            self.addresses.check(&mut self.findings, target.address, address, "targets");
+            self.addresses.check(&mut self.findings, target.address, address);
             self.check_domain(target.domain.as_str(), place("domain"));
         }
     }
@@ -106,19 +100,3 @@
         self.findings.push(finding.with_hint("correct the name or add the domain's document"));
     }
 }
-
-impl<T: Hash + Eq + fmt::Display> Unique<T> {
-    fn new(what: &'static str) -> Self {
-        Unique { what, places: HashMap::default() }
-    }
-
-    fn check(&mut self, findings: &mut Findings, value: T, place: Place, things: &str) {
-        if let Some(first) = self.places.get(&value) {
-            let message = format!("two {things} have the {} {value}", self.what);
-            findings
-                .push(Finding::new(place, message).with_hint(format!("the other is at {first}")));
-            return;
-        }
-        self.places.insert(value, place);
-    }
-}
--- a/crates/documents/src/reader/mod.rs
+++ b/crates/documents/src/reader/mod.rs
@@ -1,12 +1,14 @@
 //! Takes typed fields out of a mapping and checks their values, collecting a
 //! finding for each mistake.
 
-use std::{net::SocketAddr, ops::RangeInclusive, time::Duration};
+mod checker;
 
-use base::{Finding, Findings, Place, name};
+use base::{Finding, Findings, Place};
 
 use crate::tree::{Entry, Node, Value};
 
+pub(crate) use self::checker::{Checker, Unique, sorted};
+
 /// A field as written, with its place.
 #[derive(Clone, Debug)]
 pub(crate) struct At<T> {
@@ -128,117 +130,6 @@
     }
 }
 
-/// Turns what was written into model values; each method returns none after
-/// it has pushed a finding, or if the field was absent.
-#[derive(Debug, Default)]
-pub(crate) struct Checker {
-    pub(crate) findings: Findings,
-}
-
-impl Checker {
-    pub(crate) fn new(findings: Findings) -> Self {
-        Checker { findings }
-    }
-
-    pub(crate) fn into_findings(self) -> Findings {
-        sorted(self.findings)
-    }
-
-    /// `value` if nothing was found.
-    pub(crate) fn finish<T>(self, value: T) -> Result<T, Findings> {
-        self.findings.into_result(value)
-    }
-
-    pub(crate) fn push(&mut self, place: &Place, message: String, hint: &str) {
-        self.findings.push(Finding::new(place.clone(), message).with_hint(hint));
-    }
-
-    pub(crate) fn name<T: From<String>>(&mut self, key: &str, field: Field<String>) -> Option<T> {
-        let At { value, place } = field?;
-        if !name::is_valid(&value) {
-            let message = format!("`{key}` is not a valid name: {value:?}");
-            let hint = "use 1 to 63 of a-z, 0-9, `-` and `.`, starting with a letter or digit";
-            self.push(&place, message, hint);
-            return None;
-        }
-        Some(T::from(value))
-    }
-
-    /// One item of the list under `key`.
-    pub(crate) fn item<T: FromValue>(&mut self, key: &str, node: Node) -> Field<T> {
-        let Node { place, value } = node;
-        match T::from_value(value) {
-            Ok(value) => Some(At { value, place }),
-            Err(value) => {
-                let message = format!("an item of `{key}` is {}", value.kind());
-                self.push(&place, message, &format!("use {}", T::EXPECTED));
-                None
-            }
-        }
-    }
-
-    pub(crate) fn choice<T: Copy>(
-        &mut self,
-        key: &str,
-        field: Field<String>,
-        choices: &[(&str, T)],
-    ) -> Option<T> {
-        let At { value, place } = field?;
-        let found = choices.iter().find(|(text, _)| *text == value);
-        if found.is_none() {
-            let texts: Vec<_> = choices.iter().map(|(text, _)| *text).collect();
-            let message = format!("`{key}` cannot be {value:?}");
-            self.push(&place, message, &format!("use one of: {}", texts.join(", ")));
-        }
-        found.map(|(_, choice)| *choice)
-    }
-
-    pub(crate) fn number<T: TryFrom<u64>>(
-        &mut self,
-        key: &str,
-        field: Field<u64>,
-        range: RangeInclusive<u64>,
-    ) -> Option<T> {
-        let At { value, place } = field?;
-        let converted = T::try_from(value).ok();
-        let (least, most) = range.clone().into_inner();
-        if !range.contains(&value) || converted.is_none() {
-            let message = format!("`{key}` is {value}, out of range");
-            self.push(&place, message, &format!("use {least} to {most}"));
-            return None;
-        }
-        converted
-    }
-
-    pub(crate) fn millis(
-        &mut self,
-        key: &str,
-        field: Field<u64>,
-        range: RangeInclusive<u64>,
-    ) -> Option<Duration> {
-        self.number(key, field, range).map(Duration::from_millis)
-    }
-
-    pub(crate) fn ratio(&mut self, key: &str, field: Field<f64>) -> Option<f64> {
-        let At { value, place } = field?;
-        if !(0.0..=1.0).contains(&value) {
-            self.push(&place, format!("`{key}` is {value}, out of range"), "use 0.0 to 1.0");
-            return None;
-        }
-        Some(value)
-    }
-
-    pub(crate) fn address(&mut self, key: &str, field: Field<String>) -> Option<SocketAddr> {
-        let At { value, place } = field?;
-        let address = value.parse().ok().filter(|it: &SocketAddr| it.port() != 0);
-        if address.is_none() {
-            let message = format!("`{key}` is not an address: {value:?}");
-            self.push(&place, message, "use IP:PORT, such as \"127.0.0.1:9001\"");
-        }
-        address
-    }
-}
-
 impl FromValue for String {
     const EXPECTED: &'static str = "text";
 
@@ -296,11 +187,6 @@
     }
 }
 
-/// The findings in order of place.
-pub(crate) fn sorted(findings: Findings) -> Findings {
-    findings.into_result(Findings::default()).unwrap_or_else(|it| it)
-}
-
 /// The known key that `key` was most likely meant to be.
 fn nearest(key: &str, known: &[&'static str]) -> Option<&'static str> {
     let limit = (key.chars().count() / 3).max(1);
--- a/crates/documents/src/tree/mod.rs
+++ b/crates/documents/src/tree/mod.rs
@@ -20,6 +20,10 @@
 /// Deepest nesting accepted; documents need four.
 const MAX_DEPTH: usize = 16;
 
+/// Most values that aliases may repeat in a stream, lest a short text grows
+/// without bound.
+const MAX_ALIASED_EVENTS: usize = 20_000;
+
 /// A value with its place.
 #[derive(Clone, Debug)]
 pub(crate) struct Node {
@@ -98,6 +102,7 @@
         merge_keys: MergeKeyPolicy::Error,
         non_finite_float_policy: NonFiniteFloatPolicy::PassThrough,
     };
+    options.alias_limits.max_total_replayed_events = MAX_ALIASED_EVENTS;
     if let Some(budget) = &mut options.budget {
         budget.max_depth = MAX_DEPTH;
     }
--- a/crates/documents/src/wire/mod.rs
+++ b/crates/documents/src/wire/mod.rs
@@ -6,6 +6,7 @@
 mod pool;
 mod service;
 mod settings;
+mod target;
 
 use base::{Finding, Findings};
 
