Refuse settings whose graceful stop leaves no time for admitted work

Cause: With `balancer-lag-ms` at or above `grace-ms` the grace ends while the daemon still waits for the balancer, so that admitted work would be cut. Change: A finding against such settings. Measured: the new test failed before (settings accepted) and passes after; 22 tests of `cargo test -p godwityard-documents` pass. Conclusion: A planned stop keeps time for what it has admitted.

--- a/crates/documents/src/wire/settings.rs
+++ b/crates/documents/src/wire/settings.rs
@@ -51,6 +51,7 @@
 ];
 
 pub(crate) struct SettingsWire {
+    place: Place,
     host: Field<String>,
     domain: Field<String>,
     region: Field<String>,
@@ -103,6 +104,7 @@
     fn from(node: Node) -> Self {
         let mut fields = Fields::new(node);
         SettingsWire {
+            place: fields.place().clone(),
             host: fields.required("host"),
             domain: fields.required("domain"),
             region: fields.required("region"),
@@ -172,6 +174,7 @@
 
     fn try_from(wire: SettingsWire) -> Result<Self, Findings> {
         let mut cx = Checker::new(wire.findings);
+        let place = wire.place;
         let host = cx.name("host", wire.host);
         let domain = cx.name("domain", wire.domain);
         let region = cx.name("region", wire.region);
@@ -186,6 +189,9 @@
         let fleet_secret_file = check_path(&mut cx, "fleet-secret-file", wire.fleet_secret_file);
         let grace = cx.millis("grace-ms", wire.grace_ms, 100..=MAX_GRACE_MS);
         let balancer_lag = cx.millis("balancer-lag-ms", wire.balancer_lag_ms, 0..=MAX_GRACE_MS);
+        let grace = grace.unwrap_or(DEFAULT_GRACE);
+        let balancer_lag = balancer_lag.unwrap_or(DEFAULT_BALANCER_LAG);
+        check_stop_fits(&mut cx, &place, grace, balancer_lag);
         let workers = cx.number("workers", wire.workers, 1..=MAX_WORKERS);
         let log = wire.log.check(&mut cx);
         let policy = wire.policy.check(&mut cx);
@@ -208,8 +214,8 @@
             platform,
             admin_token_file,
             fleet_secret_file,
-            grace: grace.unwrap_or(DEFAULT_GRACE),
-            balancer_lag: balancer_lag.unwrap_or(DEFAULT_BALANCER_LAG),
+            grace,
+            balancer_lag,
             workers: workers.unwrap_or(DEFAULT_WORKERS),
             log,
             policy,
@@ -284,6 +290,16 @@
     })
 }
 
+/// A graceful stop first waits for the balancer, then for admitted work.
+fn check_stop_fits(cx: &mut Checker, place: &Place, grace: Duration, balancer_lag: Duration) {
+    if balancer_lag < grace {
+        return;
+    }
+    let (lag, grace) = (balancer_lag.as_millis(), grace.as_millis());
+    let message = format!("`balancer-lag-ms` ({lag}) is not below `grace-ms` ({grace})");
+    cx.push(place, message, "leave time for admitted work after the balancer has noticed");
+}
+
 fn check_addresses_differ(cx: &mut Checker, fields: [&Field<String>; 3]) {
     let written: Vec<_> = fields.into_iter().flatten().collect();
     for (i, At { value, place }) in written.iter().enumerate() {
--- a/crates/documents/tests/settings.rs
+++ b/crates/documents/tests/settings.rs
@@ -138,3 +138,11 @@
         ]
     );
 }
+
+#[test]
+fn a_graceful_stop_needs_time_beyond_the_balancers() {
+    let text = format!("{SMALL}grace-ms: 2000\n");
+    let findings = parse_settings("settings.yaml", &text).unwrap_err();
+    let found: Vec<_> = findings.iter().map(|it| &*it.message).collect();
+    assert_eq!(found, ["`balancer-lag-ms` (2000) is not below `grace-ms` (2000)"]);
+}
