--- /dev/null
+++ b/xtask/src/bench.rs
@@ -0,0 +1,243 @@
+//! `cargo xtask bench`: runs scenarios, sums them up and compares.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::{Command, ExitCode},
+    sync::Arc,
+    time::Duration,
+};
+
+use eyre::WrapErr;
+use tokio::{runtime, time};
+
+use crate::{
+    ci,
+    deployment::{Deployment, Programs, workspace_folder},
+    judge::{Evidence, Summary},
+    load::{self, CallResult, LoadCx},
+    report::{self, Section},
+    scenario::{Baseline, Scenario},
+    timeline::{self, TimelineCx},
+    watch::{self, Counters, RevisionWatch},
+};
+
+/// Time for the last calls and cancelled work to end before records are read.
+const QUIET_TIME: Duration = Duration::from_millis(300);
+/// The scenario drawn over time.
+const PLOTTED: &str = "domain-out-and-back";
+
+pub struct Options {
+    pub what: String,
+    pub seed: u64,
+    pub json: Option<PathBuf>,
+    pub baseline: Option<Baseline>,
+    pub is_release: bool,
+}
+
+/// A scenario's outcome.
+pub struct Run {
+    pub summary: Summary,
+    pub results: Vec<CallResult>,
+}
+
+pub fn run(options: &Options) -> eyre::Result<ExitCode> {
+    match options.what.as_str() {
+        "capacity" => {
+            ci::cargo(
+                &["run", "--release", "-p", "godwityard-fleet", "--example", "capacity"],
+                &[],
+            )?;
+            Ok(ExitCode::SUCCESS)
+        }
+        "all" => run_all(options),
+        file => run_one(options, Path::new(file)),
+    }
+}
+
+/// Runs one scenario, always ending its processes.
+pub fn run_scenario(
+    programs: &Programs,
+    scenario: &Scenario,
+    name: &str,
+    seed: u64,
+    baseline: Option<Baseline>,
+) -> eyre::Result<Run> {
+    let runtime = runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
+    runtime.block_on(async {
+        tokio::select! {
+            run = measure(programs, scenario, name, seed, baseline) => run,
+            _ = tokio::signal::ctrl_c() => Err(eyre::eyre!("interrupted")),
+        }
+    })
+}
+
+async fn measure(
+    programs: &Programs,
+    scenario: &Scenario,
+    name: &str,
+    seed: u64,
+    baseline: Option<Baseline>,
+) -> eyre::Result<Run> {
+    let deployment = Deployment::start(programs, scenario, name, seed, baseline).await?;
+    let deployment = Arc::new(deployment);
+    let run = measure_deployment(programs, scenario, &deployment, seed).await;
+    let folder = deployment.folder.clone();
+    drop(deployment);
+    let mut run = run.wrap_err_with(|| format!("logs are in {}", folder.display()))?;
+    if run.summary.invariant_violations == 0 {
+        fs::remove_dir_all(&folder)?;
+    }
+    run.summary.scenario = name.to_owned();
+    run.summary.seed = seed;
+    run.summary.baseline = baseline.map_or("none", Baseline::name).to_owned();
+    Ok(run)
+}
+
+async fn measure_deployment(
+    programs: &Programs,
+    scenario: &Scenario,
+    deployment: &Arc<Deployment>,
+    seed: u64,
+) -> eyre::Result<Run> {
+    let revisions = Arc::new(RevisionWatch::default());
+    let load = Arc::new(LoadCx::new(deployment)?);
+    let calls = load::plan(scenario, deployment, seed);
+    let cx = TimelineCx {
+        programs: programs.clone(),
+        deployment: Arc::clone(deployment),
+        load: Arc::clone(&load),
+        revisions: Arc::clone(&revisions),
+    };
+    let settle = Duration::from_millis(scenario.settle_ms);
+    deployment.reset_records().await?;
+    let measured_from = load.started + settle;
+    let before = async {
+        time::sleep_until(measured_from.into()).await;
+        let calls = deployment.platform_calls().await?;
+        eyre::Ok((Counters::read(deployment).await, calls))
+    };
+    let work = async {
+        let results = load::drive(&load, calls);
+        tokio::join!(results, timeline::run(&cx, scenario), before)
+    };
+    let (results, failed_stops, before) = tokio::select! {
+        done = work => done,
+        () = load.balancer.watch(&deployment.client, &deployment.hosts) => unreachable!(),
+        () = revisions.run(&deployment.client, &deployment.hosts) => unreachable!(),
+    };
+    let (before, calls_before) = before?;
+    let duration = measured_from.elapsed();
+    time::sleep(QUIET_TIME).await;
+    let evidence = Evidence {
+        settle,
+        duration,
+        records: deployment.records().await?,
+        runs: deployment.runs().await?,
+        counters: [before, Counters::read(deployment).await],
+        platform_calls: deployment.platform_calls().await?.saturating_sub(calls_before),
+        hosts: deployment.hosts.len(),
+        failed_stops: failed_stops?,
+        config_in_force: revisions.in_force_max(),
+        config_reverts: revisions.reverts(),
+        logged_invariants: watch::logged_invariants(deployment),
+        results,
+    };
+    Ok(Run { summary: evidence.summary(), results: evidence.results })
+}
+
+fn run_one(options: &Options, path: &Path) -> eyre::Result<ExitCode> {
+    let scenario = Scenario::read(path)?;
+    let programs = Programs::build(options.is_release)?;
+    let name = scenario_name(path);
+    let run = run_scenario(&programs, &scenario, &name, options.seed, None)?;
+    let other = match options.baseline {
+        Some(it) => Some(run_scenario(&programs, &scenario, &name, options.seed, Some(it))?),
+        None => None,
+    };
+    println!("{}: seed {}", scenario.title, options.seed);
+    report::print_slices(&run.summary);
+    report::print_table(&run.summary, other.as_ref().map(|it| &it.summary));
+    let verdicts = report::verdicts(&scenario, &run.summary);
+    report::print_verdicts(&verdicts);
+    if let Some(file) = &options.json {
+        let summaries: Vec<_> =
+            std::iter::once(&run.summary).chain(other.as_ref().map(|it| &it.summary)).collect();
+        let json = match summaries.as_slice() {
+            [one] => serde_json::to_string_pretty(one)?,
+            both => serde_json::to_string_pretty(both)?,
+        };
+        fs::write(file, json)?;
+    }
+    let all_hold = verdicts.iter().all(|it| it.holds);
+    Ok(if all_hold { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Runs every scenario in bench/ and writes docs/BENCHMARKS.md.
+fn run_all(options: &Options) -> eyre::Result<ExitCode> {
+    let programs = Programs::build(options.is_release)?;
+    let docs = workspace_folder().join("docs");
+    fs::create_dir_all(&docs)?;
+    let mut sections = Vec::new();
+    let mut all_hold = true;
+    for path in scenario_files()? {
+        let scenario = Scenario::read(&path)?;
+        let name = scenario_name(&path);
+        println!("{name} ...");
+        let run = match run_scenario(&programs, &scenario, &name, options.seed, None) {
+            Ok(run) => run,
+            Err(err) => {
+                println!("{name} did not run to its end: {err:#}");
+                all_hold = false;
+                sections.push(Err((scenario.title, without_paths(&err))));
+                continue;
+            }
+        };
+        let verdicts = report::verdicts(&scenario, &run.summary);
+        report::print_verdicts(&verdicts);
+        all_hold &= verdicts.iter().all(|it| it.holds);
+        if name == PLOTTED {
+            let settle = Duration::from_millis(scenario.settle_ms);
+            report::draw(&docs.join(format!("{name}.svg")), &name, &run.results, settle)?;
+        }
+        let command = format!("cargo xtask bench bench/{name}.yaml --seed {}", options.seed);
+        let summary = run.summary;
+        sections.push(Ok(Section { title: scenario.title, command, summary, verdicts }));
+    }
+    let head = format!(
+        "Written by `cargo xtask bench all --seed {}` on {} at commit {}, {} build.\n\
+         All processes ran on one machine over loopback.\n\n\
+         ![p99 and coverage while a failure domain leaves and returns]({PLOTTED}.svg)",
+        options.seed,
+        output_of("date", &["-u", "+%F %H:%M UTC"]),
+        output_of("git", &["rev-parse", "--short", "HEAD"]),
+        if options.is_release { "release" } else { "debug" },
+    );
+    fs::write(docs.join("BENCHMARKS.md"), report::page(&head, &sections))?;
+    Ok(if all_hold { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn scenario_files() -> eyre::Result<Vec<PathBuf>> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(workspace_folder().join("bench"))? {
+        files.push(entry?.path());
+    }
+    files.retain(|it| !scenario_name(it).starts_with("demo-"));
+    files.sort();
+    Ok(files)
+}
+
+fn scenario_name(path: &Path) -> String {
+    path.file_stem().unwrap_or_default().to_string_lossy().into_owned()
+}
+
+/// An error's causes without the machine's paths.
+fn without_paths(err: &eyre::Report) -> String {
+    err.root_cause().to_string()
+}
+
+fn output_of(program: &str, args: &[&str]) -> String {
+    let output = Command::new(program).args(args).output();
+    let text = output.map(|it| String::from_utf8_lossy(&it.stdout).trim().to_owned());
+    text.unwrap_or_else(|_| "unknown".to_owned())
+}
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,47 @@
+//! `cargo xtask demo`: both deployments on loopback for some seconds each,
+//! with one failure domain taken out and back.
+
+use std::process::ExitCode;
+
+use crate::{
+    bench,
+    deployment::{Programs, workspace_folder},
+    load::{CallResult, Verdict},
+    report,
+    scenario::Scenario,
+};
+
+const DEPLOYMENTS: [&str; 2] = ["bajio", "qc-est"];
+
+pub fn run(seed: u64, is_release: bool) -> eyre::Result<ExitCode> {
+    let programs = Programs::build(is_release)?;
+    let mut holds = true;
+    for deployment in DEPLOYMENTS {
+        holds &= run_deployment(&programs, deployment, seed)?;
+    }
+    Ok(if holds { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn run_deployment(programs: &Programs, deployment: &str, seed: u64) -> eyre::Result<bool> {
+    let name = format!("demo-{deployment}");
+    let path = workspace_folder().join("bench").join(format!("{name}.yaml"));
+    let scenario = Scenario::read(&path)?;
+    println!("\n== {}", scenario.title);
+    let run = bench::run_scenario(programs, &scenario, &name, seed, None)?;
+    if let Some(answer) = run.results.iter().find(|it| is_whole_answer(it)) {
+        println!("\none whole answer, to {}:", answer.call.service);
+        let json: serde_json::Value = serde_json::from_slice(&answer.body)?;
+        println!("{json:#}\n");
+    }
+    report::print_slices(&run.summary);
+    println!("extra load on targets: {:.2}%", run.summary.extra_load_ratio * 100.0);
+    let verdicts = report::verdicts(&scenario, &run.summary);
+    report::print_verdicts(&verdicts);
+    let holds = verdicts.iter().all(|it| it.holds);
+    println!("what must always hold {}", if holds { "held" } else { "DID NOT hold" });
+    Ok(holds)
+}
+
+fn is_whole_answer(result: &CallResult) -> bool {
+    matches!(result.verdict, Verdict::Answered { answered, total } if answered == total)
+}
--- /dev/null
+++ b/xtask/src/deployment/host.rs
@@ -0,0 +1,119 @@
+//! A daemon of the deployment, started and stopped as the timeline says.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitStatus,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use super::{Process, Programs};
+use crate::scenario::Signal;
+
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Running,
+    Paused,
+    /// A planned stop has begun.
+    Stopping,
+    Down,
+}
+
+pub struct Host {
+    pub name: String,
+    pub domain: String,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+    pub peers: SocketAddr,
+    run: Mutex<(Phase, Option<Process>)>,
+}
+
+/// What the operating system tells of a process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    pub cpu_ticks: u64,
+    pub resident_kb: u64,
+}
+
+impl Host {
+    pub fn new(name: String, domain: String, addresses: [SocketAddr; 3]) -> Self {
+        let [callers, admin, peers] = addresses;
+        Host { name, domain, callers, admin, peers, run: Mutex::new((Phase::Down, None)) }
+    }
+
+    pub fn settings_file(&self, folder: &Path) -> PathBuf {
+        folder.join(format!("{}.settings.yaml", self.name))
+    }
+
+    pub fn log_file(&self, folder: &Path) -> PathBuf {
+        folder.join(format!("{}.log", self.name))
+    }
+
+    pub fn start(&self, programs: &Programs, folder: &Path) -> eyre::Result<()> {
+        let program = programs.path("godwityardd");
+        let args = ["--settings".to_owned(), self.settings_file(folder).display().to_string()];
+        let process = Process::start(&self.name, &program, &args, &self.log_file(folder))?;
+        *self.lock() = (Phase::Running, Some(process));
+        Ok(())
+    }
+
+    pub fn phase(&self) -> Phase {
+        self.lock().0
+    }
+
+    /// Sends a signal and notes what it means; `Start` is not one.
+    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let mut run = self.lock();
+        let Some(process) = run.1.as_ref() else { eyre::bail!("{} does not run", self.name) };
+        let (number, phase) = match signal {
+            Signal::Pause => (libc::SIGSTOP, Phase::Paused),
+            Signal::Continue => (libc::SIGCONT, Phase::Running),
+            Signal::Kill => (libc::SIGKILL, Phase::Down),
+            Signal::Terminate => (libc::SIGTERM, Phase::Stopping),
+            Signal::Start => eyre::bail!("{} runs already", self.name),
+        };
+        process.signal(number)?;
+        run.0 = phase;
+        Ok(())
+    }
+
+    /// The exit status once the process has ended; the host is down then.
+    pub fn poll_exit(&self) -> Option<ExitStatus> {
+        let mut run = self.lock();
+        let status = run.1.as_mut()?.exit_status()?;
+        *run = (Phase::Down, None);
+        Some(status)
+    }
+
+    pub fn has_exited(&self) -> bool {
+        self.lock().1.as_mut().is_none_or(|it| it.exit_status().is_some())
+    }
+
+    /// Whether the platform's balancer would send callers here.
+    pub async fn is_ready(&self, client: &reqwest::Client) -> bool {
+        let url = format!("http://{}/readyz", self.callers);
+        let response = client.get(url).timeout(PROBE_TIMEOUT).send().await;
+        response.is_ok_and(|it| it.status().is_success())
+    }
+
+    pub fn usage(&self) -> Option<Usage> {
+        let pid = self.lock().1.as_ref()?.pid();
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        // The program's name may hold spaces; fields are counted after it.
+        let fields: Vec<_> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let user: u64 = fields.get(11)?.parse().ok()?;
+        let system: u64 = fields.get(12)?.parse().ok()?;
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"))?;
+        let resident_kb = line.trim().trim_end_matches(" kB").trim().parse().ok()?;
+        Some(Usage { cpu_ticks: user + system, resident_kb })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, (Phase, Option<Process>)> {
+        self.run.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/xtask/src/deployment/mod.rs
@@ -0,0 +1,296 @@
+//! One run's processes: platform, targets and daemons, with their files.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use documents::Pool;
+use eyre::{WrapErr, bail};
+use standins::{
+    platform::{Host as ListedHost, HostState},
+    spec::SourceDocument,
+    targets::{Change, Record, Run},
+};
+use tokio::time;
+
+mod host;
+mod ports;
+mod process;
+mod texts;
+
+pub use self::{
+    host::{Host, Phase},
+    process::Process,
+};
+use crate::{
+    ci,
+    scenario::{Baseline, Scenario},
+};
+
+/// Read replicas of the platform.
+pub const PLATFORM_REPLICAS: usize = 2;
+/// Longest start of all processes.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How far the platform's list of hosts lags.
+pub const HOST_LIST_LAG: Duration = Duration::from_secs(1);
+
+/// Where the built programs are.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    folder: PathBuf,
+}
+
+/// Everything that runs, ended when dropped.
+pub struct Deployment {
+    pub folder: PathBuf,
+    pub documents: Vec<SourceDocument>,
+    pub pools: Vec<Pool>,
+    pub hosts: Vec<Arc<Host>>,
+    pub client: reqwest::Client,
+    platform: Vec<SocketAddr>,
+    control: SocketAddr,
+    _stand_ins: Vec<Process>,
+}
+
+impl Programs {
+    /// Builds the daemon and the stand-ins.
+    pub fn build(is_release: bool) -> eyre::Result<Self> {
+        let mut args = vec!["build", "--quiet", "-p", "godwityardd", "-p", "godwityard-standins"];
+        if is_release {
+            args.push("--release");
+        }
+        ci::cargo(&args, &[])?;
+        let profile = if is_release { "release" } else { "debug" };
+        Ok(Programs { folder: target_folder().join(profile) })
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+}
+
+impl Deployment {
+    /// Starts all processes and waits until every daemon is ready.
+    pub async fn start(
+        programs: &Programs,
+        scenario: &Scenario,
+        name: &str,
+        seed: u64,
+        baseline: Option<Baseline>,
+    ) -> eyre::Result<Self> {
+        let folder = target_folder().join("bench").join(format!("{name}-{}", std::process::id()));
+        fs::create_dir_all(folder.join("documents"))?;
+        let mut ports = ports::Ports::new();
+        let documents = texts::documents(scenario, &mut ports)?;
+        for document in &documents {
+            let file = format!("{}.yaml", document.key.replace('/', "-"));
+            fs::write(folder.join("documents").join(file), &document.text)?;
+        }
+        let pools = standins::spec::pools(&documents)?;
+        let platform: Vec<_> = (0..PLATFORM_REPLICAS).map(|_| ports.next()).collect();
+        let control = ports.next();
+        let stand_ins = start_stand_ins(programs, &folder, &platform, control, seed)?;
+        let hosts = make_hosts(scenario, &documents, &mut ports);
+        let policy = baseline.map(Baseline::policy_setting);
+        for host in &hosts {
+            let text = texts::settings(host, &hosts, &platform, policy);
+            fs::write(host.settings_file(&folder), text)?;
+        }
+        let client = reqwest::Client::builder().no_proxy().timeout(START_TIMEOUT).build()?;
+        let deployment = Deployment {
+            folder,
+            documents,
+            pools,
+            hosts,
+            client,
+            platform,
+            control,
+            _stand_ins: stand_ins,
+        };
+        deployment.wait_for_stand_ins().await?;
+        deployment.list_hosts(Duration::ZERO).await?;
+        for change in &scenario.targets {
+            deployment.change_targets(change).await?;
+        }
+        for host in &deployment.hosts {
+            host.start(programs, &deployment.folder)?;
+        }
+        deployment.wait_until_ready().await?;
+        Ok(deployment)
+    }
+
+    pub fn host(&self, name: &str) -> eyre::Result<&Arc<Host>> {
+        let host = self.hosts.iter().find(|it| it.name == name);
+        host.ok_or_else(|| eyre::eyre!("no host named `{name}`"))
+    }
+
+    pub fn document(&self, key: &str) -> eyre::Result<&SourceDocument> {
+        let document = self.documents.iter().find(|it| it.key == key);
+        document.ok_or_else(|| eyre::eyre!("no document `{key}`"))
+    }
+
+    /// Services of a pool, in order.
+    pub fn services_of(&self, pool: &str) -> Vec<String> {
+        let line = format!("pool: {pool}");
+        let services = self.documents.iter().filter(|it| it.key.starts_with("service/"));
+        let of_pool = services.filter(|it| it.text.lines().any(|text| text.trim_end() == line));
+        of_pool.map(|it| it.key["service/".len()..].to_owned()).collect()
+    }
+
+    pub fn pool_of(&self, service: &str) -> Option<&Pool> {
+        let document = self.document(&format!("service/{service}")).ok()?;
+        let name = document.text.lines().find_map(|it| it.strip_prefix("pool: "))?.trim_end();
+        self.pools.iter().find(|it| *it.name == *name)
+    }
+
+    pub async fn change_targets(&self, change: &Change) -> eyre::Result<()> {
+        let url = format!("http://{}/change", self.control);
+        let response = self.client.post(url).json(change).send().await?;
+        let is_success = response.status().is_success();
+        let text = response.text().await?;
+        eyre::ensure!(is_success && text != "0", "change of targets refused: {text}");
+        Ok(())
+    }
+
+    pub async fn reset_records(&self) -> eyre::Result<()> {
+        let url = format!("http://{}/reset", self.control);
+        self.client.post(url).send().await?.error_for_status()?;
+        Ok(())
+    }
+
+    pub async fn records(&self) -> eyre::Result<Vec<Record>> {
+        let url = format!("http://{}/records", self.control);
+        Ok(self.client.get(url).send().await?.json().await?)
+    }
+
+    pub async fn runs(&self) -> eyre::Result<Vec<Run>> {
+        let url = format!("http://{}/runs", self.control);
+        Ok(self.client.get(url).send().await?.json().await?)
+    }
+
+    /// Writes a document; returns its revision.
+    pub async fn publish(&self, key: &str, text: String) -> eyre::Result<u64> {
+        let url = self.platform_url(&format!("documents/{key}"));
+        let response = self.client.put(url).body(text).send().await?.error_for_status()?;
+        Ok(response.text().await?.parse()?)
+    }
+
+    pub async fn platform_calls(&self) -> eyre::Result<u64> {
+        let response = self.client.get(self.platform_url("calls")).send().await?;
+        Ok(response.text().await?.parse()?)
+    }
+
+    pub async fn platform_revision(&self) -> eyre::Result<u64> {
+        let response = self.client.get(self.platform_url("revision")).send().await?;
+        Ok(response.text().await?.parse()?)
+    }
+
+    pub fn platform_url(&self, path: &str) -> String {
+        format!("http://{}/control/{path}", self.platform[0])
+    }
+
+    /// Publishes the list of hosts as they are now, to show after `lag`.
+    pub async fn list_hosts(&self, lag: Duration) -> eyre::Result<()> {
+        let listed: Vec<_> = self.hosts.iter().filter_map(|it| listed_host(it)).collect();
+        let url = self.platform_url(&format!("hosts?lag_ms={}", lag.as_millis()));
+        self.client.put(url).json(&listed).send().await?.error_for_status()?;
+        Ok(())
+    }
+
+    pub async fn wait_until_ready(&self) -> eyre::Result<()> {
+        let until = Instant::now() + START_TIMEOUT;
+        for host in &self.hosts {
+            while !host.is_ready(&self.client).await {
+                if Instant::now() > until || host.has_exited() {
+                    bail!("{} is not ready; see {}", host.name, self.folder.display());
+                }
+                time::sleep(POLL_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn wait_for_stand_ins(&self) -> eyre::Result<()> {
+        let until = Instant::now() + START_TIMEOUT;
+        while self.records().await.is_err() || self.platform_calls().await.is_err() {
+            eyre::ensure!(Instant::now() < until, "the stand-ins did not start");
+            time::sleep(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+}
+
+/// The workspace's target folder, in which all temporary files lie.
+pub fn target_folder() -> PathBuf {
+    workspace_folder().join("target")
+}
+
+pub fn workspace_folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap_or(Path::new(".")).to_owned()
+}
+
+fn start_stand_ins(
+    programs: &Programs,
+    folder: &Path,
+    platform: &[SocketAddr],
+    control: SocketAddr,
+    seed: u64,
+) -> eyre::Result<Vec<Process>> {
+    let program = programs.path("godwityard-standin");
+    let documents = folder.join("documents").display().to_string();
+    let targets = [
+        "--until-stdin-closes".to_owned(),
+        "targets".to_owned(),
+        "--spec".to_owned(),
+        documents.clone(),
+        "--control".to_owned(),
+        control.to_string(),
+        "--seed".to_owned(),
+        seed.to_string(),
+    ];
+    let mut service =
+        ["--until-stdin-closes", "platform", "--documents", &documents].map(str::to_owned).to_vec();
+    for address in platform {
+        service.push("--listen".to_owned());
+        service.push(address.to_string());
+    }
+    Ok(vec![
+        Process::start("targets", &program, &targets, &folder.join("targets.log"))?,
+        Process::start("platform", &program, &service, &folder.join("platform.log"))
+            .wrap_err("platform")?,
+    ])
+}
+
+fn make_hosts(
+    scenario: &Scenario,
+    documents: &[SourceDocument],
+    ports: &mut ports::Ports,
+) -> Vec<Arc<Host>> {
+    let keys = documents.iter().filter_map(|it| it.key.strip_prefix("domain/"));
+    let domains: Vec<_> = keys.collect();
+    let host = |number: usize| {
+        let domain = domains[number % domains.len()];
+        let name = format!("{domain}-{}", number / domains.len() + 1);
+        Arc::new(Host::new(name, domain.to_owned(), [ports.next(), ports.next(), ports.next()]))
+    };
+    (0..scenario.hosts).map(host).collect()
+}
+
+fn listed_host(host: &Host) -> Option<ListedHost> {
+    let state = match host.phase() {
+        Phase::Down => return None,
+        Phase::Stopping => HostState::Leaving,
+        Phase::Running | Phase::Paused => HostState::Live,
+    };
+    Some(ListedHost {
+        host: host.name.clone(),
+        domain: host.domain.clone(),
+        address: host.peers.to_string(),
+        state,
+    })
+}
--- /dev/null
+++ b/xtask/src/deployment/ports.rs
@@ -0,0 +1,30 @@
+//! Free ports on loopback, below the range that outgoing connections use.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+
+const FIRST_PORT: u16 = 10_000;
+const LAST_PORT: u16 = 32_000;
+/// Distance between the ports where processes start to look.
+const STRIDE: u32 = 997;
+
+pub struct Ports(u16);
+
+impl Ports {
+    /// Starts at a place that differs between processes.
+    pub fn new() -> Self {
+        let range = u32::from(LAST_PORT - FIRST_PORT);
+        let offset = std::process::id().wrapping_mul(STRIDE) % range;
+        Ports(FIRST_PORT + offset as u16)
+    }
+
+    /// The next port that is free for TCP and for UDP.
+    pub fn next(&mut self) -> SocketAddr {
+        loop {
+            self.0 = if self.0 >= LAST_PORT { FIRST_PORT } else { self.0 + 1 };
+            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, self.0));
+            if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+                return address;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/deployment/process.rs
@@ -0,0 +1,55 @@
+//! A child process that never outlives its handle.
+
+use std::{
+    fs::File,
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+use eyre::WrapErr;
+
+pub struct Process {
+    name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program with its output appended to a log file.
+    pub fn start(name: &str, program: &Path, args: &[String], log: &Path) -> eyre::Result<Self> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::piped())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| format!("{} did not start", program.display()))?;
+        Ok(Process { name: name.to_owned(), child })
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn signal(&self, signal: libc::c_int) -> eyre::Result<()> {
+        let pid = libc::pid_t::try_from(self.child.id())?;
+        // SAFETY: kill has no preconditions; the child is not yet reaped, so
+        // the id is its own.
+        #[allow(unsafe_code)]
+        let result = unsafe { libc::kill(pid, signal) };
+        eyre::ensure!(result == 0, "signal {signal} did not reach {}", self.name);
+        Ok(())
+    }
+
+    /// The exit status, if the process has ended.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/xtask/src/load/caller.rs
@@ -0,0 +1,142 @@
+//! One caller: sends a call through the balancer, and again where the
+//! scenario says so.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::Deserialize;
+
+use super::{
+    Call, LoadCx,
+    answer::{self, Checks, Verdict},
+};
+use crate::{deployment::Phase, scenario::CallKind};
+
+/// Refusals after which the same ticket can never run.
+const FINAL_REASONS: [&str; 2] = ["ticket_unknown", "ticket_expired"];
+const RESEND_PAUSE: Duration = Duration::from_millis(50);
+
+/// What one call came to.
+#[derive(Clone, Debug)]
+pub struct CallResult {
+    pub call: Call,
+    /// Failure domain of the host that gave the last answer.
+    pub domain: String,
+    /// From the intended start to the last answer.
+    pub latency: Duration,
+    pub verdict: Verdict,
+    pub checks: Checks,
+    pub sends: u32,
+    /// Whether the last host had been told to stop when the call was sent.
+    pub is_host_stopping: bool,
+    /// The last answer as it came.
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, Deserialize)]
+struct TicketWire {
+    ticket: String,
+}
+
+/// One exchange with one host.
+struct Exchange {
+    domain: String,
+    is_host_stopping: bool,
+    verdict: Verdict,
+    checks: Checks,
+    body: Vec<u8>,
+}
+
+/// Makes a call, with its resends.
+pub async fn make(cx: Arc<LoadCx>, call: Call) -> CallResult {
+    let mut ticket = None;
+    let mut sends = 0;
+    loop {
+        sends += 1;
+        let exchange = match call.kind {
+            CallKind::Query => send(&cx, &call, "query", None).await,
+            CallKind::Execute => execute(&cx, &call, &mut ticket).await,
+        };
+        if sends > call.resends || is_final(&exchange.verdict) {
+            return CallResult {
+                latency: cx.started.elapsed().saturating_sub(call.at),
+                domain: exchange.domain,
+                verdict: exchange.verdict,
+                checks: exchange.checks,
+                sends,
+                is_host_stopping: exchange.is_host_stopping,
+                body: exchange.body,
+                call,
+            };
+        }
+        tokio::time::sleep(RESEND_PAUSE).await;
+    }
+}
+
+fn is_final(verdict: &Verdict) -> bool {
+    match verdict {
+        Verdict::Answered { answered, total } => answered == total,
+        Verdict::Refused { reason, .. } => FINAL_REASONS.contains(&reason.as_str()),
+        Verdict::Failed(_) => false,
+    }
+}
+
+/// Gets a ticket if the call has none yet, then redeems it.
+async fn execute(cx: &LoadCx, call: &Call, ticket: &mut Option<String>) -> Exchange {
+    if ticket.is_none() {
+        let exchange = send(cx, call, "tickets", None).await;
+        match serde_json::from_slice::<TicketWire>(&exchange.body) {
+            Ok(wire) => *ticket = Some(wire.ticket),
+            Err(_) => return exchange,
+        }
+    }
+    send(cx, call, "execute", ticket.as_deref()).await
+}
+
+async fn send(cx: &LoadCx, call: &Call, path: &str, ticket: Option<&str>) -> Exchange {
+    let Some(host) = cx.balancer.pick() else {
+        return Exchange::failed(String::new(), false, "no host is ready".to_owned());
+    };
+    let is_host_stopping = host.phase() == Phase::Stopping;
+    let url = format!("http://{}/v1/services/{}/{path}", host.callers, call.service);
+    let mut request = cx.client.post(url).timeout(call.patience);
+    if let Some(ticket) = ticket {
+        request = request.header("godwityard-ticket", ticket);
+    }
+    if path != "tickets" {
+        request = request.body(call.body.clone());
+    }
+    let domain = host.domain.clone();
+    let response = match request.send().await {
+        Ok(response) => response,
+        Err(err) => return Exchange::failed(domain, is_host_stopping, describe(&err)),
+    };
+    let status = response.status().as_u16();
+    let body = match response.bytes().await {
+        Ok(body) => body.to_vec(),
+        Err(err) => return Exchange::failed(domain, is_host_stopping, describe(&err)),
+    };
+    let shards_in = |map| cx.shards_in(&call.service, map);
+    let (verdict, checks) = answer::read(status, &body, &call.key, shards_in);
+    Exchange { domain, is_host_stopping, verdict, checks, body }
+}
+
+/// The innermost cause, which says more than reqwest's own text.
+fn describe(err: &reqwest::Error) -> String {
+    let mut cause: &dyn std::error::Error = err;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string()
+}
+
+impl Exchange {
+    fn failed(domain: String, is_host_stopping: bool, detail: String) -> Self {
+        Exchange {
+            domain,
+            is_host_stopping,
+            verdict: Verdict::Failed(detail),
+            checks: Checks::default(),
+            body: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/report/markdown.rs
@@ -0,0 +1,59 @@
+//! docs/BENCHMARKS.md, written by `bench all`.
+
+use std::fmt::Write;
+
+use super::{KEYS, Verdict};
+use crate::judge::Summary;
+
+/// One scenario's part of the page.
+pub struct Section {
+    pub title: String,
+    pub command: String,
+    pub summary: Summary,
+    pub verdicts: Vec<Verdict>,
+}
+
+/// The whole page.
+pub fn page(head: &str, sections: &[Result<Section, (String, String)>]) -> String {
+    let mut out = format!("# Benchmarks\n\n{head}\n");
+    for section in sections {
+        match section {
+            Ok(section) => write_section(&mut out, section),
+            Err((title, detail)) => {
+                let _ = write!(out, "\n## {title}\n\n**Did not run to its end:** {detail}\n");
+            }
+        }
+    }
+    out
+}
+
+fn write_section(out: &mut String, section: &Section) {
+    let _ = write!(out, "\n## {}\n\n`{}`\n\n", section.title, section.command);
+    if !section.verdicts.is_empty() {
+        out.push_str("| bound | asked | measured | verdict |\n| --- | --- | --- | --- |\n");
+    }
+    for it in &section.verdicts {
+        let value = it.value.map_or("no such key".to_owned(), |it| format!("{it:.3}"));
+        let mark = if it.holds { "holds" } else { "**broken**" };
+        let _ = writeln!(out, "| {} | {} | {value} | {mark} |", it.key, it.bound);
+    }
+    out.push_str("\n| part | requests | answered | p50 ms | p99 ms | coverage |\n");
+    out.push_str("| --- | --- | --- | --- | --- | --- |\n");
+    let summary = &section.summary;
+    let all = "all".to_owned();
+    for (name, it) in std::iter::once((&all, &summary.overall)).chain(&summary.groups) {
+        let _ = writeln!(
+            out,
+            "| {name} | {} | {} | {:.1} | {:.1} | {:.4} |",
+            it.requests, it.answered, it.p50_ms, it.p99_ms, it.coverage_mean
+        );
+    }
+    out.push_str("\n<details><summary>all keys</summary>\n\n");
+    for key in KEYS {
+        let _ = writeln!(out, "- {key}: {:.3}", summary.value(key).unwrap_or(f64::NAN));
+    }
+    for (reason, count) in &summary.reasons {
+        let _ = writeln!(out, "- {count} x {reason}");
+    }
+    out.push_str("\n</details>\n");
+}
--- /dev/null
+++ b/xtask/src/report/mod.rs
@@ -0,0 +1,137 @@
+//! Summaries as text for people: tables, comparison, verdicts.
+
+use crate::{
+    judge::{Slice, Summary},
+    scenario::Scenario,
+};
+
+mod markdown;
+mod plot;
+
+pub use self::{
+    markdown::{Section, page},
+    plot::draw,
+};
+
+/// Keys printed for each run, in order.
+const KEYS: [&str; 27] = [
+    "requests",
+    "answered",
+    "refused",
+    "failed",
+    "p50_ms",
+    "p90_ms",
+    "p99_ms",
+    "p999_ms",
+    "coverage_mean",
+    "coverage_full_ratio",
+    "coverage_lies",
+    "mixed_snapshots",
+    "crossed_answers",
+    "false_not_run",
+    "duplicate_runs",
+    "extra_load_ratio",
+    "hedges",
+    "retries",
+    "cold_overload_events",
+    "target_crashes",
+    "work_after_domain_out_ms_max",
+    "config_in_force_ms_max",
+    "fairness_jain",
+    "planned_stop_failures",
+    "cpu_us_per_query",
+    "rss_mb_max",
+    "invariant_violations",
+];
+
+/// A bound of a scenario against what was measured.
+pub struct Verdict {
+    pub key: String,
+    pub bound: String,
+    /// None if the summary has no such key.
+    pub value: Option<f64>,
+    pub holds: bool,
+}
+
+/// Every bound of the scenario, and the promises without exception.
+pub fn verdicts(scenario: &Scenario, summary: &Summary) -> Vec<Verdict> {
+    let mut verdicts = Vec::new();
+    for (key, bound) in &scenario.bounds {
+        let value = summary.value(key);
+        let min = bound.min.map(|it| format!("≥ {it}"));
+        let max = bound.max.map(|it| format!("≤ {it}"));
+        let text: Vec<_> = [min, max].into_iter().flatten().collect();
+        let holds = value.is_some_and(|it| bound.holds(it));
+        verdicts.push(Verdict { key: key.clone(), bound: text.join(" and "), value, holds });
+    }
+    for key in summary.broken_promises() {
+        if !scenario.bounds.contains_key(key) {
+            let value = summary.value(key);
+            verdicts.push(Verdict {
+                key: key.to_owned(),
+                bound: "≤ 0".to_owned(),
+                value,
+                holds: false,
+            });
+        }
+    }
+    verdicts
+}
+
+pub fn print_slices(summary: &Summary) {
+    println!(
+        "{:<16} {:>8} {:>8} {:>7} {:>6} {:>8} {:>8} {:>8} {:>8} {:>9}",
+        "",
+        "requests",
+        "answered",
+        "refused",
+        "failed",
+        "p50 ms",
+        "p90 ms",
+        "p99 ms",
+        "p99.9",
+        "coverage"
+    );
+    print_slice("all", &summary.overall);
+    summary.groups.iter().for_each(|(name, it)| print_slice(name, it));
+    summary.domains.iter().for_each(|(name, it)| print_slice(name, it));
+    for (reason, count) in &summary.reasons {
+        println!("  {count} x {reason}");
+    }
+}
+
+/// One or two runs side by side; the ratio is the second to the first.
+pub fn print_table(summary: &Summary, other: Option<&Summary>) {
+    for key in KEYS {
+        let value = summary.value(key).unwrap_or(f64::NAN);
+        let Some(other) = other else {
+            println!("{key:<30} {value:>12.3}");
+            continue;
+        };
+        let second = other.value(key).unwrap_or(f64::NAN);
+        println!("{key:<30} {value:>12.3} {second:>12.3} {:>8.2}", second / value);
+    }
+}
+
+pub fn print_verdicts(verdicts: &[Verdict]) {
+    for it in verdicts {
+        let mark = if it.holds { "holds" } else { "BROKEN" };
+        let value = it.value.map_or("no such key".to_owned(), |it| format!("{it:.3}"));
+        println!("{mark:<7} {:<36} {:<10} measured {value}", it.key, it.bound);
+    }
+}
+
+fn print_slice(name: &str, it: &Slice) {
+    println!(
+        "{name:<16} {:>8} {:>8} {:>7} {:>6} {:>8.1} {:>8.1} {:>8.1} {:>8.1} {:>9.4}",
+        it.requests,
+        it.answered,
+        it.refused,
+        it.failed,
+        it.p50_ms,
+        it.p90_ms,
+        it.p99_ms,
+        it.p999_ms,
+        it.coverage_mean
+    );
+}
--- /dev/null
+++ b/xtask/src/scenario.rs
@@ -0,0 +1,268 @@
+//! The scenario format, described in docs/BENCH.md.
+
+use std::{collections::BTreeMap, fs, path::Path, str::FromStr};
+
+use eyre::{WrapErr, eyre};
+use serde::{Deserialize, Serialize};
+use standins::{platform::Outage, targets::Change};
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Scenario {
+    pub title: String,
+    /// Folder in examples/ with the documents to use.
+    pub deployment: Option<String>,
+    /// Pools to make in place of a deployment.
+    #[serde(default)]
+    pub pools: Vec<PoolPlan>,
+    /// Daemons, spread evenly over the failure domains.
+    #[serde(default = "default_hosts")]
+    pub hosts: usize,
+    /// Load before the measured part.
+    #[serde(default = "default_settle_ms")]
+    pub settle_ms: u64,
+    pub duration_ms: u64,
+    /// Changes to the targets before any load.
+    #[serde(default)]
+    pub targets: Vec<Change>,
+    pub load: Vec<Load>,
+    /// Events at times of the measured part.
+    #[serde(default)]
+    pub timeline: Vec<Event>,
+    /// Bounds on keys of the summary.
+    #[serde(default)]
+    pub bounds: BTreeMap<String, Bound>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PoolPlan {
+    pub name: String,
+    pub shards: u32,
+    pub slots: u32,
+    pub connections: u32,
+    pub cold_slots: u32,
+    /// Targets of a shard, each in another domain.
+    #[serde(default = "default_replicas")]
+    pub replicas: u32,
+    /// Services, named after the pool and a number.
+    pub services: u32,
+    pub deadline_ms: u64,
+    #[serde(default = "default_coverage")]
+    pub min_coverage: f64,
+    #[serde(default = "default_prefer")]
+    pub prefer: String,
+    #[serde(default)]
+    pub non_idempotent: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallKind {
+    #[default]
+    Query,
+    /// A non-idempotent request under a ticket.
+    Execute,
+}
+
+/// A stream of calls with exponential gaps.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Load {
+    /// Name in the summary.
+    pub group: String,
+    /// All services of this pool, evenly.
+    pub pool: Option<String>,
+    #[serde(default)]
+    pub services: Vec<String>,
+    /// Calls a second, all services together.
+    pub rate: f64,
+    #[serde(default)]
+    pub kind: CallKind,
+    #[serde(default = "default_body_bytes")]
+    pub body_bytes: usize,
+    /// Marks the body so that it crashes each target that runs it.
+    #[serde(default)]
+    pub crash: bool,
+    /// Sends the same body again, through another host, when no answer came.
+    #[serde(default)]
+    pub resends: u32,
+    /// How long the caller waits before it hangs up.
+    #[serde(default = "default_patience_ms")]
+    pub patience_ms: u64,
+    #[serde(default)]
+    pub from_ms: u64,
+    pub until_ms: Option<u64>,
+}
+
+/// What happens at one time; several fields may be set.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Event {
+    pub at_ms: u64,
+    pub domain: Option<DomainEvent>,
+    pub targets: Option<Change>,
+    pub host: Option<HostEvent>,
+    pub platform: Option<PlatformEvent>,
+    /// Key of a document to write again, unchanged but for its revision.
+    pub touch: Option<String>,
+    pub repartition: Option<Repartition>,
+    pub rolling_replacement: Option<RollingReplacement>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct DomainEvent {
+    pub name: String,
+    /// `in` or `out`, written to the domain's document.
+    pub state: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Signal {
+    Pause,
+    Continue,
+    Kill,
+    Terminate,
+    Start,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct HostEvent {
+    pub name: String,
+    pub signal: Signal,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct PlatformEvent {
+    /// Every replica if absent.
+    pub replica: Option<usize>,
+    #[serde(default)]
+    pub outage: Outage,
+    /// Shows nothing newer than it does now.
+    #[serde(default)]
+    pub stale: bool,
+    /// Forgets this many of the last revisions first.
+    #[serde(default)]
+    pub forget: u64,
+}
+
+/// The next map of a pool: the same targets hold fewer or more shards.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Repartition {
+    pub pool: String,
+    pub shards: u32,
+}
+
+/// Every host in turn: graceful stop, then start.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct RollingReplacement {
+    pub pause_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Bound {
+    pub min: Option<f64>,
+    pub max: Option<f64>,
+}
+
+/// A mechanism turned off for comparison.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Baseline {
+    Direct,
+    NoHedge,
+    NoWarmUp,
+    Fifo,
+    NoEarlyRefusal,
+}
+
+impl Scenario {
+    pub fn read(path: &Path) -> eyre::Result<Self> {
+        let text = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+        Scenario::parse(&text).wrap_err_with(|| path.display().to_string())
+    }
+
+    /// Parses a scenario; an error names line and column.
+    pub fn parse(text: &str) -> eyre::Result<Self> {
+        let scenario: Scenario = serde_saphyr::from_str(text).map_err(|err| eyre!("{err}"))?;
+        eyre::ensure!(
+            scenario.deployment.is_some() != scenario.pools.is_empty(),
+            "a scenario has either `deployment` or `pools`"
+        );
+        Ok(scenario)
+    }
+}
+
+impl Bound {
+    pub fn holds(&self, value: f64) -> bool {
+        self.min.is_none_or(|min| value >= min) && self.max.is_none_or(|max| value <= max)
+    }
+}
+
+impl Baseline {
+    pub const NAMES: &'static [(&'static str, Baseline)] = &[
+        ("direct", Baseline::Direct),
+        ("no-hedge", Baseline::NoHedge),
+        ("no-warmup", Baseline::NoWarmUp),
+        ("fifo", Baseline::Fifo),
+        ("no-early-refusal", Baseline::NoEarlyRefusal),
+    ];
+
+    pub fn name(self) -> &'static str {
+        Self::NAMES.iter().find(|(_, it)| *it == self).map_or("", |(name, _)| name)
+    }
+
+    /// The daemons' `policy` setting.
+    pub fn policy_setting(self) -> &'static str {
+        match self {
+            Baseline::Direct => "owners: direct",
+            Baseline::NoHedge => "hedging: off",
+            Baseline::NoWarmUp => "warm-up: false",
+            Baseline::Fifo => "fair-turns: first-come-first-served",
+            Baseline::NoEarlyRefusal => "early-refusal: false",
+        }
+    }
+}
+
+impl FromStr for Baseline {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let known = Self::NAMES.iter().find(|(name, _)| *name == text);
+        known.map(|(_, it)| *it).ok_or_else(|| format!("unknown baseline `{text}`"))
+    }
+}
+
+fn default_hosts() -> usize {
+    8
+}
+
+fn default_settle_ms() -> u64 {
+    2_000
+}
+
+fn default_replicas() -> u32 {
+    3
+}
+
+fn default_coverage() -> f64 {
+    1.0
+}
+
+fn default_prefer() -> String {
+    "latency".to_owned()
+}
+
+fn default_body_bytes() -> usize {
+    200
+}
+
+fn default_patience_ms() -> u64 {
+    5_000
+}
--- /dev/null
+++ b/xtask/src/watch.rs
@@ -0,0 +1,155 @@
+//! What the operating system, the hosts' administration API and the platform
+//! tell during a run.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use serde::Deserialize;
+use tokio::time;
+
+use crate::deployment::{Deployment, Host, Phase};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Clock ticks a second, as /proc counts processor time.
+const TICKS_PER_S: u64 = 100;
+/// What the daemon logs when an invariant does not hold.
+const INVARIANT_MARK: &str = "invariant broken";
+
+/// Follows the revision in force on every host.
+#[derive(Default)]
+pub struct RevisionWatch(Mutex<Revisions>);
+
+#[derive(Default)]
+struct Revisions {
+    /// Publication times of revisions not yet in force everywhere.
+    pending: BTreeMap<u64, Instant>,
+    last: BTreeMap<(String, u64), u64>,
+    in_force: Duration,
+    reverts: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct StatusWire {
+    #[serde(default)]
+    incarnation: serde_json::Value,
+    revision: u64,
+}
+
+/// Counters summed over the hosts that run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counters {
+    pub hedges: f64,
+    pub retries: f64,
+    pub control_bytes: f64,
+    pub invariants_broken: f64,
+    pub cpu_us: u64,
+    pub resident_kb_max: u64,
+}
+
+impl RevisionWatch {
+    /// Notes that a revision was published just now.
+    pub fn published(&self, revision: u64) {
+        self.lock().pending.insert(revision, Instant::now());
+    }
+
+    /// Longest time from publication to being in force on every live host;
+    /// a revision still missing somewhere counts until now.
+    pub fn in_force_max(&self) -> Duration {
+        let revisions = self.lock();
+        let pending = revisions.pending.values().map(Instant::elapsed).max();
+        pending.unwrap_or_default().max(revisions.in_force)
+    }
+
+    pub fn reverts(&self) -> u64 {
+        self.lock().reverts
+    }
+
+    /// Asks every host again and again, for ever.
+    pub async fn run(&self, client: &reqwest::Client, hosts: &[Arc<Host>]) {
+        loop {
+            let live: Vec<_> = hosts.iter().filter(|it| it.phase() == Phase::Running).collect();
+            let statuses = live.iter().map(|it| status(client, it));
+            let statuses = futures::future::join_all(statuses).await;
+            self.note(&live, &statuses);
+            time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    fn note(&self, hosts: &[&Arc<Host>], statuses: &[Option<StatusWire>]) {
+        let mut revisions = self.lock();
+        for (host, status) in hosts.iter().zip(statuses) {
+            let Some(status) = status else { continue };
+            let incarnation = status.incarnation.as_u64().unwrap_or(0);
+            let last = revisions.last.entry((host.name.clone(), incarnation)).or_default();
+            let is_revert = status.revision < *last;
+            *last = status.revision;
+            revisions.reverts += u64::from(is_revert);
+        }
+        let least = statuses.iter().map(|it| it.as_ref().map_or(0, |it| it.revision)).min();
+        let least = least.unwrap_or(0);
+        while let Some(entry) = revisions.pending.first_entry() {
+            if *entry.key() > least {
+                return;
+            }
+            let took = entry.remove().elapsed();
+            revisions.in_force = revisions.in_force.max(took);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Revisions> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Counters {
+    /// Reads the counters of every host that runs.
+    pub async fn read(deployment: &Deployment) -> Self {
+        let mut counters = Counters::default();
+        for host in &deployment.hosts {
+            let usage = host.usage().unwrap_or_default();
+            counters.cpu_us += usage.cpu_ticks * 1_000_000 / TICKS_PER_S;
+            counters.resident_kb_max = counters.resident_kb_max.max(usage.resident_kb);
+            let Some(text) = metrics(&deployment.client, host).await else { continue };
+            counters.hedges += metric_sum(&text, "hedges");
+            counters.retries += metric_sum(&text, "retries");
+            counters.control_bytes += metric_sum(&text, "control_bytes");
+            counters.invariants_broken += metric_sum(&text, "invariants_broken");
+        }
+        counters
+    }
+}
+
+/// Lines about broken invariants in the hosts' logs, dead hosts included.
+pub fn logged_invariants(deployment: &Deployment) -> u64 {
+    let files = deployment.hosts.iter().map(|it| it.log_file(&deployment.folder));
+    let texts = files.map(|it| fs::read_to_string(it).unwrap_or_default());
+    texts.map(|it| it.matches(INVARIANT_MARK).count() as u64).sum()
+}
+
+async fn status(client: &reqwest::Client, host: &Host) -> Option<StatusWire> {
+    let url = format!("http://{}/v1/status", host.admin);
+    client.get(url).timeout(POLL_TIMEOUT).send().await.ok()?.json().await.ok()
+}
+
+async fn metrics(client: &reqwest::Client, host: &Host) -> Option<String> {
+    if host.phase() != Phase::Running {
+        return None;
+    }
+    let url = format!("http://{}/metrics", host.admin);
+    client.get(url).timeout(POLL_TIMEOUT).send().await.ok()?.text().await.ok()
+}
+
+/// Sum of a metric over its labels, with or without the counters' suffix.
+fn metric_sum(text: &str, name: &str) -> f64 {
+    let value = |line: &str| {
+        let (series, value) = line.rsplit_once(' ')?;
+        let series = series.split('{').next()?.trim_end_matches("_total");
+        (series == name).then(|| value.parse::<f64>().ok())?
+    };
+    text.lines().filter(|it| !it.starts_with('#')).filter_map(value).sum()
+}
