--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod node;
 pub mod settings;
 
+mod hash;
+
 pub use crate::{
     membership::{Member, MemberState},
     message::Message,
--- /dev/null
+++ b/crates/fleet/src/membership/probe.rs
@@ -0,0 +1,232 @@
+//! Probes of other hosts: one at a time in this domain, direct and then
+//! through others; and reaching out beyond it.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{HashMap, HostName, Time};
+use rand::{
+    Rng,
+    rngs::SmallRng,
+    seq::{IndexedRandom, SliceRandom},
+};
+
+use super::{MemberState, PROBE_INTERVAL, Table};
+
+/// An unanswered probe goes through other hosts after this.
+const INDIRECT_AFTER: Duration = Duration::from_millis(300);
+
+/// A probe still unanswered after this makes its host a suspect.
+const SUSPECT_AFTER: Duration = Duration::from_millis(900);
+
+/// Hosts asked to probe on this one's behalf.
+const INDIRECT_PROBES: usize = 3;
+
+/// Time between two tries to reach a host believed dead.
+const DEAD_INTERVAL: Duration = Duration::from_secs(2);
+
+/// A host that just started looks for others more often, and for several.
+const START_PHASE: Duration = Duration::from_secs(20);
+const START_INTERVAL: Duration = Duration::from_millis(300);
+const START_PROBES: usize = 4;
+
+/// An asked probe is remembered for this long.
+const RELAY_LIFE: Duration = Duration::from_secs(1);
+
+/// Hosts of a domain that probe hosts of other domains.
+const SPEAKERS: usize = 2;
+
+#[derive(Debug)]
+pub(crate) struct Prober {
+    /// Hosts of this domain in the order to probe them, last first.
+    order: Vec<HostName>,
+    started: Time,
+    next_probe: Time,
+    next_dead: Time,
+    pending: Option<Pending>,
+    relays: HashMap<u64, Relay>,
+    next_seq: u64,
+}
+
+#[derive(Debug)]
+struct Pending {
+    host: HostName,
+    address: SocketAddr,
+    sent: Time,
+    is_indirect: bool,
+}
+
+#[derive(Debug)]
+struct Relay {
+    requester: SocketAddr,
+    seq: u64,
+    expires: Time,
+}
+
+/// What to send, to whom.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Reached {
+    Ping { seq: u64, address: SocketAddr },
+    PingRequest { seq: u64, via: SocketAddr, address: SocketAddr },
+}
+
+impl Prober {
+    pub(crate) fn new(now: Time, rng: &mut SmallRng) -> Prober {
+        let jitter = PROBE_INTERVAL.mul_f64(rng.random::<f64>() * 0.5);
+        Prober {
+            order: Vec::new(),
+            started: now,
+            next_probe: now + jitter,
+            next_dead: now,
+            pending: None,
+            relays: HashMap::default(),
+            next_seq: 1,
+        }
+    }
+
+    pub(crate) fn next_wakeup(&self) -> Time {
+        let next = self.next_probe.min(self.next_dead);
+        let Some(pending) = &self.pending else { return next };
+        let due = if pending.is_indirect { SUSPECT_AFTER } else { INDIRECT_AFTER };
+        next.min(pending.sent + due)
+    }
+
+    pub(crate) fn next_seq(&mut self) -> u64 {
+        self.next_seq += 1;
+        self.next_seq
+    }
+
+    /// Forgets what is unanswered; after a pause it proves nothing.
+    pub(crate) fn reset(&mut self, now: Time) {
+        self.pending = None;
+        self.next_probe = now;
+        self.next_dead = now;
+    }
+
+    pub(crate) fn tick(
+        &mut self,
+        now: Time,
+        table: &mut Table,
+        rng: &mut SmallRng,
+    ) -> Vec<Reached> {
+        let mut out = Vec::new();
+        self.relays.retain(|_, it| it.expires > now);
+        self.check_pending(now, table, rng, &mut out);
+        if now >= self.next_dead {
+            let is_new = now.since(self.started) < START_PHASE;
+            let (interval, count) =
+                if is_new { (START_INTERVAL, START_PROBES) } else { (DEAD_INTERVAL, 1) };
+            self.next_dead = now + jittered(interval, rng);
+            for record in table.random_dead(rng, count) {
+                out.push(Reached::Ping { seq: self.next_seq(), address: record.address });
+            }
+        }
+        if now >= self.next_probe {
+            self.next_probe = now + jittered(PROBE_INTERVAL, rng);
+            self.probe(now, table, rng, &mut out);
+            self.speak(table, rng, &mut out);
+        }
+        out
+    }
+
+    fn check_pending(
+        &mut self,
+        now: Time,
+        table: &mut Table,
+        rng: &mut SmallRng,
+        out: &mut Vec<Reached>,
+    ) {
+        let seq = self.next_seq();
+        let Some(pending) = &mut self.pending else { return };
+        let age = now.since(pending.sent);
+        if age >= SUSPECT_AFTER {
+            table.set_state(&pending.host, MemberState::Suspect, now);
+            self.pending = None;
+            return;
+        }
+        if pending.is_indirect || age < INDIRECT_AFTER {
+            return;
+        }
+        pending.is_indirect = true;
+        let address = pending.address;
+        let own = table.own();
+        let can_help = |host: &HostName| *host != pending.host && *host != own.host;
+        let mut helpers: Vec<_> =
+            table.up(&own.domain).filter(|it| can_help(&it.host)).map(|it| it.address).collect();
+        helpers.shuffle(rng);
+        helpers.truncate(INDIRECT_PROBES);
+        out.extend(helpers.into_iter().map(|via| Reached::PingRequest { seq, via, address }));
+    }
+
+    fn probe(&mut self, now: Time, table: &Table, rng: &mut SmallRng, out: &mut Vec<Reached>) {
+        if self.pending.is_some() {
+            return;
+        }
+        let Some((host, address)) = self.next_host(table, rng) else { return };
+        out.push(Reached::Ping { seq: self.next_seq(), address });
+        self.pending = Some(Pending { host, address, sent: now, is_indirect: false });
+    }
+
+    /// Hosts come round in random order, so each is probed within two rounds.
+    fn next_host(&mut self, table: &Table, rng: &mut SmallRng) -> Option<(HostName, SocketAddr)> {
+        for _ in 0..2 {
+            while let Some(host) = self.order.pop() {
+                let record = table.record(&host).filter(|it| it.state.is_up());
+                if let Some(record) = record {
+                    return Some((host, record.address));
+                }
+            }
+            let own = table.own();
+            let others = table.up(&own.domain).filter(|it| it.host != own.host);
+            self.order = others.map(|it| it.host.clone()).collect();
+            self.order.shuffle(rng);
+        }
+        None
+    }
+
+    /// Carries news to another domain, if this host speaks for its own.
+    fn speak(&mut self, table: &Table, rng: &mut SmallRng, out: &mut Vec<Reached>) {
+        if !table.is_chosen("speaker", SPEAKERS) {
+            return;
+        }
+        let own = table.own();
+        let domains: Vec<_> = table.domains().filter(|it| **it != own.domain).collect();
+        let Some(domain) = domains.choose(rng) else { return };
+        let candidates: Vec<_> = if rng.random() {
+            table.chosen(domain, "speaker", SPEAKERS)
+        } else {
+            table.up(domain).collect()
+        };
+        let Some(record) = candidates.choose(rng) else { return };
+        out.push(Reached::Ping { seq: self.next_seq(), address: record.address });
+    }
+
+    /// One speaker of every other domain, if this host speaks for its own.
+    pub(crate) fn other_speakers(table: &Table, rng: &mut SmallRng) -> Vec<SocketAddr> {
+        if !table.is_chosen("speaker", SPEAKERS) {
+            return Vec::new();
+        }
+        let own = &table.own().domain;
+        let others = table.domains().filter(|it| *it != own);
+        let speakers = others.map(|it| table.chosen(it, "speaker", SPEAKERS));
+        speakers.filter_map(|it| it.choose(rng).map(|it| it.address)).collect()
+    }
+
+    /// Probes `address` for another host.
+    pub(crate) fn relay(&mut self, now: Time, requester: SocketAddr, seq: u64) -> u64 {
+        let own_seq = self.next_seq();
+        self.relays.insert(own_seq, Relay { requester, seq, expires: now + RELAY_LIFE });
+        own_seq
+    }
+
+    /// Takes an answer from `address`; returns who else waits for it.
+    pub(crate) fn answered(&mut self, address: SocketAddr, seq: u64) -> Option<(SocketAddr, u64)> {
+        if self.pending.as_ref().is_some_and(|it| it.address == address) {
+            self.pending = None;
+        }
+        self.relays.remove(&seq).map(|it| (it.requester, it.seq))
+    }
+}
+
+fn jittered(interval: Duration, rng: &mut SmallRng) -> Duration {
+    interval.mul_f64(0.9 + 0.2 * rng.random::<f64>())
+}
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -70,10 +70,10 @@
         seq: u64,
         verdicts: Vec<Verdict>,
     },
-    /// The sender gives up rights that it claimed before `seq`.
+    /// The sender gives up rights; claims before `seq` are void.
     Release {
         seq: u64,
-        rights: Vec<Right>,
+        rights: Vec<Surrender>,
     },
     /// A primary asks the standby for the slot the standby holds back.
     Borrow {
@@ -179,6 +179,14 @@
     pub voters: u64,
 }
 
+/// A right given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Surrender {
+    pub right: Right,
+    /// The sender held the right until now.
+    pub was_held: bool,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Verdict {
     pub right: Right,
@@ -190,8 +198,8 @@
 pub enum Answer {
     /// The right is promised to the claimant.
     Granted {
-        /// The former holder gave it up itself.
-        was_released: bool,
+        /// The last holder was the claimant or gave the right up itself.
+        is_clean: bool,
     },
     /// Promised to another.
     Held,
--- /dev/null
+++ b/crates/fleet/src/node/gossip.rs
@@ -0,0 +1,161 @@
+//! Membership messages: probes, news and digests.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{HostName, Time};
+use rand::seq::IteratorRandom;
+
+use super::{Node, Phase};
+use crate::{
+    membership::{Prober, Reached},
+    message::{Body, Gossip, MAX_RECORDS_PER_DATAGRAM, Message, Record},
+};
+
+/// Time between two digests because a probe showed a difference.
+const DIGEST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time between two digests because voters differ.
+const URGENT_DIGEST_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Revisions of other hosts that ride on a probe.
+const REVISIONS_PER_PROBE: usize = 8;
+
+/// Hosts told at once of a change that cannot wait for gossip.
+const BROADCAST: usize = 16;
+
+impl Node {
+    pub(super) fn receive(&mut self, now: Time, from: SocketAddr, message: Message) {
+        let Message { sender, incarnation, body } = message;
+        let known = self.table.record(&sender).map(|it| it.incarnation);
+        if sender == self.cfg.host || known.is_some_and(|it| it > incarnation) {
+            // An earlier life of that host, or a message gone in a circle.
+            return;
+        }
+        self.last_heard = Some(now);
+        match body {
+            Body::Ping { seq, gossip } => {
+                self.take_gossip(now, from, &sender, gossip);
+                let gossip = self.gossip(Some(&sender));
+                self.send(from, Body::Ack { seq, gossip });
+            }
+            Body::Ack { seq, gossip } => self.take_ack(now, from, &sender, seq, gossip),
+            Body::PingRequest { seq, address } => {
+                let seq = self.prober.relay(now, from, seq);
+                let gossip = self.gossip(None);
+                self.send(address, Body::Ping { seq, gossip });
+            }
+            Body::IndirectAck { seq, address } => {
+                self.prober.answered(address, seq);
+            }
+            Body::Digest { domains } => {
+                let records = self.table.differing(&domains);
+                self.send_members(from, records);
+            }
+            Body::Members { records } => self.merge(now, records),
+            Body::Announce { .. } | Body::Pull { .. } | Body::Documents(_) => {
+                self.take_spread(now, from, &sender, body);
+            }
+            Body::Claim { .. }
+            | Body::Verdict { .. }
+            | Body::Release { .. }
+            | Body::Borrow { .. }
+            | Body::Loan { .. } => self.take_rights(now, from, &sender, incarnation, body),
+        }
+    }
+
+    fn take_ack(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        sender: &HostName,
+        seq: u64,
+        gossip: Gossip,
+    ) {
+        if let Some((requester, requested)) = self.prober.answered(from, seq) {
+            self.send(requester, Body::IndirectAck { seq: requested, address: from });
+        }
+        if matches!(self.phase, Phase::Paused { seq: paused, .. } if seq > paused) {
+            self.phase = Phase::Ready;
+        }
+        self.take_gossip(now, from, sender, gossip);
+    }
+
+    fn take_gossip(&mut self, now: Time, from: SocketAddr, sender: &HostName, gossip: Gossip) {
+        let incarnation = gossip.own.incarnation;
+        self.merge(now, gossip.records);
+        self.merge(now, vec![gossip.own]);
+        self.table.note_revision(sender, incarnation, gossip.revision);
+        self.table.note_revisions(&gossip.revisions);
+        if gossip.members != self.table.digest() {
+            self.send_digest(now, from, DIGEST_INTERVAL);
+        }
+        self.hear_revision(now, from, gossip.revision, gossip.is_confirmed, None);
+    }
+
+    fn merge(&mut self, now: Time, records: Vec<Record>) {
+        let mut must_refute = false;
+        for record in records {
+            must_refute |= self.table.merge(record, now);
+        }
+        if must_refute {
+            self.broadcast_own();
+        }
+    }
+
+    pub(super) fn probe(&mut self, now: Time) {
+        for reached in self.prober.tick(now, &mut self.table, &mut self.rng) {
+            match reached {
+                Reached::Ping { seq, address } => {
+                    let gossip = self.gossip(None);
+                    self.send(address, Body::Ping { seq, gossip });
+                }
+                Reached::PingRequest { seq, via, address } => {
+                    self.send(via, Body::PingRequest { seq, address });
+                }
+            }
+        }
+    }
+
+    fn gossip(&mut self, to: Option<&HostName>) -> Gossip {
+        let revision = self.store.complete();
+        Gossip {
+            own: self.table.own().clone(),
+            members: self.table.digest(),
+            revision,
+            is_confirmed: self.store.is_confirmed(),
+            records: self.table.take_news(to, MAX_RECORDS_PER_DATAGRAM),
+            revisions: self.table.some_revisions(&mut self.rng, REVISIONS_PER_PROBE),
+        }
+    }
+
+    fn send_digest(&mut self, now: Time, to: SocketAddr, interval: Duration) {
+        if self.last_digest != Time::ZERO && now.since(self.last_digest) < interval {
+            return;
+        }
+        self.last_digest = now;
+        let domains = self.table.domain_digests();
+        self.send(to, Body::Digest { domains });
+    }
+
+    /// Asks a host whose voters differ what it believes.
+    pub(super) fn compare_members(&mut self, now: Time, with: SocketAddr) {
+        self.send_digest(now, with, URGENT_DIGEST_INTERVAL);
+    }
+
+    fn send_members(&mut self, to: SocketAddr, records: Vec<Record>) {
+        if !records.is_empty() {
+            self.send(to, Body::Members { records });
+        }
+    }
+
+    /// Tells some hosts at once what this host says of itself.
+    pub(super) fn broadcast_own(&mut self) {
+        let own = self.table.own().clone();
+        let others = self.table.up(&own.domain).filter(|it| it.host != own.host);
+        let mut to = others.map(|it| it.address).choose_multiple(&mut self.rng, BROADCAST);
+        to.extend(Prober::other_speakers(&self.table, &mut self.rng));
+        for address in to {
+            self.send_members(address, vec![own.clone()]);
+        }
+    }
+}
