--- /dev/null
+++ b/crates/documents/src/reader/mod.rs
@@ -0,0 +1,211 @@
+//! Takes typed fields out of a mapping and checks their values, collecting a
+//! finding for each mistake.
+
+mod checker;
+
+use base::{Finding, Findings, Place};
+
+use crate::tree::{Entry, Node, Value};
+
+pub(crate) use self::checker::{Checker, Unique, sorted};
+
+/// A field as written, with its place.
+#[derive(Clone, Debug)]
+pub(crate) struct At<T> {
+    pub(crate) value: T,
+    pub(crate) place: Place,
+}
+
+/// A field that may be absent or unusable; in the second case a finding tells.
+pub(crate) type Field<T> = Option<At<T>>;
+
+/// The fields of one mapping, taken by name.
+#[derive(Debug)]
+pub(crate) struct Fields {
+    place: Place,
+    entries: Vec<Entry>,
+    asked: Vec<&'static str>,
+    is_mapping: bool,
+    findings: Findings,
+}
+
+/// A type that a field may be written as.
+pub(crate) trait FromValue: Sized {
+    const EXPECTED: &'static str;
+
+    fn from_value(value: Value) -> Result<Self, Value>;
+}
+
+impl Fields {
+    /// Fields of `node`; none, and a finding, if that is not a mapping.
+    pub(crate) fn new(node: Node) -> Self {
+        let Node { place, value } = node;
+        let mut fields = Fields::empty(place);
+        match value {
+            Value::Mapping(entries) => fields.set_entries(entries),
+            other => fields.set_not_mapping(&other),
+        }
+        fields
+    }
+
+    /// Fields of a section that was not written.
+    fn empty(place: Place) -> Self {
+        let findings = Findings::default();
+        Fields { place, entries: Vec::new(), asked: Vec::new(), is_mapping: true, findings }
+    }
+
+    /// Whether the node was a mapping at all.
+    pub(crate) fn is_mapping(&self) -> bool {
+        self.is_mapping
+    }
+
+    pub(crate) fn place(&self) -> &Place {
+        &self.place
+    }
+
+    pub(crate) fn required<T: FromValue>(&mut self, key: &'static str) -> Field<T> {
+        if self.is_mapping && !self.entries.iter().any(|it| it.key == key) {
+            let message = format!("the field `{key}` is missing");
+            self.findings.push(
+                Finding::new(self.place.clone(), message)
+                    .with_hint(format!("add `{key}:` with {}", T::EXPECTED)),
+            );
+        }
+        self.optional(key)
+    }
+
+    pub(crate) fn optional<T: FromValue>(&mut self, key: &'static str) -> Field<T> {
+        self.asked.push(key);
+        let i = self.entries.iter().position(|it| it.key == key)?;
+        let Entry { node: Node { place, value }, .. } = self.entries.remove(i);
+        match T::from_value(value) {
+            Ok(value) => Some(At { value, place }),
+            Err(value) => {
+                let finding = Finding::new(place, format!("`{key}` is {}", value.kind()));
+                self.findings.push(finding.with_hint(format!("use {}", T::EXPECTED)));
+                None
+            }
+        }
+    }
+
+    /// Fields of the mapping under `key`; none if that is absent.
+    pub(crate) fn section(&mut self, key: &'static str) -> Fields {
+        self.asked.push(key);
+        let Some(i) = self.entries.iter().position(|it| it.key == key) else {
+            return Fields::empty(self.place.clone());
+        };
+        Fields::new(self.entries.remove(i).node)
+    }
+
+    /// Reports the fields that nothing asked for and ends the reading.
+    pub(crate) fn finish(mut self) -> Findings {
+        for entry in &self.entries {
+            let message = format!("unknown field `{}`", entry.key);
+            let hint = match nearest(&entry.key, &self.asked) {
+                Some(key) => format!("did you mean `{key}`?"),
+                None => format!("known fields: {}", self.asked.join(", ")),
+            };
+            self.findings.push(Finding::new(entry.place.clone(), message).with_hint(hint));
+        }
+        self.findings
+    }
+
+    fn set_not_mapping(&mut self, value: &Value) {
+        self.is_mapping = false;
+        let message = format!("expected a mapping of fields, found {}", value.kind());
+        let finding = Finding::new(self.place.clone(), message);
+        self.findings.push(finding.with_hint("write one `field: value` a line"));
+    }
+
+    fn set_entries(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            if self.entries.iter().any(|it| it.key == entry.key) {
+                let message = format!("the field `{}` is given twice", entry.key);
+                let finding = Finding::new(entry.place, message);
+                self.findings.push(finding.with_hint("keep one of the two"));
+                continue;
+            }
+            self.entries.push(entry);
+        }
+    }
+}
+
+impl FromValue for String {
+    const EXPECTED: &'static str = "text";
+
+    fn from_value(value: Value) -> Result<Self, Value> {
+        match value {
+            Value::Text(it) => Ok(it),
+            other => Err(other),
+        }
+    }
+}
+
+impl FromValue for u64 {
+    const EXPECTED: &'static str = "a whole number, 0 or more";
+
+    fn from_value(value: Value) -> Result<Self, Value> {
+        match value {
+            Value::Unsigned(it) => Ok(it),
+            other => Err(other),
+        }
+    }
+}
+
+impl FromValue for f64 {
+    const EXPECTED: &'static str = "a number";
+
+    fn from_value(value: Value) -> Result<Self, Value> {
+        match value {
+            Value::Float(it) => Ok(it),
+            Value::Unsigned(it) => Ok(it as f64),
+            Value::Negative(it) => Ok(it as f64),
+            other => Err(other),
+        }
+    }
+}
+
+impl FromValue for bool {
+    const EXPECTED: &'static str = "`true` or `false`";
+
+    fn from_value(value: Value) -> Result<Self, Value> {
+        match value {
+            Value::Bool(it) => Ok(it),
+            other => Err(other),
+        }
+    }
+}
+
+impl FromValue for Vec<Node> {
+    const EXPECTED: &'static str = "a list";
+
+    fn from_value(value: Value) -> Result<Self, Value> {
+        match value {
+            Value::List(it) => Ok(it),
+            other => Err(other),
+        }
+    }
+}
+
+/// The known key that `key` was most likely meant to be.
+fn nearest(key: &str, known: &[&'static str]) -> Option<&'static str> {
+    let limit = (key.chars().count() / 3).max(1);
+    let distances = known.iter().map(|it| (edit_distance(key, it), *it));
+    distances.filter(|(distance, _)| *distance <= limit).min().map(|(_, it)| it)
+}
+
+/// Least insertions, deletions and replacements that turn `a` into `b`.
+fn edit_distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, from) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, to) in b.iter().enumerate() {
+            let replaced = diagonal + usize::from(from != *to);
+            diagonal = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()]
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,4 +6,5 @@
 //! (snapshot, plan, hedges, coverage, tickets).
 
 pub mod message;
+pub mod owner;
 pub mod request;
