--- a/crates/policy/src/request/plan.rs
+++ b/crates/policy/src/request/plan.rs
@@ -44,8 +44,14 @@
     tried: &[TargetName],
     rng: &mut SmallRng,
 ) -> Result<Arc<Target>, Missing> {
-    let untried = usable_replicas(cx, shard).filter(|it| !tried.contains(&it.name));
-    let best = untried.min_by_key(|it| score(cx, it, rng));
+    let is_untried = |it: &&Arc<Target>| !tried.contains(&it.name);
+    let holders = usable_replicas(cx, shard).filter(is_untried);
+    if let Some(best) = holders.min_by_key(|it| score(cx, it, rng)) {
+        return Ok(Arc::clone(best));
+    }
+    let successors = cx.view.replicas(shard).iter().filter(is_untried);
+    let successors = successors.filter(|it| may_hold_by_now(cx, it));
+    let best = successors.min_by_key(|it| score(cx, it, rng));
     best.cloned().ok_or_else(|| reason_for_none(cx, shard))
 }
 
@@ -80,6 +86,14 @@
     (!holds(cx.table, target, cx.snapshot)).then_some(Missing::WrongSnapshot)
 }
 
+/// Whether a target that told only of older snapshots may have taken up the
+/// pinned one since. If not, it refuses without running and tells the news.
+fn may_hold_by_now<R>(cx: &PlanCx<'_, R>, target: &Target) -> bool {
+    let Some(status) = cx.table.status(&target.name) else { return false };
+    let newest = status.snapshots.iter().filter(|it| it.map == cx.snapshot.map).max();
+    is_usable(cx.configuration, cx.table, target) && newest.is_some_and(|it| *it < cx.snapshot)
+}
+
 fn severity(missing: Missing) -> u8 {
     match missing {
         Missing::WrongSnapshot => 0,
--- a/crates/policy/src/request/query/mod.rs
+++ b/crates/policy/src/request/query/mod.rs
@@ -143,7 +143,10 @@
             self.send_due_hedges(cx, &mut outbox);
             self.send_due_retries(cx, &mut outbox);
         }
-        self.conclude(cx, outbox)
+        let actions = self.conclude(cx, outbox);
+        let is_ahead = self.is_finished || self.next_wakeup() > cx.now;
+        base::always!(is_ahead, "wakeup-lies-ahead", "request {}", self.req.id);
+        actions
     }
 
     pub fn next_wakeup(&self) -> Time {
--- a/crates/policy/src/request/query/recover.rs
+++ b/crates/policy/src/request/query/recover.rs
@@ -1,10 +1,10 @@
 //! What follows a failed subquery: another replica, the target's other owner,
-//! a later try, a restart on a newer snapshot, or a missing shard.
+//! a later try, a restart on another snapshot, or a missing shard.
 
 use std::time::Duration;
 
-use base::{Missing, Outcome, ShardId};
-use documents::model::Preference;
+use base::{Missing, Outcome, ShardId, TargetName};
+use documents::{Target, model::Preference};
 
 use super::{Outbox, Query, Trial};
 use crate::{
@@ -12,7 +12,7 @@
     request::{
         decisions::{QueryCx, Routes},
         gather::SendKind,
-        snapshot::{choose_snapshot, shards_served},
+        snapshot::{assess_snapshot, choose_snapshot},
     },
 };
 
@@ -61,23 +61,22 @@
         cx: &mut QueryCx<'_, R>,
         outbox: &mut Outbox,
     ) {
-        if self.trial != Trial::None {
-            return;
-        }
         for i in 0..self.plans.len() {
             let plan = &mut self.plans[i];
             if plan.retry_at.is_none_or(|at| at > cx.now) {
                 continue;
             }
             plan.retry_at = None;
+            if self.trial != Trial::None {
+                // The end of the trial sends whatever is missing.
+                continue;
+            }
+            let plan = &mut self.plans[i];
             plan.tried.clear();
             let shard = plan.shard;
             match self.choose_untried(cx, shard) {
-                Ok(target) => {
-                    if cx.decisions.budgets.try_spend(&self.req.service.name, &target.name) {
-                        self.send(cx, shard, &target, SendKind::Retry, outbox);
-                    }
-                }
+                Ok(target) => self.send_retry(cx, shard, &target, outbox),
+                Err(Missing::WrongSnapshot) if self.restart(cx, outbox) => return,
                 Err(missing) => self.on_no_replica(cx, shard, missing),
             }
         }
@@ -97,7 +96,10 @@
     }
 
     fn note_failure<R>(&mut self, cx: &mut QueryCx<'_, R>, failure: &Failure<'_>) {
-        let &Failure { part, missing, .. } = failure;
+        let &Failure { part, shard, missing, outcome } = failure;
+        if let Some(plan) = self.plan_mut(shard) {
+            plan.is_retry_charged |= is_charged(missing, outcome);
+        }
         let load = cx.decisions.pools.entry(self.req.service.pool.clone()).or_default();
         load.record_part(cx.now, missing == Missing::Shed);
         let table = &mut cx.decisions.table;
@@ -120,7 +122,7 @@
         failure: &Failure<'_>,
         outbox: &mut Outbox,
     ) -> bool {
-        let &Failure { part, outcome, .. } = failure;
+        let part = failure.part;
         let replicas = self.req.view.replicas(part.shard);
         let Some(target) = replicas.iter().find(|it| it.name == part.target).cloned() else {
             return false;
@@ -128,9 +130,7 @@
         if self.choose_owner(cx, part.shard, &target.name).is_none() {
             return false;
         }
-        if is_charged(Missing::OwnerUnreachable, outcome)
-            && !cx.decisions.budgets.try_spend(&self.req.service.name, &target.name)
-        {
+        if !self.pay_retry(cx, part.shard, &target.name) {
             return false;
         }
         self.send(cx, part.shard, &target, SendKind::Retry, outbox)
@@ -142,7 +142,7 @@
         failure: &Failure<'_>,
         outbox: &mut Outbox,
     ) {
-        let &Failure { shard, missing, outcome, .. } = failure;
+        let &Failure { shard, missing, .. } = failure;
         let target = match self.choose_untried(cx, shard) {
             Ok(target) => target,
             Err(Missing::WrongSnapshot) if self.restart(cx, outbox) => return,
@@ -151,13 +151,30 @@
                 return self.on_no_replica(cx, shard, missing);
             }
         };
-        let is_paid = !is_charged(missing, outcome)
-            || cx.decisions.budgets.try_spend(&self.req.service.name, &target.name);
-        if is_paid {
-            self.send(cx, shard, &target, SendKind::Retry, outbox);
+        self.send_retry(cx, shard, &target, outbox);
+    }
+
+    /// Sends again if the budget allows it, else later perhaps.
+    fn send_retry<R: Routes>(
+        &mut self,
+        cx: &mut QueryCx<'_, R>,
+        shard: ShardId,
+        target: &Target,
+        outbox: &mut Outbox,
+    ) {
+        if self.pay_retry(cx, shard, &target.name) {
+            self.send(cx, shard, target, SendKind::Retry, outbox);
+        } else if self.wants_more() {
+            self.retry_later(cx, shard);
         }
     }
 
+    fn pay_retry<R>(&self, cx: &mut QueryCx<'_, R>, shard: ShardId, target: &TargetName) -> bool {
+        let plan = self.plans.iter().find(|it| it.shard == shard);
+        let is_charged = plan.is_none_or(|it| it.is_retry_charged);
+        !is_charged || cx.decisions.budgets.try_spend(&self.req.service.name, target)
+    }
+
     fn retry_later<R>(&mut self, cx: &QueryCx<'_, R>, shard: ShardId) {
         let at = cx.now + RETRY_BACKOFF;
         if at >= self.req.deadline {
@@ -169,7 +186,7 @@
         }
     }
 
-    /// Starts the whole request again if a newer snapshot serves more shards
+    /// Starts the whole request again if another snapshot serves more shards
     /// than the pinned one still does.
     fn restart<R: Routes>(&mut self, cx: &mut QueryCx<'_, R>, outbox: &mut Outbox) -> bool {
         if !self.req.is_idempotent || self.pins.len() > MAX_RESTARTS {
@@ -180,10 +197,10 @@
             return false;
         };
         let pinned = self.gather.snapshot();
-        let still_served = shards_served(cx.configuration, table, &self.req.view, pinned);
+        let still = assess_snapshot(cx.configuration, table, &self.req.view, pinned);
         let expected = cx.decisions.high_latency(&self.req.service.pool).unwrap_or_default();
         let is_time_left = self.req.deadline.until(cx.now) > expected;
-        if pin.snapshot <= pinned || pin.served <= still_served || !is_time_left {
+        if pin.snapshot == pinned || pin.expected <= still.expected || !is_time_left {
             return false;
         }
         self.pin(pin.snapshot);
--- a/crates/policy/src/request/query/send.rs
+++ b/crates/policy/src/request/query/send.rs
@@ -23,6 +23,9 @@
     pub sends: u32,
     pub hedge_at: Option<Time>,
     pub retry_at: Option<Time>,
+    /// Whether another send would be extra load: some send may have run, or
+    /// was shed.
+    pub is_retry_charged: bool,
 }
 
 /// Sends and cancellations of one step, grouped by owner.
@@ -41,7 +44,14 @@
 
 impl ShardPlan {
     pub(super) fn new(shard: ShardId) -> Self {
-        ShardPlan { shard, tried: Vec::new(), sends: 0, hedge_at: None, retry_at: None }
+        ShardPlan {
+            shard,
+            tried: Vec::new(),
+            sends: 0,
+            hedge_at: None,
+            retry_at: None,
+            is_retry_charged: false,
+        }
     }
 
     pub(super) fn tried_targets(&self) -> Vec<TargetName> {
--- a/crates/policy/src/request/snapshot.rs
+++ b/crates/policy/src/request/snapshot.rs
@@ -3,8 +3,10 @@
 //! Only snapshots of the map that the pool's document names are candidates,
 //! since targets are numbered by that map's shards. The newest one that every
 //! shard can serve wins; if there is none, the one that most shards can serve.
+//! What a target told may be a little old, so one that told only of older
+//! snapshots counts as able to serve a newer one when no sure choice is left.
 
-use base::{HashMap, ShardId, Snapshot};
+use base::{ShardId, Snapshot};
 use documents::{Configuration, Target};
 
 use super::{pool_view::PoolView, table::TargetTable};
@@ -13,8 +15,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pin {
     pub snapshot: Snapshot,
-    /// Shards that some usable target can serve from it.
+    /// Shards that some usable target told to hold it.
     pub served: u32,
+    /// The same and shards with a target that may have taken it up since.
+    pub expected: u32,
     /// Shards of the pinned map.
     pub total: u32,
 }
@@ -32,30 +36,25 @@
     table: &TargetTable,
     view: &PoolView,
 ) -> Option<Pin> {
-    let mut served: HashMap<Snapshot, u32> = HashMap::default();
-    let mut held = Vec::new();
-    for shard in view.shards() {
-        collect_held(configuration, table, view, shard, &mut held);
-        for &snapshot in &held {
-            *served.entry(snapshot).or_default() += 1;
-        }
-    }
-    let best = served.into_iter().max_by_key(|&(snapshot, served)| (served, snapshot))?;
-    let (snapshot, served) = best;
-    Some(Pin { snapshot, served, total: view.pool.shards })
+    let shards: Vec<_> =
+        view.shards().map(|it| ShardSnapshots::new(configuration, table, view, it)).collect();
+    let mut candidates: Vec<_> = shards.iter().flat_map(|it| it.held.iter().copied()).collect();
+    candidates.sort_unstable();
+    candidates.dedup();
+    let pins = candidates.into_iter().map(|it| pin(it, &shards));
+    pins.max_by_key(|it| (it.is_complete(), it.expected, it.served, it.snapshot))
 }
 
-/// Shards that some usable target can serve from `snapshot`.
-pub(super) fn shards_served(
+/// How far a snapshot can be served by what is known now.
+pub(super) fn assess_snapshot(
     configuration: &Configuration,
     table: &TargetTable,
     view: &PoolView,
     snapshot: Snapshot,
-) -> u32 {
-    let serves =
-        |target: &Target| is_usable(configuration, table, target) && holds(table, target, snapshot);
-    let served = view.shards().filter(|&it| view.replicas(it).iter().any(|it| serves(it)));
-    served.count() as u32
+) -> Pin {
+    let shards: Vec<_> =
+        view.shards().map(|it| ShardSnapshots::new(configuration, table, view, it)).collect();
+    pin(snapshot, &shards)
 }
 
 /// Whether a target may get new work by what is known now.
@@ -75,23 +74,44 @@
     table.status(&target.name).is_some_and(|it| it.snapshots.contains(&snapshot))
 }
 
-/// How long ago is not looked at: a target that lost a snapshot refuses, and
-/// the request then moves on or restarts.
-fn collect_held(
-    configuration: &Configuration,
-    table: &TargetTable,
-    view: &PoolView,
-    shard: ShardId,
-    held: &mut Vec<Snapshot>,
-) {
-    held.clear();
-    for target in view.replicas(shard) {
-        if !is_usable(configuration, table, target) {
-            continue;
+/// What the usable replicas of one shard told.
+struct ShardSnapshots {
+    held: Vec<Snapshot>,
+    /// The newest snapshot of the replica that is furthest behind.
+    least_newest: Option<Snapshot>,
+}
+
+impl ShardSnapshots {
+    fn new(
+        configuration: &Configuration,
+        table: &TargetTable,
+        view: &PoolView,
+        shard: ShardId,
+    ) -> Self {
+        let mut held = Vec::new();
+        let mut least_newest: Option<Snapshot> = None;
+        for target in view.replicas(shard) {
+            if !is_usable(configuration, table, target) {
+                continue;
+            }
+            let Some(status) = table.status(&target.name) else { continue };
+            let of_map = status.snapshots.iter().filter(|it| it.map == view.pool.map);
+            let Some(&newest) = of_map.clone().max() else { continue };
+            least_newest = Some(least_newest.map_or(newest, |it| it.min(newest)));
+            held.extend(of_map);
         }
-        let Some(status) = table.status(&target.name) else { continue };
-        held.extend(status.snapshots.iter().filter(|it| it.map == view.pool.map));
+        held.sort_unstable();
+        held.dedup();
+        ShardSnapshots { held, least_newest }
     }
-    held.sort_unstable();
-    held.dedup();
+}
+
+fn pin(snapshot: Snapshot, shards: &[ShardSnapshots]) -> Pin {
+    let serves = |it: &&ShardSnapshots| it.held.binary_search(&snapshot).is_ok();
+    let may_serve = |it: &&ShardSnapshots| {
+        serves(it) || it.least_newest.is_some_and(|newest| newest < snapshot)
+    };
+    let served = shards.iter().filter(serves).count() as u32;
+    let expected = shards.iter().filter(may_serve).count() as u32;
+    Pin { snapshot, served, expected, total: shards.len() as u32 }
 }
