Keep suspects apart on trial and tell the innocent from the guilty

Change: a trial starts 3 ms after the first death, when hosts know of all suspects, and each suspect has a target of its own by its rank. If they meet all the same, the one implicated in fewer deaths, or answered in full before, is released, and once one is cleared the other is not.

--- a/crates/policy/src/request/mod.rs
+++ b/crates/policy/src/request/mod.rs
@@ -22,7 +22,7 @@
     gather::{Attempt, Coverage, Gather, SendKind, Settled, Settlement},
     latency::{LatencyHistogram, PoolLoad},
     pool_view::PoolView,
-    quarantine::{Admission, Death, Quarantine, SuspectNote},
+    quarantine::{Admission, Death, Quarantine, SuspectNote, TrialPlan},
     query::{Action, Answer, Query, QueryRequest, Verdict},
     snapshot::{Pin, choose_snapshot},
     table::TargetTable,
--- a/crates/policy/src/request/quarantine/mod.rs
+++ b/crates/policy/src/request/quarantine/mod.rs
@@ -7,18 +7,22 @@
 //! as well, the suspect is quarantined. An innocent request that ran beside a
 //! crashing one is thus delayed by its trial, but not refused.
 //!
-//! Two suspects may be on trial at one target when it dies. The one that was
-//! implicated in fewer deaths is then released for another trial.
+//! Two suspects may be on trial at one target when it dies. Then the one that
+//! is less likely to blame is released for another trial: it was implicated in
+//! fewer deaths, or as many but was answered in full before. If they cannot be
+//! told apart both are released, and once one is cleared the other is not.
 //!
 //! Hosts tell each other their [`SuspectNote`]s. The table is bounded and
 //! everything in it expires.
 
+mod answered;
 mod note;
 
 use std::time::Duration;
 
 use base::{HashMap, Incarnation, ShardId, TargetName, Time};
 
+use self::answered::Answered;
 pub use self::note::SuspectNote;
 
 /// How long an implication is remembered.
@@ -26,10 +30,13 @@
 /// First quarantine; each further one is twice as long.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(300);
 const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
-/// Quarantine of a suspect when another one is more likely to blame.
-const AMBIGUOUS_QUARANTINE: Duration = Duration::from_millis(500);
+/// Until a released suspect may have another trial.
+const RELEASE_DELAY: Duration = Duration::from_millis(100);
 /// A trial without a result for this long is over.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Wait before a suspect's first trial, in which hosts tell each other of all
+/// suspects of a death.
+const TRIAL_SETTLE: Duration = Duration::from_millis(3);
 const MAX_SUSPECTS: usize = 1_024;
 /// Deaths remembered for each suspect.
 const MAX_DEATHS: usize = 8;
@@ -46,10 +53,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
     Free,
-    /// Only as a trial: one subquery, on one of these shards.
-    Trial {
-        shards: Vec<ShardId>,
-    },
+    /// Only as a trial: one subquery to one target.
+    Trial(TrialPlan),
     /// Another request with this fingerprint is on trial.
     Wait,
     Refused {
@@ -57,9 +62,22 @@
     },
 }
 
+/// Where a suspect may have its trial.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TrialPlan {
+    /// Shards on which it was implicated.
+    pub shards: Vec<ShardId>,
+    /// Targets whose death it was implicated in.
+    pub died: Vec<TargetName>,
+    /// Its place among the suspects of the same deaths, alike on all hosts
+    /// that know them; each place is a target of its own.
+    pub place: usize,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     suspects: HashMap<u64, Suspect>,
+    answered: Answered,
     /// Notes that peers have not been told yet.
     untold: Vec<u64>,
     quarantined: u64,
@@ -68,7 +86,10 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     deaths: Vec<Death>,
+    /// Whether the same request was answered in full before.
+    was_answered: bool,
     verdict: Verdict,
+    trial_from: Time,
     /// Quarantines so far.
     strikes: u32,
     expires: Time,
@@ -77,8 +98,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Verdict {
     Open,
-    Trial { target: TargetName, until: Time },
-    Quarantined { until: Time },
+    Trial {
+        target: TargetName,
+        until: Time,
+    },
+    Quarantined {
+        until: Time,
+    },
+    /// Out of quarantine since another suspect may be to blame.
+    Released {
+        until: Time,
+    },
 }
 
 impl Quarantine {
@@ -86,11 +116,12 @@
         self.forget_expired(now);
         let Some(suspect) = self.suspects.get(&fingerprint) else { return Admission::Free };
         match suspect.verdict {
-            Verdict::Quarantined { until } if until > now => {
+            Verdict::Quarantined { until } | Verdict::Released { until } if until > now => {
                 Admission::Refused { retry_after: until.until(now) }
             }
             Verdict::Trial { until, .. } if until > now => Admission::Wait,
-            _ => Admission::Trial { shards: suspect.deaths.iter().map(|it| it.shard).collect() },
+            _ if suspect.trial_from > now => Admission::Wait,
+            _ => Admission::Trial(self.trial_plan(fingerprint, suspect)),
         }
     }
 
@@ -103,7 +134,7 @@
     #[must_use]
     pub fn start_trial(&mut self, now: Time, fingerprint: u64, target: &TargetName) -> bool {
         let is_taken = self.suspects.values().any(|it| it.is_on_trial_at(now, target));
-        let may_run = matches!(self.admit(now, fingerprint), Admission::Trial { .. });
+        let may_run = matches!(self.admit(now, fingerprint), Admission::Trial(_));
         if is_taken || !may_run {
             return false;
         }
@@ -121,17 +152,25 @@
     }
 
     /// Clears a suspect whose trial ended with an answer.
-    pub fn clear(&mut self, fingerprint: u64) {
+    pub fn clear(&mut self, now: Time, fingerprint: u64) {
         if self.suspects.remove(&fingerprint).is_some() {
             self.untold.push(fingerprint);
+            self.weigh(now);
         }
     }
 
+    /// Records that a request was answered by every shard.
+    pub fn note_answered(&mut self, now: Time, fingerprint: u64) {
+        self.answered.insert(now, fingerprint);
+    }
+
     /// Records that a target died while a request was in flight there. A
     /// death during the trial at that target means quarantine.
     pub fn implicate(&mut self, now: Time, fingerprint: u64, death: Death) {
         self.make_room(fingerprint);
-        let suspect = self.suspects.entry(fingerprint).or_insert_with(Suspect::new);
+        let was_answered = self.answered.contains(fingerprint);
+        let suspect = self.suspects.entry(fingerprint).or_insert_with(|| Suspect::new(now));
+        suspect.was_answered |= was_answered;
         let is_trial = suspect.is_on_trial_at(now, &death.target);
         suspect.add_death(death);
         suspect.expires = suspect.expires.max(now + SUSPECT_LIFETIME);
@@ -140,7 +179,7 @@
             self.quarantined += 1;
         }
         self.untold.push(fingerprint);
-        self.release_less_likely(now);
+        self.weigh(now);
     }
 
     /// Quarantines imposed by this host so far.
@@ -156,29 +195,47 @@
         self.suspects.is_empty()
     }
 
-    /// A quarantined suspect is released if another one was implicated in the
-    /// same last death and in at least as many in all.
-    fn release_less_likely(&mut self, now: Time) {
-        let released: Vec<u64> = self
+    /// Releases quarantined suspects that have a rival, and takes back those
+    /// whose rivals were cleared.
+    fn weigh(&mut self, now: Time) {
+        let rivalled: Vec<(u64, bool)> = self
             .suspects
             .iter()
-            .filter(|(fingerprint, it)| it.is_quarantined(now) && self.has_rival(**fingerprint, it))
-            .map(|(&fingerprint, _)| fingerprint)
+            .filter(|(_, it)| it.is_quarantined(now) || it.is_released())
+            .map(|(&fingerprint, it)| (fingerprint, self.has_rival(fingerprint, it)))
             .collect();
-        for fingerprint in released {
+        for (fingerprint, has_rival) in rivalled {
             let Some(suspect) = self.suspects.get_mut(&fingerprint) else { continue };
-            suspect.release(now);
+            match has_rival {
+                true if !suspect.is_released() => suspect.release(now),
+                false if suspect.is_released() => suspect.quarantine(now),
+                _ => (),
+            }
         }
     }
 
+    /// Whether another suspect is at least as likely to blame for the last
+    /// death that this one was implicated in.
     fn has_rival(&self, fingerprint: u64, suspect: &Suspect) -> bool {
         let Some(last) = suspect.deaths.last() else { return false };
         self.suspects.iter().any(|(&other, it)| {
-            let is_as_likely = it.deaths.len() >= suspect.deaths.len();
-            other != fingerprint && is_as_likely && it.deaths.contains(last)
+            other != fingerprint
+                && it.deaths.contains(last)
+                && it.likelihood() >= suspect.likelihood()
         })
     }
 
+    fn trial_plan(&self, fingerprint: u64, suspect: &Suspect) -> TrialPlan {
+        let is_before = |other: &u64, it: &Suspect| {
+            *other < fingerprint && it.deaths.iter().any(|death| suspect.deaths.contains(death))
+        };
+        TrialPlan {
+            shards: suspect.deaths.iter().map(|it| it.shard).collect(),
+            died: suspect.deaths.iter().map(|it| it.target.clone()).collect(),
+            place: self.suspects.iter().filter(|(other, it)| is_before(other, it)).count(),
+        }
+    }
+
     fn forget_expired(&mut self, now: Time) {
         self.suspects.retain(|_, it| it.expires > now);
     }
@@ -194,8 +251,24 @@
 }
 
 impl Suspect {
-    fn new() -> Self {
-        Suspect { deaths: Vec::new(), verdict: Verdict::Open, strikes: 0, expires: Time::ZERO }
+    fn new(now: Time) -> Self {
+        Suspect {
+            deaths: Vec::new(),
+            was_answered: false,
+            verdict: Verdict::Open,
+            trial_from: now + TRIAL_SETTLE,
+            strikes: 0,
+            expires: Time::ZERO,
+        }
+    }
+
+    /// Higher if more likely to crash targets.
+    fn likelihood(&self) -> (usize, bool) {
+        (self.deaths.len(), !self.was_answered)
+    }
+
+    fn is_released(&self) -> bool {
+        matches!(self.verdict, Verdict::Released { .. })
     }
 
     fn is_on_trial_at(&self, now: Time, target: &TargetName) -> bool {
@@ -203,7 +276,7 @@
     }
 
     fn is_quarantined(&self, now: Time) -> bool {
-        matches!(self.verdict, Verdict::Quarantined { until } if until > now + AMBIGUOUS_QUARANTINE)
+        matches!(self.verdict, Verdict::Quarantined { until } if until > now)
     }
 
     fn add_death(&mut self, death: Death) {
@@ -230,7 +303,7 @@
 
     fn release(&mut self, now: Time) {
         self.strikes = self.strikes.saturating_sub(1);
-        self.verdict = Verdict::Quarantined { until: now + AMBIGUOUS_QUARANTINE };
+        self.verdict = Verdict::Released { until: now + RELEASE_DELAY };
         self.expires = now + SUSPECT_LIFETIME;
     }
 }
--- a/crates/policy/src/request/quarantine/note.rs
+++ b/crates/policy/src/request/quarantine/note.rs
@@ -12,6 +12,8 @@
     pub fingerprint: u64,
     /// Deaths it was implicated in; none if it was cleared.
     pub deaths: Vec<Death>,
+    /// Whether the same request was answered in full before.
+    pub was_answered: bool,
     /// Quarantine that is left, if any.
     pub quarantine: Option<Duration>,
 }
@@ -41,16 +43,18 @@
             return;
         }
         self.make_room(note.fingerprint);
-        let suspect = self.suspects.entry(note.fingerprint).or_insert_with(Suspect::new);
+        let was_answered = note.was_answered || self.answered.contains(note.fingerprint);
+        let suspect = self.suspects.entry(note.fingerprint).or_insert_with(|| Suspect::new(now));
+        suspect.was_answered |= was_answered;
         for death in note.deaths.iter().take(MAX_DEATHS) {
             suspect.add_death(death.clone());
         }
         suspect.expires = suspect.expires.max(now + SUSPECT_LIFETIME);
-        if let Some(left) = note.quarantine {
+        if let Some(left) = note.quarantine.filter(|_| !suspect.is_released()) {
             suspect.strikes = suspect.strikes.max(1);
             suspect.quarantine_until(now + left.min(MAX_QUARANTINE));
         }
-        self.release_less_likely(now);
+        self.weigh(now);
     }
 
     /// A quarantine of this host's own outlasts a peer's good word.
@@ -59,17 +63,20 @@
             self.suspects.get(&fingerprint).is_some_and(|it| it.is_quarantined(now));
         if !is_quarantined {
             self.suspects.remove(&fingerprint);
+            self.weigh(now);
         }
     }
 
     fn note(&self, now: Time, fingerprint: u64) -> SuspectNote {
         let Some(suspect) = self.suspects.get(&fingerprint) else {
-            return SuspectNote { fingerprint, deaths: Vec::new(), quarantine: None };
+            let (deaths, quarantine) = (Vec::new(), None);
+            return SuspectNote { fingerprint, deaths, was_answered: true, quarantine };
         };
         let quarantine = match suspect.verdict {
             super::Verdict::Quarantined { until } if until > now => Some(until.until(now)),
             _ => None,
         };
-        SuspectNote { fingerprint, deaths: suspect.deaths.clone(), quarantine }
+        let (deaths, was_answered) = (suspect.deaths.clone(), suspect.was_answered);
+        SuspectNote { fingerprint, deaths, was_answered, quarantine }
     }
 }
--- a/crates/policy/src/request/query/trial.rs
+++ b/crates/policy/src/request/query/trial.rs
@@ -13,12 +13,12 @@
         decisions::{QueryCx, Routes},
         gather::SendKind,
         plan::{PlanCx, usable_replicas},
-        quarantine::{Admission, Death},
+        quarantine::{Admission, Death, TrialPlan},
     },
 };
 
 /// How often a request looks whether a trial has ended.
-const TRIAL_POLL: Duration = Duration::from_millis(5);
+const TRIAL_POLL: Duration = Duration::from_millis(2);
 
 /// Where a request stands with its trial.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,7 +47,7 @@
                 self.trial = Trial::None;
                 self.send_first(cx, outbox);
             }
-            Admission::Trial { shards } => self.start_trial(cx, &shards, outbox),
+            Admission::Trial(plan) => self.start_trial(cx, &plan, outbox),
             Admission::Wait => self.await_trial(cx.now),
             Admission::Refused { retry_after } => return Err(self.quarantined(retry_after)),
         }
@@ -87,7 +87,7 @@
         if !matches!(self.trial, Trial::Running { shard: at, .. } if at == shard) {
             return;
         }
-        cx.decisions.quarantine.clear(self.req.fingerprint);
+        cx.decisions.quarantine.clear(cx.now, self.req.fingerprint);
         self.trial = Trial::None;
         self.send_first(cx, outbox);
     }
@@ -149,10 +149,10 @@
     fn start_trial<R: Routes>(
         &mut self,
         cx: &mut QueryCx<'_, R>,
-        shards: &[ShardId],
+        plan: &TrialPlan,
         outbox: &mut Outbox,
     ) {
-        for (shard, target) in self.trial_targets(cx, shards) {
+        for (shard, target) in self.trial_targets(cx, plan) {
             let fingerprint = self.req.fingerprint;
             if !cx.decisions.quarantine.start_trial(cx.now, fingerprint, &target.name) {
                 continue;
@@ -170,12 +170,12 @@
         self.await_trial(cx.now);
     }
 
-    /// Targets of the shards on which the request is suspected, in an order
-    /// of its own, so that different suspects meet at a target seldom.
+    /// The target for the trial, if there is one: a live replica of a shard on
+    /// which the request is suspected, another one for each suspect.
     fn trial_targets<R: Routes>(
         &self,
         cx: &QueryCx<'_, R>,
-        suspected: &[ShardId],
+        plan: &TrialPlan,
     ) -> Vec<(ShardId, Arc<Target>)> {
         let plan_cx = PlanCx {
             now: cx.now,
@@ -189,16 +189,17 @@
         let is_due = |&shard: &ShardId| !self.gather.is_open(shard) && self.may_send(shard);
         let asked: Vec<_> = self.shards().filter(is_due).collect();
         let mut shards: Vec<_> =
-            asked.iter().copied().filter(|it| suspected.contains(it)).collect();
+            asked.iter().copied().filter(|it| plan.shards.contains(it)).collect();
         if shards.is_empty() {
             shards = asked;
         }
         let targets = shards.into_iter().flat_map(|shard| {
             usable_replicas(&plan_cx, shard).map(move |it| (shard, Arc::clone(it)))
         });
-        let mut targets: Vec<_> = targets.collect();
-        targets.sort_by_key(|(_, it)| order(self.req.fingerprint, &it.name));
-        targets
+        let mut targets: Vec<_> = targets.filter(|it| !plan.died.contains(&it.1.name)).collect();
+        targets.sort_by(|a, b| a.1.name.cmp(&b.1.name));
+        // Suspects without a place of their own wait for others to be cleared.
+        targets.into_iter().skip(plan.place).take(1).collect()
     }
 
     fn await_trial(&mut self, now: Time) {
@@ -218,11 +219,3 @@
         }
     }
 }
-
-/// A rank of a target that differs from fingerprint to fingerprint.
-fn order(fingerprint: u64, target: &TargetName) -> u64 {
-    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
-    let mix =
-        |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(MULTIPLIER).rotate_left(23);
-    target.bytes().fold(fingerprint, mix)
-}
--- a/crates/policy/src/request/query/verdict.rs
+++ b/crates/policy/src/request/query/verdict.rs
@@ -41,6 +41,9 @@
         }
         self.note_silent_owners(cx);
         self.end_trial(cx);
+        if self.gather.is_complete() {
+            cx.decisions.quarantine.note_answered(cx.now, self.req.fingerprint);
+        }
         // Work that must not be cut short runs on; nobody waits for it.
         let open = self.gather.abandon_open(cx.now, |_| true);
         if self.req.is_idempotent {
