--- a/crates/fleet/src/lease/holder.rs
+++ b/crates/fleet/src/lease/holder.rs
@@ -8,7 +8,7 @@
 use super::{CLAIM_INTERVAL, DRAIN, LEASE, LOAN, LOAN_PROMISE, RENEW_INTERVAL};
 use crate::{
     assignment::{GroupId, Voters},
-    message::{Answer, Claim, Right, Role, Surrender, Verdict},
+    message::{Answer, Claim, Right, Role, Verdict},
 };
 
 /// Claims remembered for their answers.
@@ -51,7 +51,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Grant {
     sent: Time,
-    is_clean: bool,
+    was_released: bool,
 }
 
 /// A right as the shares need it.
@@ -174,18 +174,21 @@
         batches
     }
 
-    /// Rights whose use has ended, to be given up now, by voter.
-    pub(crate) fn due_releases(&mut self, now: Time) -> Batches<Surrender> {
-        let mut batches: Batches<Surrender> = HashMap::default();
+    /// Rights whose use has ended, to be given up now, by voter. One that
+    /// lapsed needs no release: the promises lapse likewise.
+    pub(crate) fn due_releases(&mut self, now: Time) -> Batches<Right> {
+        let mut batches: Batches<Right> = HashMap::default();
         let is_due = |held: &Held| held.release_at(now).is_some_and(|at| at <= now);
         let due: Vec<_> =
             self.held.iter().filter(|(_, held)| is_due(held)).map(|(&right, _)| right).collect();
         for right in due {
             let Some(held) = self.held.remove(&right) else { continue };
             self.has_changed = true;
-            let surrender = Surrender { right, was_held: held.until > now };
+            if held.until <= now {
+                continue;
+            }
             for voter in &held.voters.hosts {
-                batches.entry(voter.clone()).or_default().push(surrender);
+                batches.entry(voter.clone()).or_default().push(right);
             }
         }
         batches
@@ -196,12 +199,12 @@
         let Some(&(_, sent)) = self.sent.iter().find(|(it, _)| *it == seq) else { return };
         for verdict in answers {
             let Some(held) = self.held.get_mut(&verdict.right) else { continue };
-            let Answer::Granted { is_clean } = verdict.answer else { continue };
+            let Answer::Granted { was_released } = verdict.answer else { continue };
             let is_void = seq < held.first_seq || verdict.voters != held.voters.hash;
             if is_void || held.draining.is_some() || !held.voters.hosts.contains(voter) {
                 continue;
             }
-            self.has_changed |= held.grant(now, voter, Grant { sent, is_clean });
+            self.has_changed |= held.grant(now, voter, Grant { sent, was_released });
         }
     }
 
@@ -297,7 +300,7 @@
         always!(quorum * 2 > self.voters.hosts.len(), "lease-quorum-is-majority");
         let is_new = self.until <= now;
         if is_new {
-            self.starts_cold = !grants[..quorum].iter().all(|it| it.is_clean);
+            self.starts_cold = !grants[..quorum].iter().all(|it| it.was_released);
         }
         let is_notable = is_new || until.since(self.until) >= NOTABLE_EXTENSION;
         self.until = until;
--- a/crates/fleet/src/lease/voter.rs
+++ b/crates/fleet/src/lease/voter.rs
@@ -7,7 +7,7 @@
 use super::{PROMISE, VIEW_WAIT};
 use crate::{
     assignment::GroupId,
-    message::{Answer, Claim, Right, Surrender},
+    message::{Answer, Claim, Right},
 };
 
 /// A promise that ended is remembered for this long, to tell whether the next
@@ -29,7 +29,7 @@
     seq: u64,
     until: Time,
     /// The holder gave it up while it held it.
-    is_clean: bool,
+    was_released: bool,
 }
 
 #[derive(Debug)]
@@ -71,7 +71,7 @@
             return Answer::OtherVoters;
         }
         let wait_until = self.wait_until(now, claim, changed);
-        let mut is_clean = false;
+        let mut was_released = false;
         if let Some(promise) = self.promises.get(&claim.right) {
             let is_same = promise.is_to(claimant);
             let is_late = is_same && claimant.seq < promise.seq;
@@ -79,15 +79,15 @@
             if is_late || (is_kept && !is_same) {
                 return Answer::Held;
             }
-            is_clean = is_same || promise.is_clean;
+            was_released = is_same || promise.was_released;
             if is_kept {
-                return self.promise(now, claimant, claim.right, is_clean);
+                return self.promise(now, claimant, claim.right, was_released);
             }
         }
         if now < wait_until {
             return Answer::Waiting;
         }
-        self.promise(now, claimant, claim.right, is_clean)
+        self.promise(now, claimant, claim.right, was_released)
     }
 
     fn promise(
@@ -95,17 +95,17 @@
         now: Time,
         claimant: Claimant<'_>,
         right: Right,
-        is_clean: bool,
+        was_released: bool,
     ) -> Answer {
         let promise = Promise {
             holder: claimant.host.clone(),
             incarnation: claimant.incarnation,
             seq: claimant.seq,
             until: now + PROMISE,
-            is_clean: false,
+            was_released: false,
         };
         self.promises.insert(right, promise);
-        Answer::Granted { is_clean }
+        Answer::Granted { was_released }
     }
 
     /// Until when this host may not know of a promise that binds the voters.
@@ -122,15 +122,15 @@
     }
 
     /// Ends promises that their holder gave up.
-    pub(crate) fn release(&mut self, now: Time, holder: Claimant<'_>, rights: &[Surrender]) {
-        for surrender in rights {
-            let Some(promise) = self.promises.get_mut(&surrender.right) else { continue };
+    pub(crate) fn release(&mut self, now: Time, holder: Claimant<'_>, rights: &[Right]) {
+        for right in rights {
+            let Some(promise) = self.promises.get_mut(right) else { continue };
             if !promise.is_to(holder) || promise.seq > holder.seq {
                 continue;
             }
             // A release that comes after the promise ended says nothing about
             // who came since.
-            promise.is_clean |= surrender.was_held && promise.until > now;
+            promise.was_released |= promise.until > now;
             promise.seq = holder.seq;
             promise.until = now;
         }
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -70,10 +70,10 @@
         seq: u64,
         verdicts: Vec<Verdict>,
     },
-    /// The sender gives up rights; claims before `seq` are void.
+    /// The sender gives up rights that it held; claims before `seq` are void.
     Release {
         seq: u64,
-        rights: Vec<Surrender>,
+        rights: Vec<Right>,
     },
     /// A primary asks the standby for the slot the standby holds back.
     Borrow {
@@ -179,14 +179,6 @@
     pub voters: u64,
 }
 
-/// A right given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Surrender {
-    pub right: Right,
-    /// The sender held the right until now.
-    pub was_held: bool,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub struct Verdict {
     pub right: Right,
@@ -198,8 +190,8 @@
 pub enum Answer {
     /// The right is promised to the claimant.
     Granted {
-        /// The last holder was the claimant or gave the right up itself.
-        is_clean: bool,
+        /// The last holder gave the right up itself, or was the claimant.
+        was_released: bool,
     },
     /// Promised to another.
     Held,
--- a/crates/fleet/src/node/rights.rs
+++ b/crates/fleet/src/node/rights.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 
-use base::{HostName, Incarnation, Share, TargetName, Time, always};
+use base::{HashMap, HashSet, HostName, Incarnation, Share, TargetName, Time, always};
 use documents::Target;
 
 use super::{Action, Node};
 use crate::{
     assignment::{Group, GroupId, Groups, VoterSets},
     lease::{Allowance, BORROW_INTERVAL, Claimant, Holder, Lease, Voter, allowance},
-    message::{Answer, Body, Claim, Right, Role, Surrender, Verdict},
+    message::{Answer, Body, Claim, Right, Role, Verdict},
 };
 
 /// Most rights in one datagram.
@@ -187,13 +187,13 @@
     }
 
     fn send_releases(&mut self, now: Time) {
-        let batches = self.rights.holder.due_releases(now);
+        let mut batches = self.rights.holder.due_releases(now);
         if batches.is_empty() {
             return;
         }
         let seq = self.rights.holder.next_seq(now);
-        let mut batches = batches;
-        for right in batches.values().flatten().copied().collect::<Vec<_>>() {
+        let rights: HashSet<Right> = batches.values().flatten().copied().collect();
+        for right in rights {
             self.tell_successors(right, &mut batches);
         }
         for (voter, rights) in batches {
@@ -211,16 +211,12 @@
     }
 
     /// Lets those who claim next know at once, voters or not.
-    fn tell_successors(
-        &self,
-        surrender: Surrender,
-        batches: &mut base::HashMap<HostName, Vec<Surrender>>,
-    ) {
-        let Some(route) = self.routes.route(surrender.right.group) else { return };
+    fn tell_successors(&self, right: Right, batches: &mut HashMap<HostName, Vec<Right>>) {
+        let Some(route) = self.routes.route(right.group) else { return };
         for host in [Some(&route.primary), route.standby.as_ref()].into_iter().flatten() {
             let batch = batches.entry(host.clone()).or_default();
-            if !batch.contains(&surrender) {
-                batch.push(surrender);
+            if !batch.contains(&right) {
+                batch.push(right);
             }
         }
     }
@@ -231,7 +227,7 @@
             return;
         }
         self.rights.next_borrow = now + BORROW_INTERVAL;
-        let mut batches: base::HashMap<HostName, Vec<GroupId>> = base::HashMap::default();
+        let mut batches: HashMap<HostName, Vec<GroupId>> = HashMap::default();
         for group in self.rights.holder.borrowing(now) {
             let standby = self.routes.route(group).and_then(|it| it.standby.as_ref());
             let Some(standby) = standby.filter(|it| **it != self.cfg.host) else { continue };
@@ -277,7 +273,6 @@
             Body::Release { seq, rights } => {
                 let holder = Claimant { host: sender, incarnation, seq };
                 self.rights.voter.release(now, holder, &rights);
-                let rights: Vec<_> = rights.iter().map(|it| it.right).collect();
                 self.rights.holder.hurry(now, &rights);
             }
             Body::Borrow { seq, groups } => {
--- /dev/null
+++ b/crates/fleet/tests/faults.rs
@@ -0,0 +1,191 @@
+//! Long randomised runs: anything may fail at any moment, together and twice.
+//! `GODWITYARD_STEPS` sets the number of events, `GODWITYARD_SEED` the first
+//! seed.
+
+mod bag;
+
+use std::time::Duration;
+
+use bag::{Bag, CALM, Network};
+use base::{Revision, Time};
+use fleet::Input;
+use rand::Rng;
+
+const SHORT_RUN_STEPS: u64 = 300_000;
+
+/// A change must be in force everywhere within this, once all is quiet.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(6);
+
+/// Every target must be in full use again within this.
+const RECOVERY_BOUND: Duration = Duration::from_secs(30);
+
+const FAULTS_PER_RUN: u32 = 40;
+
+#[test]
+fn shares_and_revisions_hold_under_random_faults() {
+    base::invariant::panic_when_broken();
+    let setting = |name: &str| std::env::var(name).ok().and_then(|it| it.parse::<u64>().ok());
+    let budget = setting("GODWITYARD_STEPS").unwrap_or(SHORT_RUN_STEPS);
+    let mut seed = setting("GODWITYARD_SEED").unwrap_or(1);
+    let mut steps = 0;
+    while steps < budget {
+        steps += Run::new(seed).run();
+        seed += 1;
+    }
+}
+
+struct Run {
+    seed: u64,
+    bag: Bag,
+    steps: u64,
+    restarts: Vec<(Time, usize)>,
+}
+
+impl Run {
+    fn new(seed: u64) -> Run {
+        let domains = [&[2, 2, 2][..], &[3, 3], &[1, 3, 2], &[4, 5], &[2, 7]];
+        let domains = domains[seed as usize % domains.len()];
+        let mut bag = Bag::new(seed, domains);
+        bag.platform.publish_basics(domains.len());
+        Run { seed, bag, steps: 0, restarts: Vec::new() }
+    }
+
+    #[allow(clippy::print_stderr)]
+    fn run(mut self) -> u64 {
+        eprintln!("seed {}", self.seed);
+        self.bag.start_all();
+        self.advance(Duration::from_secs(8));
+        for _ in 0..FAULTS_PER_RUN {
+            self.inject();
+            let wait = self.bag.rng.random_range(0..3_000);
+            self.advance(Duration::from_millis(wait));
+        }
+        self.calm();
+        self.advance(IN_FORCE_BOUND);
+        self.assert_newest_in_force();
+        self.advance(RECOVERY_BOUND - IN_FORCE_BOUND);
+        self.assert_all_in_use();
+        self.steps
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let end = self.bag.now + time;
+        loop {
+            let next = self.restarts.iter().map(|it| it.0).min();
+            let limit = next.map_or(end, |it| it.min(end));
+            while self.bag.step(limit) {
+                self.steps += 1;
+                self.bag.assert_within_limits();
+            }
+            self.restart_due();
+            if self.bag.now >= end {
+                return;
+            }
+        }
+    }
+
+    fn restart_due(&mut self) {
+        let now = self.bag.now;
+        let due: Vec<_> = self.restarts.extract_if(.., |it| it.0 <= now).collect();
+        for (_, at) in due {
+            if self.bag.hosts[at].node.is_none() {
+                self.bag.start(at);
+            }
+        }
+    }
+
+    fn inject(&mut self) {
+        let count = self.bag.hosts.len();
+        let at = self.bag.rng.random_range(0..count);
+        let back_after = Duration::from_millis(self.bag.rng.random_range(0..6_000));
+        match self.bag.rng.random_range(0..12) {
+            0 => {
+                for host in 0..count {
+                    self.bag.hosts[host].side = self.bag.rng.random_range(0..2);
+                }
+            }
+            1 => {
+                let domain = self.bag.hosts[at].seed.domain.clone();
+                for host in &mut self.bag.hosts {
+                    host.side = u32::from(host.seed.domain == domain);
+                }
+            }
+            2 => self.bag.hosts.iter_mut().for_each(|it| it.side = 0),
+            3 => self.bag.hosts[at].side = 7,
+            4 => {
+                let until = self.bag.now + back_after;
+                self.bag.hosts[at].paused_until = until;
+            }
+            5 => {
+                self.bag.kill(at);
+                self.restarts.push((self.bag.now + back_after, at));
+            }
+            6 => {
+                self.bag.input(at, Input::Leave);
+                self.restarts.push((self.bag.now + back_after + Duration::from_secs(3), at));
+            }
+            7 => self.bag.platform.is_down = !self.bag.platform.is_down,
+            8 => {
+                let newest = self.bag.platform.newest().0;
+                let shown = self.bag.rng.random_range(0..=newest);
+                self.bag.platform.stale_at = Some(Revision(shown));
+            }
+            9 => {
+                self.bag.network = Network {
+                    loss: self.bag.rng.random_range(0.0..0.3),
+                    doubled: self.bag.rng.random_range(0.0..0.3),
+                    max_delay: Duration::from_millis(self.bag.rng.random_range(1..2_000)),
+                };
+            }
+            10 => self.bag.network = CALM,
+            _ => self.publish(),
+        }
+    }
+
+    fn publish(&mut self) {
+        let weight = self.bag.rng.random_range(1..9);
+        match self.bag.rng.random_range(0..4) {
+            0 => self.bag.platform.publish("service/s", Some("kind: service\nname: s\n")),
+            1 => self.bag.platform.publish("service/s", None),
+            _ => self.bag.platform.publish_service(weight),
+        };
+    }
+
+    /// Ends all faults and publishes one last change.
+    fn calm(&mut self) {
+        self.bag.network = CALM;
+        self.bag.platform.is_down = false;
+        self.bag.platform.stale_at = None;
+        for host in &mut self.bag.hosts {
+            host.side = 0;
+            host.paused_until = Time::ZERO;
+        }
+        for at in 0..self.bag.hosts.len() {
+            self.restarts.push((self.bag.now, at));
+        }
+        self.restart_due();
+        // Hosts that are on their way out come back after that.
+        let again: Vec<_> = (0..self.bag.hosts.len()).collect();
+        let later = self.bag.now + Duration::from_millis(2_000);
+        self.restarts.extend(again.into_iter().map(|at| (later, at)));
+        self.bag.platform.publish_service(5);
+    }
+
+    fn assert_newest_in_force(&self) {
+        let newest = self.bag.platform.newest();
+        for (_, host, node) in self.bag.running() {
+            let (revision, name) = (node.configuration().revision, &host.seed.host);
+            assert_eq!(revision, newest, "seed {}: {name} {:?}", self.seed, node.findings());
+        }
+    }
+
+    fn assert_all_in_use(&self) {
+        let used = self.bag.used();
+        let (_, _, node) = self.bag.running().next().expect("a host runs");
+        for target in node.configuration().targets() {
+            let (slots, _, hosts) = used.get(&target.name).copied().unwrap_or_default();
+            let (name, wanted) = (&target.name, target.slots);
+            assert_eq!(slots, wanted, "seed {}: {name} has {hosts} holders", self.seed);
+        }
+    }
+}
