Prove the owner's decisions under faults in virtual time

Cause: the owner's state machine had no proof but the thin path's.

Change: a small world around OwnerCore (model targets that crash, turn cold, shed, cross answers, fall silent, leave), a randomised run and one test for each failure. The limit rises on 50 answers at full use, and never past what this host's share can prove; a pause of the process blames no connection.

--- a/crates/policy/src/owner/limit.rs
+++ b/crates/policy/src/owner/limit.rs
@@ -14,8 +14,8 @@
 
 /// Least time between two rises.
 const RISE_INTERVAL: Duration = Duration::from_secs(1);
-/// Answers that prove one slot of the limit.
-const PROOF_PER_SLOT: u32 = 5;
+/// Answers at one limit that pay for the next.
+const RISE_ANSWERS: u32 = 50;
 /// Answers this many times slower than the baseline tell of a cold target.
 const JUMP_FACTOR: f64 = 4.0;
 /// And at least this much slower.
@@ -81,7 +81,8 @@
         }
     }
 
-    /// Takes over new figures of the target's document.
+    /// Takes over new figures. `slots` is what this host may use, so that the
+    /// limit never rises past what its own work can prove.
     pub fn resize(&mut self, slots: u32, cold_slots: u32) {
         self.slots = slots;
         self.cold_slots = cold_slots.min(slots);
@@ -138,7 +139,7 @@
     }
 
     fn step(&mut self, now: Time) -> Option<LimitChange> {
-        let is_proven = self.answers >= PROOF_PER_SLOT * self.current.max(1);
+        let is_proven = self.answers >= RISE_ANSWERS;
         let is_due = now.since(self.changed_at) >= RISE_INTERVAL && now >= self.rise_after;
         if !is_proven || !is_due {
             return None;
--- a/crates/policy/src/owner/machine.rs
+++ b/crates/policy/src/owner/machine.rs
@@ -15,6 +15,9 @@
 };
 use crate::message::{Batch, Part, PartResult, Subquery, TargetStatus};
 
+/// Time between two ticks from which the process counts as having paused.
+const PAUSE: Duration = Duration::from_millis(500);
+
 #[derive(Clone, Debug)]
 pub struct OwnerCore {
     settings: PolicySettings,
@@ -25,6 +28,8 @@
     /// Subqueries that have had no part yet, with their targets.
     pending: HashMap<AttemptId, TargetName>,
     is_draining: bool,
+    ticked_at: Time,
+    woke_at: Time,
 }
 
 impl OwnerCore {
@@ -37,6 +42,8 @@
             targets: HashMap::default(),
             pending: HashMap::default(),
             is_draining: false,
+            ticked_at: Time::ZERO,
+            woke_at: Time::ZERO,
         }
     }
 
@@ -126,17 +133,22 @@
     }
 
     fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let OwnerCore { settings, rng, targets, pending, .. } = self;
+        if now.since(self.ticked_at) >= PAUSE {
+            self.woke_at = now;
+        }
+        self.ticked_at = now;
+        let OwnerCore { settings, rng, targets, pending, woke_at, .. } = self;
         for target in targets.values_mut() {
-            target.tick(&mut Cx { now, settings, rng, pending, actions });
+            target.tick(&mut Cx { now, woke_at: *woke_at, settings, rng, pending, actions });
         }
         targets.retain(|_, it| !it.is_gone());
     }
 
     /// Brings the targets in line with the configuration and the shares.
     fn reconcile(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let woke_at = self.woke_at;
         let OwnerCore { settings, rng, configuration, shares, targets, pending, .. } = self;
-        let mut cx = Cx { now, settings, rng, pending, actions };
+        let mut cx = Cx { now, woke_at, settings, rng, pending, actions };
         for (name, target) in targets.iter_mut() {
             let document = configuration.target(name);
             if !shares.contains_key(name) || document.is_none() {
@@ -164,9 +176,9 @@
         actions: &mut Vec<Action>,
         handle: impl FnOnce(&mut TargetCore, &mut Cx<'_>),
     ) {
-        let OwnerCore { settings, rng, targets, pending, .. } = self;
+        let OwnerCore { settings, rng, targets, pending, woke_at, .. } = self;
         let Some(target) = targets.get_mut(name) else { return };
-        handle(target, &mut Cx { now, settings, rng, pending, actions });
+        handle(target, &mut Cx { now, woke_at: *woke_at, settings, rng, pending, actions });
     }
 
     fn weight(&self, service: &ServiceName) -> u32 {
--- a/crates/policy/src/owner/target/dispatch.rs
+++ b/crates/policy/src/owner/target/dispatch.rs
@@ -104,7 +104,7 @@
         for attempt in late.map(|it| it.job.attempt).collect::<Vec<_>>() {
             self.give_up_waiting(cx, attempt);
         }
-        let silent = self.in_flight.values().filter(|it| self.is_silent(cx.now, it));
+        let silent = self.in_flight.values().filter(|it| self.is_silent(cx, it));
         for attempt in silent.map(|it| it.job.attempt).collect::<Vec<_>>() {
             self.condemn(cx, attempt);
         }
@@ -161,15 +161,19 @@
         is_wanted && cx.now + self.queue.cost(&job.batch.service) / 2 > job.batch.deadline
     }
 
-    fn is_silent(&self, now: Time, entry: &InFlight) -> bool {
-        if now >= entry.job.batch.deadline + OVERDUE_GRACE {
+    fn is_silent(&self, cx: &Cx<'_>, entry: &InFlight) -> bool {
+        // Answers that came during a pause have yet to be read.
+        if cx.now < cx.woke_at + OVERDUE_GRACE {
+            return false;
+        }
+        if cx.now >= entry.job.batch.deadline + OVERDUE_GRACE {
             return true;
         }
         // Its result is still wanted, so only idempotent work is given up.
         let usual = self.queue.mean_cost();
         let bound = (usual * OVERDUE_FACTOR).max(OVERDUE_FLOOR);
         let is_overtaken = self.proven_at.is_some_and(|it| it > entry.sent_at);
-        entry.job.batch.is_idempotent && is_overtaken && now.since(entry.sent_at) > bound
+        entry.job.batch.is_idempotent && is_overtaken && cx.now.since(entry.sent_at) > bound
     }
 
     fn give_up_waiting(&mut self, cx: &mut Cx<'_>, attempt: AttemptId) {
--- a/crates/policy/src/owner/target/mod.rs
+++ b/crates/policy/src/owner/target/mod.rs
@@ -27,6 +27,8 @@
 /// What a target needs of the machine while it handles an input.
 pub(super) struct Cx<'a> {
     pub now: Time,
+    /// End of the last pause of this process.
+    pub woke_at: Time,
     pub settings: &'a PolicySettings,
     pub rng: &'a mut SmallRng,
     /// Subqueries that have had no part yet, with their targets.
@@ -109,6 +111,7 @@
         // have seen the target turn cold since.
         let is_new = self.share.is_none();
         self.share = Some(share);
+        self.resize_limit();
         if is_new || (share.starts_cold && !was_cold) {
             self.lower_limit(cx, LimitCause::StartsCold);
         }
@@ -124,8 +127,8 @@
 
     pub fn configure(&mut self, cx: &mut Cx<'_>, document: Arc<Target>, is_domain_in: bool) {
         let has_moved = document.address != self.document.address;
-        self.limit.resize(document.slots, document.cold_slots);
         self.document = document;
+        self.resize_limit();
         if has_moved {
             self.forget_connections(cx);
             self.lower_limit(cx, LimitCause::NewIncarnation);
@@ -263,6 +266,11 @@
         self.share.and_then(|it| it.valid_until).is_some_and(|it| now > it)
     }
 
+    fn resize_limit(&mut self) {
+        let Some(share) = self.share else { return };
+        self.limit.resize(share.slots.min(self.document.slots), self.document.cold_slots);
+    }
+
     fn observe_proof(&mut self, cx: &mut Cx<'_>, entry: &InFlight, proof: Proof) {
         match proof {
             Proof::Answered => {
--- /dev/null
+++ b/crates/policy/tests/owner_faults.rs
@@ -0,0 +1,442 @@
+//! What the owner does in each failure, one test a failure.
+
+mod owner_world;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use base::{AttemptId, Missing, Outcome, ServiceName, Share, TargetName};
+use documents::model::{EarlyRefusal, PolicySettings};
+use owner_world::{Fault, World, share};
+use policy::{
+    message::PartResult,
+    owner::{CloseCause, LimitCause, Note},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn cold_target_gets_what_it_bears_and_rises_with_proven_work() {
+    let mut f = Fixture::new();
+    f.world.target(&f.target).restart();
+    f.load(8 * SECOND, 400);
+    assert_eq!(f.world.targets[&f.target].overloads, 0);
+    assert_eq!(f.limit(), 3, "a proven target gets all its slots");
+}
+
+#[test]
+fn limit_does_not_rise_without_demand() {
+    let mut f = Fixture::new();
+    f.load(8 * SECOND, 5);
+    assert_eq!(f.limit(), 1);
+}
+
+#[test]
+fn new_incarnation_is_cold_again() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).restart();
+    f.load(SECOND / 2, 400);
+    assert_eq!(f.world.targets[&f.target].overloads, 0);
+    assert_eq!(f.limit(), 1);
+}
+
+#[test]
+fn share_of_one_slot_proves_no_more_than_one() {
+    let mut f = Fixture::new();
+    f.assign(share(1));
+    f.load(5 * SECOND, 400);
+    f.assign(share(3));
+    assert_eq!(f.limit(), 1);
+}
+
+#[test]
+fn shedding_lowers_the_limit_and_is_not_run() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).fault = Some(Fault::Shed);
+    let attempt = f.submit(SECOND);
+    f.world.run_for(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::Shed, Outcome::NotRun));
+    assert_eq!(f.limit(), 1);
+    assert!(f.lowered_by(LimitCause::Shed));
+}
+
+#[test]
+fn latency_jump_lowers_the_limit() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).service_ms = 200.0;
+    f.load(2 * SECOND, 100);
+    assert!(f.lowered_by(LimitCause::LatencyJump));
+}
+
+#[test]
+fn long_idle_target_counts_as_cold() {
+    let mut f = Fixture::warm();
+    f.world.run_for(31 * SECOND);
+    assert_eq!(f.limit(), 1);
+    assert!(f.lowered_by(LimitCause::LongIdle));
+}
+
+#[test]
+fn leaving_sticks_to_the_incarnation_whatever_later_reports_say() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).is_leaving = true;
+    f.load(SECOND / 10, 100);
+    let model = f.world.target(&f.target);
+    model.is_told = true;
+    model.is_leaving = false;
+    f.load(3 * SECOND, 100);
+    assert_eq!(f.world.targets[&f.target].arrivals_after_told, 0);
+    let attempt = f.submit(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::TargetLeaving, Outcome::NotRun));
+
+    f.world.target(&f.target).restart();
+    f.world.run_for(3 * SECOND);
+    let attempt = f.submit(SECOND);
+    f.world.run_for(SECOND);
+    assert!(f.is_answered(attempt), "the next incarnation serves");
+}
+
+#[test]
+fn idle_target_is_known_to_leave_by_its_report_alone() {
+    let mut f = Fixture::warm();
+    f.world.run_for(2 * SECOND);
+    f.world.target(&f.target).is_leaving = true;
+    f.world.run_for(2 * SECOND);
+    let attempt = f.submit(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::TargetLeaving, Outcome::NotRun));
+}
+
+#[test]
+fn report_of_an_earlier_incarnation_undoes_nothing() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).restart();
+    f.world.run_for(2 * SECOND);
+    f.world.target(&f.target).is_leaving = true;
+    f.world.run_for(2 * SECOND);
+    f.world.target(&f.target).reports_lag = true;
+    f.world.run_for(3 * SECOND);
+    let attempt = f.submit(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::TargetLeaving, Outcome::NotRun));
+}
+
+#[test]
+fn domain_out_stops_new_work_at_once_and_returns_cold() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).service_ms = 100.0;
+    let attempts = (0..20).map(|_| f.submit(SECOND)).collect::<Vec<_>>();
+    f.world.run_for(Duration::from_millis(1));
+    f.world.set_domain(false);
+    f.world.target(&f.target).is_told = true;
+    let queued = attempts.iter().filter(|it| f.failed_as(**it, Missing::DomainOut)).count();
+    assert_eq!(queued, 17, "all but those in flight");
+    f.load(SECOND, 100);
+    assert_eq!(f.world.targets[&f.target].arrivals_after_told, 0);
+    assert!(attempts[..3].iter().all(|it| f.is_answered(*it)), "work in flight is finished");
+    assert_eq!(f.world.targets[&f.target].connections(), 0);
+
+    f.world.target(&f.target).is_told = false;
+    f.world.set_domain(true);
+    f.world.run_for(SECOND / 10);
+    assert_eq!(f.limit(), 1);
+    assert!(f.lowered_by(LimitCause::DomainReturned));
+}
+
+#[test]
+fn document_that_marks_a_target_leaving_stops_new_work() {
+    let mut f = Fixture::warm();
+    f.world.set_leaving(&f.target.clone());
+    let attempt = f.submit(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::TargetLeaving, Outcome::NotRun));
+}
+
+#[test]
+fn pause_between_decision_and_send_sends_nothing_on_the_old_lease() {
+    let mut f = Fixture::warm();
+    let valid_until = Some(f.world.now + SECOND);
+    f.assign(Share { valid_until, ..share(3) });
+    f.world.send_delay = Duration::from_millis(1);
+    let attempt = f.submit(5 * SECOND);
+    f.world.pause(2 * SECOND);
+    f.world.run_for(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::OwnerUnreachable, Outcome::NotRun));
+    let attempt = f.submit(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::OwnerUnreachable, Outcome::NotRun));
+}
+
+#[test]
+fn answers_that_came_during_a_pause_blame_no_connection() {
+    let mut f = Fixture::warm();
+    let attempts = (0..3).map(|_| f.submit(SECOND)).collect::<Vec<_>>();
+    f.world.pause(5 * SECOND);
+    f.world.run_for(SECOND);
+    for attempt in attempts {
+        assert_eq!(f.failure(attempt), (Missing::Deadline, Outcome::MayHaveRun));
+    }
+    assert!(!f.has_note(|it| matches!(it, Note::Condemned { .. })));
+    assert_eq!(f.limit(), 3);
+}
+
+#[test]
+fn crash_makes_suspects_of_the_work_in_flight_only() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).service_ms = 100.0;
+    let attempts = (0..10).map(|_| f.submit(SECOND)).collect::<Vec<_>>();
+    f.world.run_for(Duration::from_millis(1));
+    f.world.target(&f.target).crash();
+    f.world.run_for(SECOND);
+    for &attempt in &attempts {
+        let expected = match f.world.targets[&f.target].runs(attempt) {
+            0 => (Missing::NoTarget, Outcome::NotRun),
+            _ => (Missing::ConnectionLost, Outcome::MayHaveRun),
+        };
+        assert_eq!(f.failure(attempt), expected);
+    }
+    let suspects = attempts.iter().filter(|it| f.failed_as(**it, Missing::ConnectionLost));
+    assert!(suspects.count() <= 3);
+}
+
+#[test]
+fn down_target_is_probed_by_single_spaced_connections() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).crash();
+    f.world.run_for(SECOND);
+    let before = f.world.opened;
+    f.world.run_for(20 * SECOND);
+    // One probe every 2 seconds, give or take a quarter.
+    let probes = f.world.opened - before;
+    assert!((8..=14).contains(&probes), "{probes} probes");
+
+    f.world.target(&f.target).restart();
+    f.world.run_for(3 * SECOND);
+    let attempt = f.submit(SECOND);
+    f.world.run_for(SECOND);
+    assert!(f.is_answered(attempt));
+    assert_eq!(f.limit(), 1);
+}
+
+#[test]
+fn restart_unseen_while_idle_gets_no_more_than_a_cold_target_bears() {
+    let mut f = Fixture::warm();
+    f.world.run_for(SECOND / 10);
+    f.world.target(&f.target).restart();
+    // All at once, over connections that the owner still believes in.
+    let attempts = (0..10).map(|_| f.submit(SECOND)).collect::<Vec<_>>();
+    f.world.run_for(SECOND);
+    assert_eq!(f.world.targets[&f.target].overloads, 0);
+    assert!(attempts.iter().all(|it| f.is_answered(*it)), "nothing was sent, nothing is lost");
+}
+
+#[test]
+fn silent_connections_are_replaced_without_blaming_the_target() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).silence();
+    f.load(3 * SECOND, 100);
+    assert!(!f.has_note(|it| *it == Note::Down));
+    assert!(f.has_note(|it| matches!(it, Note::Condemned { cause: CloseCause::Silent, .. })));
+    let attempt = f.submit(SECOND);
+    f.world.run_for(SECOND);
+    assert!(f.is_answered(attempt));
+}
+
+#[test]
+fn one_silent_connection_costs_its_own_request_only() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).silence_next = true;
+    let lost = f.submit(Duration::from_millis(100));
+    f.world.run_for(Duration::from_millis(10));
+    let others = (0..5).map(|_| f.submit(SECOND)).collect::<Vec<_>>();
+    f.world.run_for(SECOND);
+    assert_eq!(f.failure(lost), (Missing::Deadline, Outcome::MayHaveRun));
+    assert!(others.iter().all(|it| f.is_answered(*it)));
+    assert_eq!(f.limit(), 3, "the target is not blamed");
+}
+
+#[test]
+fn suspect_answer_closes_its_connection() {
+    for (fault, missing) in [
+        (Fault::WrongId, Missing::WrongId),
+        (Fault::WrongSnapshot, Missing::WrongSnapshot),
+        (Fault::Truncated, Missing::Truncated),
+    ] {
+        let mut f = Fixture::warm();
+        f.world.target(&f.target).fault = Some(fault);
+        let attempt = f.submit(SECOND);
+        f.world.run_for(SECOND);
+        assert_eq!(f.failure(attempt), (missing, Outcome::MayHaveRun));
+        let cause = CloseCause::WrongAnswer;
+        assert!(f.has_note(|it| matches!(it, Note::Condemned { cause: c, .. } if *c == cause)));
+    }
+}
+
+#[test]
+fn vanished_snapshot_is_not_run() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).fault = Some(Fault::SnapshotGone);
+    let attempt = f.submit(SECOND);
+    f.world.run_for(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::WrongSnapshot, Outcome::NotRun));
+}
+
+#[test]
+fn early_refusal_is_not_run_and_only_when_something_waits() {
+    let mut f = Fixture::warm();
+    let soon = Duration::from_millis(60);
+    let attempts = (0..100).map(|_| f.submit(soon)).collect::<Vec<_>>();
+    let refused = attempts.iter().filter(|it| f.failed_as(**it, Missing::Refused)).count();
+    assert!((60..=90).contains(&refused), "{refused} refused at once");
+    f.world.run_for(SECOND);
+    let lone = f.submit(Duration::from_millis(1));
+    assert!(!f.failed_as(lone, Missing::Refused), "a free target refuses nothing");
+
+    let settings = PolicySettings { early_refusal: EarlyRefusal::Off, ..PolicySettings::default() };
+    let mut f = Fixture::with(settings);
+    let attempts = (0..100).map(|_| f.submit(soon)).collect::<Vec<_>>();
+    assert!(!attempts.iter().any(|it| f.failed_as(*it, Missing::Refused)));
+}
+
+#[test]
+fn cancellation_stops_queued_work_and_reaches_the_target() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).service_ms = 300.0;
+    let attempts = (0..6).map(|_| f.submit(2 * SECOND)).collect::<Vec<_>>();
+    f.world.run_for(Duration::from_millis(1));
+    f.world.cancel(attempts[5]);
+    assert_eq!(f.failure(attempts[5]), (Missing::Cancelled, Outcome::NotRun));
+    f.world.cancel(attempts[0]);
+    f.world.run_for(3 * SECOND);
+    assert_eq!(f.failure(attempts[0]).0, Missing::Cancelled);
+}
+
+#[test]
+fn running_non_idempotent_work_is_never_cancelled() {
+    let mut f = Fixture::warm();
+    let service = ServiceName::new("s");
+    let attempt = f.world.submit(&service, &f.target, SECOND, false);
+    f.world.run_for(Duration::from_millis(1));
+    f.world.cancel(attempt);
+    f.world.run_for(SECOND);
+    assert!(f.is_answered(attempt));
+}
+
+#[test]
+fn target_that_is_let_go_finishes_what_is_in_flight() {
+    let mut f = Fixture::warm();
+    let attempts = (0..10).map(|_| f.submit(SECOND)).collect::<Vec<_>>();
+    f.world.assign_all([]);
+    let queued = attempts.iter().filter(|it| f.failed_as(**it, Missing::OwnerUnreachable));
+    assert_eq!(queued.count(), 7);
+    f.world.run_for(SECOND);
+    assert!(attempts[..3].iter().all(|it| f.is_answered(*it)));
+    assert_eq!(f.world.targets[&f.target].connections(), 0);
+    assert!(f.world.core.status(f.world.now, None).is_empty());
+}
+
+#[test]
+fn target_taken_back_is_cold() {
+    let mut f = Fixture::warm();
+    f.world.assign_all([]);
+    f.assign(share(3));
+    assert_eq!(f.limit(), 1);
+}
+
+#[test]
+fn one_connection_is_enough_for_a_reserve() {
+    let mut f = Fixture::new();
+    f.assign(Share { connections: 1, ..share(1) });
+    f.world.run_for(5 * SECOND);
+    let attempts = (0..5).map(|_| f.submit(SECOND)).collect::<Vec<_>>();
+    f.world.run_for(SECOND);
+    assert!(attempts.iter().all(|it| f.is_answered(*it)));
+    assert_eq!(f.world.targets[&f.target].connections(), 1);
+}
+
+#[test]
+fn drain_finishes_admitted_work_and_refuses_new() {
+    let mut f = Fixture::warm();
+    let attempts = (0..5).map(|_| f.submit(SECOND)).collect::<Vec<_>>();
+    f.world.tell(policy::owner::Input::Drain);
+    let late = f.submit(SECOND);
+    assert_eq!(f.failure(late), (Missing::Refused, Outcome::NotRun));
+    assert!(!f.world.core.is_idle());
+    f.world.run_for(SECOND);
+    assert!(attempts.iter().all(|it| f.is_answered(*it)));
+    assert!(f.world.core.is_idle());
+}
+
+/// One target `t0` and a service `s`.
+struct Fixture {
+    world: World,
+    target: TargetName,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let mut world = World::new(1, 1, PolicySettings::default());
+        world.run_for(Duration::from_millis(100));
+        Fixture { world, target: "t0".into() }
+    }
+
+    /// A target that has proven all its slots.
+    fn warm() -> Self {
+        Self::with(PolicySettings::default())
+    }
+
+    fn with(settings: PolicySettings) -> Self {
+        let mut f = Fixture { world: World::new(1, 1, settings), target: "t0".into() };
+        f.load(5 * SECOND, 300);
+        f.world.run_for(SECOND);
+        assert_eq!(f.limit(), 3);
+        f.world.notes.clear();
+        f
+    }
+
+    fn assign(&mut self, share: Share) {
+        self.world.assign_all([(self.target.clone(), share)]);
+    }
+
+    fn submit(&mut self, time_left: Duration) -> AttemptId {
+        self.world.submit(&"s".into(), &self.target, time_left, true)
+    }
+
+    /// Submits `per_second` subqueries evenly for a time.
+    fn load(&mut self, time: Duration, per_second: u32) {
+        let end = self.world.now + time;
+        while self.world.now < end {
+            self.submit(Duration::from_millis(200));
+            self.world.run_for(SECOND / per_second);
+        }
+    }
+
+    fn limit(&self) -> u32 {
+        self.world.core.status(self.world.now, None)[0].limit
+    }
+
+    fn result(&self, attempt: AttemptId) -> Option<&PartResult> {
+        self.world.parts.iter().find(|it| it.attempt == attempt).map(|it| &it.result)
+    }
+
+    fn is_answered(&self, attempt: AttemptId) -> bool {
+        matches!(self.result(attempt), Some(PartResult::Answer { .. }))
+    }
+
+    #[track_caller]
+    fn failure(&self, attempt: AttemptId) -> (Missing, Outcome) {
+        let result = self.result(attempt);
+        assert_matches!(result, Some(PartResult::Failed { missing, outcome }) => {
+            (*missing, *outcome)
+        })
+    }
+
+    fn failed_as(&self, attempt: AttemptId, expected: Missing) -> bool {
+        let result = self.result(attempt);
+        matches!(result, Some(PartResult::Failed { missing, .. }) if *missing == expected)
+    }
+
+    fn lowered_by(&self, expected: LimitCause) -> bool {
+        self.has_note(|it| matches!(it, Note::LimitLowered { cause, .. } if *cause == expected))
+    }
+
+    fn has_note(&self, wanted: impl Fn(&Note) -> bool) -> bool {
+        self.world.notes.iter().any(|it| wanted(&it.1))
+    }
+}
