Test frozen targets, crossed refusals and shrinking connection shares

Cause: trials with one rule taken out at a time showed three rules that no test held: the pause of sends in doubt, the check of a refusal's attempt, the bound of connections under a shrinking share.

Change: a test or a random fault for each.

--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -195,6 +195,31 @@
     assert!(suspects.count() <= 3);
 }
 
+#[test]
+fn death_of_an_idle_target_costs_its_callers_no_wait() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).crash();
+    let attempts = (0..5).map(|_| f.submit(SECOND)).collect::<Vec<_>>();
+    f.world.run_for(Duration::from_millis(20));
+    for attempt in attempts {
+        assert_eq!(f.failure(attempt), (Missing::NoTarget, Outcome::NotRun));
+    }
+}
+
+#[test]
+fn frozen_target_gets_no_more_than_was_in_flight() {
+    let mut f = Fixture::new();
+    f.world.target(&f.target).is_frozen = true;
+    f.world.parts.clear();
+    f.load(5 * SECOND, 100);
+    f.world.run_for(SECOND);
+    let is_lost = |it: &&policy::message::Part| {
+        matches!(it.result, PartResult::Failed { outcome: Outcome::MayHaveRun, .. })
+    };
+    assert_eq!(f.world.parts.iter().filter(is_lost).count(), 1);
+    assert!(f.has_note(|it| *it == Note::Down));
+}
+
 #[test]
 fn down_target_is_probed_by_single_spaced_connections() {
     let mut f = Fixture::warm();
@@ -257,6 +282,7 @@
         (Fault::WrongId, Missing::WrongId),
         (Fault::WrongSnapshot, Missing::WrongSnapshot),
         (Fault::Truncated, Missing::Truncated),
+        (Fault::CrossedRefusal, Missing::WrongId),
     ] {
         let mut f = Fixture::warm();
         f.world.target(&f.target).fault = Some(fault);
--- a/crates/policy/tests/owner_random.rs
+++ b/crates/policy/tests/owner_random.rs
@@ -131,6 +131,7 @@
         Fault::WrongSnapshot,
         Fault::Truncated,
         Fault::Shed,
+        Fault::CrossedRefusal,
         Fault::Lost,
         Fault::SnapshotGone,
     ];
@@ -150,6 +151,7 @@
         let share = Share {
             valid_until: has_lease.then(|| world.now + lease),
             starts_cold: world.rng.random_bool(0.2),
+            connections: world.rng.random_range(1..8),
             ..share(world.rng.random_range(1..4))
         };
         shares.push((TargetName::from(format!("t{i}")), share));
--- a/crates/policy/tests/owner_world/mod.rs
+++ b/crates/policy/tests/owner_world/mod.rs
@@ -221,6 +221,8 @@
         let limit = self.shares[&target].connections as usize;
         let model = self.targets.get_mut(&target).unwrap();
         let report = model.open(connection);
+        // A frozen target is noticed by a timeout, a dead one at once.
+        let failure_ms = if model.is_frozen { 1_000 } else { 1 };
         assert!(model.connections() <= limit, "{target} has {} connections", model.connections());
         match report {
             Some(report) => {
@@ -228,7 +230,7 @@
                 self.later(delay, Event::Tell(Input::Opened { target, connection, report }));
             }
             None => {
-                let delay = Duration::from_millis(1);
+                let delay = Duration::from_millis(failure_ms);
                 self.later(delay, Event::Tell(Input::OpenFailed { target, connection }));
             }
         }
--- a/crates/policy/tests/owner_world/target.rs
+++ b/crates/policy/tests/owner_world/target.rs
@@ -22,6 +22,8 @@
     WrongSnapshot,
     Truncated,
     Shed,
+    /// Runs the attempt and says that another one did not run.
+    CrossedRefusal,
     Lost,
     SnapshotGone,
 }
@@ -43,6 +45,8 @@
     pub arrivals_after_told: u32,
     pub is_told: bool,
     pub fault: Option<Fault>,
+    /// Takes connections and bytes, and does nothing with them.
+    pub is_frozen: bool,
     /// The connection of the next attempt goes silent.
     pub silence_next: bool,
     pub cancelled: HashSet<AttemptId>,
@@ -74,6 +78,7 @@
             arrivals_after_told: 0,
             is_told: false,
             fault: None,
+            is_frozen: false,
             silence_next: false,
             cancelled: HashSet::default(),
             service_ms: SERVICE_TIME_MS,
@@ -139,7 +144,7 @@
 
     pub fn report(&self, connection: ConnectionId) -> Option<LoadReport> {
         let is_silent = self.connections.get(&connection).is_none_or(|it| it.is_silent);
-        if !self.is_open(connection) || is_silent {
+        if !self.is_open(connection) || is_silent || self.is_frozen {
             return None;
         }
         let lag = u64::from(self.reports_lag);
@@ -158,7 +163,7 @@
         {
             link.is_silent = true;
         }
-        if self.connections.get(&connection).is_none_or(|it| it.is_silent) {
+        if self.is_frozen || self.connections.get(&connection).is_none_or(|it| it.is_silent) {
             return false;
         }
         self.arrivals_after_told += u32::from(self.is_told);
@@ -200,7 +205,7 @@
             self.warmth = self.warmth.saturating_add(1);
         }
         let link = self.connections.get(&connection)?;
-        if link.is_silent {
+        if link.is_silent || self.is_frozen {
             return None;
         }
         if !is_same {
@@ -222,6 +227,10 @@
                 self.runs.remove(&job.attempt);
                 return Some(refusal(head, RefusalKind::Shed, Outcome::NotRun));
             }
+            Some(Fault::CrossedRefusal) => {
+                head.attempt = Some(AttemptId(0));
+                return Some(refusal(head, RefusalKind::Shed, Outcome::NotRun));
+            }
             Some(Fault::SnapshotGone) => {
                 self.runs.remove(&job.attempt);
                 return Some(refusal(head, RefusalKind::SnapshotNotHeld, Outcome::NotRun));
