--- a/crates/standins/src/targets/knobs.rs
+++ b/crates/standins/src/targets/knobs.rs
@@ -85,7 +85,8 @@
     /// Counts work from now on as work in a domain that is out.
     ToldOut,
     ToldIn,
-    /// Holds a further snapshot (`map.index`), as the given shard.
+    /// Holds a further snapshot (`map.index`), as the given shard; by default
+    /// as the shard it already holds in that map.
     Hold {
         snapshot: String,
         shard: Option<u32>,
--- a/crates/standins/src/targets/target.rs
+++ b/crates/standins/src/targets/target.rs
@@ -171,8 +171,10 @@
             Command::ToldOut => state.out_since = Some(Instant::now()),
             Command::ToldIn => state.out_since = None,
             Command::Hold { snapshot, shard } => {
-                let shard = shard.unwrap_or(self.spec.shard.0);
-                state.snapshots.insert(parse_snapshot(snapshot)?, shard);
+                let snapshot = parse_snapshot(snapshot)?;
+                let of_map = state.newest(snapshot.map).map(|it| state.snapshots[&it]);
+                let shard = shard.or(of_map).unwrap_or(self.spec.shard.0);
+                state.snapshots.insert(snapshot, shard);
             }
             Command::Drop { snapshot } => {
                 state.snapshots.remove(&parse_snapshot(snapshot)?);
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -132,6 +132,7 @@
     let evidence = Evidence {
         settle,
         duration,
+        fairness_from: settle + Duration::from_millis(scenario.fairness_from_ms),
         records: deployment.records().await?,
         runs: deployment.runs().await?,
         counters: [before, Counters::read(deployment).await],
--- a/xtask/src/deployment/texts.rs
+++ b/xtask/src/deployment/texts/mod.rs
@@ -7,6 +7,9 @@
 use super::{Host, ports::Ports, workspace_folder};
 use crate::scenario::{PoolPlan, Scenario};
 
+#[cfg(test)]
+mod tests;
+
 const MADE_DOMAINS: [&str; 3] = ["bench-a", "bench-b", "bench-c"];
 const ADDRESS_MARK: &str = "127.0.0.1:";
 
--- a/xtask/src/judge.rs
+++ b/xtask/src/judge/mod.rs
@@ -16,6 +16,9 @@
     watch::Counters,
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Longest latency that a histogram tells apart.
 const MAX_LATENCY_US: u64 = 60_000_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
@@ -80,6 +83,8 @@
     /// Start of the measured part, from the start of the load.
     pub settle: Duration,
     pub duration: Duration,
+    /// Start of the calls that count for fairness, from the start of the load.
+    pub fairness_from: Duration,
     pub records: Vec<Record>,
     pub runs: Vec<Run>,
     /// Counters at the start and the end of the measured part.
@@ -119,7 +124,7 @@
             work_after_domain_out_ms_max: self.max(|it| it.work_after_out_ms_max),
             config_in_force_ms_max: millis(self.config_in_force),
             config_reverts: self.config_reverts,
-            fairness_jain: fairness(&measured),
+            fairness_jain: fairness(&measured, self.fairness_from),
             connections_over_limit: self.sum(|it| it.connections_over_limit),
             planned_stop_failures: self.planned_stop_failures(),
             platform_calls_per_s: self.platform_calls as f64 / seconds,
@@ -201,8 +206,12 @@
         counts.into_iter().filter(|(_, count)| *count > 0).map(|(name, _)| name).collect()
     }
 
-    /// A number of the summary by its key, such as `groups.orders.p99_ms`.
+    /// A number of the summary by its key, such as `groups.orders.p99_ms`, or
+    /// the ratio of two, written `KEY / KEY`.
     pub fn value(&self, key: &str) -> Option<f64> {
+        if let Some((above, below)) = key.split_once(" / ") {
+            return Some(self.value(above)? / self.value(below)?);
+        }
         let json = serde_json::to_value(self).ok()?;
         key.split('.').try_fold(&json, |it, part| it.get(part))?.as_f64()
     }
@@ -265,9 +274,10 @@
 
 /// Jain's index over the services with demand: what each got answered, as a
 /// part of its max-min fair share of all that was answered.
-fn fairness(results: &[&CallResult]) -> f64 {
+fn fairness(results: &[&CallResult], from: Duration) -> f64 {
     let mut services: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
-    for result in results.iter().filter(|it| it.call.kind == CallKind::Query) {
+    let counts = |it: &&&CallResult| it.call.at >= from && it.call.kind == CallKind::Query;
+    for result in results.iter().filter(counts) {
         let (demand, got) = services.entry(&result.call.service).or_default();
         *demand += 1.0;
         if matches!(result.verdict, Verdict::Answered { .. }) {
--- a/xtask/src/load/answer.rs
+++ b/xtask/src/load/answer/mod.rs
@@ -6,6 +6,9 @@
 use base::Snapshot;
 use serde::Deserialize;
 
+#[cfg(test)]
+mod tests;
+
 /// What became of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
--- a/xtask/src/load/mod.rs
+++ b/xtask/src/load/mod.rs
@@ -18,7 +18,7 @@
     scenario::{CallKind, Load, Scenario},
 };
 
-mod answer;
+pub mod answer;
 mod caller;
 
 pub use self::{answer::Verdict, caller::CallResult};
@@ -106,7 +106,7 @@
     loop {
         let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
         at += Duration::from_secs_f64(-uniform.ln() / load.rate);
-        if at >= until {
+        if at >= until || load.count == Some(calls.len()) {
             return calls;
         }
         let key = format!("{mark}-{number}-{}", calls.len());
--- a/xtask/src/report/mod.rs
+++ b/xtask/src/report/mod.rs
@@ -14,7 +14,7 @@
 };
 
 /// Keys printed for each run, in order.
-const KEYS: [&str; 27] = [
+pub const KEYS: [&str; 27] = [
     "requests",
     "answered",
     "refused",
--- a/xtask/src/scenario.rs
+++ b/xtask/src/scenario/mod.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use standins::{platform::Outage, targets::Change};
 
+#[cfg(test)]
+mod tests;
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Scenario {
@@ -22,6 +25,9 @@
     #[serde(default = "default_settle_ms")]
     pub settle_ms: u64,
     pub duration_ms: u64,
+    /// Start of the part that `fairness_jain` looks at.
+    #[serde(default)]
+    pub fairness_from_ms: u64,
     /// Changes to the targets before any load.
     #[serde(default)]
     pub targets: Vec<Change>,
@@ -77,6 +83,8 @@
     pub services: Vec<String>,
     /// Calls a second, all services together.
     pub rate: f64,
+    /// Most calls in all.
+    pub count: Option<usize>,
     #[serde(default)]
     pub kind: CallKind,
     #[serde(default = "default_body_bytes")]
@@ -192,7 +200,7 @@
     pub fn parse(text: &str) -> eyre::Result<Self> {
         let scenario: Scenario = serde_saphyr::from_str(text).map_err(|err| eyre!("{err}"))?;
         eyre::ensure!(
-            scenario.deployment.is_some() != scenario.pools.is_empty(),
+            scenario.deployment.is_some() == scenario.pools.is_empty(),
             "a scenario has either `deployment` or `pools`"
         );
         Ok(scenario)
