Mount tickets, the operators' interface and notes on suspects in the daemon

Cause: entry brought tickets, admin and quarantine; the daemon still answered 503 for them. Change: redemption served to peers, admin interface and /metrics behind the token, frames with a kind on datagrams and links, notes on suspects told to all living hosts twice.

--- a/crates/godwityardd/src/daemon.rs
+++ b/crates/godwityardd/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Wires the parts of one host together and takes them down in order.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use documents::Settings;
 use entry::EntryCx;
@@ -23,6 +23,7 @@
     servers::{self, Servers},
     service::Service,
     start::Start,
+    suspects,
     view::SharedView,
 };
 
@@ -66,7 +67,8 @@
         let owner = start_owner(&cfg, &metrics, root);
         let view = SharedView::new(cfg.host.clone(), cfg.domain.clone(), identity.incarnation);
         let owners = FleetOwners::new(view.clone(), owner.clone(), links.clone());
-        let entry = start_entry(&cfg, view.clone(), owners, &metrics, root);
+        let entry =
+            start_entry(&cfg, start.admin_token.clone(), view.clone(), owners, &metrics, root);
 
         let (deliveries, delivered) = mpsc::channel(INBOX);
         let (platform_tx, platform_rx) = mpsc::channel(INBOX);
@@ -81,6 +83,8 @@
         let datagrams = Datagrams::new(socket, identity.clone(), peer_log)?;
         tokio::spawn(receive_datagrams(datagrams.clone(), deliveries));
 
+        tokio::spawn(suspects::tell(entry.clone(), view.clone(), datagrams.clone()));
+
         let platform_log = part_logger(root, Part::Platform);
         let platform =
             PlatformReader::new(replicas(&cfg)?, platform_tx, metrics.clone(), platform_log);
@@ -88,6 +92,7 @@
             datagrams,
             links,
             owner: owner.clone(),
+            entry: entry.clone(),
             view,
             owner_mode: cfg.policy.owners,
             platform,
@@ -122,6 +127,7 @@
         let _ = self.leave.send(Leave(reply)).await;
         sleep(self.cfg.balancer_lag).await;
         self.servers.stop_callers().await;
+        self.entry.drained().await;
         let _ = left.await;
         self.owner.drain().await;
         self.log
@@ -146,6 +152,7 @@
 
 fn start_entry(
     cfg: &Settings,
+    admin_token: Option<Arc<str>>,
     view: SharedView,
     owners: FleetOwners,
     metrics: &Metrics,
@@ -154,6 +161,7 @@
     entry::EntryBuilder::new(view, owners, metrics.clone())
         .policy(cfg.policy.clone())
         .log(part_logger(root, Part::Entry))
+        .admin_token(admin_token)
         .build()
 }
 
--- a/crates/godwityardd/src/fleet_driver/mod.rs
+++ b/crates/godwityardd/src/fleet_driver/mod.rs
@@ -9,15 +9,16 @@
 
 use base::Time;
 use documents::model::OwnerMode;
+use entry::EntryCx;
 use fleet::{Action, Input, Node};
 use owner::OwnerHandle;
-use peer::{Datagrams, Links, decode_fleet_message, encode_fleet_message};
+use peer::{Datagrams, Frame, Links};
 use slog::{Logger, debug, info, warn};
 use telemetry::{Metrics, metrics::label};
 use tokio::sync::{mpsc, oneshot};
 
 pub use self::platform_reader::PlatformReader;
-use crate::{clock, view::SharedView};
+use crate::{clock, owners::FleetOwners, view::SharedView};
 
 /// A pause of the process longer than this is reported to the node.
 const PAUSE_LIMIT: Duration = Duration::from_millis(500);
@@ -28,7 +29,7 @@
 /// Shares are published anew at least this often, as leases move on.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
 
-/// A fleet message, by datagram or by link.
+/// A frame that came by datagram or by link.
 pub struct Delivery {
     pub from: SocketAddr,
     pub message: Vec<u8>,
@@ -42,6 +43,7 @@
     pub datagrams: Datagrams,
     pub links: Links,
     pub owner: OwnerHandle,
+    pub entry: EntryCx<SharedView, FleetOwners>,
     pub view: SharedView,
     pub owner_mode: OwnerMode,
     pub platform: PlatformReader,
@@ -120,7 +122,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { to, message } => self.send(to, &message),
+            Action::Send { to, message } => self.send(to, message),
             Action::ReadIndex { after, wait } => self.cx.platform.read_index(after, wait),
             Action::ReadDocument { key } => self.cx.platform.read_document(key),
             Action::ReadHosts => self.cx.platform.read_hosts(),
@@ -146,10 +148,11 @@
         }
     }
 
-    fn send(&self, to: SocketAddr, message: &fleet::Message) {
-        let bytes = encode_fleet_message(message);
+    fn send(&self, to: SocketAddr, message: fleet::Message) {
+        let is_bulk = message.is_bulk();
+        let bytes = Frame::Fleet(message).encode();
         self.cx.metrics.control_bytes.add(bytes.len() as u64, &[label("direction", "out")]);
-        if message.is_bulk() || bytes.len() > peer::datagram::MAX_DATAGRAM_BYTES {
+        if is_bulk || bytes.len() > peer::datagram::MAX_DATAGRAM_BYTES {
             self.cx.links.deliver(to, bytes);
         } else {
             self.cx.datagrams.send(to, &bytes);
@@ -158,8 +161,12 @@
 
     fn decode(&self, from: SocketAddr, bytes: &[u8]) -> Option<Input> {
         self.cx.metrics.control_bytes.add(bytes.len() as u64, &[label("direction", "in")]);
-        match decode_fleet_message(bytes) {
-            Ok(message) => Some(Input::Message { from, message }),
+        match Frame::decode(bytes) {
+            Ok(Frame::Fleet(message)) => Some(Input::Message { from, message }),
+            Ok(Frame::Suspects(notes)) => {
+                self.cx.entry.merge_suspect_notes(&notes);
+                None
+            }
             Err(err) => {
                 debug!(self.cx.log, "fleet: message dropped"; "from" => %from, "error" => %err);
                 None
--- a/crates/godwityardd/src/main.rs
+++ b/crates/godwityardd/src/main.rs
@@ -12,6 +12,7 @@
 mod servers;
 mod service;
 mod start;
+mod suspects;
 mod view;
 
 use std::path::PathBuf;
--- a/crates/godwityardd/src/servers/mod.rs
+++ b/crates/godwityardd/src/servers/mod.rs
@@ -5,7 +5,13 @@
 use documents::Settings;
 use entry::EntryCx;
 use eyre::WrapErr;
-use rocket::{Build, Rocket, State, config::LogLevel, http::Status, routes};
+use rocket::{
+    Build, Request, Rocket, State,
+    config::LogLevel,
+    http::Status,
+    request::{FromRequest, Outcome},
+    routes,
+};
 use telemetry::Metrics;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -23,12 +29,13 @@
     pub async fn start(
         cfg: &Settings,
         entry: &EntryCx<SharedView, FleetOwners>,
-        _admin_token: Option<Arc<str>>,
+        admin_token: Option<Arc<str>>,
         metrics: Metrics,
     ) -> eyre::Result<Servers> {
         let callers = configure(entry::callers_rocket(entry.clone()), cfg.callers);
-        let admin =
-            configure(rocket::build(), cfg.admin).mount("/", routes![metrics_text]).manage(metrics);
+        let admin = configure(entry::admin_rocket(entry.clone()), cfg.admin)
+            .mount("/", routes![metrics_text])
+            .manage(Scrape { metrics, admin_token });
         let (callers, callers_task) = launch(callers).await?;
         let _ = launch(admin).await?;
         Ok(Servers { callers, callers_task })
@@ -99,9 +106,31 @@
     }
 }
 
+/// What the route for scrapers needs.
+struct Scrape {
+    metrics: Metrics,
+    admin_token: Option<Arc<str>>,
+}
+
+/// A request that showed the admin token, if one is set.
+struct Operator;
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Operator {
+    type Error = ();
+
+    async fn from_request(req: &'r Request<'_>) -> Outcome<Self, ()> {
+        let token = req.rocket().state::<Scrape>().and_then(|it| it.admin_token.as_deref());
+        match entry::is_authorized(token, req) {
+            true => Outcome::Success(Operator),
+            false => Outcome::Error((Status::Unauthorized, ())),
+        }
+    }
+}
+
 #[rocket::get("/metrics")]
-fn metrics_text(metrics: &State<Metrics>) -> (Status, String) {
-    match metrics.encode() {
+fn metrics_text(_operator: Operator, scrape: &State<Scrape>) -> (Status, String) {
+    match scrape.metrics.encode() {
         Ok(text) => (Status::Ok, text),
         Err(err) => (Status::InternalServerError, err.to_string()),
     }
--- a/crates/godwityardd/src/service.rs
+++ b/crates/godwityardd/src/service.rs
@@ -32,8 +32,7 @@
     }
 
     async fn redeem(&self, redemption: Redemption) -> Redeemed {
-        let _ = (&self.entry, redemption);
-        Redeemed { status: 503, body: (*b"{}").into() }
+        entry::redeem(&self.entry, redemption).await
     }
 
     fn deliver(&self, from: SocketAddr, message: Vec<u8>) {
--- /dev/null
+++ b/crates/godwityardd/src/suspects.rs
@@ -0,0 +1,47 @@
+//! Tells all hosts of requests that are suspected of crashing targets, and
+//! takes in what they tell.
+
+use std::time::Duration;
+
+use entry::{
+    EntryCx,
+    seams::{HostView, State},
+};
+use peer::{Datagrams, Frame};
+use policy::request::SuspectNote;
+
+use crate::{owners::FleetOwners, view::SharedView};
+
+/// Each note is sent once more after this time, as datagrams may be lost.
+const REPEAT_AFTER: Duration = Duration::from_millis(300);
+
+/// Notes in one datagram.
+const NOTES_PER_DATAGRAM: usize = 4;
+
+/// Tells notes as they come up, until the process ends.
+pub async fn tell(entry: EntryCx<SharedView, FleetOwners>, view: SharedView, datagrams: Datagrams) {
+    loop {
+        entry.suspects_changed().await;
+        let notes = entry.take_suspect_notes();
+        if notes.is_empty() {
+            continue;
+        }
+        send(&view, &datagrams, &notes);
+        let (view, datagrams) = (view.clone(), datagrams.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(REPEAT_AFTER).await;
+            send(&view, &datagrams, &notes);
+        });
+    }
+}
+
+fn send(view: &SharedView, datagrams: &Datagrams, notes: &[SuspectNote]) {
+    let hosts = view.hosts();
+    let is_other = |it: &&HostView| it.is_alive && it.host != *view.host();
+    for notes in notes.chunks(NOTES_PER_DATAGRAM) {
+        let frame = Frame::Suspects(notes.to_vec()).encode();
+        for host in hosts.iter().filter(is_other) {
+            datagrams.send(host.address, &frame);
+        }
+    }
+}
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -66,6 +66,16 @@
   body @7 :Data;
 }
 
+struct Death { target @0 :Text; incarnation @1 :UInt64; shard @2 :UInt32; }
+
+struct SuspectNote {
+  fingerprint @0 :UInt64;
+  deaths @1 :List(Death);
+  quarantineMicros @2 :UInt64;  # 0 without a quarantine
+}
+
+struct SuspectNotes { notes @0 :List(SuspectNote); }
+
 interface Gate {
   # First object on a link.
   challenge @0 () -> (nonce :Data);
@@ -77,7 +87,7 @@
   cancel @1 (request :Id, attempts :List(Id)) -> ();
   status @2 (pool :Text) -> (targets :List(TargetStatus));
   redeem @3 (redemption :Redemption) -> (status :UInt16, body :Data);
-  deliver @4 (message :Data) -> ();  # a fleet message too large for a datagram
+  deliver @4 (message :Data) -> ();  # a frame too large for a datagram
   ping @5 () -> ();
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -19,5 +19,5 @@
     identity::Identity,
     links::{LinkError, Links},
     server::{HostService, serve},
-    wire::fleet::{decode as decode_fleet_message, encode as encode_fleet_message},
+    wire::Frame,
 };
--- a/crates/peer/src/wire/fleet/mod.rs
+++ b/crates/peer/src/wire/fleet/mod.rs
@@ -13,18 +13,16 @@
 use super::{Result, malformed, name, text};
 use crate::{generated::fleet_capnp::message as wire, server::message_limits};
 
-/// Encodes a fleet message.
-pub fn encode(it: &Message) -> Vec<u8> {
+/// Appends a fleet message to `buf`.
+pub(crate) fn encode(buf: &mut Vec<u8>, it: &Message) {
     let mut builder = message::Builder::new_default();
     write_message(builder.init_root(), it);
-    let mut buf = Vec::new();
     // Writing to memory cannot fail.
-    let _ = serialize_packed::write_message(&mut buf, &builder);
-    buf
+    let _ = serialize_packed::write_message(buf, &builder);
 }
 
 /// Decodes a fleet message; whatever is malformed is an error.
-pub fn decode(mut bytes: &[u8]) -> Result<Message> {
+pub(crate) fn decode(mut bytes: &[u8]) -> Result<Message> {
     let reader = serialize_packed::read_message(&mut bytes, message_limits())?;
     read_message(reader.get_root()?)
 }
--- a/crates/peer/src/wire/mod.rs
+++ b/crates/peer/src/wire/mod.rs
@@ -3,15 +3,18 @@
 //! error that closes the link, never a panic.
 
 mod batch;
-pub mod fleet;
+mod fleet;
+mod frame;
 mod hello;
 mod part;
 mod redemption;
+mod suspects;
 
 use base::{AttemptId, RequestId, Snapshot};
 
 use crate::generated::peer_capnp::{id, snapshot};
 
+pub use self::frame::Frame;
 pub(crate) use self::{
     batch::{read_batch, write_batch},
     hello::{read_hello, write_hello},
--- a/crates/peer/tests/fleet_messages.rs
+++ b/crates/peer/tests/frames.rs
@@ -1,4 +1,4 @@
-//! Fleet messages survive the wire, and bytes that are none are errors.
+//! Frames survive the wire, and bytes that are none are errors.
 
 use base::{Incarnation, Revision};
 use fleet::{
@@ -9,7 +9,8 @@
         Right, Role, Verdict,
     },
 };
-use peer::{decode_fleet_message, encode_fleet_message};
+use peer::Frame;
+use policy::request::{Death, SuspectNote};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 fn record(state: MemberState) -> Record {
@@ -86,31 +87,49 @@
     ]
 }
 
-fn check_round_trip(body: Body) -> Vec<u8> {
-    let message = Message { sender: "a-1".into(), incarnation: Incarnation(3), body };
-    let bytes = encode_fleet_message(&message);
-    assert_eq!(decode_fleet_message(&bytes).unwrap(), message);
+fn notes() -> Frame {
+    let death =
+        Death { target: "t-1".into(), incarnation: Incarnation(9), shard: base::ShardId(2) };
+    let suspect = SuspectNote {
+        fingerprint: u64::MAX,
+        deaths: vec![death],
+        quarantine: Some(std::time::Duration::from_secs(3)),
+    };
+    let cleared = SuspectNote { fingerprint: 1, deaths: vec![], quarantine: None };
+    Frame::Suspects(vec![suspect, cleared])
+}
+
+/// One frame of each kind, and one for each kind of fleet message.
+fn frames() -> Vec<Frame> {
+    let frame =
+        |body| Frame::Fleet(Message { sender: "a-1".into(), incarnation: Incarnation(3), body });
+    bodies().into_iter().map(frame).chain([notes()]).collect()
+}
+
+fn check_round_trip(frame: &Frame) -> Vec<u8> {
+    let bytes = frame.encode();
+    assert_eq!(Frame::decode(&bytes).unwrap(), *frame);
     bytes
 }
 
 #[test]
 fn every_kind_survives_the_wire() {
-    for body in bodies() {
-        check_round_trip(body);
+    for frame in frames() {
+        check_round_trip(&frame);
     }
 }
 
 #[test]
 fn changed_bytes_never_panic() {
     let mut rng = SmallRng::seed_from_u64(11);
-    for body in bodies() {
-        let bytes = check_round_trip(body);
+    for frame in frames() {
+        let bytes = check_round_trip(&frame);
         for _ in 0..2_000 {
             let mut bytes = bytes.clone();
             let i = rng.random_range(0..bytes.len());
             bytes[i] = rng.random();
             bytes.truncate(rng.random_range(0..=bytes.len()));
-            let _ = decode_fleet_message(&bytes);
+            let _ = Frame::decode(&bytes);
         }
     }
 }
