Put each part's prefix before its log messages in one place

Cause: some parts wrote their prefix by hand, others only as a field. Change: a drain between part and root logger adds it. Conclusion: a message cannot lack its prefix.

--- a/crates/godwityardd/src/daemon.rs
+++ b/crates/godwityardd/src/daemon.rs
@@ -104,7 +104,7 @@
         tokio::spawn(Driver::new(node, cx).run(inbox));
 
         let servers = Servers::start(&cfg, &entry, start.admin_token, metrics).await?;
-        info!(log, "daemon: started"; "callers" => %cfg.callers, "admin" => %cfg.admin,
+        info!(log, "started"; "callers" => %cfg.callers, "admin" => %cfg.admin,
             "peers" => %cfg.peers, "incarnation" => identity.incarnation.0);
         Ok(Host { cfg, entry, owner, servers, leave, log })
     }
@@ -112,10 +112,10 @@
     /// Stops in an order that fails no request: first the balancer and peers
     /// learn of it while everything still works, then admitted work ends.
     async fn stop(self) {
-        info!(self.log, "daemon: stopping"; "grace_ms" => self.cfg.grace.as_millis() as u64);
+        info!(self.log, "stopping"; "grace_ms" => self.cfg.grace.as_millis() as u64);
         let grace = self.cfg.grace;
         match timeout(grace, self.stop_in_order()).await {
-            Ok(log) => info!(log, "daemon: stopped"),
+            Ok(log) => info!(log, "stopped"),
             Err(_) => eprintln_grace(grace),
         }
     }
--- a/crates/godwityardd/src/fleet_driver/mod.rs
+++ b/crates/godwityardd/src/fleet_driver/mod.rs
@@ -108,7 +108,7 @@
         let pause = now.since(self.last_look);
         self.last_look = now;
         if pause > PAUSE_LIMIT {
-            warn!(self.cx.log, "fleet: woke from a pause"; "pause_ms" => pause.as_millis() as u64);
+            warn!(self.cx.log, "woke from a pause"; "pause_ms" => pause.as_millis() as u64);
             self.step(Input::Woke);
         }
     }
@@ -128,7 +128,7 @@
             Action::ReadHosts => self.cx.platform.read_hosts(),
             Action::ConfigurationChanged => {
                 let configuration = self.node.configuration();
-                info!(self.cx.log, "fleet: configuration in force";
+                info!(self.cx.log, "configuration in force";
                     "revision" => configuration.revision.0);
                 self.cx.metrics.revision_in_force.record(configuration.revision.0, &[]);
                 self.cx.owner.configure(configuration);
@@ -139,7 +139,7 @@
                 self.publish();
             }
             Action::Left => {
-                info!(self.cx.log, "fleet: left");
+                info!(self.cx.log, "left");
                 if let Some(reply) = self.leaving.take() {
                     // The waiting side may have passed its grace limit.
                     let _ = reply.send(());
@@ -168,7 +168,7 @@
                 None
             }
             Err(err) => {
-                debug!(self.cx.log, "fleet: message dropped"; "from" => %from, "error" => %err);
+                debug!(self.cx.log, "message dropped"; "from" => %from, "error" => %err);
                 None
             }
         }
--- a/crates/godwityardd/src/fleet_driver/platform_reader.rs
+++ b/crates/godwityardd/src/fleet_driver/platform_reader.rs
@@ -70,7 +70,7 @@
                 None => Ok(Input::PlatformFailed),
             };
             let input = result.unwrap_or_else(|err| {
-                warn!(this.log, "platform: read failed"; "kind" => kind, "error" => %err);
+                warn!(this.log, "read failed"; "kind" => kind, "error" => %err);
                 this.current.store(current + 1, Ordering::Relaxed);
                 Input::PlatformFailed
             });
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -36,7 +36,7 @@
         match self.socket.try_send_to(&buf, to) {
             Ok(sent) => sent,
             Err(err) => {
-                debug!(self.log, "peer: datagram not sent"; "to" => %to, "error" => %err);
+                debug!(self.log, "datagram not sent"; "to" => %to, "error" => %err);
                 0
             }
         }
@@ -51,7 +51,7 @@
             match self.identity.open(&buf[..len]) {
                 Ok(body) => return (from, body.to_vec()),
                 Err(err) => {
-                    debug!(self.log, "peer: datagram dropped"; "from" => %from, "error" => %err);
+                    debug!(self.log, "datagram dropped"; "from" => %from, "error" => %err);
                 }
             }
         }
--- a/crates/peer/src/links/link.rs
+++ b/crates/peer/src/links/link.rs
@@ -75,7 +75,7 @@
                 reason = watch_silence(watched.clone()) => reason,
                 _ = system => "the peer closed it",
             };
-            info!(log, "peer: link closed"; "to" => %to, "reason" => reason);
+            info!(log, "link closed"; "to" => %to, "reason" => reason);
             if let Some(link) = watched.upgrade() {
                 link.closed.send_replace(true);
             }
@@ -194,6 +194,6 @@
 
 impl Link {
     pub(super) fn warn_lost(&self, log: &Logger, what: &str) {
-        warn!(log, "peer: call lost"; "to" => %self.peer, "call" => what);
+        warn!(log, "call lost"; "to" => %self.peer, "call" => what);
     }
 }
--- a/crates/peer/src/links/table.rs
+++ b/crates/peer/src/links/table.rs
@@ -74,7 +74,7 @@
         let (entry, link) = match result {
             Ok(link) => (Entry::Open(Rc::clone(&link)), Some(link)),
             Err(err) => {
-                info!(self.inner.log, "peer: no link"; "to" => %to, "error" => %err);
+                info!(self.inner.log, "no link"; "to" => %to, "error" => %err);
                 (Entry::Failed { retry_at: Instant::now() + RECONNECT_PAUSE }, None)
             }
         };
--- a/crates/peer/src/server/gate.rs
+++ b/crates/peer/src/server/gate.rs
@@ -49,7 +49,7 @@
             return Err(capnp::Error::failed("hello without a challenge".to_owned()));
         };
         if let Err(err) = self.identity.verify(&nonce, &claim) {
-            warn!(self.log, "peer: turned a peer away"; "peer" => %claim.host, "error" => %err);
+            warn!(self.log, "turned a peer away"; "peer" => %claim.host, "error" => %err);
             return Err(capnp::Error::failed(err.to_string()));
         }
         let server = HostServer::new(self.service.clone(), claim.address);
--- a/crates/peer/src/server/mod.rs
+++ b/crates/peer/src/server/mod.rs
@@ -63,7 +63,7 @@
     let listener = match TcpListener::from_std(listener) {
         Ok(it) => it,
         Err(err) => {
-            slog::error!(log, "peer: cannot listen"; "error" => %err);
+            slog::error!(log, "cannot listen"; "error" => %err);
             return;
         }
     };
@@ -75,7 +75,7 @@
             continue;
         };
         if open.get() >= MAX_LINKS {
-            warn!(log, "peer: refused a link, too many are open"; "from" => %address);
+            warn!(log, "refused a link, too many are open"; "from" => %address);
             continue;
         }
         open.set(open.get() + 1);
@@ -83,7 +83,7 @@
         let (open, log) = (Rc::clone(&open), log.clone());
         task::spawn_local(async move {
             if let Err(err) = serve_link(stream, gate).await {
-                info!(log, "peer: link ended"; "from" => %address, "error" => %err);
+                info!(log, "link ended"; "from" => %address, "error" => %err);
             }
             open.set(open.get() - 1);
         });
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -4,7 +4,7 @@
 use std::{io, sync::OnceLock};
 
 use documents::model::{LogFormat, LogLevel, LogSettings};
-use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog::{Drain, Level, LevelFilter, Logger, OwnedKVList, Record, RecordStatic, o};
 use slog_async::OverflowStrategy;
 
 /// Lines buffered before the log drops some.
@@ -54,9 +54,32 @@
     (Logger::root(drain, o!("host" => host.to_owned())), guard)
 }
 
-/// A logger for one part of the program.
+/// A logger for one part of the program: each message gets the part's prefix.
 pub fn part_logger(root: &Logger, part: Part) -> Logger {
-    root.new(o!("part" => part.as_str()))
+    Logger::root(Prefixed { part, inner: root.clone() }, o!())
+}
+
+/// Puts the part's name before each message.
+struct Prefixed {
+    part: Part,
+    inner: Logger,
+}
+
+impl Drain for Prefixed {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        let origin =
+            RecordStatic { location: record.location(), tag: record.tag(), level: record.level() };
+        let part = self.part.as_str();
+        let message = format_args!("{part}: {}", record.msg());
+        Drain::log(&self.inner, &Record::new(&origin, &message, record.kv()), values)
+    }
+
+    fn is_enabled(&self, level: Level) -> bool {
+        Drain::is_enabled(&self.inner, level)
+    }
 }
 
 /// Logs every broken invariant of this process under the root logger.
