Charge a service only for the slot time its jobs use

Cause: a popped job that was refused for its deadline kept its charge, so the service that waits longest paid for jobs that never ran; a quick refusal was also taken for a cheap job.

Change: the charge is settled for every popped job; the expected cost learns from answers and from silence only.

--- a/crates/policy/src/owner/queue.rs
+++ b/crates/policy/src/owner/queue.rs
@@ -99,15 +99,21 @@
         }
     }
 
-    /// Sets the cost of a job right that ended after `service_time`.
-    pub fn settle(&mut self, job: &Job, service_time: Duration) {
-        let actual = micros(service_time);
-        self.quantum_us += COST_GAIN * (actual as f64 - self.quantum_us);
+    /// Sets the cost of a job right that used a slot for `used`.
+    pub fn settle(&mut self, job: &Job, used: Duration) {
         let quantum = self.quantum();
         let key = if self.is_shared() { &self.shared_flow } else { &job.batch.service };
         let Some(flow) = self.flows.get_mut(key) else { return };
-        flow.cost_us += COST_GAIN * (actual as f64 - flow.cost_us);
-        flow.charge(actual - micros(job.charged), quantum);
+        flow.charge(micros(used) - micros(job.charged), quantum);
+    }
+
+    /// Takes the service time of a job into the expected cost of later ones.
+    pub fn learn(&mut self, job: &Job, service_time: Duration) {
+        let time_us = service_time.as_micros() as f64;
+        self.quantum_us += COST_GAIN * (time_us - self.quantum_us);
+        let key = if self.is_shared() { &self.shared_flow } else { &job.batch.service };
+        let Some(flow) = self.flows.get_mut(key) else { return };
+        flow.cost_us += COST_GAIN * (time_us - flow.cost_us);
     }
 
     /// Takes the jobs whose deadline has passed.
--- a/crates/policy/src/owner/target/dispatch.rs
+++ b/crates/policy/src/owner/target/dispatch.rs
@@ -72,6 +72,7 @@
             let Some(connection) = self.connections.idle(Role::Data) else { return };
             let Some(job) = self.queue.pop() else { return };
             if self.is_hopeless(cx, &job) {
+                self.queue.settle(&job, Duration::ZERO);
                 self.refuse(cx, &job, Missing::Deadline);
                 continue;
             }
@@ -193,7 +194,9 @@
         let Some(entry) = self.in_flight.remove(&attempt) else { return };
         self.cancels.retain(|it| *it != attempt);
         self.close(cx, entry.connection, CloseCause::Silent);
-        self.queue.settle(&entry.job, cx.now.since(entry.sent_at));
+        let used = cx.now.since(entry.sent_at);
+        self.queue.settle(&entry.job, used);
+        self.queue.learn(&entry.job, used);
         self.reply_to(cx, &entry, may_have_run(Missing::Deadline));
         if self.proven_at.is_none_or(|it| it <= entry.sent_at) {
             self.trust.observe_doubt();
--- a/crates/policy/src/owner/target/mod.rs
+++ b/crates/policy/src/owner/target/mod.rs
@@ -207,7 +207,11 @@
             // Nothing was sent, so the job waits for another connection.
             self.queue.push_front(entry.job);
         } else {
-            self.queue.settle(&entry.job, cx.now.since(entry.sent_at));
+            let used = cx.now.since(entry.sent_at);
+            self.queue.settle(&entry.job, used);
+            if proof == Proof::Answered {
+                self.queue.learn(&entry.job, used);
+            }
             self.reply_to(cx, &entry, result);
         }
         self.advance(cx);
--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -7,7 +7,7 @@
 use assert_matches::assert_matches;
 use base::{AttemptId, Missing, Outcome, ServiceName, Share, TargetName};
 use documents::model::{EarlyRefusal, PolicySettings};
-use owner_world::{Fault, World, share};
+use owner_world::{World, share, target::Fault};
 use policy::{
     message::PartResult,
     owner::{CloseCause, LimitCause, Note},
--- a/crates/policy/tests/owner_random.rs
+++ b/crates/policy/tests/owner_random.rs
@@ -10,7 +10,7 @@
 
 use base::{AttemptId, ServiceName, Share, TargetName};
 use documents::model::{EarlyRefusal, FairTurns, PolicySettings, WarmUp};
-use owner_world::{Fault, World, share};
+use owner_world::{World, share, target::Fault};
 use rand::Rng;
 
 const STEPS: u64 = 60_000;
--- a/crates/policy/tests/owner_world/mod.rs
+++ b/crates/policy/tests/owner_world/mod.rs
@@ -4,7 +4,8 @@
 // Each test binary and the bench use a part of it.
 #![allow(dead_code)]
 
-mod target;
+pub mod load;
+pub mod target;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -23,7 +24,7 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-pub use self::target::{Fault, ModelTarget};
+use self::target::ModelTarget;
 
 pub const SNAPSHOT: Snapshot = Snapshot { map: 1, index: 5 };
 pub const TICK: Duration = Duration::from_millis(5);
@@ -35,6 +36,7 @@
     pub rng: SmallRng,
     pub targets: HashMap<TargetName, ModelTarget>,
     pub parts: Vec<Part>,
+    pub served: Vec<load::Served>,
     pub notes: Vec<(TargetName, Note)>,
     pub is_domain_in: bool,
     pub shares: HashMap<TargetName, Share>,
@@ -50,7 +52,8 @@
 }
 
 struct Asked {
-    is_idempotent: bool,
+    service: ServiceName,
+    asked_at: Time,
     deadline: Time,
 }
 
@@ -72,6 +75,7 @@
             rng: SmallRng::seed_from_u64(seed),
             targets,
             parts: Vec::new(),
+            served: Vec::new(),
             notes: Vec::new(),
             is_domain_in: true,
             shares: HashMap::default(),
@@ -121,7 +125,8 @@
         self.next_id += 1;
         let attempt = AttemptId(u128::from(self.next_id));
         let deadline = self.now + time_left;
-        self.asked.insert(attempt, Asked { is_idempotent, deadline });
+        let asked = Asked { service: service.clone(), asked_at: self.now, deadline };
+        self.asked.insert(attempt, asked);
         let batch = Batch {
             request: RequestId(attempt.0),
             service: service.clone(),
@@ -317,9 +322,14 @@
         }
         assert!(runs <= 1, "an attempt ran {runs} times");
         let late = self.now.since(asked.deadline);
-        let _ = asked.is_idempotent;
         // A pause delays the tick that notices the deadline, nothing else may.
         assert!(late <= Duration::from_secs(20), "the part came {late:?} late");
+        let missing = match part.result {
+            PartResult::Answer { .. } => None,
+            PartResult::Failed { missing, .. } => Some(missing),
+        };
+        let latency = self.now.since(asked.asked_at);
+        self.served.push(load::Served { service: asked.service, latency, missing });
         self.parts.push(part);
     }
 
