Lower the limit when attempts run into their deadlines

Cause: a target that turned so slow that every attempt timed out gave no answer to compare, so its limit and expected cost stayed as they were.

Change: a 504 of work that had begun counts as a slow answer for the latency jump and for the expected cost, not as proof.

Conclusion: a sudden turn to cold is seen with or without answers.

--- a/crates/policy/src/owner/limit.rs
+++ b/crates/policy/src/owner/limit.rs
@@ -114,15 +114,26 @@
         let time_us = service_time.as_micros() as f64;
         self.answered_at = now;
         if self.is_jump(time_us) {
-            // What is slow for good becomes the measure of later jumps.
-            self.baseline_us = Some(time_us);
-            return self.reset(now).then_some(LimitChange::Lowered(LimitCause::LatencyJump));
+            return self.reset_by_jump(now, time_us);
         }
         self.answers += 1;
         self.answers_us += time_us;
         self.step(now)
     }
 
+    /// Takes an attempt that ran into its deadline as a slow answer, which
+    /// proves nothing.
+    pub fn observe_timeout(&mut self, now: Time, time: Duration) -> Option<LimitChange> {
+        let time_us = time.as_micros() as f64;
+        if self.is_jump(time_us) { self.reset_by_jump(now, time_us) } else { None }
+    }
+
+    fn reset_by_jump(&mut self, now: Time, time_us: f64) -> Option<LimitChange> {
+        // What is slow for good becomes the measure of later jumps.
+        self.baseline_us = Some(time_us);
+        self.reset(now).then_some(LimitChange::Lowered(LimitCause::LatencyJump))
+    }
+
     fn is_jump(&mut self, time_us: f64) -> bool {
         let Some(baseline) = self.baseline_us else {
             self.baseline_us = Some(time_us);
--- a/crates/policy/src/owner/target/mod.rs
+++ b/crates/policy/src/owner/target/mod.rs
@@ -209,7 +209,7 @@
         } else {
             let used = cx.now.since(entry.sent_at);
             self.queue.settle(&entry.job, used);
-            if proof == Proof::Answered {
+            if matches!(proof, Proof::Answered | Proof::TimedOut) {
                 self.queue.learn(&entry.job, used);
             }
             self.reply_to(cx, &entry, result);
@@ -282,6 +282,10 @@
                 let change = self.limit.observe_answer(cx.now, cx.now.since(entry.sent_at));
                 self.note_limit(cx, change);
             }
+            Proof::TimedOut => {
+                let change = self.limit.observe_timeout(cx.now, cx.now.since(entry.sent_at));
+                self.note_limit(cx, change);
+            }
             Proof::Shed => self.lower_limit(cx, LimitCause::Shed),
             Proof::Lost => {
                 self.trust.observe_doubt();
--- a/crates/policy/src/owner/verdict.rs
+++ b/crates/policy/src/owner/verdict.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Proof {
     Answered,
+    /// The target gave up at the deadline, after it had begun.
+    TimedOut,
     Shed,
     Lost,
     /// Nothing was sent, since the connection had ended before.
@@ -73,7 +75,11 @@
     // that the work did not run is not taken.
     let is_own = head.attempt == Some(job.attempt);
     let vouched = outcome.filter(|&it| is_own && it == Outcome::NotRun);
-    let proof = if kind == RefusalKind::Shed { Proof::Shed } else { Proof::None };
+    let proof = match kind {
+        RefusalKind::Shed => Proof::Shed,
+        RefusalKind::DeadlinePassed if vouched.is_none() => Proof::TimedOut,
+        _ => Proof::None,
+    };
     head.is_leaving |= kind == RefusalKind::Leaving;
     Verdict {
         result: PartResult::Failed {
--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -68,6 +68,14 @@
     assert!(f.lowered_by(LimitCause::LatencyJump));
 }
 
+#[test]
+fn attempts_that_run_into_their_deadlines_lower_the_limit() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).service_ms = 20_000.0;
+    f.load(2 * SECOND, 100);
+    assert!(f.lowered_by(LimitCause::LatencyJump));
+}
+
 #[test]
 fn long_idle_target_counts_as_cold() {
     let mut f = Fixture::warm();
