--- a/crates/policy/src/owner/queue.rs
+++ b/crates/policy/src/owner/queue.rs
@@ -196,7 +196,7 @@
             return;
         }
         flow.has_turn = false;
-        flow.deficit_us = flow.deficit_us.min(0);
+        flow.deficit_us = 0;
         self.ring.retain(|it| it != key);
     }
 
@@ -252,9 +252,11 @@
 
     /// Takes `cost_us` off the deficit within the bound of debt and credit.
     fn charge(&mut self, cost_us: i64, quantum: i64) {
+        if self.jobs.is_empty() {
+            return;
+        }
         let bound = MAX_QUANTA * quantum;
-        let ceiling = if self.jobs.is_empty() { 0 } else { quantum * self.weight };
-        self.deficit_us = (self.deficit_us - cost_us).clamp(-bound, ceiling.max(0));
+        self.deficit_us = (self.deficit_us - cost_us).clamp(-bound, quantum * self.weight);
     }
 
     fn cost(&self, quantum: i64) -> i64 {
--- a/crates/policy/tests/owner_world/load.rs
+++ b/crates/policy/tests/owner_world/load.rs
@@ -40,6 +40,19 @@
         time: Duration,
     ) -> Vec<Served> {
         self.served.clear();
+        let mut served = self.drive_only(target, demands, time);
+        self.run_for(Duration::from_secs(1));
+        served.append(&mut self.served);
+        served
+    }
+
+    /// The same without waiting for what is still under way at the end.
+    pub fn drive_only(
+        &mut self,
+        target: &TargetName,
+        demands: &[Demand],
+        time: Duration,
+    ) -> Vec<Served> {
         let end = self.now + time;
         let mut arrivals = BTreeMap::new();
         for (i, demand) in demands.iter().enumerate() {
@@ -55,7 +68,7 @@
             let next = at + self.gap(demand);
             arrivals.insert((next, i), demand);
         }
-        self.run_for(Duration::from_secs(1));
+        self.pass_until(end, tick);
         std::mem::take(&mut self.served)
     }
 
