--- a/crates/documents/src/lib.rs
+++ b/crates/documents/src/lib.rs
@@ -3,36 +3,103 @@
 //!
 //! It reads no file and opens no socket: callers hand it text. It does not
 //! decide which revision is in force; that is `fleet`.
+//!
+//! Text passes through four steps: [`tree`] keeps every value with its place,
+//! `reader` takes typed fields out of a mapping, `wire` holds what was written
+//! and converts it to the [`model`], and `cross` checks documents against each
+//! other. No step stops at the first mistake.
+
+use base::Findings;
+
+use crate::{
+    tree::Node,
+    wire::{DocumentWire, SettingsWire},
+};
 
-use base::{Finding, Findings, Place};
+mod cross;
+mod reader;
+mod tree;
+mod wire;
 
 pub mod model;
 
-pub use crate::model::{
-    Configuration, Domain, DomainState, Pool, Preference, Service, Settings, Target,
+pub use crate::{
+    cross::{cross_check, cross_check_settings},
+    model::{
+        Configuration, Document, Domain, DomainState, Located, Places, Pool, Preference, Service,
+        Settings, Target,
+    },
 };
 
-/// One checked document.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Document {
-    Service(Service),
-    Pool(Pool),
-    Domain(Domain),
+/// Parses and checks one YAML document; `source` names it in findings.
+pub fn parse_document(source: &str, text: &str) -> Result<Document, Findings> {
+    let node = tree::parse_one(source, text)?;
+    Document::try_from(DocumentWire::from(node))
 }
 
-/// Parses and checks one YAML document; `source` names it in findings.
-pub fn parse_document(source: &str, _text: &str) -> Result<Document, Findings> {
-    unsupported(source)
+/// Parses and checks a stream of YAML documents. Returns the valid ones beside
+/// the findings against the others.
+pub fn parse_documents(source: &str, text: &str) -> (Vec<Located<Document>>, Findings) {
+    let mut documents = Vec::new();
+    let (nodes, mut findings) = tree::parse_stream(source, text);
+    for node in nodes {
+        match locate::<_, DocumentWire>(node) {
+            Ok(document) => documents.push(document),
+            Err(found) => findings.extend(found),
+        }
+    }
+    (documents, findings)
 }
 
 /// Parses and checks a daemon's settings; `source` names them in findings.
-pub fn parse_settings(source: &str, _text: &str) -> Result<Settings, Findings> {
-    unsupported(source)
+pub fn parse_settings(source: &str, text: &str) -> Result<Settings, Findings> {
+    let node = tree::parse_one(source, text)?;
+    Settings::try_from(SettingsWire::from(node))
+}
+
+/// Parses a file of documents, settings or both, as `godwityard check` takes
+/// it. A mapping without `kind` but with `host` holds settings.
+pub fn parse_file(source: &str, text: &str) -> (ParsedFile, Findings) {
+    let mut file = ParsedFile::default();
+    let (nodes, mut findings) = tree::parse_stream(source, text);
+    for node in nodes {
+        if let Err(found) = file.add(node) {
+            findings.extend(found);
+        }
+    }
+    (file, findings)
+}
+
+/// The valid parts of one file or of several.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ParsedFile {
+    pub documents: Vec<Located<Document>>,
+    pub settings: Vec<Located<Settings>>,
+}
+
+impl ParsedFile {
+    fn add(&mut self, node: Node) -> Result<(), Findings> {
+        if node.has_key("host") && !node.has_key("kind") {
+            self.settings.push(locate::<_, SettingsWire>(node)?);
+        } else {
+            self.documents.push(locate::<_, DocumentWire>(node)?);
+        }
+        Ok(())
+    }
+
+    pub fn extend(&mut self, other: ParsedFile) {
+        self.documents.extend(other.documents);
+        self.settings.extend(other.settings);
+    }
 }
 
-fn unsupported<T>(source: &str) -> Result<T, Findings> {
-    let mut findings = Findings::default();
-    let place = Place { source: source.into(), line: 0, column: 0 };
-    findings.push(Finding::new(place, "parsing is not there yet"));
-    Err(findings)
+fn locate<T, W>(node: Node) -> Result<Located<T>, Findings>
+where
+    T: TryFrom<W, Error = Findings>,
+    W: From<Node>,
+{
+    let place = node.place.clone();
+    let places = Places::from(&node);
+    let value = T::try_from(W::from(node))?;
+    Ok(Located { value, place, places })
 }
