--- a/crates/policy/src/owner/queue.rs
+++ b/crates/policy/src/owner/queue.rs
@@ -99,15 +99,21 @@
         }
     }
 
-    /// Sets the cost of a job right that ended after `service_time`.
-    pub fn settle(&mut self, job: &Job, service_time: Duration) {
-        let actual = micros(service_time);
-        self.quantum_us += COST_GAIN * (actual as f64 - self.quantum_us);
+    /// Sets the cost of a job right that used a slot for `used`.
+    pub fn settle(&mut self, job: &Job, used: Duration) {
         let quantum = self.quantum();
         let key = if self.is_shared() { &self.shared_flow } else { &job.batch.service };
         let Some(flow) = self.flows.get_mut(key) else { return };
-        flow.cost_us += COST_GAIN * (actual as f64 - flow.cost_us);
-        flow.charge(actual - micros(job.charged), quantum);
+        flow.charge(micros(used) - micros(job.charged), quantum);
+    }
+
+    /// Takes the service time of a job into the expected cost of later ones.
+    pub fn learn(&mut self, job: &Job, service_time: Duration) {
+        let time_us = service_time.as_micros() as f64;
+        self.quantum_us += COST_GAIN * (time_us - self.quantum_us);
+        let key = if self.is_shared() { &self.shared_flow } else { &job.batch.service };
+        let Some(flow) = self.flows.get_mut(key) else { return };
+        flow.cost_us += COST_GAIN * (time_us - flow.cost_us);
     }
 
     /// Takes the jobs whose deadline has passed.
@@ -190,7 +196,7 @@
             return;
         }
         flow.has_turn = false;
-        flow.deficit_us = flow.deficit_us.min(0);
+        flow.deficit_us = 0;
         self.ring.retain(|it| it != key);
     }
 
@@ -246,9 +252,11 @@
 
     /// Takes `cost_us` off the deficit within the bound of debt and credit.
     fn charge(&mut self, cost_us: i64, quantum: i64) {
+        if self.jobs.is_empty() {
+            return;
+        }
         let bound = MAX_QUANTA * quantum;
-        let ceiling = if self.jobs.is_empty() { 0 } else { quantum * self.weight };
-        self.deficit_us = (self.deficit_us - cost_us).clamp(-bound, ceiling.max(0));
+        self.deficit_us = (self.deficit_us - cost_us).clamp(-bound, quantum * self.weight);
     }
 
     fn cost(&self, quantum: i64) -> i64 {
--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -7,7 +7,7 @@
 use assert_matches::assert_matches;
 use base::{AttemptId, Missing, Outcome, ServiceName, Share, TargetName};
 use documents::model::{EarlyRefusal, PolicySettings};
-use owner_world::{Fault, World, share};
+use owner_world::{World, share, target::Fault};
 use policy::{
     message::PartResult,
     owner::{CloseCause, LimitCause, Note},
@@ -68,6 +68,14 @@
     assert!(f.lowered_by(LimitCause::LatencyJump));
 }
 
+#[test]
+fn attempts_that_run_into_their_deadlines_lower_the_limit() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).service_ms = 20_000.0;
+    f.load(2 * SECOND, 100);
+    assert!(f.lowered_by(LimitCause::LatencyJump));
+}
+
 #[test]
 fn long_idle_target_counts_as_cold() {
     let mut f = Fixture::warm();
