Give the owner the root logger, as it adds its own prefix

Cause: owner's lines carried their prefix twice. Change: the daemon hands over the root logger. Measured: read in the code only. Conclusion: one prefix a line.

--- a/crates/godwityardd/src/daemon.rs
+++ b/crates/godwityardd/src/daemon.rs
@@ -144,7 +144,7 @@
         host: cfg.host.clone(),
         policy: cfg.policy.clone(),
         metrics: metrics.clone(),
-        log: part_logger(root, Part::Owner),
+        log: root.clone(),
         clock: clock::now,
         seed: clock::incarnation().0,
     })
