Serve a little where a domain's hosts died or are cut off together

Cause: a host whose other voters are dead or out of reach at once holds no right and would serve none of its own targets until the dead are forgotten. Change: after 5 s without answers from a majority of voters, the host that is first for a target may use one slot and one connection, cold. Conclusion: the survivor serves; the limit that it may exceed is one slot of a target, if the others live and reach the target after all.

--- a/crates/fleet/src/lease/holder.rs
+++ b/crates/fleet/src/lease/holder.rs
@@ -5,7 +5,7 @@
 use base::{HashMap, HostName, Time, always};
 use rand::{Rng, rngs::SmallRng};
 
-use super::{CLAIM_INTERVAL, DRAIN, LEASE, LOAN, LOAN_PROMISE, RENEW_INTERVAL};
+use super::{CLAIM_INTERVAL, DRAIN, LAST_RESORT_AFTER, LEASE, LOAN, LOAN_PROMISE, RENEW_INTERVAL};
 use crate::{
     assignment::{GroupId, Voters},
     message::{Answer, Claim, Right, Role, Verdict},
@@ -36,6 +36,10 @@
     grants: HashMap<HostName, Grant>,
     /// End of the lease; past if there is none.
     until: Time,
+    /// When each voter last answered, whatever it said.
+    heard: HashMap<HostName, Time>,
+    /// Claimed without pause since then.
+    claimed_since: Time,
     /// Answers to earlier claims are void.
     first_seq: u64,
     next_claim: Time,
@@ -107,6 +111,13 @@
         (held.until > now).then_some(lease)
     }
 
+    /// Whether a primary right has been out of reach for so long, for want of
+    /// voters that answer at all, that a little may be used without it.
+    pub(crate) fn is_last_resort(&self, now: Time, right: Right) -> bool {
+        let is_primary = right.role == Role::Primary;
+        is_primary && self.held.get(&right).is_some_and(|it| it.is_last_resort(now))
+    }
+
     /// Wants `right`, which `voters` grant.
     pub(crate) fn want(&mut self, now: Time, right: Right, voters: Arc<Voters>) {
         let Some(held) = self.held.get_mut(&right) else {
@@ -120,6 +131,8 @@
             // What the former voters granted lasts out its time.
             held.voters = voters;
             held.grants.clear();
+            held.heard.clear();
+            held.claimed_since = now;
             held.next_claim = now;
         }
     }
@@ -141,6 +154,8 @@
             held.until = Time::ZERO;
             held.borrowed_until = Time::ZERO;
             held.first_seq = self.last_seq + 1;
+            held.heard.clear();
+            held.claimed_since = now;
             held.next_claim = now;
         }
         self.has_changed = true;
@@ -163,6 +178,8 @@
             if held.draining.is_some() || held.next_claim > now + COALESCE {
                 continue;
             }
+            let is_last_resort = right.role == Role::Primary && held.is_last_resort(now);
+            self.has_changed |= is_last_resort;
             // A claim in time is renewed in time even if one round is lost.
             let interval = if held.until > now { RENEW_INTERVAL } else { CLAIM_INTERVAL };
             held.next_claim = now + interval.mul_f64(0.8 + 0.2 * rng.random::<f64>());
@@ -199,6 +216,7 @@
         let Some(&(_, sent)) = self.sent.iter().find(|(it, _)| *it == seq) else { return };
         for verdict in answers {
             let Some(held) = self.held.get_mut(&verdict.right) else { continue };
+            held.heard.insert(voter.clone(), now);
             let Answer::Granted { was_released } = verdict.answer else { continue };
             let is_void = seq < held.first_seq || verdict.voters != held.voters.hash;
             if is_void || held.draining.is_some() || !held.voters.hosts.contains(voter) {
@@ -256,6 +274,8 @@
             voters,
             grants: HashMap::default(),
             until: Time::ZERO,
+            heard: HashMap::default(),
+            claimed_since: now,
             first_seq,
             next_claim: now,
             starts_cold: true,
@@ -265,6 +285,16 @@
         }
     }
 
+    fn is_last_resort(&self, now: Time) -> bool {
+        let is_recent = |at: Time| now.since(at) < LAST_RESORT_AFTER;
+        if self.draining.is_some() || is_recent(self.until.max(self.claimed_since)) {
+            return false;
+        }
+        let is_heard = |it: &&HostName| self.heard.get(*it).is_some_and(|&at| is_recent(at));
+        let heard = self.voters.hosts.iter().filter(is_heard).count();
+        heard < self.voters.quorum()
+    }
+
     fn next_wakeup(&self, now: Time) -> Option<Time> {
         let own = match self.release_at(now) {
             Some(at) => at,
--- a/crates/fleet/src/lease/mod.rs
+++ b/crates/fleet/src/lease/mod.rs
@@ -8,6 +8,12 @@
 //! one right, whatever they believe of each other. A grant counts only between
 //! hosts that agree on the voters.
 //!
+//! A host that hears too few voters for some seconds, because the others are
+//! dead or out of reach at once, may use one slot and one connection of each
+//! target that it is first for. The connection is one that no right covers;
+//! the slot may come on top of the limit if the others live after all and
+//! reach the target too.
+//!
 //! Time makes it safe without shared clocks: the holder counts a grant from
 //! when it *sent* the claim, the voter from when it *received* it, and the
 //! voter's promise is longer by more than clocks may drift apart. A voter that
@@ -56,3 +62,13 @@
 /// A right is given up this long after its last use was allowed, so that what
 /// was sent can end.
 pub const DRAIN: Duration = Duration::from_millis(300);
+
+/// A host that heard fewer than a majority of voters for this long uses what
+/// the last resort allows.
+pub const LAST_RESORT_AFTER: Duration = Duration::from_secs(5);
+
+/// The last resort is good for this long at a time.
+pub const LAST_RESORT_LEASE: Duration = Duration::from_secs(1);
+
+/// Requests at once, and connections, that the last resort allows.
+pub const LAST_RESORT_SLOTS: u32 = 1;
--- a/crates/fleet/src/node/rights.rs
+++ b/crates/fleet/src/node/rights.rs
@@ -8,7 +8,10 @@
 use super::{Action, Node};
 use crate::{
     assignment::{Group, GroupId, Groups, VoterSets},
-    lease::{Allowance, BORROW_INTERVAL, Claimant, Holder, Lease, Voter, allowance},
+    lease::{
+        Allowance, BORROW_INTERVAL, Claimant, Holder, LAST_RESORT_LEASE, LAST_RESORT_SLOTS, Lease,
+        Voter, allowance,
+    },
     message::{Answer, Body, Claim, Right, Role, Verdict},
 };
 
@@ -76,9 +79,15 @@
         group: &Group,
         shares: &mut Vec<(TargetName, Share)>,
     ) {
-        let primary = self.holder.lease(now, Right { group: id, role: Role::Primary });
+        let right = Right { group: id, role: Role::Primary };
+        let primary = self.holder.lease(now, right);
         let standby = self.holder.lease(now, Right { group: id, role: Role::Standby });
+        let is_last_resort = standby.is_none() && self.holder.is_last_resort(now, right);
         for target in &group.targets {
+            if is_last_resort {
+                shares.push((target.name.clone(), last_resort(now, target)));
+                continue;
+            }
             if let Some(share) = target_share(now, target, primary, standby) {
                 shares.push((target.name.clone(), share));
             }
@@ -116,6 +125,16 @@
     Some(share)
 }
 
+/// What a host uses of a target when it hears no majority of voters.
+fn last_resort(now: Time, target: &Target) -> Share {
+    Share {
+        slots: LAST_RESORT_SLOTS.min(target.slots),
+        connections: LAST_RESORT_SLOTS.min(target.connections),
+        valid_until: Some(now + LAST_RESORT_LEASE),
+        starts_cold: true,
+    }
+}
+
 fn add(share: &mut Share, allowance: Allowance, has_slots: bool) {
     share.connections += allowance.connections;
     if has_slots {
