--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -33,6 +33,18 @@
     pub json: Option<PathBuf>,
     pub baseline: Option<Baseline>,
     pub is_release: bool,
+    pub keep_logs: bool,
+}
+
+/// One run to be made.
+#[derive(Clone, Copy)]
+pub struct Job<'a> {
+    pub programs: &'a Programs,
+    pub scenario: &'a Scenario,
+    pub name: &'a str,
+    pub seed: u64,
+    pub baseline: Option<Baseline>,
+    pub keep_logs: bool,
 }
 
 /// A scenario's outcome.
@@ -41,6 +53,18 @@
     pub results: Vec<CallResult>,
 }
 
+impl<'a> Job<'a> {
+    fn new(
+        programs: &'a Programs,
+        scenario: &'a Scenario,
+        name: &'a str,
+        options: &Options,
+    ) -> Self {
+        let Options { seed, keep_logs, .. } = *options;
+        Job { programs, scenario, name, seed, baseline: None, keep_logs }
+    }
+}
+
 pub fn run(options: &Options) -> eyre::Result<ExitCode> {
     match options.what.as_str() {
         "capacity" => {
@@ -56,36 +80,25 @@
 }
 
 /// Runs one scenario, always ending its processes.
-pub fn run_scenario(
-    programs: &Programs,
-    scenario: &Scenario,
-    name: &str,
-    seed: u64,
-    baseline: Option<Baseline>,
-) -> eyre::Result<Run> {
+pub fn run_scenario(job: Job<'_>) -> eyre::Result<Run> {
     let runtime = runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
     runtime.block_on(async {
         tokio::select! {
-            run = measure(programs, scenario, name, seed, baseline) => run,
+            run = measure(job) => run,
             _ = tokio::signal::ctrl_c() => Err(eyre::eyre!("interrupted")),
         }
     })
 }
 
-async fn measure(
-    programs: &Programs,
-    scenario: &Scenario,
-    name: &str,
-    seed: u64,
-    baseline: Option<Baseline>,
-) -> eyre::Result<Run> {
+async fn measure(job: Job<'_>) -> eyre::Result<Run> {
+    let Job { programs, scenario, name, seed, baseline, .. } = job;
     let deployment = Deployment::start(programs, scenario, name, seed, baseline).await?;
     let deployment = Arc::new(deployment);
     let run = measure_deployment(programs, scenario, &deployment, seed).await;
     let folder = deployment.folder.clone();
     drop(deployment);
     let mut run = run.wrap_err_with(|| format!("logs are in {}", folder.display()))?;
-    if run.summary.invariant_violations == 0 {
+    if run.summary.invariant_violations == 0 && !job.keep_logs {
         fs::remove_dir_all(&folder)?;
     }
     run.summary.scenario = name.to_owned();
@@ -151,9 +164,10 @@
     let scenario = Scenario::read(path)?;
     let programs = Programs::build(options.is_release)?;
     let name = scenario_name(path);
-    let run = run_scenario(&programs, &scenario, &name, options.seed, None)?;
+    let job = Job::new(&programs, &scenario, &name, options);
+    let run = run_scenario(job)?;
     let other = match options.baseline {
-        Some(it) => Some(run_scenario(&programs, &scenario, &name, options.seed, Some(it))?),
+        Some(baseline) => Some(run_scenario(Job { baseline: Some(baseline), ..job })?),
         None => None,
     };
     println!("{}: seed {}", scenario.title, options.seed);
@@ -185,7 +199,7 @@
         let scenario = Scenario::read(&path)?;
         let name = scenario_name(&path);
         println!("{name} ...");
-        let run = match run_scenario(&programs, &scenario, &name, options.seed, None) {
+        let run = match run_scenario(Job::new(&programs, &scenario, &name, options)) {
             Ok(run) => run,
             Err(err) => {
                 println!("{name} did not run to its end: {err:#}");
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -27,7 +27,15 @@
     let path = workspace_folder().join("bench").join(format!("{name}.yaml"));
     let scenario = Scenario::read(&path)?;
     println!("\n== {}", scenario.title);
-    let run = bench::run_scenario(programs, &scenario, &name, seed, None)?;
+    let job = bench::Job {
+        programs,
+        scenario: &scenario,
+        name: &name,
+        seed,
+        baseline: None,
+        keep_logs: false,
+    };
+    let run = bench::run_scenario(job)?;
     if let Some(answer) = run.results.iter().find(|it| is_whole_answer(it)) {
         println!("\none whole answer, to {}:", answer.call.service);
         let json: serde_json::Value = serde_json::from_slice(&answer.body)?;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -83,6 +83,9 @@
     /// use the debug build
     #[argh(switch)]
     debug: bool,
+    /// keep the processes' logs in target/bench
+    #[argh(switch)]
+    keep_logs: bool,
 }
 
 fn main() -> eyre::Result<ExitCode> {
@@ -97,6 +100,7 @@
             json: args.json,
             baseline: args.baseline,
             is_release: !args.debug,
+            keep_logs: args.keep_logs,
         }),
     }
 }
