Put what a row is about first in the tool's tables

Cause: Columns came in alphabetical order, so a target's name stood last. Change: Identifying columns first; three decimals. Conclusion: Tables of the administration API read from left to right.

--- a/crates/godwityard/src/output/mod.rs
+++ b/crates/godwityard/src/output/mod.rs
@@ -11,6 +11,9 @@
 
 use self::table::Table;
 
+/// Decimals of numbers with a fraction.
+const DECIMALS: usize = 3;
+
 /// How the program ends; scripts rely on the numbers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Exit {
@@ -94,7 +97,11 @@
             let fields = fields.iter().map(|(key, value)| format!("{key}={}", inline(value)));
             fields.collect::<Vec<_>>().join(" ")
         }
-        other => other.to_string(),
+        Value::Number(number) => match number.as_f64() {
+            Some(value) if number.is_f64() => format!("{value:.DECIMALS$}"),
+            _ => number.to_string(),
+        },
+        Value::Bool(it) => it.to_string(),
     }
 }
 
--- a/crates/godwityard/src/output/table.rs
+++ b/crates/godwityard/src/output/table.rs
@@ -4,6 +4,9 @@
 
 use super::{Fields, inline};
 
+/// Columns that tell what a row is about; they come first, in this order.
+const LEADING_KEYS: [&str; 6] = ["request", "target", "host", "domain", "service", "shard"];
+
 pub(super) struct Table {
     header: Vec<String>,
     rows: Vec<Vec<String>>,
@@ -17,6 +20,8 @@
                 header.push(key.clone());
             }
         }
+        header
+            .sort_by_key(|it| LEADING_KEYS.iter().position(|key| key == it).unwrap_or(usize::MAX));
         let cell = |object: &Fields, key: &String| object.get(key).map_or("-".to_owned(), inline);
         let row = |object: &&Fields| header.iter().map(|key| cell(object, key)).collect();
         let rows = objects.iter().map(row).collect();
--- a/crates/godwityard/tests/operators.rs
+++ b/crates/godwityard/tests/operators.rs
@@ -69,15 +69,17 @@
 #[test]
 fn status_shows_fields_and_tables() {
     let body = r#"{"host":"bajio-a-1","ready":true,"findings":[],
-        "hosts":[{"host":"bajio-a-1","revision":7},{"host":"bajio-b-1","alive":false}]}"#;
+        "hosts":[{"host":"bajio-a-1","revision":7,"load":0.123456},
+                 {"alive":false,"host":"bajio-b-1"}]}"#;
     let host = FakeHost::answering("200 OK", body);
     let ran = run(&host, &["status"]);
     assert_eq!(ran.code, 0, "{}", ran.err);
     let lines: Vec<_> = ran.out.lines().collect();
     assert!(lines.contains(&"host      bajio-a-1"), "{}", ran.out);
     assert!(lines.contains(&"findings  -"), "{}", ran.out);
-    assert!(lines.contains(&"  bajio-a-1  7         -"), "{}", ran.out);
-    assert!(lines.contains(&"  bajio-b-1  -         false"), "{}", ran.out);
+    assert!(lines.contains(&"  host       load   revision  alive"), "{}", ran.out);
+    assert!(lines.contains(&"  bajio-a-1  0.123  7         -"), "{}", ran.out);
+    assert!(lines.contains(&"  bajio-b-1  -      -         false"), "{}", ran.out);
     assert!(host.request().starts_with("get /v1/status http/1.1\r\n"));
 }
 
