Keep what a target proved across hand-overs of the same incarnation

Cause: a share that lapsed for a moment, or moved to another host, set the limit back to cold for seconds, although the target had not changed.

Change: what was known of a target that was let go counts for 30 s; a former owner's word (OwnerHandle::learn) counts for 5 s, unless the share starts cold; both for the same incarnation only. Drained now means that nothing is in flight either. Log lines carry their part's prefix.

--- a/crates/owner/src/actor.rs
+++ b/crates/owner/src/actor.rs
@@ -35,6 +35,7 @@
 pub(crate) enum Command {
     Run { batch: Batch, parts: mpsc::Sender<Part> },
     Cancel { request: RequestId, attempts: Vec<AttemptId> },
+    Learn { statuses: Vec<TargetStatus> },
     Status { pool: Option<PoolName>, reply: oneshot::Sender<Vec<TargetStatus>> },
     Drain { reply: oneshot::Sender<()> },
 }
@@ -122,7 +123,7 @@
                     self.command(command);
                 }
             }
-            if self.core.is_idle() {
+            if !self.drained.is_empty() && self.core.is_idle() {
                 self.announce_drained();
             }
         }
@@ -140,6 +141,7 @@
             Command::Cancel { request, attempts } => {
                 self.handle(Input::Cancel { request, attempts });
             }
+            Command::Learn { statuses } => self.handle(Input::Learn(statuses)),
             Command::Status { pool, reply } => {
                 let _ = reply.send(self.core.status((self.clock)(), pool.as_ref()));
             }
--- a/crates/owner/src/handle.rs
+++ b/crates/owner/src/handle.rs
@@ -75,6 +75,12 @@
         self.shares.send_replace(shares);
     }
 
+    /// Takes in what other hosts' owners say of their targets, so that one
+    /// which moves here need not prove itself again. Best effort.
+    pub fn learn(&self, statuses: Vec<TargetStatus>) {
+        let _ = self.commands.try_send(Command::Learn { statuses });
+    }
+
     /// What is known of the assigned targets, or of those of one pool.
     pub async fn status(&self, pool: Option<PoolName>) -> Vec<TargetStatus> {
         let (reply, status) = oneshot::channel();
--- a/crates/owner/src/journal.rs
+++ b/crates/owner/src/journal.rs
@@ -55,34 +55,34 @@
         let target = target.as_str();
         match note {
             Note::Assigned { slots, connections } => {
-                info!(log, "target assigned";
+                info!(log, "owner: target assigned";
                     "target" => target, "slots" => slots, "connections" => connections);
             }
-            Note::LetGo => info!(log, "target let go"; "target" => target),
+            Note::LetGo => info!(log, "owner: target let go"; "target" => target),
             Note::LimitRaised { to } => {
-                info!(log, "limit raised"; "target" => target, "to" => to);
+                info!(log, "owner: limit raised"; "target" => target, "to" => to);
             }
             Note::LimitLowered { to, cause } => {
-                info!(log, "limit lowered";
+                info!(log, "owner: limit lowered";
                     "target" => target, "to" => to, "cause" => cause.as_str());
             }
             Note::Condemned { connection, cause } => {
-                info!(log, "connection closed";
+                info!(log, "owner: connection closed";
                     "target" => target, "connection" => connection.0, "cause" => cause.as_str());
             }
             Note::Up { incarnation } => {
-                info!(log, "target up"; "target" => target, "incarnation" => incarnation.0);
+                info!(log, "owner: target up"; "target" => target, "incarnation" => incarnation.0);
             }
-            Note::Down => warn!(log, "target down"; "target" => target),
+            Note::Down => warn!(log, "owner: target down"; "target" => target),
             Note::Leaving { incarnation } => {
-                info!(log, "target leaving"; "target" => target, "incarnation" => incarnation.0);
+                info!(log, "owner: target leaving"; "target" => target, "incarnation" => incarnation.0);
             }
             Note::QueueFailed { jobs, missing } => {
-                info!(log, "queue failed as not run";
+                info!(log, "owner: queue failed as not run";
                     "target" => target, "jobs" => jobs, "reason" => missing.as_str());
             }
             Note::Refused { service, missing } => {
-                debug!(log, "subquery refused";
+                debug!(log, "owner: subquery refused";
                     "target" => target, "service" => service.as_str(),
                     "reason" => missing.as_str());
             }
--- a/crates/policy/src/owner/input.rs
+++ b/crates/policy/src/owner/input.rs
@@ -8,7 +8,7 @@
 };
 use documents::Configuration;
 
-use crate::message::Batch;
+use crate::message::{Batch, TargetStatus};
 
 /// Who waits for the parts of a batch; chosen by the caller of the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -51,6 +51,8 @@
     Configure(Arc<Configuration>),
     /// The full set of shares; a target that is not listed is let go.
     Assign(Vec<(TargetName, Share)>),
+    /// What other owners say of targets that may be assigned here later.
+    Learn(Vec<TargetStatus>),
     /// Refuses new work from now on; admitted work is finished.
     Drain,
     Tick,
--- a/crates/policy/src/owner/limit.rs
+++ b/crates/policy/src/owner/limit.rs
@@ -109,6 +109,11 @@
         is_lowered
     }
 
+    /// Starts at what another owner of the same target has proven.
+    pub fn adopt(&mut self, now: Time, proven: u32) {
+        self.move_to(now, proven.clamp(self.cold_slots, self.slots.max(self.cold_slots)));
+    }
+
     /// Takes a good answer as proof.
     pub fn observe_answer(&mut self, now: Time, service_time: Duration) -> Option<LimitChange> {
         let time_us = service_time.as_micros() as f64;
--- a/crates/policy/src/owner/machine.rs
+++ b/crates/policy/src/owner/machine.rs
@@ -11,7 +11,7 @@
 use super::{
     action::{Action, Job, JobBatch},
     input::{Input, RequesterId},
-    target::{Cx, TargetCore},
+    target::{Cx, Hint, TargetCore},
 };
 use crate::message::{Batch, Part, PartResult, Subquery, TargetStatus};
 
@@ -25,6 +25,7 @@
     configuration: Arc<Configuration>,
     shares: HashMap<TargetName, Share>,
     targets: HashMap<TargetName, TargetCore>,
+    hints: HashMap<TargetName, Hint>,
     /// Subqueries that have had no part yet, with their targets.
     pending: HashMap<AttemptId, TargetName>,
     is_draining: bool,
@@ -40,6 +41,7 @@
             configuration: Arc::default(),
             shares: HashMap::default(),
             targets: HashMap::default(),
+            hints: HashMap::default(),
             pending: HashMap::default(),
             is_draining: false,
             ticked_at: Time::ZERO,
@@ -74,14 +76,15 @@
                 self.shares = shares.into_iter().collect();
                 self.reconcile(now, actions);
             }
+            Input::Learn(statuses) => self.learn(now, statuses),
             Input::Drain => self.is_draining = true,
             Input::Tick => self.tick(now, actions),
         }
     }
 
-    /// Whether nothing is queued and every subquery has had its part.
+    /// Whether nothing is queued and nothing is in flight at any target.
     pub fn is_idle(&self) -> bool {
-        self.pending.is_empty()
+        self.pending.is_empty() && self.targets.values().all(TargetCore::is_idle)
     }
 
     /// What is known of the assigned targets, or of those of one pool.
@@ -141,20 +144,36 @@
         for target in targets.values_mut() {
             target.tick(&mut Cx { now, woke_at: *woke_at, settings, rng, pending, actions });
         }
-        targets.retain(|_, it| !it.is_gone());
+        targets.retain(|_, it| !it.is_forgotten(now));
+    }
+
+    /// Remembers what other owners have proven, for targets that may come here.
+    fn learn(&mut self, now: Time, statuses: Vec<TargetStatus>) {
+        self.hints.retain(|_, it| it.is_fresh(now));
+        for status in statuses {
+            let is_own = self.targets.get(&status.target).is_some_and(TargetCore::is_assigned);
+            if !is_own && self.configuration.target(&status.target).is_some() {
+                let hint = Hint::new(now, &status);
+                self.hints.insert(status.target, hint);
+            }
+        }
     }
 
     /// Brings the targets in line with the configuration and the shares.
     fn reconcile(&mut self, now: Time, actions: &mut Vec<Action>) {
         let woke_at = self.woke_at;
-        let OwnerCore { settings, rng, configuration, shares, targets, pending, .. } = self;
+        let OwnerCore { settings, rng, configuration, shares, targets, hints, pending, .. } = self;
         let mut cx = Cx { now, woke_at, settings, rng, pending, actions };
         for (name, target) in targets.iter_mut() {
+            target.prune_services(|it| configuration.services.contains_key(it));
             let document = configuration.target(name);
-            if !shares.contains_key(name) || document.is_none() {
+            if let Some(document) = document {
+                let is_domain_in = configuration.is_domain_in(&document.domain);
+                target.configure(&mut cx, Arc::clone(document), is_domain_in);
+            }
+            if document.is_none() || !shares.contains_key(name) {
                 target.let_go(&mut cx);
             }
-            target.prune_services(|it| configuration.services.contains_key(it));
         }
         for (name, &share) in shares.iter() {
             let Some(document) = configuration.target(name) else { continue };
@@ -162,10 +181,9 @@
             let target = targets
                 .entry(name.clone())
                 .or_insert_with(|| TargetCore::new(&mut cx, Arc::clone(document), is_domain_in));
-            target.configure(&mut cx, Arc::clone(document), is_domain_in);
-            target.assign(&mut cx, share);
+            target.assign(&mut cx, share, hints.remove(name));
         }
-        targets.retain(|_, it| !it.is_gone());
+        targets.retain(|_, it| !it.is_forgotten(now));
     }
 
     /// Runs `handle` on a target, if there is one of that name.
--- a/crates/policy/src/owner/target/mod.rs
+++ b/crates/policy/src/owner/target/mod.rs
@@ -7,9 +7,9 @@
 mod dispatch;
 mod upkeep;
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use base::{AttemptId, HashMap, Missing, Share, TargetName, Time};
+use base::{AttemptId, HashMap, Incarnation, Missing, Share, TargetName, Time};
 use documents::{Target, model::PolicySettings};
 use rand::rngs::SmallRng;
 
@@ -24,6 +24,11 @@
 };
 use crate::message::TargetStatus;
 
+/// What is known of a target that was let go is kept so long.
+const MEMORY: Duration = Duration::from_secs(30);
+/// Age up to which another owner's word counts.
+const HINT_FRESH: Duration = Duration::from_secs(5);
+
 /// What a target needs of the machine while it handles an input.
 pub(super) struct Cx<'a> {
     pub now: Time,
@@ -41,6 +46,9 @@
     document: Arc<Target>,
     /// None once the target is let go.
     share: Option<Share>,
+    let_go_at: Time,
+    /// What the former owner proved; looked at when the first connection opens.
+    hint: Option<Hint>,
     is_domain_in: bool,
     queue: FairQueue,
     limit: Limit,
@@ -64,6 +72,24 @@
     has_part: bool,
 }
 
+/// What another owner last said that a target bears.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Hint {
+    incarnation: Incarnation,
+    limit: u32,
+    told_at: Time,
+}
+
+impl Hint {
+    pub fn new(now: Time, status: &TargetStatus) -> Self {
+        Hint { incarnation: status.incarnation, limit: status.limit, told_at: now }
+    }
+
+    pub fn is_fresh(&self, now: Time) -> bool {
+        now.since(self.told_at) < HINT_FRESH
+    }
+}
+
 impl TargetCore {
     /// A target of which nothing is known yet, so that it counts as cold.
     pub fn new(cx: &mut Cx<'_>, document: Arc<Target>, is_domain_in: bool) -> Self {
@@ -71,6 +97,8 @@
         TargetCore {
             document,
             share: None,
+            let_go_at: cx.now,
+            hint: None,
             is_domain_in,
             queue: FairQueue::new(cx.settings.fair_turns),
             limit,
@@ -91,28 +119,35 @@
         self.share.is_some()
     }
 
-    /// Whether nothing is left of a target that was let go.
-    pub fn is_gone(&self) -> bool {
-        self.share.is_none() && self.in_flight.is_empty() && self.connections.len() == 0
+    /// Whether nothing is in flight, whoever still waits for it.
+    pub fn is_idle(&self) -> bool {
+        self.in_flight.is_empty()
+    }
+
+    /// Whether a target that was let go is done with, and so long ago that
+    /// nothing known of it is worth keeping.
+    pub fn is_forgotten(&self, now: Time) -> bool {
+        let is_gone = self.share.is_none() && self.is_idle() && self.connections.len() == 0;
+        is_gone && now.since(self.let_go_at) >= MEMORY
     }
 
     pub fn prune_services(&mut self, keep: impl Fn(&base::ServiceName) -> bool) {
         self.queue.prune(keep);
     }
 
-    pub fn assign(&mut self, cx: &mut Cx<'_>, share: Share) {
-        let was_cold = self.share.is_none_or(|it| it.starts_cold);
+    pub fn assign(&mut self, cx: &mut Cx<'_>, share: Share, hint: Option<Hint>) {
+        let was_cold = self.share.is_some_and(|it| it.starts_cold);
         let size = self.share.map(|it| (it.slots, it.connections));
         if size != Some((share.slots, share.connections)) {
             let note = Note::Assigned { slots: share.slots, connections: share.connections };
             self.note(cx, note);
         }
-        // What was learnt under an earlier share is old: another host may
-        // have seen the target turn cold since.
-        let is_new = self.share.is_none();
+        if self.share.is_none() {
+            self.hint = hint.filter(|it| it.is_fresh(cx.now) && !share.starts_cold);
+        }
         self.share = Some(share);
         self.resize_limit();
-        if is_new || (share.starts_cold && !was_cold) {
+        if share.starts_cold && !was_cold {
             self.lower_limit(cx, LimitCause::StartsCold);
         }
         self.advance(cx);
@@ -120,6 +155,7 @@
 
     pub fn let_go(&mut self, cx: &mut Cx<'_>) {
         if self.share.take().is_some() {
+            self.let_go_at = cx.now;
             self.note(cx, Note::LetGo);
         }
         self.advance(cx);
@@ -146,6 +182,7 @@
         self.connections.set(cx.now, connection, State::Idle);
         let change = self.trust.observe_opened(cx.now, report);
         self.apply(cx, change);
+        self.take_hint(cx);
         self.advance(cx);
     }
 
@@ -270,6 +307,15 @@
         self.share.and_then(|it| it.valid_until).is_some_and(|it| now > it)
     }
 
+    /// Starts where the former owner was, if that was the same incarnation.
+    fn take_hint(&mut self, cx: &mut Cx<'_>) {
+        let Some(hint) = self.hint.take() else { return };
+        if hint.incarnation == self.trust.incarnation() && hint.limit > self.limit.get() {
+            self.limit.adopt(cx.now, hint.limit);
+            self.note_limit(cx, Some(LimitChange::Raised));
+        }
+    }
+
     fn resize_limit(&mut self) {
         let Some(share) = self.share else { return };
         self.limit.resize(share.slots.min(self.document.slots), self.document.cold_slots);
