Publish views when they change, and measure queues and leases

Cause: the driver built all routes and hosts anew five times a second, which at 7,500 targets and 1,700 hosts is the largest part of control; queue wait, target latency and lease age had no instrument.

--- a/crates/godwityardd/src/fleet_driver/mod.rs
+++ b/crates/godwityardd/src/fleet_driver/mod.rs
@@ -5,11 +5,11 @@
 mod platform_reader;
 mod publish;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::Time;
+use base::{HashMap, TargetName, Time};
 use documents::model::OwnerMode;
-use entry::EntryCx;
+use entry::{EntryCx, seams::Route};
 use fleet::{Action, Input, Node};
 use owner::OwnerHandle;
 use peer::{Datagrams, Frame, Links};
@@ -26,9 +26,6 @@
 /// Longest time between two looks at the clock.
 const TICK_LIMIT: Duration = Duration::from_millis(100);
 
-/// Shares are published anew at least this often, as leases move on.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
-
 /// A frame that came by datagram or by link.
 pub struct Delivery {
     pub from: SocketAddr,
@@ -72,14 +69,26 @@
     cx: DriverCx,
     node: Node,
     last_look: Time,
-    last_publish: Time,
+    /// Routes or configuration changed since the last publication.
+    is_changed: bool,
+    routes: Arc<HashMap<TargetName, Route>>,
+    published_at: Time,
+    assigned_at: Time,
     leaving: Option<oneshot::Sender<()>>,
 }
 
 impl Driver {
     pub fn new(node: Node, cx: DriverCx) -> Self {
-        let now = clock::now();
-        Driver { cx, node, last_look: now, last_publish: Time::ZERO, leaving: None }
+        Driver {
+            cx,
+            node,
+            last_look: clock::now(),
+            is_changed: true,
+            routes: Arc::default(),
+            published_at: Time::ZERO,
+            assigned_at: Time::ZERO,
+            leaving: None,
+        }
     }
 
     /// Runs until the process ends.
@@ -132,12 +141,9 @@
                     "revision" => configuration.revision.0);
                 self.cx.metrics.revision_in_force.record(configuration.revision.0, &[]);
                 self.cx.owner.configure(configuration);
-                self.publish();
-            }
-            Action::SharesChanged => {
-                self.cx.metrics.assignment_changes.add(1, &[]);
-                self.publish();
+                self.is_changed = true;
             }
+            Action::SharesChanged => self.is_changed = true,
             Action::Left => {
                 info!(self.cx.log, "left");
                 if let Some(reply) = self.leaving.take() {
--- a/crates/godwityardd/src/fleet_driver/publish.rs
+++ b/crates/godwityardd/src/fleet_driver/publish.rs
@@ -1,45 +1,74 @@
 //! Publishes the node's state: views for requests, shares for the owner.
 
-use base::{HashMap, TargetName};
-use documents::{Configuration, model::OwnerMode};
+use std::{sync::Arc, time::Duration};
+
+use base::{HashMap, Share, TargetName, Time};
+use documents::model::OwnerMode;
 use entry::seams::{HostView, Route, State};
 use fleet::{Member, MemberState};
 
-use super::{Driver, PUBLISH_INTERVAL};
+use super::Driver;
 use crate::{clock, direct, view::View};
 
+/// Views are published at least this often.
+const VIEW_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Shares are handed to the owner at least this often, as leases move on.
+const ASSIGN_INTERVAL: Duration = Duration::from_millis(200);
+
 impl Driver {
+    /// Publishes what has changed or is due.
     pub(super) fn publish_if_due(&mut self) {
-        if clock::now().since(self.last_publish) >= PUBLISH_INTERVAL {
-            self.publish();
+        let now = clock::now();
+        if self.is_changed {
+            self.is_changed = false;
+            self.routes = Arc::new(self.work_out_routes());
+            self.publish(now);
+        } else if now.since(self.published_at) >= VIEW_INTERVAL || self.has_readiness_changed() {
+            self.publish(now);
+        } else if now.since(self.assigned_at) >= ASSIGN_INTERVAL {
+            self.assign(now);
         }
     }
 
-    pub(super) fn publish(&mut self) {
-        self.last_publish = clock::now();
-        let configuration = self.node.configuration();
+    fn publish(&mut self, now: Time) {
+        self.published_at = now;
         let hosts: Vec<_> = self.node.members().map(host_view).collect();
         self.cx.metrics.members_alive.record(count_alive(&hosts), &[]);
-        self.assign(&configuration, &hosts);
         self.cx.view.publish(View {
-            routes: self.routes(&configuration),
+            routes: Arc::clone(&self.routes),
             addresses: hosts.iter().map(|it| (it.host.clone(), it.address)).collect(),
             findings: self.node.findings().iter().map(ToString::to_string).collect(),
             not_ready: self.node.readiness().err().map(|it| it.to_string()),
-            configuration,
+            configuration: self.node.configuration(),
             hosts,
         });
+        self.assign(now);
     }
 
-    fn assign(&self, configuration: &Configuration, hosts: &[HostView]) {
+    fn has_readiness_changed(&self) -> bool {
+        self.node.readiness().is_err() != self.cx.view.not_ready().is_some()
+    }
+
+    fn assign(&mut self, now: Time) {
+        self.assigned_at = now;
         let shares = match self.cx.owner_mode {
-            OwnerMode::Owners => self.node.shares(clock::now()),
-            OwnerMode::Direct => direct::shares(configuration, hosts),
+            OwnerMode::Owners => self.node.shares(now),
+            OwnerMode::Direct => direct::shares(&self.node.configuration(), &self.cx.view.hosts()),
         };
+        self.record_shares(now, &shares);
         self.cx.owner.assign(shares);
     }
 
-    fn routes(&self, configuration: &Configuration) -> HashMap<TargetName, Route> {
+    fn record_shares(&self, now: Time, shares: &[(TargetName, Share)]) {
+        let ends = shares.iter().filter_map(|(_, share)| share.valid_until);
+        let left = ends.min().map_or(Duration::ZERO, |it| it.until(now));
+        self.cx.metrics.shares_held.record(shares.len() as u64, &[]);
+        self.cx.metrics.lease_left.record(left.as_millis() as u64, &[]);
+    }
+
+    fn work_out_routes(&self) -> HashMap<TargetName, Route> {
+        let configuration = &self.node.configuration();
         if self.cx.owner_mode == OwnerMode::Direct {
             return direct::routes(configuration, self.cx.view.host());
         }
--- a/crates/godwityardd/src/view.rs
+++ b/crates/godwityardd/src/view.rs
@@ -18,7 +18,7 @@
     pub configuration: Arc<Configuration>,
     pub hosts: Vec<HostView>,
     pub addresses: HashMap<HostName, SocketAddr>,
-    pub routes: HashMap<TargetName, Route>,
+    pub routes: Arc<HashMap<TargetName, Route>>,
     pub findings: Vec<String>,
     /// Why the host is not ready, if it is not.
     pub not_ready: Option<String>,
--- a/crates/owner/src/actor.rs
+++ b/crates/owner/src/actor.rs
@@ -291,6 +291,7 @@
     }
 
     fn reply(&mut self, requester: RequesterId, part: Part) {
+        self.journal.record_part(&part);
         let Some(entry) = self.requesters.get_mut(&requester) else { return };
         entry.waiting.retain(|it| *it != part.attempt);
         deliver(&entry.parts, part);
--- a/crates/owner/src/journal.rs
+++ b/crates/owner/src/journal.rs
@@ -1,7 +1,12 @@
 //! Log lines and metrics of the owner's decisions.
 
+use std::time::Duration;
+
 use base::TargetName;
-use policy::owner::Note;
+use policy::{
+    message::{Part, PartResult},
+    owner::Note,
+};
 use slog::{Logger, debug, info, o, warn};
 use telemetry::{Metrics, metrics::label};
 
@@ -24,6 +29,19 @@
         self.write(target, note);
     }
 
+    /// Counts a part that leaves the owner.
+    pub fn record_part(&self, part: &Part) {
+        let result = match &part.result {
+            PartResult::Answer { .. } => "answered",
+            PartResult::Failed { missing, .. } => missing.as_str(),
+        };
+        self.metrics.subqueries.add(1, &[label("result", result)]);
+        self.metrics.queue_wait.record(millis(part.queued), &[]);
+        if result == "answered" {
+            self.metrics.target_latency.record(millis(part.service_time), &[]);
+        }
+    }
+
     fn count(&self, note: &Note) {
         match note {
             Note::LimitRaised { .. } => {
@@ -38,15 +56,11 @@
             Note::Assigned { .. } | Note::LetGo => {
                 self.metrics.assignment_changes.add(1, &[]);
             }
-            Note::Refused { missing, .. } => {
-                let labels = [label("result", missing.as_str())];
-                self.metrics.subqueries.add(1, &labels);
-            }
-            Note::QueueFailed { jobs, missing } => {
-                let labels = [label("result", missing.as_str())];
-                self.metrics.subqueries.add(*jobs as u64, &labels);
-            }
-            Note::Up { .. } | Note::Down | Note::Leaving { .. } => {}
+            Note::Refused { .. }
+            | Note::QueueFailed { .. }
+            | Note::Up { .. }
+            | Note::Down
+            | Note::Leaving { .. } => {}
         }
     }
 
@@ -89,3 +103,7 @@
         }
     }
 }
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -24,6 +24,8 @@
     pub requests: Counter<u64>,
     pub request_latency: Histogram<f64>,
     pub subqueries: Counter<u64>,
+    pub queue_wait: Histogram<f64>,
+    pub target_latency: Histogram<f64>,
     pub refusals: Counter<u64>,
     pub hedges: Counter<u64>,
     pub retries: Counter<u64>,
@@ -35,6 +37,8 @@
     pub control_bytes: Counter<u64>,
     pub revision_in_force: Gauge<u64>,
     pub members_alive: Gauge<u64>,
+    pub shares_held: Gauge<u64>,
+    pub lease_left: Gauge<u64>,
     pub invariants_broken: Gauge<u64>,
 }
 
@@ -61,15 +65,16 @@
         let gauge = |name: &'static str, text: &'static str| {
             meter.u64_gauge(name).with_description(text).build()
         };
-        let request_latency = meter
-            .f64_histogram("request_latency_ms")
-            .with_description("Time from arrival to answer")
-            .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
-            .build();
+        let latency = |name: &'static str, text: &'static str| {
+            let histogram = meter.f64_histogram(name).with_description(text);
+            histogram.with_boundaries(LATENCY_BOUNDS_MS.to_vec()).build()
+        };
         Ok(Metrics {
             requests: counter("requests", "Callers' requests by result"),
-            request_latency,
+            request_latency: latency("request_latency_ms", "Time from arrival to answer"),
             subqueries: counter("subqueries", "Subqueries by result"),
+            queue_wait: latency("queue_wait_ms", "Time a subquery waited at its owner"),
+            target_latency: latency("target_latency_ms", "Time from send to a target's answer"),
             refusals: counter("refusals", "Refused requests by reason"),
             hedges: counter("hedges", "Hedged subqueries"),
             retries: counter("retries", "Retried subqueries"),
@@ -81,6 +86,8 @@
             control_bytes: counter("control_bytes", "Bytes of control traffic by direction"),
             revision_in_force: gauge("revision_in_force", "Highest revision in force"),
             members_alive: gauge("members_alive", "Hosts believed alive"),
+            shares_held: gauge("shares_held", "Targets that this host may use"),
+            lease_left: gauge("lease_left_ms", "Time until the first lease held ends"),
             invariants_broken: gauge("invariants_broken", "Invariants broken so far"),
             registry,
             _provider: Arc::new(provider),
