Replace all connections that fell silent, and tell of a cancellation once

Connections that go silent go together, but each was found by a request of its own, held its slot for 250 ms past the deadline, and set the limit back to cold. A cancellation was repeated every tick; that showed as a test over sockets that failed now and then.

Change: idle connections without a sign of life since the silent attempt was sent are replaced with it; grace 50 ms; the target is blamed only if connections opened later fall silent too; a cancellation is sent once.

Conclusion: silence of all connections of a target costs what was in flight.

--- a/crates/policy/src/owner/connections.rs
+++ b/crates/policy/src/owner/connections.rs
@@ -34,8 +34,9 @@
     pub id: ConnectionId,
     pub role: Role,
     pub state: State,
-    /// When the state was entered.
+    /// When the state was entered; for an idle one, its last success.
     pub since: Time,
+    pub opened_at: Time,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -105,7 +106,7 @@
     pub fn add(&mut self, now: Time, role: Role) -> ConnectionId {
         self.next_id += 1;
         let id = ConnectionId(self.next_id);
-        self.all.push(Connection { id, role, state: State::Opening, since: now });
+        self.all.push(Connection { id, role, state: State::Opening, since: now, opened_at: now });
         id
     }
 
@@ -137,6 +138,12 @@
             .map(|it| it.id)
     }
 
+    /// An idle connection without a success since `time`.
+    pub fn idle_since_before(&self, time: Time) -> Option<ConnectionId> {
+        let mut idle = self.all.iter().filter(|it| it.state == State::Idle);
+        idle.find(|it| it.since < time).map(|it| it.id)
+    }
+
     fn count(&self, role: Role) -> u32 {
         let count = self.all.iter().filter(|it| it.role == role).count();
         u32::try_from(count).unwrap_or(u32::MAX)
--- a/crates/policy/src/owner/target/dispatch.rs
+++ b/crates/policy/src/owner/target/dispatch.rs
@@ -16,7 +16,7 @@
 
 /// How long after its deadline an attempt without any answer condemns its
 /// connection.
-const OVERDUE_GRACE: Duration = Duration::from_millis(250);
+const OVERDUE_GRACE: Duration = Duration::from_millis(50);
 /// An attempt is overdue before its deadline when it took this many times the
 /// usual time, and others that were sent later have been answered.
 const OVERDUE_FACTOR: u32 = 10;
@@ -40,11 +40,7 @@
         if let Some(job) = self.queue.take(attempt) {
             return self.reply(cx, &job, not_run(Missing::Cancelled), None);
         }
-        let Some(entry) = self.in_flight.get(&attempt) else { return };
-        // Work that may not run twice is never broken off midway.
-        if entry.job.batch.is_idempotent && !self.cancels.contains(&attempt) {
-            self.cancels.push_back(attempt);
-        }
+        self.cancel_in_flight(attempt);
         self.advance(cx);
     }
 
@@ -135,7 +131,13 @@
         );
         let valid_until = self.share.and_then(|it| it.valid_until);
         self.connections.set(cx.now, connection, State::Serving(job.attempt));
-        let entry = InFlight { job: job.clone(), connection, sent_at: cx.now, has_part: false };
+        let entry = InFlight {
+            job: job.clone(),
+            connection,
+            sent_at: cx.now,
+            has_part: false,
+            is_cancelled: false,
+        };
         self.in_flight.insert(job.attempt, entry);
         let target = self.document.name.clone();
         cx.actions.push(Action::Send { target, connection, job, valid_until });
@@ -177,29 +179,52 @@
         entry.job.batch.is_idempotent && is_overtaken && cx.now.since(entry.sent_at) > bound
     }
 
+    /// Has the target told once. Work that may not run twice is never broken
+    /// off midway.
+    fn cancel_in_flight(&mut self, attempt: AttemptId) {
+        let Some(entry) = self.in_flight.get_mut(&attempt) else { return };
+        if entry.job.batch.is_idempotent && !entry.is_cancelled {
+            entry.is_cancelled = true;
+            self.cancels.push_back(attempt);
+        }
+    }
+
     fn give_up_waiting(&mut self, cx: &mut Cx<'_>, attempt: AttemptId) {
         let Some(entry) = self.in_flight.get_mut(&attempt) else { return };
         entry.has_part = true;
         let job = entry.job.clone();
         let sent_at = entry.sent_at;
-        if job.batch.is_idempotent && !self.cancels.contains(&attempt) {
-            self.cancels.push_back(attempt);
-        }
+        self.cancel_in_flight(attempt);
         self.reply(cx, &job, may_have_run(Missing::Deadline), Some(sent_at));
     }
 
-    /// Closes the connection of an attempt that gets no answer. The target is
-    /// blamed only if nothing sent later was answered.
+    /// Closes the connection of an attempt that gets no answer, and those
+    /// that have shown no life since that attempt was sent: what loses track
+    /// of one connection often loses them all.
     fn condemn(&mut self, cx: &mut Cx<'_>, attempt: AttemptId) {
         let Some(entry) = self.in_flight.remove(&attempt) else { return };
         self.cancels.retain(|it| *it != attempt);
+        self.blame_for_silence(cx, &entry);
         self.close(cx, entry.connection, CloseCause::Silent);
+        while let Some(id) = self.connections.idle_since_before(entry.sent_at) {
+            self.close(cx, id, CloseCause::Silent);
+        }
         let used = cx.now.since(entry.sent_at);
         self.queue.settle(&entry.job, used);
         self.queue.learn(&entry.job, used);
         self.reply_to(cx, &entry, may_have_run(Missing::Deadline));
+    }
+
+    /// Doubts the target if nothing sent later was answered, and treats it as
+    /// cold if a connection fell silent that was opened after an earlier one
+    /// had: then it is not the connections.
+    fn blame_for_silence(&mut self, cx: &mut Cx<'_>, entry: &InFlight) {
         if self.proven_at.is_none_or(|it| it <= entry.sent_at) {
             self.trust.observe_doubt();
+        }
+        let silent_since = *self.silent_since.get_or_insert(cx.now);
+        let opened_at = self.connections.get(entry.connection).map(|it| it.opened_at);
+        if opened_at.is_some_and(|it| it >= silent_since) {
             self.lower_limit(cx, LimitCause::NoAnswer);
         }
     }
--- a/crates/policy/src/owner/target/mod.rs
+++ b/crates/policy/src/owner/target/mod.rs
@@ -59,6 +59,8 @@
     cancels: VecDeque<AttemptId>,
     /// Send time of the latest attempt or probe that was answered.
     proven_at: Option<Time>,
+    /// When a connection first fell silent since the last answer.
+    silent_since: Option<Time>,
     /// No connection is opened before.
     open_after: Time,
 }
@@ -70,6 +72,7 @@
     sent_at: Time,
     /// Whether the part has gone out, because the deadline passed first.
     has_part: bool,
+    is_cancelled: bool,
 }
 
 /// What another owner last said that a target bears.
@@ -107,6 +110,7 @@
             in_flight: HashMap::default(),
             cancels: VecDeque::new(),
             proven_at: None,
+            silent_since: None,
             open_after: cx.now,
         }
     }
@@ -325,6 +329,7 @@
         match proof {
             Proof::Answered => {
                 self.proven_at = self.proven_at.max(Some(entry.sent_at));
+                self.silent_since = None;
                 let change = self.limit.observe_answer(cx.now, cx.now.since(entry.sent_at));
                 self.note_limit(cx, change);
             }
