--- a/crates/owner/src/journal.rs
+++ b/crates/owner/src/journal.rs
@@ -1,7 +1,12 @@
 //! Log lines and metrics of the owner's decisions.
 
+use std::time::Duration;
+
 use base::TargetName;
-use policy::owner::Note;
+use policy::{
+    message::{Part, PartResult},
+    owner::Note,
+};
 use slog::{Logger, debug, info, o, warn};
 use telemetry::{Metrics, metrics::label};
 
@@ -24,6 +29,19 @@
         self.write(target, note);
     }
 
+    /// Counts a part that leaves the owner.
+    pub fn record_part(&self, part: &Part) {
+        let result = match &part.result {
+            PartResult::Answer { .. } => "answered",
+            PartResult::Failed { missing, .. } => missing.as_str(),
+        };
+        self.metrics.subqueries.add(1, &[label("result", result)]);
+        self.metrics.queue_wait.record(millis(part.queued), &[]);
+        if result == "answered" {
+            self.metrics.target_latency.record(millis(part.service_time), &[]);
+        }
+    }
+
     fn count(&self, note: &Note) {
         match note {
             Note::LimitRaised { .. } => {
@@ -38,15 +56,11 @@
             Note::Assigned { .. } | Note::LetGo => {
                 self.metrics.assignment_changes.add(1, &[]);
             }
-            Note::Refused { missing, .. } => {
-                let labels = [label("result", missing.as_str())];
-                self.metrics.subqueries.add(1, &labels);
-            }
-            Note::QueueFailed { jobs, missing } => {
-                let labels = [label("result", missing.as_str())];
-                self.metrics.subqueries.add(*jobs as u64, &labels);
-            }
-            Note::Up { .. } | Note::Down | Note::Leaving { .. } => {}
+            Note::Refused { .. }
+            | Note::QueueFailed { .. }
+            | Note::Up { .. }
+            | Note::Down
+            | Note::Leaving { .. } => {}
         }
     }
 
@@ -55,37 +69,41 @@
         let target = target.as_str();
         match note {
             Note::Assigned { slots, connections } => {
-                info!(log, "target assigned";
+                info!(log, "owner: target assigned";
                     "target" => target, "slots" => slots, "connections" => connections);
             }
-            Note::LetGo => info!(log, "target let go"; "target" => target),
+            Note::LetGo => info!(log, "owner: target let go"; "target" => target),
             Note::LimitRaised { to } => {
-                info!(log, "limit raised"; "target" => target, "to" => to);
+                info!(log, "owner: limit raised"; "target" => target, "to" => to);
             }
             Note::LimitLowered { to, cause } => {
-                info!(log, "limit lowered";
+                info!(log, "owner: limit lowered";
                     "target" => target, "to" => to, "cause" => cause.as_str());
             }
             Note::Condemned { connection, cause } => {
-                info!(log, "connection closed";
+                info!(log, "owner: connection closed";
                     "target" => target, "connection" => connection.0, "cause" => cause.as_str());
             }
             Note::Up { incarnation } => {
-                info!(log, "target up"; "target" => target, "incarnation" => incarnation.0);
+                info!(log, "owner: target up"; "target" => target, "incarnation" => incarnation.0);
             }
-            Note::Down => warn!(log, "target down"; "target" => target),
+            Note::Down => warn!(log, "owner: target down"; "target" => target),
             Note::Leaving { incarnation } => {
-                info!(log, "target leaving"; "target" => target, "incarnation" => incarnation.0);
+                info!(log, "owner: target leaving"; "target" => target, "incarnation" => incarnation.0);
             }
             Note::QueueFailed { jobs, missing } => {
-                info!(log, "queue failed as not run";
+                info!(log, "owner: queue failed as not run";
                     "target" => target, "jobs" => jobs, "reason" => missing.as_str());
             }
             Note::Refused { service, missing } => {
-                debug!(log, "subquery refused";
+                debug!(log, "owner: subquery refused";
                     "target" => target, "service" => service.as_str(),
                     "reason" => missing.as_str());
             }
         }
     }
 }
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -260,15 +260,29 @@
 }
 
 #[test]
-fn silent_connections_are_replaced_without_blaming_the_target() {
+fn silence_of_all_connections_costs_what_was_in_flight() {
     let mut f = Fixture::warm();
     f.world.target(&f.target).silence();
-    f.load(3 * SECOND, 100);
-    assert!(!f.has_note(|it| *it == Note::Down));
-    assert!(f.has_note(|it| matches!(it, Note::Condemned { cause: CloseCause::Silent, .. })));
-    let attempt = f.submit(SECOND);
+    let lost = (0..3).map(|_| f.submit(SECOND / 10)).collect::<Vec<_>>();
+    // Deadline, and the time after which its connection is given up.
+    f.world.run_for(Duration::from_millis(200));
+    for attempt in lost {
+        assert_eq!(f.failure(attempt), (Missing::Deadline, Outcome::MayHaveRun));
+    }
+    let attempts = (0..10).map(|_| f.submit(SECOND / 2)).collect::<Vec<_>>();
     f.world.run_for(SECOND);
-    assert!(f.is_answered(attempt));
+    assert!(attempts.iter().all(|it| f.is_answered(*it)));
+    assert!(f.has_note(|it| matches!(it, Note::Condemned { cause: CloseCause::Silent, .. })));
+    assert!(!f.has_note(|it| *it == Note::Down));
+    assert_eq!(f.limit(), 3, "the target is not blamed");
+}
+
+#[test]
+fn target_that_answers_probes_but_no_work_is_blamed() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).is_stuck = true;
+    f.load(SECOND, 100);
+    assert!(f.lowered_by(LimitCause::NoAnswer));
 }
 
 #[test]
@@ -341,6 +355,19 @@
     assert_eq!(f.failure(attempts[0]).0, Missing::Cancelled);
 }
 
+#[test]
+fn target_is_told_of_a_cancellation_once() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).is_stuck = true;
+    let attempt = f.submit(SECOND);
+    f.world.run_for(Duration::from_millis(1));
+    for _ in 0..20 {
+        f.world.cancel(attempt);
+        f.world.run_for(Duration::from_millis(10));
+    }
+    assert_eq!(f.world.targets[&f.target].cancellations, 1);
+}
+
 #[test]
 fn running_non_idempotent_work_is_never_cancelled() {
     let mut f = Fixture::warm();
@@ -366,13 +393,47 @@
 }
 
 #[test]
-fn target_taken_back_is_cold() {
+fn target_taken_back_soon_keeps_what_it_proved() {
     let mut f = Fixture::warm();
     f.world.assign_all([]);
+    f.world.run_for(10 * SECOND);
     f.assign(share(3));
+    assert_eq!(f.limit(), 3);
+
+    f.world.assign_all([]);
+    f.world.target(&f.target).restart();
+    f.assign(share(3));
+    f.load(SECOND / 2, 300);
+    assert_eq!(f.limit(), 1, "another incarnation has proven nothing");
+
+    let mut f = Fixture::warm();
+    f.world.assign_all([]);
+    f.world.run_for(31 * SECOND);
+    f.assign(share(3));
+    assert_eq!(f.limit(), 1, "what is old counts no more");
+
+    let mut f = Fixture::warm();
+    f.world.assign_all([]);
+    f.assign(Share { starts_cold: true, ..share(3) });
     assert_eq!(f.limit(), 1);
 }
 
+#[test]
+fn former_owner_vouches_for_the_same_incarnation_only() {
+    let limit_after = |incarnation: u64, age: Duration, starts_cold: bool| {
+        let mut f = Fixture::unassigned();
+        f.learn(incarnation, 3);
+        f.world.run_for(age);
+        f.assign(Share { starts_cold, ..share(3) });
+        f.world.run_for(SECOND / 10);
+        f.limit()
+    };
+    assert_eq!(limit_after(1, SECOND, false), 3);
+    assert_eq!(limit_after(2, SECOND, false), 1);
+    assert_eq!(limit_after(1, 6 * SECOND, false), 1);
+    assert_eq!(limit_after(1, SECOND, true), 1);
+}
+
 #[test]
 fn one_connection_is_enough_for_a_reserve() {
     let mut f = Fixture::new();
@@ -410,6 +471,20 @@
         Fixture { world, target: "t0".into() }
     }
 
+    /// A target that is nobody's yet.
+    fn unassigned() -> Self {
+        let mut f =
+            Fixture { world: World::new(1, 1, PolicySettings::default()), target: "t0".into() };
+        f.world.assign_all([]);
+        f.world.run_for(31 * SECOND);
+        f
+    }
+
+    /// Another owner tells what it has proven.
+    fn learn(&mut self, incarnation: u64, limit: u32) {
+        self.world.learn(&self.target.clone(), incarnation, limit);
+    }
+
     /// A target that has proven all its slots.
     fn warm() -> Self {
         Self::with(PolicySettings::default())
--- a/crates/policy/tests/owner_world/target.rs
+++ b/crates/policy/tests/owner_world/target.rs
@@ -47,9 +47,12 @@
     pub fault: Option<Fault>,
     /// Takes connections and bytes, and does nothing with them.
     pub is_frozen: bool,
+    /// Never answers an attempt, while its reports look well.
+    pub is_stuck: bool,
     /// The connection of the next attempt goes silent.
     pub silence_next: bool,
     pub cancelled: HashSet<AttemptId>,
+    pub cancellations: u32,
     pub service_ms: f64,
     /// Service times of single services, where they differ.
     pub service_ms_of: HashMap<base::ServiceName, f64>,
@@ -79,8 +82,10 @@
             is_told: false,
             fault: None,
             is_frozen: false,
+            is_stuck: false,
             silence_next: false,
             cancelled: HashSet::default(),
+            cancellations: 0,
             service_ms: SERVICE_TIME_MS,
             service_ms_of: HashMap::default(),
             connections: HashMap::default(),
@@ -110,6 +115,14 @@
         self.connections.values_mut().for_each(|it| it.is_silent = true);
     }
 
+    /// Attempts at once that it bears without falling over.
+    pub fn bears(&self) -> u32 {
+        if self.warmth >= WARM_ANSWERS {
+            return self.slots;
+        }
+        self.cold_slots + (self.slots - self.cold_slots) * self.warmth / WARM_ANSWERS
+    }
+
     pub fn running(&self) -> usize {
         self.running.len()
     }
@@ -169,12 +182,7 @@
         self.arrivals_after_told += u32::from(self.is_told);
         *self.runs.entry(job.attempt).or_default() += 1;
         self.running.insert(job.attempt);
-        let bears = if self.warmth < WARM_ANSWERS {
-            let gain = self.slots - self.cold_slots;
-            self.cold_slots + gain * self.warmth / WARM_ANSWERS
-        } else {
-            self.slots
-        };
+        let bears = self.bears();
         let is_overload = self.running.len() > bears as usize;
         if is_overload {
             self.overloads += 1;
@@ -205,7 +213,7 @@
             self.warmth = self.warmth.saturating_add(1);
         }
         let link = self.connections.get(&connection)?;
-        if link.is_silent || self.is_frozen {
+        if link.is_silent || self.is_frozen || self.is_stuck {
             return None;
         }
         if !is_same {
