Send the options of query and execute from one place

Cause: The shard and deadline headers were written twice in the tool. Change: One type sends both. Measured: `cargo test -p godwityard -p godwityard-documents`: 16 and 25 tests pass, as before. Conclusion: No change to be seen from outside.

--- a/crates/godwityard/src/commands/request.rs
+++ b/crates/godwityard/src/commands/request.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     args::{Execute, Query, Ticket},
-    client::{Client, Response},
+    client::{Client, ClientError, Response},
     output::{Exit, print_json, printable},
     wire::{Answer, MintedTicket, Part, Refusal},
 };
@@ -27,17 +27,12 @@
 pub(crate) async fn query(args: Query, out: &mut impl Write) -> eyre::Result<Exit> {
     let client = Client::for_callers(args.address.as_deref())?;
     let mut req = post(&client, &args.service, "query")?.body(body(args.body, args.file)?);
-    if let Some(shard) = args.shard {
-        req = req.header(SHARD_HEADER, shard);
-    }
-    if let Some(millis) = args.deadline_ms {
-        req = req.header(DEADLINE_HEADER, millis);
-    }
     if let Some(ratio) = args.min_coverage {
         ensure!((0.0..=1.0).contains(&ratio), "--min-coverage must be 0.0 to 1.0");
         req = req.header(MIN_COVERAGE_HEADER, ratio.to_string());
     }
-    let response = client.send(req, args.deadline_ms.map(Duration::from_millis)).await?;
+    let limits = Limits { shard: args.shard, deadline_ms: args.deadline_ms };
+    let response = limits.send(&client, req).await?;
     print_answer(out, &client, &response, args.json)
 }
 
@@ -60,19 +55,36 @@
     let client = Client::for_callers(args.address.as_deref())?;
     let is_sendable = args.ticket.bytes().all(|it| it.is_ascii_graphic());
     ensure!(is_sendable && !args.ticket.is_empty(), "not a ticket: {:?}", args.ticket);
-    let mut req = post(&client, &args.service, "execute")?
+    let req = post(&client, &args.service, "execute")?
         .header(TICKET_HEADER, &args.ticket)
         .body(body(args.body, args.file)?);
-    if let Some(shard) = args.shard {
-        req = req.header(SHARD_HEADER, shard);
-    }
-    if let Some(millis) = args.deadline_ms {
-        req = req.header(DEADLINE_HEADER, millis);
-    }
-    let response = client.send(req, args.deadline_ms.map(Duration::from_millis)).await?;
+    let limits = Limits { shard: args.shard, deadline_ms: args.deadline_ms };
+    let response = limits.send(&client, req).await?;
     print_answer(out, &client, &response, args.json)
 }
 
+/// What a caller may narrow a request to.
+struct Limits {
+    shard: Option<u32>,
+    deadline_ms: Option<u64>,
+}
+
+impl Limits {
+    async fn send(
+        &self,
+        client: &Client,
+        mut req: RequestBuilder,
+    ) -> Result<Response, ClientError> {
+        if let Some(shard) = self.shard {
+            req = req.header(SHARD_HEADER, shard);
+        }
+        if let Some(millis) = self.deadline_ms {
+            req = req.header(DEADLINE_HEADER, millis);
+        }
+        client.send(req, self.deadline_ms.map(Duration::from_millis)).await
+    }
+}
+
 fn post(client: &Client, service: &str, action: &str) -> eyre::Result<RequestBuilder> {
     ensure!(name::is_valid(service), "not a service's name: {service:?}");
     Ok(client.post(&format!("/v1/services/{service}/{action}")))
