--- a/crates/fleet/src/lease/holder.rs
+++ b/crates/fleet/src/lease/holder.rs
@@ -5,10 +5,10 @@
 use base::{HashMap, HostName, Time, always};
 use rand::{Rng, rngs::SmallRng};
 
-use super::{CLAIM_INTERVAL, DRAIN, LEASE, LOAN, LOAN_PROMISE, RENEW_INTERVAL};
+use super::{CLAIM_INTERVAL, DRAIN, LAST_RESORT_AFTER, LEASE, LOAN, LOAN_PROMISE, RENEW_INTERVAL};
 use crate::{
     assignment::{GroupId, Voters},
-    message::{Answer, Claim, Right, Role, Surrender, Verdict},
+    message::{Answer, Claim, Right, Role, Verdict},
 };
 
 /// Claims remembered for their answers.
@@ -36,6 +36,10 @@
     grants: HashMap<HostName, Grant>,
     /// End of the lease; past if there is none.
     until: Time,
+    /// When each voter last answered, whatever it said.
+    heard: HashMap<HostName, Time>,
+    /// Claimed without pause since then.
+    claimed_since: Time,
     /// Answers to earlier claims are void.
     first_seq: u64,
     next_claim: Time,
@@ -51,7 +55,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Grant {
     sent: Time,
-    is_clean: bool,
+    was_released: bool,
 }
 
 /// A right as the shares need it.
@@ -107,6 +111,13 @@
         (held.until > now).then_some(lease)
     }
 
+    /// Whether a primary right has been out of reach for so long, for want of
+    /// voters that answer at all, that a little may be used without it.
+    pub(crate) fn is_last_resort(&self, now: Time, right: Right) -> bool {
+        let is_primary = right.role == Role::Primary;
+        is_primary && self.held.get(&right).is_some_and(|it| it.is_last_resort(now))
+    }
+
     /// Wants `right`, which `voters` grant.
     pub(crate) fn want(&mut self, now: Time, right: Right, voters: Arc<Voters>) {
         let Some(held) = self.held.get_mut(&right) else {
@@ -120,6 +131,8 @@
             // What the former voters granted lasts out its time.
             held.voters = voters;
             held.grants.clear();
+            held.heard.clear();
+            held.claimed_since = now;
             held.next_claim = now;
         }
     }
@@ -141,6 +154,8 @@
             held.until = Time::ZERO;
             held.borrowed_until = Time::ZERO;
             held.first_seq = self.last_seq + 1;
+            held.heard.clear();
+            held.claimed_since = now;
             held.next_claim = now;
         }
         self.has_changed = true;
@@ -163,6 +178,8 @@
             if held.draining.is_some() || held.next_claim > now + COALESCE {
                 continue;
             }
+            let is_last_resort = right.role == Role::Primary && held.is_last_resort(now);
+            self.has_changed |= is_last_resort;
             // A claim in time is renewed in time even if one round is lost.
             let interval = if held.until > now { RENEW_INTERVAL } else { CLAIM_INTERVAL };
             held.next_claim = now + interval.mul_f64(0.8 + 0.2 * rng.random::<f64>());
@@ -174,18 +191,21 @@
         batches
     }
 
-    /// Rights whose use has ended, to be given up now, by voter.
-    pub(crate) fn due_releases(&mut self, now: Time) -> Batches<Surrender> {
-        let mut batches: Batches<Surrender> = HashMap::default();
+    /// Rights whose use has ended, to be given up now, by voter. One that
+    /// lapsed needs no release: the promises lapse likewise.
+    pub(crate) fn due_releases(&mut self, now: Time) -> Batches<Right> {
+        let mut batches: Batches<Right> = HashMap::default();
         let is_due = |held: &Held| held.release_at(now).is_some_and(|at| at <= now);
         let due: Vec<_> =
             self.held.iter().filter(|(_, held)| is_due(held)).map(|(&right, _)| right).collect();
         for right in due {
             let Some(held) = self.held.remove(&right) else { continue };
             self.has_changed = true;
-            let surrender = Surrender { right, was_held: held.until > now };
+            if held.until <= now {
+                continue;
+            }
             for voter in &held.voters.hosts {
-                batches.entry(voter.clone()).or_default().push(surrender);
+                batches.entry(voter.clone()).or_default().push(right);
             }
         }
         batches
@@ -196,12 +216,13 @@
         let Some(&(_, sent)) = self.sent.iter().find(|(it, _)| *it == seq) else { return };
         for verdict in answers {
             let Some(held) = self.held.get_mut(&verdict.right) else { continue };
-            let Answer::Granted { is_clean } = verdict.answer else { continue };
+            held.heard.insert(voter.clone(), now);
+            let Answer::Granted { was_released } = verdict.answer else { continue };
             let is_void = seq < held.first_seq || verdict.voters != held.voters.hash;
             if is_void || held.draining.is_some() || !held.voters.hosts.contains(voter) {
                 continue;
             }
-            self.has_changed |= held.grant(now, voter, Grant { sent, is_clean });
+            self.has_changed |= held.grant(now, voter, Grant { sent, was_released });
         }
     }
 
@@ -253,6 +274,8 @@
             voters,
             grants: HashMap::default(),
             until: Time::ZERO,
+            heard: HashMap::default(),
+            claimed_since: now,
             first_seq,
             next_claim: now,
             starts_cold: true,
@@ -262,6 +285,16 @@
         }
     }
 
+    fn is_last_resort(&self, now: Time) -> bool {
+        let is_recent = |at: Time| now.since(at) < LAST_RESORT_AFTER;
+        if self.draining.is_some() || is_recent(self.until.max(self.claimed_since)) {
+            return false;
+        }
+        let is_heard = |it: &&HostName| self.heard.get(*it).is_some_and(|&at| is_recent(at));
+        let heard = self.voters.hosts.iter().filter(is_heard).count();
+        heard < self.voters.quorum()
+    }
+
     fn next_wakeup(&self, now: Time) -> Option<Time> {
         let own = match self.release_at(now) {
             Some(at) => at,
@@ -297,7 +330,7 @@
         always!(quorum * 2 > self.voters.hosts.len(), "lease-quorum-is-majority");
         let is_new = self.until <= now;
         if is_new {
-            self.starts_cold = !grants[..quorum].iter().all(|it| it.is_clean);
+            self.starts_cold = !grants[..quorum].iter().all(|it| it.was_released);
         }
         let is_notable = is_new || until.since(self.until) >= NOTABLE_EXTENSION;
         self.until = until;
--- a/crates/fleet/src/node/rights.rs
+++ b/crates/fleet/src/node/rights.rs
@@ -2,14 +2,17 @@
 
 use std::net::SocketAddr;
 
-use base::{HostName, Incarnation, Share, TargetName, Time, always};
+use base::{HashMap, HashSet, HostName, Incarnation, Share, TargetName, Time, always};
 use documents::Target;
 
 use super::{Action, Node};
 use crate::{
     assignment::{Group, GroupId, Groups, VoterSets},
-    lease::{Allowance, BORROW_INTERVAL, Claimant, Holder, Lease, Voter, allowance},
-    message::{Answer, Body, Claim, Right, Role, Surrender, Verdict},
+    lease::{
+        Allowance, BORROW_INTERVAL, Claimant, Holder, LAST_RESORT_LEASE, LAST_RESORT_SLOTS, Lease,
+        Voter, allowance,
+    },
+    message::{Answer, Body, Claim, Right, Role, Verdict},
 };
 
 /// Most rights in one datagram.
@@ -76,9 +79,15 @@
         group: &Group,
         shares: &mut Vec<(TargetName, Share)>,
     ) {
-        let primary = self.holder.lease(now, Right { group: id, role: Role::Primary });
+        let right = Right { group: id, role: Role::Primary };
+        let primary = self.holder.lease(now, right);
         let standby = self.holder.lease(now, Right { group: id, role: Role::Standby });
+        let is_last_resort = standby.is_none() && self.holder.is_last_resort(now, right);
         for target in &group.targets {
+            if is_last_resort {
+                shares.push((target.name.clone(), last_resort(now, target)));
+                continue;
+            }
             if let Some(share) = target_share(now, target, primary, standby) {
                 shares.push((target.name.clone(), share));
             }
@@ -116,6 +125,16 @@
     Some(share)
 }
 
+/// What a host uses of a target when it hears no majority of voters.
+fn last_resort(now: Time, target: &Target) -> Share {
+    Share {
+        slots: LAST_RESORT_SLOTS.min(target.slots),
+        connections: LAST_RESORT_SLOTS.min(target.connections),
+        valid_until: Some(now + LAST_RESORT_LEASE),
+        starts_cold: true,
+    }
+}
+
 fn add(share: &mut Share, allowance: Allowance, has_slots: bool) {
     share.connections += allowance.connections;
     if has_slots {
@@ -187,13 +206,13 @@
     }
 
     fn send_releases(&mut self, now: Time) {
-        let batches = self.rights.holder.due_releases(now);
+        let mut batches = self.rights.holder.due_releases(now);
         if batches.is_empty() {
             return;
         }
         let seq = self.rights.holder.next_seq(now);
-        let mut batches = batches;
-        for right in batches.values().flatten().copied().collect::<Vec<_>>() {
+        let rights: HashSet<Right> = batches.values().flatten().copied().collect();
+        for right in rights {
             self.tell_successors(right, &mut batches);
         }
         for (voter, rights) in batches {
@@ -211,16 +230,12 @@
     }
 
     /// Lets those who claim next know at once, voters or not.
-    fn tell_successors(
-        &self,
-        surrender: Surrender,
-        batches: &mut base::HashMap<HostName, Vec<Surrender>>,
-    ) {
-        let Some(route) = self.routes.route(surrender.right.group) else { return };
+    fn tell_successors(&self, right: Right, batches: &mut HashMap<HostName, Vec<Right>>) {
+        let Some(route) = self.routes.route(right.group) else { return };
         for host in [Some(&route.primary), route.standby.as_ref()].into_iter().flatten() {
             let batch = batches.entry(host.clone()).or_default();
-            if !batch.contains(&surrender) {
-                batch.push(surrender);
+            if !batch.contains(&right) {
+                batch.push(right);
             }
         }
     }
@@ -231,7 +246,7 @@
             return;
         }
         self.rights.next_borrow = now + BORROW_INTERVAL;
-        let mut batches: base::HashMap<HostName, Vec<GroupId>> = base::HashMap::default();
+        let mut batches: HashMap<HostName, Vec<GroupId>> = HashMap::default();
         for group in self.rights.holder.borrowing(now) {
             let standby = self.routes.route(group).and_then(|it| it.standby.as_ref());
             let Some(standby) = standby.filter(|it| **it != self.cfg.host) else { continue };
@@ -277,7 +292,6 @@
             Body::Release { seq, rights } => {
                 let holder = Claimant { host: sender, incarnation, seq };
                 self.rights.voter.release(now, holder, &rights);
-                let rights: Vec<_> = rights.iter().map(|it| it.right).collect();
                 self.rights.holder.hurry(now, &rights);
             }
             Body::Borrow { seq, groups } => {
--- a/crates/godwityardd/src/daemon.rs
+++ b/crates/godwityardd/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Wires the parts of one host together and takes them down in order.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use documents::Settings;
 use entry::EntryCx;
@@ -23,6 +23,7 @@
     servers::{self, Servers},
     service::Service,
     start::Start,
+    suspects,
     view::SharedView,
 };
 
@@ -63,10 +64,11 @@
         };
         let peer_log = part_logger(root, Part::Peer);
         let links = Links::start(identity.clone(), peer_log.clone())?;
-        let owner = start_owner(&cfg, root);
+        let owner = start_owner(&cfg, &metrics, root);
         let view = SharedView::new(cfg.host.clone(), cfg.domain.clone(), identity.incarnation);
         let owners = FleetOwners::new(view.clone(), owner.clone(), links.clone());
-        let entry = start_entry(&cfg, view.clone(), owners, &metrics, root);
+        let entry =
+            start_entry(&cfg, start.admin_token.clone(), view.clone(), owners, &metrics, root);
 
         let (deliveries, delivered) = mpsc::channel(INBOX);
         let (platform_tx, platform_rx) = mpsc::channel(INBOX);
@@ -81,6 +83,8 @@
         let datagrams = Datagrams::new(socket, identity.clone(), peer_log)?;
         tokio::spawn(receive_datagrams(datagrams.clone(), deliveries));
 
+        tokio::spawn(suspects::tell(entry.clone(), view.clone(), datagrams.clone()));
+
         let platform_log = part_logger(root, Part::Platform);
         let platform =
             PlatformReader::new(replicas(&cfg)?, platform_tx, metrics.clone(), platform_log);
@@ -88,6 +92,7 @@
             datagrams,
             links,
             owner: owner.clone(),
+            entry: entry.clone(),
             view,
             owner_mode: cfg.policy.owners,
             platform,
@@ -99,7 +104,7 @@
         tokio::spawn(Driver::new(node, cx).run(inbox));
 
         let servers = Servers::start(&cfg, &entry, start.admin_token, metrics).await?;
-        info!(log, "daemon: started"; "callers" => %cfg.callers, "admin" => %cfg.admin,
+        info!(log, "started"; "callers" => %cfg.callers, "admin" => %cfg.admin,
             "peers" => %cfg.peers, "incarnation" => identity.incarnation.0);
         Ok(Host { cfg, entry, owner, servers, leave, log })
     }
@@ -107,10 +112,10 @@
     /// Stops in an order that fails no request: first the balancer and peers
     /// learn of it while everything still works, then admitted work ends.
     async fn stop(self) {
-        info!(self.log, "daemon: stopping"; "grace_ms" => self.cfg.grace.as_millis() as u64);
+        info!(self.log, "stopping"; "grace_ms" => self.cfg.grace.as_millis() as u64);
         let grace = self.cfg.grace;
         match timeout(grace, self.stop_in_order()).await {
-            Ok(log) => info!(log, "daemon: stopped"),
+            Ok(log) => info!(log, "stopped"),
             Err(_) => eprintln_grace(grace),
         }
     }
@@ -134,11 +139,12 @@
     eprintln!("godwityardd: not drained after {} ms, leaving all the same", grace.as_millis());
 }
 
-fn start_owner(cfg: &Settings, root: &Logger) -> OwnerHandle {
+fn start_owner(cfg: &Settings, metrics: &Metrics, root: &Logger) -> OwnerHandle {
     OwnerHandle::start(owner::OwnerCx {
         host: cfg.host.clone(),
         policy: cfg.policy.clone(),
-        log: part_logger(root, Part::Owner),
+        metrics: metrics.clone(),
+        log: root.clone(),
         clock: clock::now,
         seed: clock::incarnation().0,
     })
@@ -146,15 +152,16 @@
 
 fn start_entry(
     cfg: &Settings,
+    admin_token: Option<Arc<str>>,
     view: SharedView,
     owners: FleetOwners,
     metrics: &Metrics,
     root: &Logger,
 ) -> EntryCx<SharedView, FleetOwners> {
-    entry::EntryBuilder::new(view, owners)
+    entry::EntryBuilder::new(view, owners, metrics.clone())
         .policy(cfg.policy.clone())
-        .metrics(metrics.clone())
         .log(part_logger(root, Part::Entry))
+        .admin_token(admin_token)
         .build()
 }
 
--- a/crates/godwityardd/src/fleet_driver/mod.rs
+++ b/crates/godwityardd/src/fleet_driver/mod.rs
@@ -5,19 +5,20 @@
 mod platform_reader;
 mod publish;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::Time;
+use base::{HashMap, TargetName, Time};
 use documents::model::OwnerMode;
+use entry::{EntryCx, seams::Route};
 use fleet::{Action, Input, Node};
 use owner::OwnerHandle;
-use peer::{Datagrams, Links, decode_fleet_message, encode_fleet_message};
+use peer::{Datagrams, Frame, Links};
 use slog::{Logger, debug, info, warn};
 use telemetry::{Metrics, metrics::label};
 use tokio::sync::{mpsc, oneshot};
 
 pub use self::platform_reader::PlatformReader;
-use crate::{clock, view::SharedView};
+use crate::{clock, owners::FleetOwners, view::SharedView};
 
 /// A pause of the process longer than this is reported to the node.
 const PAUSE_LIMIT: Duration = Duration::from_millis(500);
@@ -25,10 +26,7 @@
 /// Longest time between two looks at the clock.
 const TICK_LIMIT: Duration = Duration::from_millis(100);
 
-/// Shares are published anew at least this often, as leases move on.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
-
-/// A fleet message, by datagram or by link.
+/// A frame that came by datagram or by link.
 pub struct Delivery {
     pub from: SocketAddr,
     pub message: Vec<u8>,
@@ -42,6 +40,7 @@
     pub datagrams: Datagrams,
     pub links: Links,
     pub owner: OwnerHandle,
+    pub entry: EntryCx<SharedView, FleetOwners>,
     pub view: SharedView,
     pub owner_mode: OwnerMode,
     pub platform: PlatformReader,
@@ -70,14 +69,26 @@
     cx: DriverCx,
     node: Node,
     last_look: Time,
-    last_publish: Time,
+    /// Routes or configuration changed since the last publication.
+    is_changed: bool,
+    routes: Arc<HashMap<TargetName, Route>>,
+    published_at: Time,
+    assigned_at: Time,
     leaving: Option<oneshot::Sender<()>>,
 }
 
 impl Driver {
     pub fn new(node: Node, cx: DriverCx) -> Self {
-        let now = clock::now();
-        Driver { cx, node, last_look: now, last_publish: Time::ZERO, leaving: None }
+        Driver {
+            cx,
+            node,
+            last_look: clock::now(),
+            is_changed: true,
+            routes: Arc::default(),
+            published_at: Time::ZERO,
+            assigned_at: Time::ZERO,
+            leaving: None,
+        }
     }
 
     /// Runs until the process ends.
@@ -106,7 +117,7 @@
         let pause = now.since(self.last_look);
         self.last_look = now;
         if pause > PAUSE_LIMIT {
-            warn!(self.cx.log, "fleet: woke from a pause"; "pause_ms" => pause.as_millis() as u64);
+            warn!(self.cx.log, "woke from a pause"; "pause_ms" => pause.as_millis() as u64);
             self.step(Input::Woke);
         }
     }
@@ -120,24 +131,21 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { to, message } => self.send(to, &message),
+            Action::Send { to, message } => self.send(to, message),
             Action::ReadIndex { after, wait } => self.cx.platform.read_index(after, wait),
             Action::ReadDocument { key } => self.cx.platform.read_document(key),
             Action::ReadHosts => self.cx.platform.read_hosts(),
             Action::ConfigurationChanged => {
                 let configuration = self.node.configuration();
-                info!(self.cx.log, "fleet: configuration in force";
+                info!(self.cx.log, "configuration in force";
                     "revision" => configuration.revision.0);
                 self.cx.metrics.revision_in_force.record(configuration.revision.0, &[]);
                 self.cx.owner.configure(configuration);
-                self.publish();
-            }
-            Action::SharesChanged => {
-                self.cx.metrics.assignment_changes.add(1, &[]);
-                self.publish();
+                self.is_changed = true;
             }
+            Action::SharesChanged => self.is_changed = true,
             Action::Left => {
-                info!(self.cx.log, "fleet: left");
+                info!(self.cx.log, "left");
                 if let Some(reply) = self.leaving.take() {
                     // The waiting side may have passed its grace limit.
                     let _ = reply.send(());
@@ -146,10 +154,11 @@
         }
     }
 
-    fn send(&self, to: SocketAddr, message: &fleet::Message) {
-        let bytes = encode_fleet_message(message);
+    fn send(&self, to: SocketAddr, message: fleet::Message) {
+        let is_bulk = message.is_bulk();
+        let bytes = Frame::Fleet(message).encode();
         self.cx.metrics.control_bytes.add(bytes.len() as u64, &[label("direction", "out")]);
-        if message.is_bulk() || bytes.len() > peer::datagram::MAX_DATAGRAM_BYTES {
+        if is_bulk || bytes.len() > peer::datagram::MAX_DATAGRAM_BYTES {
             self.cx.links.deliver(to, bytes);
         } else {
             self.cx.datagrams.send(to, &bytes);
@@ -158,10 +167,14 @@
 
     fn decode(&self, from: SocketAddr, bytes: &[u8]) -> Option<Input> {
         self.cx.metrics.control_bytes.add(bytes.len() as u64, &[label("direction", "in")]);
-        match decode_fleet_message(bytes) {
-            Ok(message) => Some(Input::Message { from, message }),
+        match Frame::decode(bytes) {
+            Ok(Frame::Fleet(message)) => Some(Input::Message { from, message }),
+            Ok(Frame::Suspects(notes)) => {
+                self.cx.entry.merge_suspect_notes(&notes);
+                None
+            }
             Err(err) => {
-                debug!(self.cx.log, "fleet: message dropped"; "from" => %from, "error" => %err);
+                debug!(self.cx.log, "message dropped"; "from" => %from, "error" => %err);
                 None
             }
         }
--- a/crates/policy/src/owner/limit.rs
+++ b/crates/policy/src/owner/limit.rs
@@ -14,8 +14,8 @@
 
 /// Least time between two rises.
 const RISE_INTERVAL: Duration = Duration::from_secs(1);
-/// Answers that prove one slot of the limit.
-const PROOF_PER_SLOT: u32 = 5;
+/// Answers at one limit that pay for the next.
+const RISE_ANSWERS: u32 = 50;
 /// Answers this many times slower than the baseline tell of a cold target.
 const JUMP_FACTOR: f64 = 4.0;
 /// And at least this much slower.
@@ -81,7 +81,8 @@
         }
     }
 
-    /// Takes over new figures of the target's document.
+    /// Takes over new figures. `slots` is what this host may use, so that the
+    /// limit never rises past what its own work can prove.
     pub fn resize(&mut self, slots: u32, cold_slots: u32) {
         self.slots = slots;
         self.cold_slots = cold_slots.min(slots);
@@ -108,20 +109,36 @@
         is_lowered
     }
 
+    /// Starts at what another owner of the same target has proven.
+    pub fn adopt(&mut self, now: Time, proven: u32) {
+        self.move_to(now, proven.clamp(self.cold_slots, self.slots.max(self.cold_slots)));
+    }
+
     /// Takes a good answer as proof.
     pub fn observe_answer(&mut self, now: Time, service_time: Duration) -> Option<LimitChange> {
         let time_us = service_time.as_micros() as f64;
         self.answered_at = now;
         if self.is_jump(time_us) {
-            // What is slow for good becomes the measure of later jumps.
-            self.baseline_us = Some(time_us);
-            return self.reset(now).then_some(LimitChange::Lowered(LimitCause::LatencyJump));
+            return self.reset_by_jump(now, time_us);
         }
         self.answers += 1;
         self.answers_us += time_us;
         self.step(now)
     }
 
+    /// Takes an attempt that ran into its deadline as a slow answer, which
+    /// proves nothing.
+    pub fn observe_timeout(&mut self, now: Time, time: Duration) -> Option<LimitChange> {
+        let time_us = time.as_micros() as f64;
+        if self.is_jump(time_us) { self.reset_by_jump(now, time_us) } else { None }
+    }
+
+    fn reset_by_jump(&mut self, now: Time, time_us: f64) -> Option<LimitChange> {
+        // What is slow for good becomes the measure of later jumps.
+        self.baseline_us = Some(time_us);
+        self.reset(now).then_some(LimitChange::Lowered(LimitCause::LatencyJump))
+    }
+
     fn is_jump(&mut self, time_us: f64) -> bool {
         let Some(baseline) = self.baseline_us else {
             self.baseline_us = Some(time_us);
@@ -138,7 +155,7 @@
     }
 
     fn step(&mut self, now: Time) -> Option<LimitChange> {
-        let is_proven = self.answers >= PROOF_PER_SLOT * self.current.max(1);
+        let is_proven = self.answers >= RISE_ANSWERS;
         let is_due = now.since(self.changed_at) >= RISE_INTERVAL && now >= self.rise_after;
         if !is_proven || !is_due {
             return None;
--- a/crates/policy/src/owner/machine.rs
+++ b/crates/policy/src/owner/machine.rs
@@ -11,10 +11,13 @@
 use super::{
     action::{Action, Job, JobBatch},
     input::{Input, RequesterId},
-    target::{Cx, TargetCore},
+    target::{Cx, Hint, TargetCore},
 };
 use crate::message::{Batch, Part, PartResult, Subquery, TargetStatus};
 
+/// Time between two ticks from which the process counts as having paused.
+const PAUSE: Duration = Duration::from_millis(500);
+
 #[derive(Clone, Debug)]
 pub struct OwnerCore {
     settings: PolicySettings,
@@ -22,9 +25,12 @@
     configuration: Arc<Configuration>,
     shares: HashMap<TargetName, Share>,
     targets: HashMap<TargetName, TargetCore>,
+    hints: HashMap<TargetName, Hint>,
     /// Subqueries that have had no part yet, with their targets.
     pending: HashMap<AttemptId, TargetName>,
     is_draining: bool,
+    ticked_at: Time,
+    woke_at: Time,
 }
 
 impl OwnerCore {
@@ -35,8 +41,11 @@
             configuration: Arc::default(),
             shares: HashMap::default(),
             targets: HashMap::default(),
+            hints: HashMap::default(),
             pending: HashMap::default(),
             is_draining: false,
+            ticked_at: Time::ZERO,
+            woke_at: Time::ZERO,
         }
     }
 
@@ -67,14 +76,15 @@
                 self.shares = shares.into_iter().collect();
                 self.reconcile(now, actions);
             }
+            Input::Learn(statuses) => self.learn(now, statuses),
             Input::Drain => self.is_draining = true,
             Input::Tick => self.tick(now, actions),
         }
     }
 
-    /// Whether nothing is queued and every subquery has had its part.
+    /// Whether nothing is queued and nothing is in flight at any target.
     pub fn is_idle(&self) -> bool {
-        self.pending.is_empty()
+        self.pending.is_empty() && self.targets.values().all(TargetCore::is_idle)
     }
 
     /// What is known of the assigned targets, or of those of one pool.
@@ -126,23 +136,44 @@
     }
 
     fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let OwnerCore { settings, rng, targets, pending, .. } = self;
+        if now.since(self.ticked_at) >= PAUSE {
+            self.woke_at = now;
+        }
+        self.ticked_at = now;
+        let OwnerCore { settings, rng, targets, pending, woke_at, .. } = self;
         for target in targets.values_mut() {
-            target.tick(&mut Cx { now, settings, rng, pending, actions });
+            target.tick(&mut Cx { now, woke_at: *woke_at, settings, rng, pending, actions });
+        }
+        targets.retain(|_, it| !it.is_forgotten(now));
+    }
+
+    /// Remembers what other owners have proven, for targets that may come here.
+    fn learn(&mut self, now: Time, statuses: Vec<TargetStatus>) {
+        self.hints.retain(|_, it| it.is_fresh(now));
+        for status in statuses {
+            let is_own = self.targets.get(&status.target).is_some_and(TargetCore::is_assigned);
+            if !is_own && self.configuration.target(&status.target).is_some() {
+                let hint = Hint::new(now, &status);
+                self.hints.insert(status.target, hint);
+            }
         }
-        targets.retain(|_, it| !it.is_gone());
     }
 
     /// Brings the targets in line with the configuration and the shares.
     fn reconcile(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let OwnerCore { settings, rng, configuration, shares, targets, pending, .. } = self;
-        let mut cx = Cx { now, settings, rng, pending, actions };
+        let woke_at = self.woke_at;
+        let OwnerCore { settings, rng, configuration, shares, targets, hints, pending, .. } = self;
+        let mut cx = Cx { now, woke_at, settings, rng, pending, actions };
         for (name, target) in targets.iter_mut() {
+            target.prune_services(|it| configuration.services.contains_key(it));
             let document = configuration.target(name);
-            if !shares.contains_key(name) || document.is_none() {
+            if let Some(document) = document {
+                let is_domain_in = configuration.is_domain_in(&document.domain);
+                target.configure(&mut cx, Arc::clone(document), is_domain_in);
+            }
+            if document.is_none() || !shares.contains_key(name) {
                 target.let_go(&mut cx);
             }
-            target.prune_services(|it| configuration.services.contains_key(it));
         }
         for (name, &share) in shares.iter() {
             let Some(document) = configuration.target(name) else { continue };
@@ -150,10 +181,9 @@
             let target = targets
                 .entry(name.clone())
                 .or_insert_with(|| TargetCore::new(&mut cx, Arc::clone(document), is_domain_in));
-            target.configure(&mut cx, Arc::clone(document), is_domain_in);
-            target.assign(&mut cx, share);
+            target.assign(&mut cx, share, hints.remove(name));
         }
-        targets.retain(|_, it| !it.is_gone());
+        targets.retain(|_, it| !it.is_forgotten(now));
     }
 
     /// Runs `handle` on a target, if there is one of that name.
@@ -164,9 +194,9 @@
         actions: &mut Vec<Action>,
         handle: impl FnOnce(&mut TargetCore, &mut Cx<'_>),
     ) {
-        let OwnerCore { settings, rng, targets, pending, .. } = self;
+        let OwnerCore { settings, rng, targets, pending, woke_at, .. } = self;
         let Some(target) = targets.get_mut(name) else { return };
-        handle(target, &mut Cx { now, settings, rng, pending, actions });
+        handle(target, &mut Cx { now, woke_at: *woke_at, settings, rng, pending, actions });
     }
 
     fn weight(&self, service: &ServiceName) -> u32 {
