Avoid replicas that lost to a hedge, and count shards instead of walking them

The decisions walked all shards for each part. Change: a loser counts with twice its time and fades with a half-life of 5 s; answered and open attempts are counted; owners are looked up for silence only while some owner is silent.

--- a/crates/policy/src/request/gather.rs
+++ b/crates/policy/src/request/gather.rs
@@ -82,6 +82,10 @@
     deadline: Time,
     shards: Vec<ShardParts>,
     attempts: HashMap<AttemptId, Attempt>,
+    /// Shards that have an answer.
+    answered: u32,
+    /// Attempts in flight.
+    open: u32,
     outcome: Outcome,
 }
 
@@ -90,14 +94,24 @@
     shard: ShardId,
     answer: Option<Arc<[u8]>>,
     open: u32,
+    /// All sends for the shard, on whatever snapshot.
+    attempts: Vec<AttemptId>,
     missing: Missing,
 }
 
 impl Gather {
     pub fn new(snapshot: Snapshot, shards: impl Iterator<Item = ShardId>, deadline: Time) -> Self {
-        let shards = shards.map(ShardParts::new).collect();
+        let shards = shards.map(|it| ShardParts::new(it, Vec::new())).collect();
         let attempts = HashMap::default();
-        Gather { snapshot, deadline, shards, attempts, outcome: Outcome::NotRun }
+        Gather {
+            snapshot,
+            deadline,
+            shards,
+            attempts,
+            answered: 0,
+            open: 0,
+            outcome: Outcome::NotRun,
+        }
     }
 
     /// Starts again on another snapshot. Answers are dropped, open attempts
@@ -108,9 +122,12 @@
         snapshot: Snapshot,
         shards: impl Iterator<Item = ShardId>,
     ) -> Vec<(AttemptId, HostName)> {
-        let open = self.abandon_open(now, |_| true);
+        let open = self.abandon_open(now);
         self.snapshot = snapshot;
-        self.shards = shards.map(ShardParts::new).collect();
+        self.answered = 0;
+        let mut attempts = self.attempts_by_shard();
+        let mut attempts_of = |it| attempts.remove(&it).unwrap_or_default();
+        self.shards = shards.map(|it| ShardParts::new(it, attempts_of(it))).collect();
         open
     }
 
@@ -118,6 +135,8 @@
         base::always!(attempt.snapshot == self.snapshot, "send-on-pinned-snapshot");
         let Some(shard) = self.shard_mut(attempt.shard) else { return };
         shard.open += 1;
+        shard.attempts.push(id);
+        self.open += 1;
         let former = self.attempts.insert(id, attempt);
         base::always!(former.is_none(), "attempt-id-unique", "attempt {id}");
     }
@@ -144,28 +163,25 @@
         settlement
     }
 
-    /// Gives up the open attempts that `filter` picks.
-    pub fn abandon_open(
-        &mut self,
-        now: Time,
-        filter: impl Fn(&Attempt) -> bool,
-    ) -> Vec<(AttemptId, HostName)> {
+    /// Gives up all open attempts.
+    pub fn abandon_open(&mut self, now: Time) -> Vec<(AttemptId, HostName)> {
         let mut given_up = Vec::new();
-        for (&id, attempt) in &mut self.attempts {
-            if attempt.settled.is_some() || !filter(attempt) {
-                continue;
+        for i in 0..self.shards.len() {
+            if self.open == 0 {
+                break;
             }
-            attempt.settled = Some((now, Settled::Abandoned));
-            given_up.push((id, attempt.owner.clone(), attempt.shard));
-        }
-        for (_, _, shard) in &given_up {
-            let Some(parts) = self.shard_mut(*shard) else { continue };
-            parts.open -= 1;
+            self.abandon_shard(now, i, &mut given_up);
         }
-        if !given_up.is_empty() {
-            self.advance(Outcome::MayHaveRun);
+        given_up
+    }
+
+    /// Gives up the open attempts of one shard.
+    pub fn abandon(&mut self, now: Time, shard: ShardId) -> Vec<(AttemptId, HostName)> {
+        let mut given_up = Vec::new();
+        if let Ok(index) = self.shards.binary_search_by_key(&shard, |it| it.shard) {
+            self.abandon_shard(now, index, &mut given_up);
         }
-        given_up.into_iter().map(|(id, owner, _)| (id, owner)).collect()
+        given_up
     }
 
     /// Names why a shard has no answer so far.
@@ -190,6 +206,16 @@
         Coverage { answered, total, missing }
     }
 
+    /// Shards answered, of all.
+    pub fn progress(&self) -> (u32, u32) {
+        (self.answered, self.shards.len() as u32)
+    }
+
+    /// Whether some attempt is in flight.
+    pub fn is_any_open(&self) -> bool {
+        self.open > 0
+    }
+
     pub fn is_answered(&self, shard: ShardId) -> bool {
         self.shard(shard).is_some_and(|it| it.answer.is_some())
     }
@@ -201,7 +227,8 @@
     /// Whether every send for a shard, on whatever snapshot, is known not to
     /// have run.
     pub fn is_certainly_not_run(&self, shard: ShardId) -> bool {
-        let mut sends = self.attempts.values().filter(|it| it.shard == shard);
+        let Some(parts) = self.shard(shard) else { return false };
+        let mut sends = parts.attempts.iter().filter_map(|it| self.attempts.get(it));
         sends.all(|it| {
             let settled = it.settled.map(|(_, settled)| settled);
             matches!(settled, Some(Settled::Failed { outcome: Outcome::NotRun, .. }))
@@ -209,13 +236,12 @@
     }
 
     pub fn is_complete(&self) -> bool {
-        self.shards.iter().all(|it| it.answer.is_some())
+        self.answered as usize == self.shards.len()
     }
 
     /// What can be vouched for now: an open attempt may have run.
     pub fn outcome(&self) -> Outcome {
-        let is_open = self.shards.iter().any(|it| it.open > 0);
-        if is_open { self.outcome.max(Outcome::MayHaveRun) } else { self.outcome }
+        if self.open > 0 { self.outcome.max(Outcome::MayHaveRun) } else { self.outcome }
     }
 
     pub fn answers(&self) -> impl Iterator<Item = (ShardId, &Arc<[u8]>)> {
@@ -231,18 +257,46 @@
     }
 
     pub fn attempts_of(&self, shard: ShardId) -> impl Iterator<Item = &Attempt> {
-        let snapshot = self.snapshot;
-        self.attempts.values().filter(move |it| it.shard == shard && it.snapshot == snapshot)
+        let ids = self.shard(shard).map_or(&[][..], |it| it.attempts.as_slice());
+        let attempts = ids.iter().filter_map(|it| self.attempts.get(it));
+        attempts.filter(|it| it.snapshot == self.snapshot)
+    }
+
+    fn abandon_shard(
+        &mut self,
+        now: Time,
+        index: usize,
+        given_up: &mut Vec<(AttemptId, HostName)>,
+    ) {
+        let parts = &mut self.shards[index];
+        if parts.open == 0 {
+            return;
+        }
+        for &id in &parts.attempts {
+            let Some(attempt) = self.attempts.get_mut(&id) else { continue };
+            if attempt.settled.is_none() {
+                attempt.settled = Some((now, Settled::Abandoned));
+                given_up.push((id, attempt.owner.clone()));
+            }
+        }
+        self.open -= parts.open;
+        parts.open = 0;
+        self.advance(Outcome::MayHaveRun);
     }
 
     fn settle(&mut self, shard: ShardId, result: &PartResult, settlement: Settlement) {
-        let Some(parts) = self.shard_mut(shard) else { return };
+        let index = self.shards.binary_search_by_key(&shard, |it| it.shard);
+        let Some(parts) = index.ok().and_then(|it| self.shards.get_mut(it)) else { return };
         parts.open -= 1;
+        self.open -= 1;
         let reached = match settlement {
             Settlement::Answered { .. } => {
                 let PartResult::Answer { body, .. } = result else { return };
                 // The first answer counts; a hedge's twin is dropped.
-                parts.answer.get_or_insert_with(|| Arc::clone(body));
+                if parts.answer.is_none() {
+                    parts.answer = Some(Arc::clone(body));
+                    self.answered += 1;
+                }
                 Outcome::MayHaveRun
             }
             Settlement::Failed { missing, outcome, .. } => {
@@ -254,6 +308,14 @@
         self.advance(reached);
     }
 
+    fn attempts_by_shard(&self) -> HashMap<ShardId, Vec<AttemptId>> {
+        let mut by_shard: HashMap<ShardId, Vec<AttemptId>> = HashMap::default();
+        for (&id, attempt) in &self.attempts {
+            by_shard.entry(attempt.shard).or_default().push(id);
+        }
+        by_shard
+    }
+
     fn advance(&mut self, reached: Outcome) {
         self.outcome = self.outcome.max(reached);
     }
@@ -270,8 +332,8 @@
 }
 
 impl ShardParts {
-    fn new(shard: ShardId) -> Self {
-        ShardParts { shard, answer: None, open: 0, missing: Missing::Deadline }
+    fn new(shard: ShardId, attempts: Vec<AttemptId>) -> Self {
+        ShardParts { shard, answer: None, open: 0, attempts, missing: Missing::Deadline }
     }
 }
 
--- a/crates/policy/src/request/plan.rs
+++ b/crates/policy/src/request/plan.rs
@@ -115,6 +115,9 @@
 }
 
 fn is_primary_silent<R: Routes>(cx: &PlanCx<'_, R>, target: &Target) -> bool {
+    if !cx.table.is_any_silent(cx.now) {
+        return false;
+    }
     let owners = cx.routes.owners(&target.name);
     owners.is_none_or(|(primary, _)| cx.table.is_silent(cx.now, &primary))
 }
--- a/crates/policy/src/request/query/mod.rs
+++ b/crates/policy/src/request/query/mod.rs
@@ -33,6 +33,9 @@
     trial::Trial,
 };
 
+/// A target that had not answered yet when another one had is taken to need
+/// this many times as long as it had taken.
+const LOSER_FACTOR: u32 = 2;
 /// With latency preferred, an answer with enough shards waits for the others
 /// up to this many times the pool's high latency.
 const PATIENCE_FACTOR: u32 = 3;
@@ -223,7 +226,7 @@
             plan.retry_at = None;
         }
         self.record_latencies(cx, shard);
-        let losers = self.gather.abandon_open(cx.now, |it| it.shard == shard);
+        let losers = self.gather.abandon(cx.now, shard);
         outbox.cancel(losers);
         self.on_trial_answer(cx, shard, outbox);
     }
@@ -238,8 +241,9 @@
             }
             let latency = cx.now.since(attempt.sent);
             load.latency.record(cx.now, latency);
-            cx.decisions.table.observe_latency(cx.now, &attempt.target, latency);
             let is_loser = attempt.settled.is_none();
+            let factor = if is_loser { LOSER_FACTOR } else { 1 };
+            cx.decisions.table.observe_latency(cx.now, &attempt.target, latency * factor);
             if is_loser {
                 cx.decisions.table.mark_unheard(cx.now, &attempt.owner, attempt.sent);
             }
@@ -247,6 +251,11 @@
         load.record_part(cx.now, false);
     }
 
+    fn plan(&self, shard: ShardId) -> Option<&ShardPlan> {
+        let index = self.plans.binary_search_by_key(&shard, |it| it.shard).ok()?;
+        self.plans.get(index)
+    }
+
     fn plan_mut(&mut self, shard: ShardId) -> Option<&mut ShardPlan> {
         let index = self.plans.binary_search_by_key(&shard, |it| it.shard).ok()?;
         self.plans.get_mut(index)
--- a/crates/policy/src/request/query/recover.rs
+++ b/crates/policy/src/request/query/recover.rs
@@ -111,7 +111,7 @@
     }
 
     fn may_send_again(&self, failure: &Failure<'_>) -> bool {
-        let plan = self.plans.iter().find(|it| it.shard == failure.shard);
+        let plan = self.plan(failure.shard);
         let sends = plan.map_or(0, |it| it.sends);
         self.may_send(failure.shard) && sends < MAX_SENDS
     }
@@ -170,7 +170,7 @@
     }
 
     fn pay_retry<R>(&self, cx: &mut QueryCx<'_, R>, shard: ShardId, target: &TargetName) -> bool {
-        let plan = self.plans.iter().find(|it| it.shard == shard);
+        let plan = self.plan(shard);
         let is_charged = plan.is_none_or(|it| it.is_retry_charged);
         !is_charged || cx.decisions.budgets.try_spend(&self.req.service.name, target)
     }
--- a/crates/policy/src/request/query/send.rs
+++ b/crates/policy/src/request/query/send.rs
@@ -159,7 +159,7 @@
         cx: &mut QueryCx<'_, R>,
         shard: ShardId,
     ) -> Result<std::sync::Arc<Target>, base::Missing> {
-        let plan = self.plans.iter().find(|it| it.shard == shard);
+        let plan = self.plan(shard);
         let tried = plan.map(ShardPlan::tried_targets).unwrap_or_default();
         let plan_cx = PlanCx {
             now: cx.now,
@@ -244,7 +244,7 @@
         if let Ok(target) = self.choose_untried(cx, shard) {
             return Some(target);
         }
-        let plan = self.plans.iter().find(|it| it.shard == shard)?;
+        let plan = self.plan(shard)?;
         let (last, _) = plan.tried.last()?;
         let target = self.req.view.replicas(shard).iter().find(|it| it.name == *last)?;
         self.choose_owner(cx, shard, last).map(|_| target.clone())
@@ -258,7 +258,7 @@
         target: &TargetName,
     ) -> Option<HostName> {
         let (primary, standby) = cx.routes.owners(target)?;
-        let plan = self.plans.iter().find(|it| it.shard == shard)?;
+        let plan = self.plan(shard)?;
         let is_tried =
             |owner: &HostName| plan.tried.iter().any(|it| it.0 == *target && it.1 == *owner);
         let owners = std::iter::once(primary).chain(standby);
--- a/crates/policy/src/request/query/trial.rs
+++ b/crates/policy/src/request/query/trial.rs
@@ -136,7 +136,7 @@
         mut outbox: Outbox,
         refusal: Refusal,
     ) -> Vec<Action> {
-        let open = self.gather.abandon_open(cx.now, |_| true);
+        let open = self.gather.abandon_open(cx.now);
         if self.req.is_idempotent {
             outbox.cancel(open);
         }
--- a/crates/policy/src/request/query/verdict.rs
+++ b/crates/policy/src/request/query/verdict.rs
@@ -45,7 +45,7 @@
             cx.decisions.quarantine.note_answered(cx.now, self.req.fingerprint);
         }
         // Work that must not be cut short runs on; nobody waits for it.
-        let open = self.gather.abandon_open(cx.now, |_| true);
+        let open = self.gather.abandon_open(cx.now);
         if self.req.is_idempotent {
             outbox.cancel(open);
         }
@@ -62,7 +62,8 @@
     }
 
     pub(super) fn is_answer_enough(&self) -> bool {
-        is_enough(&self.gather.coverage(), self.req.min_coverage)
+        let (answered, total) = self.gather.progress();
+        is_enough(answered, total, self.req.min_coverage)
     }
 
     fn is_over<R>(&self, cx: &QueryCx<'_, R>) -> bool {
@@ -71,7 +72,7 @@
         }
         let is_waiting = self.trial != Trial::None
             || self.plans.iter().any(|it| it.retry_at.is_some())
-            || self.plans.iter().any(|it| self.gather.is_open(it.shard));
+            || self.gather.is_any_open();
         !is_waiting || (cx.now >= self.patience_ends && self.is_answer_enough())
     }
 
@@ -84,7 +85,7 @@
     fn verdict(&self, is_late: bool) -> Verdict {
         let coverage = self.gather.coverage();
         let snapshot = self.gather.snapshot();
-        if !is_enough(&coverage, self.req.min_coverage) {
+        if !self.is_answer_enough() {
             return Verdict::Refused(self.refusal(&coverage, is_late));
         }
         let parts: Vec<_> =
@@ -112,8 +113,9 @@
     }
 }
 
-fn is_enough(coverage: &Coverage, min_coverage: f64) -> bool {
-    coverage.answered > 0 && coverage.ratio() + COVERAGE_EPSILON >= min_coverage
+fn is_enough(answered: u32, total: u32, min_coverage: f64) -> bool {
+    let ratio = f64::from(answered) / f64::from(total.max(1));
+    answered > 0 && ratio + COVERAGE_EPSILON >= min_coverage
 }
 
 fn describe(coverage: &Coverage, min_coverage: f64) -> String {
--- a/crates/policy/src/request/table.rs
+++ b/crates/policy/src/request/table.rs
@@ -18,12 +18,14 @@
 /// Weight of a new latency in the running mean.
 const LATENCY_GAIN: f64 = 0.2;
 /// After this long without a sample half of the running mean is forgotten.
-const LATENCY_HALF_LIFE: Duration = Duration::from_secs(2);
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     targets: HashMap<TargetName, Record>,
     owners: HashMap<HostName, OwnerRecord>,
+    /// End of the last avoidance of any owner.
+    silent_until: Time,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -81,6 +83,7 @@
     pub fn mark_silent(&mut self, now: Time, owner: &HostName) {
         let record = self.owners.entry(owner.clone()).or_default();
         record.silent_until = now + OWNER_AVOIDANCE;
+        self.silent_until = record.silent_until;
     }
 
     pub fn mark_heard(&mut self, now: Time, owner: &HostName) {
@@ -101,6 +104,11 @@
         self.owners.get(owner).is_some_and(|it| it.silent_until > now)
     }
 
+    /// Whether any owner counts as silent; spares looking each one up.
+    pub fn is_any_silent(&self, now: Time) -> bool {
+        self.silent_until > now
+    }
+
     pub fn status(&self, target: &TargetName) -> Option<&TargetStatus> {
         self.targets.get(target)?.status.as_ref()
     }
--- a/crates/policy/tests/request_crashers.rs
+++ b/crates/policy/tests/request_crashers.rs
@@ -28,7 +28,7 @@
 
 /// Resends the crashing request 20 times, each through another host.
 fn run(seed: u64) -> Outcome {
-    let mut fleet = Fleet::new(seed, 2, HOSTS, Faults::default());
+    let mut fleet = Fleet::new(seed, 2, HOSTS, Faults { straggles: true, ..Faults::default() });
     innocents(&mut fleet, Duration::from_millis(500), &mut HashMap::default());
     let mut refused = HashMap::default();
     let mut longest_refusal = Duration::ZERO;
--- a/crates/policy/tests/request_fleet/mod.rs
+++ b/crates/policy/tests/request_fleet/mod.rs
@@ -4,7 +4,11 @@
 
 #![allow(dead_code, reason = "each test file uses its own part of the fleet")]
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use base::{
     DomainName, HashMap, HostName, Incarnation, Missing, Outcome, RequestId, Revision, ShardId,
@@ -38,6 +42,10 @@
     pub skips: bool,
     /// Whether targets die and owners fall silent by themselves.
     pub losses: bool,
+    /// Whether one answer in fifty takes 20 times as long.
+    pub straggles: bool,
+    /// Whether one replica in fifty is 20 times slower than the others.
+    pub slow_replicas: bool,
 }
 
 pub struct Fleet {
@@ -46,11 +54,15 @@
     pub deaths: Vec<TargetName>,
     pub verdicts: Vec<(u64, usize, u64, Verdict)>,
     pub sends: HashMap<&'static str, u64>,
+    pub latencies: Vec<Duration>,
+    /// Time of this machine spent in the decisions.
+    pub decision_time: Duration,
     faults: Faults,
     cfg: Configuration,
     service: Arc<Service>,
     view: Arc<PoolView>,
     targets: HashMap<TargetName, SimTarget>,
+    routes: HashMap<TargetName, (HostName, Option<HostName>)>,
     hosts: Vec<Decisions>,
     queries: HashMap<u64, Running>,
     events: BTreeMap<(Time, u64), Event>,
@@ -93,22 +105,30 @@
     Loss,
 }
 
-struct Owners<'a>(&'a Configuration);
+struct Owners<'a>(&'a HashMap<TargetName, (HostName, Option<HostName>)>);
 
 impl Routes for Owners<'_> {
     fn owners(&self, target: &TargetName) -> Option<(HostName, Option<HostName>)> {
-        let domain = &self.0.target(target)?.domain;
-        Some((format!("{domain}-1").into(), Some(format!("{domain}-2").into())))
+        self.0.get(target).cloned()
     }
 }
 
 impl Fleet {
     pub fn new(seed: u64, shards: u32, hosts: usize, faults: Faults) -> Self {
+        Fleet::with_settings(seed, shards, hosts, faults, &PolicySettings::default())
+    }
+
+    pub fn with_settings(
+        seed: u64,
+        shards: u32,
+        hosts: usize,
+        faults: Faults,
+        settings: &PolicySettings,
+    ) -> Self {
         base::invariant::panic_when_broken();
         let service = service();
         let pool = pool(shards);
         let cfg = Configuration::new(Revision(1), [service.clone()], [pool.clone()], []);
-        let settings = PolicySettings::default();
         let target = |it: &Arc<Target>| (it.name.clone(), SimTarget::new());
         let mut fleet = Fleet {
             now: Time::from_millis(1),
@@ -116,12 +136,15 @@
             deaths: Vec::new(),
             verdicts: Vec::new(),
             sends: HashMap::default(),
+            latencies: Vec::new(),
+            decision_time: Duration::ZERO,
             faults,
             targets: cfg.targets().map(target).collect(),
+            routes: cfg.targets().map(|it| (it.name.clone(), owners(&it.domain))).collect(),
             cfg,
             service: Arc::new(service),
             view: Arc::new(PoolView::new(Arc::new(pool))),
-            hosts: (0..hosts).map(|_| Decisions::new(&settings)).collect(),
+            hosts: (0..hosts).map(|_| Decisions::new(settings)).collect(),
             queries: HashMap::default(),
             events: BTreeMap::new(),
             serial: 0,
@@ -211,18 +234,20 @@
     ) {
         let Some(running) = self.queries.get_mut(&id) else { return };
         let host = running.host;
+        let began = Instant::now();
         let actions = step(
             &mut running.query,
             &mut QueryCx {
                 now: self.now,
                 configuration: &self.cfg,
                 domain: &domain(host),
-                routes: &Owners(&self.cfg),
+                routes: &Owners(&self.routes),
                 decisions: &mut self.hosts[host],
                 rng: &mut self.rng,
             },
         );
         let wakeup = running.query.next_wakeup();
+        self.decision_time += began.elapsed();
         for action in actions {
             self.perform(id, action);
         }
@@ -276,7 +301,10 @@
         if job.batch.fingerprint == CRASHER {
             return self.after(Duration::from_millis(1), Event::Crash(name));
         }
-        let is_straggler = self.rng.random_ratio(1, 50);
+        let is_straggler = match self.faults.slow_replicas {
+            true => is_slow(&name),
+            false => self.faults.straggles && self.rng.random_ratio(1, 50),
+        };
         let time = self.rng.random_range(1_000..6_000) * if is_straggler { 20 } else { 1 };
         self.after(Duration::from_micros(time), Event::Done(name, job));
     }
@@ -370,6 +398,9 @@
                 assert!(!is_run || refusal.outcome != Outcome::NotRun, "not run is untrue: {id}");
             }
         }
+        if matches!(verdict, Verdict::Answer(_)) {
+            self.latencies.push(self.now.since(req.started));
+        }
         self.verdicts.push((id, running.host, req.fingerprint, verdict.clone()));
         running.verdict = Some(verdict);
         self.forget_old(id);
@@ -464,10 +495,19 @@
     }
 }
 
+fn owners(domain: &DomainName) -> (HostName, Option<HostName>) {
+    (format!("{domain}-1").into(), Some(format!("{domain}-2").into()))
+}
+
 fn domain(host: usize) -> DomainName {
     DOMAINS[host % DOMAINS.len()].into()
 }
 
+/// Four replicas of 180, each of a shard of its own.
+fn is_slow(target: &TargetName) -> bool {
+    ["7-a", "19-b", "33-c", "46-a"].contains(&target.as_str())
+}
+
 fn failed(missing: Missing, outcome: Outcome) -> PartResult {
     PartResult::Failed { missing, outcome }
 }
--- a/crates/policy/tests/request_random.rs
+++ b/crates/policy/tests/request_random.rs
@@ -50,7 +50,14 @@
             seed,
             shards,
             0.3,
-            Faults { mutations: 50, publishes: true, skips: true, losses: true },
+            Faults {
+                mutations: 50,
+                publishes: true,
+                skips: true,
+                losses: true,
+                straggles: true,
+                ..Faults::default()
+            },
         );
         let answered = answered(&fleet);
         assert!(answered > fleet.verdicts.len() / 2, "{answered} of {}", fleet.verdicts.len());
@@ -59,7 +66,7 @@
 
 #[test]
 fn a_healthy_fleet_answers_everything_within_the_budget_of_extra_load() {
-    let fleet = run(4, 9, 0.0, Faults::default());
+    let fleet = run(4, 9, 0.0, Faults { straggles: true, ..Faults::default() });
     assert_answered(&fleet);
     let count = |kind| fleet.sends.get(kind).copied().unwrap_or(0) as f64;
     let extra = count("hedge") + count("retry") + count("restart");
@@ -70,7 +77,7 @@
 
 #[test]
 fn moving_to_new_snapshots_answers_everything() {
-    let fleet = run(5, 2, 0.0, Faults { publishes: true, ..Faults::default() });
+    let fleet = run(5, 2, 0.0, Faults { publishes: true, straggles: true, ..Faults::default() });
     assert_answered(&fleet);
     assert!(fleet.now > Time::from_millis(1_000));
 }
