Serve the former map until the new one is held by every shard

Change: the entry keeps the map before; a request takes the map of which most shards can be served. Coverage counts against the map that is pinned. Targets that left the document are not asked. Focused tests of hedges, shedding, preferences, the service's limit and quarantine over HTTP. Conclusion: redrawing a pool needs no pause as long as the targets of the former map stay in the document.

--- a/crates/entry/src/callers/query.rs
+++ b/crates/entry/src/callers/query.rs
@@ -51,7 +51,8 @@
     let draft = filter::run(cx, id, head)?;
     let _in_flight = filter::enter(cx, &draft.service)?;
     let body = read_body(data, &draft.service).await?;
-    let (verdict, query) = scatter::run(cx, draft.into_query(body)).await;
+    let views = draft.views.clone();
+    let (verdict, query) = scatter::run(cx, draft.into_query(body), &views).await;
     cx.remember(&query, &verdict);
     hold_back_suspect(cx, &query).await;
     match verdict {
--- a/crates/entry/src/cx/mod.rs
+++ b/crates/entry/src/cx/mod.rs
@@ -11,7 +11,7 @@
 };
 
 use base::{HashMap, HostName, PoolName, TargetName, Time};
-use documents::Configuration;
+use documents::{Configuration, Pool};
 use policy::request::{
     Decisions, PoolView, Query, Routes, SendKind, SuspectNote, TicketTable, Verdict,
 };
@@ -46,10 +46,18 @@
     pub admin_token: Option<Arc<str>>,
     tickets: Mutex<TicketTable>,
     decisions: Mutex<Decisions>,
-    views: Mutex<HashMap<PoolName, Arc<PoolView>>>,
+    views: Mutex<HashMap<PoolName, PoolViews>>,
     is_stopping: AtomicBool,
 }
 
+/// A pool by its map in force and by the map before.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolViews {
+    pub current: Arc<PoolView>,
+    /// None if no other map was in force since the start.
+    pub previous: Option<Arc<PoolView>>,
+}
+
 /// The owners of targets as the state sees them now.
 pub(crate) struct StateRoutes<'a, S>(pub &'a S);
 
@@ -156,19 +164,30 @@
         lock(&self.inner.decisions)
     }
 
-    /// The pool in force, ordered by shard.
-    pub(crate) fn view(&self, cfg: &Configuration, pool: &PoolName) -> Option<Arc<PoolView>> {
+    /// The pool in force, ordered by shard, and its map before that.
+    pub(crate) fn views(&self, cfg: &Configuration, pool: &PoolName) -> Option<PoolViews> {
         let pool = cfg.pools.get(pool)?;
-        let mut views = lock(&self.inner.views);
-        if let Some(view) = views.get(&pool.name)
-            && Arc::ptr_eq(&view.pool, pool)
+        let mut all = lock(&self.inner.views);
+        if let Some(views) = all.get(&pool.name)
+            && Arc::ptr_eq(&views.current.pool, pool)
         {
-            return Some(Arc::clone(view));
+            return Some(views.clone());
         }
-        views.retain(|name, _| cfg.pools.contains_key(name));
-        let view = Arc::new(PoolView::new(Arc::clone(pool)));
-        views.insert(pool.name.clone(), Arc::clone(&view));
-        Some(view)
+        all.retain(|name, _| cfg.pools.contains_key(name));
+        self.decisions().retain_configured(cfg);
+        let views = PoolViews::new(pool, all.get(&pool.name));
+        all.insert(pool.name.clone(), views.clone());
+        Some(views)
+    }
+}
+
+impl PoolViews {
+    fn new(pool: &Arc<Pool>, former: Option<&PoolViews>) -> Self {
+        let previous = former.and_then(|it| match it.current.pool.map == pool.map {
+            true => it.previous.clone(),
+            false => Some(Arc::clone(&it.current)),
+        });
+        PoolViews { current: Arc::new(PoolView::new(Arc::clone(pool))), previous }
     }
 }
 
--- a/crates/entry/src/execute/run.rs
+++ b/crates/entry/src/execute/run.rs
@@ -9,7 +9,7 @@
 
 use super::InFlightGuard;
 use crate::{
-    cx::EntryCx,
+    cx::{EntryCx, PoolViews},
     filter,
     http::{self, Reply},
     scatter,
@@ -24,14 +24,14 @@
     redemption: &Redemption,
     fingerprint: u64,
 ) -> Result<(), Refusal> {
-    let (req, in_flight) = filter::run_redemption(cx, redemption)?;
+    let (req, views, in_flight) = filter::run_redemption(cx, redemption)?;
     if !begin(cx, redemption, fingerprint) {
         // Another message for this ticket came first; the caller joins it.
         return Ok(());
     }
     let ticket = &redemption.ticket;
     let recorder = Recorder::new(cx.clone(), ticket.clone());
-    tokio::spawn(run(cx.clone(), req, recorder, in_flight));
+    tokio::spawn(run(cx.clone(), req, views, recorder, in_flight));
     Ok(())
 }
 
@@ -54,12 +54,13 @@
 async fn run<S: State, O: Owners>(
     cx: EntryCx<S, O>,
     req: QueryRequest,
+    views: PoolViews,
     recorder: Recorder<S, O>,
     in_flight: InFlightGuard,
 ) {
     let id = req.id;
     info!(cx.log(), "ticket used"; "request" => %id, "service" => %req.service.name);
-    let (verdict, query) = scatter::run(&cx, req).await;
+    let (verdict, query) = scatter::run(&cx, req, &views).await;
     cx.remember(&query, &verdict);
     let reply = match &verdict {
         Verdict::Answer(answer) => Reply::json(200, &AnswerBody::new(id, answer)),
--- a/crates/entry/src/filter/mod.rs
+++ b/crates/entry/src/filter/mod.rs
@@ -12,11 +12,11 @@
 use documents::Service;
 use policy::{
     message::{Redemption, Refusal},
-    request::{PoolView, QueryRequest},
+    request::QueryRequest,
 };
 
 use crate::{
-    cx::EntryCx,
+    cx::{EntryCx, PoolViews},
     execute::InFlightGuard,
     fingerprint::request_fingerprint,
     http,
@@ -42,7 +42,7 @@
     pub id: RequestId,
     pub started: Time,
     pub service: Arc<Service>,
-    pub view: Arc<PoolView>,
+    pub views: PoolViews,
     pub deadline: Time,
     pub min_coverage: f64,
     pub shard: Option<ShardId>,
@@ -59,38 +59,38 @@
     check_length(&service, head.content_length)?;
     let deadline = started + read::deadline(&service, head)?;
     let min_coverage = read::min_coverage(&service, head)?;
-    let view = find_pool(cx, &service)?;
-    let shard = read::shard(&view, head)?;
-    Ok(Draft { id, started, service, view, deadline, min_coverage, shard })
+    let views = find_pool(cx, &service)?;
+    let shard = read::shard(&views.current, head)?;
+    Ok(Draft { id, started, service, views, deadline, min_coverage, shard })
 }
 
 /// Passes a redemption, which another entry may have read, through the chain.
 pub(crate) fn run_redemption<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     redemption: &Redemption,
-) -> Result<(QueryRequest, InFlightGuard), Refusal> {
+) -> Result<(QueryRequest, PoolViews, InFlightGuard), Refusal> {
     let head = Head { service: redemption.service.to_string(), ..Head::default() };
     let started = cx.now();
     let service = find_service(cx, &head)?;
     check_non_idempotent(&service)?;
     check_length(&service, Some(redemption.body.len() as u64))?;
     read::check_deadline(redemption.time_left)?;
-    let view = find_pool(cx, &service)?;
-    read::check_shard(&view, redemption.shard)?;
+    let views = find_pool(cx, &service)?;
+    read::check_shard(&views.current, redemption.shard)?;
     let in_flight = enter(cx, &service)?;
     let req = QueryRequest {
         id: http::new_request_id(),
         fingerprint: request_fingerprint(&service.name, &redemption.body),
         min_coverage: service.min_coverage,
         service,
-        view,
+        view: Arc::clone(&views.current),
         shard: redemption.shard,
         body: redemption.body.clone(),
         is_idempotent: false,
         started,
         deadline: started + redemption.time_left,
     };
-    Ok((req, in_flight))
+    Ok((req, views, in_flight))
 }
 
 /// Counts a request in, within its service's limit.
@@ -147,7 +147,7 @@
             id: self.id,
             fingerprint: request_fingerprint(&self.service.name, &body),
             service: self.service,
-            view: self.view,
+            view: self.views.current,
             shard: self.shard,
             body: body.into(),
             is_idempotent: true,
@@ -161,9 +161,9 @@
 fn find_pool<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     service: &Service,
-) -> Result<Arc<PoolView>, Refusal> {
-    let view = cx.view(&cx.state().configuration(), &service.pool);
-    view.ok_or_else(|| {
+) -> Result<PoolViews, Refusal> {
+    let views = cx.views(&cx.state().configuration(), &service.pool);
+    views.ok_or_else(|| {
         let detail = format!("the service's pool {} has no document in force", service.pool);
         refuse(Reason::NotReady, detail)
     })
--- a/crates/entry/src/learn/mod.rs
+++ b/crates/entry/src/learn/mod.rs
@@ -4,7 +4,10 @@
 //! find the last word, and set off a new round in the background once it is
 //! old. Owners in other failure domains are asked less often.
 
-use std::{sync::Mutex, time::Duration};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use base::{HashMap, HashSet, HostName, PoolName, Time};
 use documents::Configuration;
@@ -13,7 +16,7 @@
 use tokio::{sync::watch, time};
 
 use crate::{
-    cx::{EntryCx, lock},
+    cx::{EntryCx, PoolViews, lock},
     seams::{Owners, State},
 };
 
@@ -57,17 +60,17 @@
 pub(crate) async fn ensure_known<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     cfg: &Configuration,
-    view: &PoolView,
+    views: &PoolViews,
     deadline: Time,
 ) {
-    let is_known = is_complete(cx, cfg, view);
-    let mut progress = start_due_rounds(cx, view, is_known);
+    let is_known = is_complete(cx, cfg, views);
+    let mut progress = start_due_rounds(cx, &views.current, is_known);
     if is_known {
         return;
     }
     let wait = deadline.until(cx.now()) / 2;
     let learned = async {
-        while progress.borrow_and_update().open_rounds > 0 && !is_complete(cx, cfg, view) {
+        while progress.borrow_and_update().open_rounds > 0 && !is_complete(cx, cfg, views) {
             if progress.changed().await.is_err() {
                 return;
             }
@@ -80,10 +83,12 @@
 fn is_complete<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     cfg: &Configuration,
-    view: &PoolView,
+    views: &PoolViews,
 ) -> bool {
-    let pin = choose_snapshot(cfg, &cx.decisions().table, view);
-    pin.is_some_and(|it| it.is_complete())
+    let table = &cx.decisions().table;
+    let mut views = std::iter::once(&views.current).chain(&views.previous);
+    let pin = |view: &Arc<PoolView>| choose_snapshot(cfg, table, view);
+    views.any(|it| pin(it).is_some_and(|it| it.is_complete()))
 }
 
 fn start_due_rounds<S: State, O: Owners>(
--- a/crates/entry/src/scatter/mod.rs
+++ b/crates/entry/src/scatter/mod.rs
@@ -5,14 +5,14 @@
 
 use policy::{
     message::Part,
-    request::{Action, Query, QueryCx, QueryRequest, Verdict},
+    request::{Action, Query, QueryCx, QueryRequest, Verdict, choose_view},
 };
 use rand::rngs::SmallRng;
 use slog::{debug, info};
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    cx::{EntryCx, StateRoutes},
+    cx::{EntryCx, PoolViews, StateRoutes},
     entropy, learn,
     seams::{Owners, State},
 };
@@ -25,10 +25,16 @@
 /// Runs a request to its verdict.
 pub(crate) async fn run<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
-    req: QueryRequest,
+    mut req: QueryRequest,
+    views: &PoolViews,
 ) -> (Verdict, Query) {
     let cfg = cx.state().configuration();
-    learn::ensure_known(cx, &cfg, &req.view, req.deadline).await;
+    learn::ensure_known(cx, &cfg, views, req.deadline).await;
+    if req.shard.is_none() {
+        // A shard's number means something in the map in force only.
+        let table = &cx.decisions().table;
+        req.view = choose_view(&cfg, table, &views.current, views.previous.as_ref());
+    }
     let capacity = req.view.pool.shards as usize * PARTS_PER_SHARD;
     let (tx, rx) = mpsc::channel(capacity.max(1));
     let query = Query::new(req);
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -57,6 +57,7 @@
 }
 
 pub struct Shape {
+    pub map: u32,
     pub shards: u32,
     pub domains: Vec<&'static str>,
     pub service: Service,
@@ -64,7 +65,7 @@
 
 impl Default for Shape {
     fn default() -> Self {
-        Shape { shards: 2, domains: vec!["a", "b", "c"], service: service() }
+        Shape { map: 1, shards: 2, domains: vec!["a", "b", "c"], service: service() }
     }
 }
 
@@ -103,7 +104,7 @@
     let pool = Pool {
         name: shape.service.pool.clone(),
         team: "planeacion".into(),
-        map: 1,
+        map: shape.map,
         shards: shape.shards,
         targets,
     };
@@ -233,8 +234,9 @@
                 if is_unreachable {
                     behaviour = Behaviour::Fail(Missing::OwnerUnreachable, Outcome::NotRun);
                 } else {
-                    let holds =
-                        fleet.with(|it| it.held[&subquery.target].contains(&batch.snapshot));
+                    let holds = fleet.with(|it| {
+                        it.held.get(&subquery.target).is_some_and(|it| it.contains(&batch.snapshot))
+                    });
                     if !holds {
                         behaviour = Behaviour::Fail(Missing::WrongSnapshot, Outcome::NotRun);
                     }
--- a/crates/entry/tests/query.rs
+++ b/crates/entry/tests/query.rs
@@ -3,8 +3,11 @@
 
 mod common;
 
+use std::{sync::Arc, time::Duration};
+
 use assert_matches::assert_matches;
 use base::{Missing, Outcome, Snapshot};
+use documents::Preference;
 use rocket::{
     http::{Header, Status},
     local::asynchronous::Client,
@@ -169,3 +172,142 @@
     assert_eq!(client.get("/readyz").dispatch().await.status(), Status::ServiceUnavailable);
     assert_eq!(client.get("/healthz").dispatch().await.status(), Status::Ok);
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_former_map_serves_until_the_new_one_is_held_by_every_shard() {
+    let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
+    let client = client(&fleet).await;
+    post(&client, &[]).await;
+    let redrawn = Shape { shards: 3, map: 2, domains: vec!["a"], ..Shape::default() };
+    let new = Snapshot { map: 2, index: 1 };
+    fleet.with(|it| {
+        it.configuration = Arc::new(common::configuration(&redrawn));
+        it.held.insert(target(0, "a"), vec![INDEX, new]);
+    });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (status, body) = post(&client, &[]).await;
+    assert_eq!((status, body["snapshot"].as_str()), (Status::Ok, Some("1.5")));
+    assert_eq!(body["coverage"]["total"], 2);
+    fleet.with(|it| {
+        it.held.insert(target(1, "a"), vec![INDEX, new]);
+        it.held.insert(target(2, "a"), vec![new]);
+    });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    post(&client, &[]).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let (status, body) = post(&client, &[]).await;
+    assert_eq!((status, body["snapshot"].as_str()), (Status::Ok, Some("2.1")));
+    assert_eq!(body["coverage"], serde_json::json!({"answered": 3, "total": 3, "missing": []}));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_straggler_is_hedged_and_the_loser_is_cancelled() {
+    let fleet = Fleet::new(&Shape::default());
+    for shard in 0..2 {
+        for domain in ["a", "b", "c"] {
+            fleet.set(target(shard, domain), Behaviour::AnswerAfter(Duration::from_millis(4)));
+        }
+    }
+    let client = client(&fleet).await;
+    for _ in 0..40 {
+        post(&client, &[]).await;
+    }
+    let before = fleet.with(|it| it.runs.len());
+    fleet.set(target(0, "a"), Behaviour::Silent);
+    let started = tokio::time::Instant::now();
+    let (status, _) = post(&client, &[]).await;
+    assert_eq!(status, Status::Ok);
+    assert!(started.elapsed() < Duration::from_millis(20), "{:?}", started.elapsed());
+    assert_eq!(fleet.with(|it| it.runs.len()), before + 3);
+    assert_eq!(fleet.with(|it| it.cancelled.len()), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_shedding_pool_gets_no_hedges() {
+    let fleet = Fleet::new(&Shape { shards: 1, ..Shape::default() });
+    for domain in ["a", "b", "c"] {
+        fleet.set(target(0, domain), Behaviour::AnswerAfter(Duration::from_millis(4)));
+    }
+    let client = client(&fleet).await;
+    for _ in 0..40 {
+        post(&client, &[]).await;
+    }
+    fleet.set(target(0, "a"), Behaviour::Fail(Missing::Shed, Outcome::NotRun));
+    for _ in 0..4 {
+        post(&client, &[]).await;
+    }
+    let before = fleet.with(|it| it.runs.len());
+    fleet.set(target(0, "a"), Behaviour::AnswerAfter(Duration::from_millis(100)));
+    assert_eq!(post(&client, &[]).await.0, Status::Ok);
+    assert_eq!(fleet.with(|it| it.runs.len()), before + 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn with_latency_preferred_enough_shards_are_an_answer_before_the_deadline() {
+    let mut service = service();
+    service.min_coverage = 0.5;
+    let fleet = Fleet::new(&Shape { service, domains: vec!["a"], ..Shape::default() });
+    let client = client(&fleet).await;
+    for shard in 0..2 {
+        fleet.set(target(shard, "a"), Behaviour::AnswerAfter(Duration::from_millis(4)));
+    }
+    for _ in 0..40 {
+        post(&client, &[]).await;
+    }
+    fleet.set(target(0, "a"), Behaviour::Silent);
+    let started = tokio::time::Instant::now();
+    let (status, body) = post(&client, &[]).await;
+    assert_eq!((status, body["coverage"]["answered"].as_u64()), (Status::Ok, Some(1)));
+    assert!(started.elapsed() < Duration::from_millis(50), "{:?}", started.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn with_coverage_preferred_a_missing_shard_gets_the_remaining_time() {
+    let mut service = service();
+    service.prefer = Preference::Coverage;
+    service.min_coverage = 0.5;
+    let fleet = Fleet::new(&Shape { service, domains: vec!["a"], ..Shape::default() });
+    let client = client(&fleet).await;
+    fleet.set(target(0, "a"), Behaviour::Fail(Missing::Refused, Outcome::NotRun));
+    let heal = async {
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        fleet.with(|it| it.behaviours.clear());
+    };
+    let ((_, body), ()) = tokio::join!(post(&client, &[]), heal);
+    assert_eq!(body["coverage"]["answered"], 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_service_has_no_more_requests_in_flight_than_its_limit() {
+    let mut service = service();
+    service.max_in_flight = 1;
+    let fleet = Fleet::new(&Shape { service, ..Shape::default() });
+    let client = client(&fleet).await;
+    fleet.set(target(0, "a"), Behaviour::AnswerAfter(Duration::from_millis(20)));
+    let (first, second) = tokio::join!(post(&client, &[]), post(&client, &[]));
+    assert_eq!((first.0, second.0), (Status::Ok, Status::TooManyRequests));
+    assert_eq!(second.1["outcome"], "not_run");
+    assert_eq!(post(&client, &[]).await.0, Status::Ok);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_kills_targets_is_tried_alone_and_then_refused() {
+    let fleet = Fleet::new(&Shape::default());
+    let client = client(&fleet).await;
+    post(&client, &[]).await;
+    for shard in 0..2 {
+        for domain in ["a", "b", "c"] {
+            let lost = Behaviour::Fail(Missing::ConnectionLost, Outcome::MayHaveRun);
+            fleet.set(target(shard, domain), lost);
+        }
+    }
+    let before = fleet.with(|it| it.runs.len());
+    let (_, body) = post(&client, &[]).await;
+    assert_eq!(body["reason"], "quarantined");
+    assert_eq!(body["outcome"], "may_have_run");
+    // Both shards at first, then one trial; the resend reaches no target.
+    assert_eq!(fleet.with(|it| it.runs.len()), before + 3);
+    let (_, body) = post(&client, &[]).await;
+    assert_eq!((&body["reason"], &body["outcome"]), (&"quarantined".into(), &"not_run".into()));
+    assert_eq!(fleet.with(|it| it.runs.len()), before + 3);
+}
--- a/crates/policy/src/request/mod.rs
+++ b/crates/policy/src/request/mod.rs
@@ -24,7 +24,7 @@
     pool_view::PoolView,
     quarantine::{Admission, Death, Quarantine, SuspectNote, TrialPlan},
     query::{Action, Answer, Query, QueryRequest, Verdict},
-    snapshot::{Pin, choose_snapshot},
+    snapshot::{Pin, choose_snapshot, choose_view},
     table::TargetTable,
     tickets::{RECORD_LIFETIME, Standing, TICKET_LIFETIME, TicketTable, parse_ticket, ticket_text},
 };
--- a/crates/policy/src/request/plan.rs
+++ b/crates/policy/src/request/plan.rs
@@ -74,7 +74,10 @@
         return Some(Missing::DomainOut);
     }
     let status = cx.table.status(&target.name);
-    if target.leaving || status.is_some_and(|it| it.is_leaving) {
+    let Some(document) = cx.configuration.target(&target.name) else {
+        return Some(Missing::NoTarget);
+    };
+    if document.leaving || status.is_some_and(|it| it.is_leaving) {
         return Some(Missing::TargetLeaving);
     }
     if status.is_none() {
--- a/crates/policy/src/request/snapshot.rs
+++ b/crates/policy/src/request/snapshot.rs
@@ -6,6 +6,8 @@
 //! What a target told may be a little old, so one that told only of older
 //! snapshots counts as able to serve a newer one when no sure choice is left.
 
+use std::sync::Arc;
+
 use base::{ShardId, Snapshot};
 use documents::{Configuration, Target};
 
@@ -45,6 +47,24 @@
     pins.max_by_key(|it| (it.is_complete(), it.expected, it.served, it.snapshot))
 }
 
+/// Chooses between a pool's map in force and the one before it: the new map
+/// serves once every shard of it can be served, until then the former one.
+pub fn choose_view(
+    configuration: &Configuration,
+    table: &TargetTable,
+    current: &Arc<PoolView>,
+    previous: Option<&Arc<PoolView>>,
+) -> Arc<PoolView> {
+    let served = |view: &PoolView| {
+        let pin = choose_snapshot(configuration, table, view);
+        pin.map_or(0.0, |it| f64::from(it.served) / f64::from(it.total.max(1)))
+    };
+    match previous {
+        Some(previous) if served(previous) > served(current) => Arc::clone(previous),
+        _ => Arc::clone(current),
+    }
+}
+
 /// How far a snapshot can be served by what is known now.
 pub(super) fn assess_snapshot(
     configuration: &Configuration,
@@ -63,7 +83,9 @@
     table: &TargetTable,
     target: &Target,
 ) -> bool {
-    if target.leaving || !configuration.is_domain_in(&target.domain) {
+    // The view may be older than the configuration in force.
+    let is_wanted = configuration.target(&target.name).is_some_and(|it| !it.leaving);
+    if !is_wanted || !configuration.is_domain_in(&target.domain) {
         return false;
     }
     table.status(&target.name).is_some_and(|it| it.is_up && !it.is_leaving)
