Buffer the two directions of a link

Cause: capnp-rpc writes a message's segment table and segments apart, and each was a system call. Change: buffered reader and writer at both ends; the write queue flushes when it is empty.

--- a/crates/peer/src/links/link.rs
+++ b/crates/peer/src/links/link.rs
@@ -8,6 +8,7 @@
 };
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::io::{BufReader, BufWriter};
 use slog::{Logger, info, warn};
 use tokio::{
     net::TcpStream,
@@ -145,8 +146,8 @@
     stream.set_nodelay(true).map_err(OpenError::Connect)?;
     let (reader, writer) = stream.into_split();
     let network = twoparty::VatNetwork::new(
-        reader.compat(),
-        writer.compat_write(),
+        BufReader::new(reader.compat()),
+        BufWriter::new(writer.compat_write()),
         rpc_twoparty_capnp::Side::Client,
         message_limits(),
     );
--- a/crates/peer/src/server/mod.rs
+++ b/crates/peer/src/server/mod.rs
@@ -8,6 +8,7 @@
 
 use base::{AttemptId, PoolName, RequestId};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::io::{BufReader, BufWriter};
 use policy::message::{Batch, Part, Redeemed, Redemption, TargetStatus};
 use slog::{Logger, info, warn};
 use tokio::{
@@ -94,8 +95,8 @@
     stream.set_nodelay(true)?;
     let (reader, writer) = stream.into_split();
     let network = twoparty::VatNetwork::new(
-        reader.compat(),
-        writer.compat_write(),
+        BufReader::new(reader.compat()),
+        BufWriter::new(writer.compat_write()),
         rpc_twoparty_capnp::Side::Server,
         message_limits(),
     );
