Tell how much of the targets' slots was used, and for nothing

Cause: a run at 60% of slots answered half, and the summary did not tell whether the targets or the tier were busy. Change: slot_use_ratio, wasted_run_ratio, settle-share for a gentle start.

--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -151,6 +151,7 @@
         counters: [before, Counters::read(deployment).await],
         platform_calls: deployment.platform_calls().await?.saturating_sub(calls_before),
         hosts: deployment.hosts.len(),
+        slots: deployment.pools.iter().flat_map(|it| &it.targets).map(|it| it.slots).sum(),
         failed_stops: failed_stops?,
         config_in_force: revisions.in_force_max(),
         config_reverts: revisions.reverts(),
--- a/xtask/src/judge/mod.rs
+++ b/xtask/src/judge/mod.rs
@@ -58,6 +58,10 @@
     pub false_not_run: u64,
     pub duplicate_runs: u64,
     pub extra_load_ratio: f64,
+    /// Time that slots were in use, as a part of all slots' time.
+    pub slot_use_ratio: f64,
+    /// Attempts that ran and were then cancelled or timed out.
+    pub wasted_run_ratio: f64,
     pub hedges: f64,
     pub retries: f64,
     pub cold_overload_events: u64,
@@ -91,6 +95,8 @@
     pub counters: [Counters; 2],
     pub platform_calls: u64,
     pub hosts: usize,
+    /// Slots of all targets together.
+    pub slots: u32,
     pub failed_stops: u64,
     pub config_in_force: Duration,
     pub config_reverts: u64,
@@ -116,6 +122,8 @@
             false_not_run: self.false_not_run(),
             duplicate_runs: self.duplicate_runs(),
             extra_load_ratio: self.extra_load_ratio(),
+            slot_use_ratio: self.slot_use_ratio(),
+            wasted_run_ratio: self.wasted_run_ratio(),
             hedges: after.hedges - before.hedges,
             retries: after.retries - before.retries,
             cold_overload_events: self.sum(|it| it.cold_overload_events),
@@ -169,6 +177,18 @@
         (all - first) as f64 / first.max(1) as f64
     }
 
+    fn slot_use_ratio(&self) -> f64 {
+        let busy_ms: f64 = self.records.iter().map(|it| it.busy_ms).sum();
+        let time = self.settle + self.duration;
+        busy_ms / (f64::from(self.slots.max(1)) * time.as_secs_f64() * 1_000.0)
+    }
+
+    fn wasted_run_ratio(&self) -> f64 {
+        let started = self.sum(|it| it.started);
+        let wasted = started.saturating_sub(self.sum(|it| it.finished));
+        wasted as f64 / started.max(1) as f64
+    }
+
     fn run_counts(&self, is_idempotent: bool) -> BTreeMap<(&str, u32), u64> {
         let mut counts = BTreeMap::new();
         for run in self.runs.iter().filter(|it| it.is_idempotent == is_idempotent) {
--- a/xtask/src/judge/tests.rs
+++ b/xtask/src/judge/tests.rs
@@ -57,6 +57,7 @@
         counters: [Counters::default(); 2],
         platform_calls: 0,
         hosts: 1,
+        slots: 1,
         failed_stops: 0,
         config_in_force: Duration::ZERO,
         config_reverts: 0,
--- a/xtask/src/load/mod.rs
+++ b/xtask/src/load/mod.rs
@@ -105,7 +105,8 @@
     }
     loop {
         let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
-        at += Duration::from_secs_f64(-uniform.ln() / load.rate);
+        let share = if at < settle { scenario.settle_share } else { 1.0 };
+        at += Duration::from_secs_f64(-uniform.ln() / (load.rate * share));
         if at >= until || load.count == Some(calls.len()) {
             return calls;
         }
--- a/xtask/src/report/mod.rs
+++ b/xtask/src/report/mod.rs
@@ -14,7 +14,7 @@
 };
 
 /// Keys printed for each run, in order.
-pub const KEYS: [&str; 27] = [
+pub const KEYS: [&str; 29] = [
     "requests",
     "answered",
     "refused",
@@ -31,6 +31,8 @@
     "false_not_run",
     "duplicate_runs",
     "extra_load_ratio",
+    "slot_use_ratio",
+    "wasted_run_ratio",
     "hedges",
     "retries",
     "cold_overload_events",
--- a/xtask/src/scenario/mod.rs
+++ b/xtask/src/scenario/mod.rs
@@ -24,6 +24,9 @@
     /// Load before the measured part.
     #[serde(default = "default_settle_ms")]
     pub settle_ms: u64,
+    /// Part of the rates that comes during the settling, 0 to 1.
+    #[serde(default = "default_settle_share")]
+    pub settle_share: f64,
     pub duration_ms: u64,
     /// Start of the part that `fairness_jain` looks at.
     #[serde(default)]
@@ -255,6 +258,10 @@
     2_000
 }
 
+fn default_settle_share() -> f64 {
+    1.0
+}
+
 fn default_replicas() -> u32 {
     3
 }
