Carry whether a suspect was answered

Cause: entry's notes on suspects got a field. Measured: crates/peer/tests/frames.rs passes with it. Conclusion: none further.

--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -72,6 +72,7 @@
   fingerprint @0 :UInt64;
   deaths @1 :List(Death);
   quarantineMicros @2 :UInt64;  # 0 without a quarantine
+  wasAnswered @3 :Bool;
 }
 
 struct SuspectNotes { notes @0 :List(SuspectNote); }
--- a/crates/peer/src/wire/suspects.rs
+++ b/crates/peer/src/wire/suspects.rs
@@ -34,6 +34,7 @@
 fn write_note(mut to: suspect_note::Builder<'_>, it: &SuspectNote) {
     to.set_fingerprint(it.fingerprint);
     to.set_quarantine_micros(it.quarantine.map_or(0, micros));
+    to.set_was_answered(it.was_answered);
     let mut list = to.init_deaths(it.deaths.len() as u32);
     for (i, death) in it.deaths.iter().enumerate() {
         let mut to = list.reborrow().get(i as u32);
@@ -49,6 +50,7 @@
         fingerprint: from.get_fingerprint(),
         deaths: from.get_deaths()?.iter().map(read_death).collect::<Result<_>>()?,
         quarantine: (quarantine > 0).then(|| Duration::from_micros(quarantine)),
+        was_answered: from.get_was_answered(),
     })
 }
 
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -94,8 +94,10 @@
         fingerprint: u64::MAX,
         deaths: vec![death],
         quarantine: Some(std::time::Duration::from_secs(3)),
+        was_answered: false,
     };
-    let cleared = SuspectNote { fingerprint: 1, deaths: vec![], quarantine: None };
+    let cleared =
+        SuspectNote { fingerprint: 1, deaths: vec![], quarantine: None, was_answered: true };
     Frame::Suspects(vec![suspect, cleared])
 }
 
