Name overload when owners have no room

Cause: an owner refuses early with deadline or refused, as not run; the entry took only a target's own shedding for overload, hedged on, and told the caller coverage_too_low without a time to try again. Change: such refusals count as shedding, which stops hedges, and make the refusal overloaded with Retry-After. Measured: cargo test -p godwityard-entry: the new test fails before (reason coverage_too_low or deadline_passed) and passes after.

--- a/crates/entry/tests/query.rs
+++ b/crates/entry/tests/query.rs
@@ -120,6 +120,20 @@
     assert_eq!(body["outcome"], "not_run");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_request_that_owners_have_no_room_for_may_be_sent_again_later() {
+    let fleet = Fleet::new(&Shape { shards: 1, ..Shape::default() });
+    for domain in ["a", "b", "c"] {
+        let refused = Behaviour::Fail(Missing::Deadline, Outcome::NotRun);
+        fleet.set(target(0, domain), refused);
+    }
+    let client = client(&fleet).await;
+    let response = client.post("/v1/services/planeador-01/query").body("wax").dispatch().await;
+    assert_eq!(response.headers().get_one("retry-after"), Some("1"));
+    let body: Value = serde_json::from_str(&response.into_string().await.unwrap()).unwrap();
+    assert_eq!((&body["reason"], &body["outcome"]), (&"overloaded".into(), &"not_run".into()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn moves_whole_to_a_newer_snapshot_when_the_pinned_one_is_gone() {
     let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
--- a/crates/policy/src/request/query/recover.rs
+++ b/crates/policy/src/request/query/recover.rs
@@ -101,7 +101,7 @@
             plan.is_retry_charged |= is_charged(missing, outcome);
         }
         let load = cx.decisions.pools.entry(self.req.service.pool.clone()).or_default();
-        load.record_part(cx.now, missing == Missing::Shed);
+        load.record_part(cx.now, is_overload(missing, outcome));
         let table = &mut cx.decisions.table;
         match missing {
             Missing::WrongSnapshot => table.forget_snapshot(&part.target, self.gather.snapshot()),
@@ -216,6 +216,12 @@
     }
 }
 
+/// Whether a target or its owner had no room for the work.
+fn is_overload(missing: Missing, outcome: Outcome) -> bool {
+    let is_turned_away = matches!(missing, Missing::Refused | Missing::Deadline);
+    missing == Missing::Shed || (is_turned_away && outcome == Outcome::NotRun)
+}
+
 /// Whether a retry is extra load. Work that was not run was no load, but a
 /// shed subquery asked a target that had too much already.
 fn is_charged(missing: Missing, outcome: Outcome) -> bool {
--- a/crates/policy/src/request/query/verdict.rs
+++ b/crates/policy/src/request/query/verdict.rs
@@ -101,14 +101,20 @@
     }
 
     fn refusal(&self, coverage: &Coverage, is_late: bool) -> Refusal {
-        let is_shed = coverage.missing.iter().any(|it| it.1 == Missing::Shed);
-        let reason = match (is_late, is_shed) {
+        // Before the deadline only an owner that had no room says "deadline".
+        let is_no_room = |missing| match missing {
+            Missing::Shed | Missing::Refused => true,
+            Missing::Deadline => !is_late,
+            _ => false,
+        };
+        let is_overload = coverage.missing.iter().any(|it| is_no_room(it.1));
+        let reason = match (is_late, is_overload) {
             (_, true) => Reason::Overloaded,
             (true, false) => Reason::DeadlinePassed,
             (false, false) => Reason::CoverageTooLow,
         };
         let detail = describe(coverage, self.req.min_coverage);
-        let retry_after = is_shed.then_some(OVERLOAD_RETRY_AFTER);
+        let retry_after = is_overload.then_some(OVERLOAD_RETRY_AFTER);
         Refusal { reason, outcome: self.gather.outcome(), detail, retry_after }
     }
 }
