Take the operators' token from the environment too

Change: GODWITYARD_TOKEN counts where the settings name no file. Measured: builds; an admin address that is not loopback without either is refused as before.

--- a/crates/godwityardd/src/start.rs
+++ b/crates/godwityardd/src/start.rs
@@ -1,6 +1,6 @@
 //! What the daemon reads from files at its start.
 
-use std::{fs, path::Path, sync::Arc};
+use std::{env, fs, path::Path, sync::Arc};
 
 use documents::Settings;
 use eyre::WrapErr;
@@ -8,6 +8,9 @@
 /// Shortest fleet secret accepted, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
+/// Environment variable with the operators' token.
+const TOKEN_VARIABLE: &str = "GODWITYARD_TOKEN";
+
 /// Settings with the contents of the files they name.
 pub struct Start {
     pub cfg: Settings,
@@ -20,10 +23,10 @@
         let text = read(path)?;
         let cfg = documents::parse_settings(&path.display().to_string(), &text)?;
         let fleet_secret = cfg.fleet_secret_file.as_deref().map(read_secret).transpose()?;
-        let admin_token = cfg.admin_token_file.as_deref().map(read_token).transpose()?;
+        let admin_token = admin_token(&cfg)?;
         if admin_token.is_none() && !cfg.admin.ip().is_loopback() {
             eyre::bail!(
-                "admin address {} is not loopback and no admin-token-file is set",
+                "admin address {} is not loopback, and neither admin-token-file nor {TOKEN_VARIABLE} is set",
                 cfg.admin
             );
         }
@@ -40,13 +43,19 @@
     Ok(secret.as_bytes().into())
 }
 
-fn read_token(path: &Path) -> eyre::Result<Arc<str>> {
-    let text = read(path)?;
+/// The operators' token: from the file that the settings name, else from the
+/// environment.
+fn admin_token(cfg: &Settings) -> eyre::Result<Option<Arc<str>>> {
+    let (origin, text) = match &cfg.admin_token_file {
+        Some(path) => (path.display().to_string(), Some(read(path)?)),
+        None => (TOKEN_VARIABLE.to_owned(), env::var(TOKEN_VARIABLE).ok()),
+    };
+    let Some(text) = text else { return Ok(None) };
     let token = text.trim();
     if token.is_empty() {
-        eyre::bail!("{}: the token is empty", path.display());
+        eyre::bail!("{origin}: the token is empty");
     }
-    Ok(token.into())
+    Ok(Some(token.into()))
 }
 
 fn read(path: &Path) -> eyre::Result<String> {
