Let the limit of a cold target rise every half second

Cause: a fleet that starts under full demand needed a second for each slot; sharper early refusal was tried for the same reason. The log's prefix stood twice, since part_logger now adds it.

Change: rise interval 0.5 s, still 50 answers a step; prefix left to telemetry.

--- a/crates/owner/src/journal.rs
+++ b/crates/owner/src/journal.rs
@@ -69,34 +69,34 @@
         let target = target.as_str();
         match note {
             Note::Assigned { slots, connections } => {
-                info!(log, "owner: target assigned";
+                info!(log, "target assigned";
                     "target" => target, "slots" => slots, "connections" => connections);
             }
-            Note::LetGo => info!(log, "owner: target let go"; "target" => target),
+            Note::LetGo => info!(log, "target let go"; "target" => target),
             Note::LimitRaised { to } => {
-                info!(log, "owner: limit raised"; "target" => target, "to" => to);
+                info!(log, "limit raised"; "target" => target, "to" => to);
             }
             Note::LimitLowered { to, cause } => {
-                info!(log, "owner: limit lowered";
+                info!(log, "limit lowered";
                     "target" => target, "to" => to, "cause" => cause.as_str());
             }
             Note::Condemned { connection, cause } => {
-                info!(log, "owner: connection closed";
+                info!(log, "connection closed";
                     "target" => target, "connection" => connection.0, "cause" => cause.as_str());
             }
             Note::Up { incarnation } => {
-                info!(log, "owner: target up"; "target" => target, "incarnation" => incarnation.0);
+                info!(log, "target up"; "target" => target, "incarnation" => incarnation.0);
             }
-            Note::Down => warn!(log, "owner: target down"; "target" => target),
+            Note::Down => warn!(log, "target down"; "target" => target),
             Note::Leaving { incarnation } => {
-                info!(log, "owner: target leaving"; "target" => target, "incarnation" => incarnation.0);
+                info!(log, "target leaving"; "target" => target, "incarnation" => incarnation.0);
             }
             Note::QueueFailed { jobs, missing } => {
-                info!(log, "owner: queue failed as not run";
+                info!(log, "queue failed as not run";
                     "target" => target, "jobs" => jobs, "reason" => missing.as_str());
             }
             Note::Refused { service, missing } => {
-                debug!(log, "owner: subquery refused";
+                debug!(log, "subquery refused";
                     "target" => target, "service" => service.as_str(),
                     "reason" => missing.as_str());
             }
--- a/crates/policy/src/owner/limit.rs
+++ b/crates/policy/src/owner/limit.rs
@@ -13,7 +13,7 @@
 use super::action::LimitCause;
 
 /// Least time between two rises.
-const RISE_INTERVAL: Duration = Duration::from_secs(1);
+const RISE_INTERVAL: Duration = Duration::from_millis(500);
 /// Answers at one limit that pay for the next.
 const RISE_ANSWERS: u32 = 50;
 /// Answers this many times slower than the baseline tell of a cold target.
