Tell where other hosts reach this one apart from where it listens

Cause: a host behind something that forwards its peer traffic could not name the address by which others reach it, and its links left from whichever address the routes chose, so that nothing in between could tell whose they are. Change: setting `advertise` (default: `peers`) is what the host tells of itself; links leave from the IP of `peers`. Conclusion: a relay between hosts can be put in place by settings alone.

--- a/crates/documents/src/cross/mod.rs
+++ b/crates/documents/src/cross/mod.rs
@@ -34,10 +34,13 @@
     let mut addresses = Unique::new("settings", "address");
     for it in settings {
         hosts.check(&mut findings, it.value.host.clone(), it.place_of("host"));
-        let Settings { callers, admin, peers, .. } = it.value;
+        let Settings { callers, admin, peers, advertise, .. } = it.value;
         for (field, address) in [("callers", callers), ("admin", admin), ("peers", peers)] {
             addresses.check(&mut findings, address, it.place_of(field));
         }
+        if advertise != peers {
+            addresses.check(&mut findings, advertise, it.place_of("advertise"));
+        }
     }
     sorted(findings)
 }
--- a/crates/documents/src/model/settings.rs
+++ b/crates/documents/src/model/settings.rs
@@ -15,8 +15,10 @@
     pub callers: SocketAddr,
     /// Where operators reach this host (HTTP).
     pub admin: SocketAddr,
-    /// Where other hosts reach this host (TCP and UDP on one port).
+    /// Where this host listens for other hosts (TCP and UDP on one port).
     pub peers: SocketAddr,
+    /// Where other hosts reach this host; `peers` unless something forwards.
+    pub advertise: SocketAddr,
     /// Hosts to ask first at the start.
     pub seeds: Vec<SeedHost>,
     pub platform: PlatformSettings,
--- a/crates/documents/src/wire/settings.rs
+++ b/crates/documents/src/wire/settings.rs
@@ -59,6 +59,7 @@
     callers: Field<String>,
     admin: Field<String>,
     peers: Field<String>,
+    advertise: Field<String>,
     seeds: Field<Vec<Node>>,
     platform: PlatformWire,
     admin_token_file: Field<String>,
@@ -112,6 +113,7 @@
             callers: fields.required("callers"),
             admin: fields.required("admin"),
             peers: fields.required("peers"),
+            advertise: fields.optional("advertise"),
             seeds: fields.optional("seeds"),
             platform: fields.section("platform").into(),
             admin_token_file: fields.optional("admin-token-file"),
@@ -183,6 +185,7 @@
         let callers = cx.address("callers", wire.callers);
         let admin = cx.address("admin", wire.admin);
         let peers = cx.address("peers", wire.peers);
+        let advertise = cx.address("advertise", wire.advertise);
         let seeds = check_seeds(&mut cx, wire.seeds);
         let platform = wire.platform.check(&mut cx);
         let admin_token_file = check_path(&mut cx, "admin-token-file", wire.admin_token_file);
@@ -210,6 +213,7 @@
             callers,
             admin,
             peers,
+            advertise: advertise.unwrap_or(peers),
             seeds,
             platform,
             admin_token_file,
--- a/crates/documents/tests/settings.rs
+++ b/crates/documents/tests/settings.rs
@@ -22,6 +22,7 @@
 "#;
 
 const MORE: &str = r#"
+advertise: "192.0.2.7:20301"
 seeds:
   - {host: bajio-b-1, domain: bajio-b, address: "127.0.0.1:20303"}
 admin-token-file: token
@@ -46,6 +47,7 @@
     assert_eq!(settings.host.as_str(), "bajio-a-1");
     assert_eq!(settings.platform.addresses, ["127.0.0.1:20001".parse().unwrap()]);
     assert!(settings.seeds.is_empty());
+    assert_eq!(settings.advertise, settings.peers);
     assert_eq!(settings.grace, Duration::from_secs(10));
     assert_eq!(settings.balancer_lag, Duration::from_secs(2));
     assert_eq!(settings.workers, 2);
@@ -57,6 +59,7 @@
 #[test]
 fn every_field_can_be_set() {
     let settings = parse_settings("settings.yaml", &format!("{SMALL}{MORE}")).unwrap();
+    assert_eq!(settings.advertise, "192.0.2.7:20301".parse().unwrap());
     assert_eq!(settings.seeds[0].address, "127.0.0.1:20303".parse().unwrap());
     assert_eq!(settings.admin_token_file, Some(PathBuf::from("token")));
     assert_eq!(settings.fleet_secret_file, Some(PathBuf::from("/run/secret")));
@@ -139,6 +142,17 @@
     );
 }
 
+#[test]
+fn two_hosts_cannot_be_reached_by_one_address() {
+    let other = SMALL.replace("bajio-a-1", "bajio-a-2").replace("127.0.0.1:20", "127.0.0.2:20");
+    let (one, _) = parse_file("one", SMALL);
+    let (two, findings) = parse_file("two", &format!("{other}advertise: \"127.0.0.1:20301\"\n"));
+    assert!(findings.is_empty(), "{findings}");
+    let findings = cross_check_settings(&[one.settings, two.settings].concat());
+    let found: Vec<_> = findings.iter().map(|it| &*it.message).collect();
+    assert_eq!(found, ["two settings have the address 127.0.0.1:20301"]);
+}
+
 #[test]
 fn a_graceful_stop_needs_time_beyond_the_balancers() {
     let text = format!("{SMALL}grace-ms: 2000\n");
--- a/crates/godwityardd/src/daemon.rs
+++ b/crates/godwityardd/src/daemon.rs
@@ -58,12 +58,12 @@
         let identity = Identity {
             fleet: cfg.fleet.as_str().into(),
             host: cfg.host.clone(),
-            address: cfg.peers,
+            address: cfg.advertise,
             incarnation: clock::incarnation(),
             secret: start.fleet_secret,
         };
         let peer_log = part_logger(root, Part::Peer);
-        let links = Links::start(identity.clone(), peer_log.clone())?;
+        let links = Links::start(identity.clone(), cfg.peers.ip(), peer_log.clone())?;
         let owner = start_owner(&cfg, &metrics, root);
         let view = SharedView::new(cfg.host.clone(), cfg.domain.clone(), identity.incarnation);
         let owners = FleetOwners::new(view.clone(), owner.clone(), links.clone());
@@ -167,7 +167,7 @@
 
 fn node_settings(cfg: &Settings, identity: &Identity) -> NodeSettings {
     let (host, domain) = (cfg.host.clone(), cfg.domain.clone());
-    NodeSettings::builder(host, domain, cfg.peers, identity.incarnation)
+    NodeSettings::builder(host, domain, cfg.advertise, identity.incarnation)
         .region(cfg.region.clone())
         .fleet(cfg.fleet.clone())
         .seeds(cfg.seeds.clone())
--- a/crates/peer/examples/link_cost.rs
+++ b/crates/peer/examples/link_cost.rs
@@ -65,7 +65,7 @@
         secret: None,
     };
     serve(listener, identity.clone(), Echo, log.clone())?;
-    let links = Links::start(identity, log)?;
+    let links = Links::start(identity, address.ip(), log)?;
     println!("subqueries a call | calling side us a call | owning side us a call");
     for subqueries in [1, 4, 16, 64, 220] {
         measure(&links, address, subqueries).await;
--- a/crates/peer/src/links/link.rs
+++ b/crates/peer/src/links/link.rs
@@ -2,7 +2,8 @@
 
 use std::{
     cell::Cell,
-    net::SocketAddr,
+    io,
+    net::{IpAddr, SocketAddr},
     rc::{Rc, Weak},
     time::Duration,
 };
@@ -10,7 +11,7 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use slog::{Logger, info, warn};
 use tokio::{
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     sync::watch,
     task,
     time::{Instant, sleep, timeout},
@@ -50,7 +51,7 @@
     #[error("not reached in time")]
     Timeout,
     #[error("{0}")]
-    Connect(std::io::Error),
+    Connect(io::Error),
     #[error("turned away: {0}")]
     Hello(capnp::Error),
 }
@@ -61,10 +62,11 @@
 impl Link {
     pub(super) async fn open(
         to: SocketAddr,
+        source: IpAddr,
         identity: &Identity,
         log: &Logger,
     ) -> Result<Rc<Link>, OpenError> {
-        let opened = timeout(OPEN_TIMEOUT, connect(to, identity));
+        let opened = timeout(OPEN_TIMEOUT, connect(to, source, identity));
         let (system, host) = opened.await.map_err(|_| OpenError::Timeout)??;
         let (closed, _) = watch::channel(false);
         let (calls, last_use) = (Cell::new(0), Cell::new(Instant::now()));
@@ -139,10 +141,10 @@
 
 async fn connect(
     to: SocketAddr,
+    source: IpAddr,
     identity: &Identity,
 ) -> Result<(RunningSystem, host::Client), OpenError> {
-    let stream = TcpStream::connect(to).await.map_err(OpenError::Connect)?;
-    stream.set_nodelay(true).map_err(OpenError::Connect)?;
+    let stream = connect_from(source, to).await.map_err(OpenError::Connect)?;
     let (reader, writer) = stream.into_split();
     let network = twoparty::VatNetwork::new(
         reader.compat(),
@@ -157,6 +159,18 @@
     Ok((system, host))
 }
 
+/// Connects from the address by which peers know this host, which need not be
+/// the one that the routes would choose.
+async fn connect_from(source: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if source.is_ipv4() == to.is_ipv4() {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    let stream = socket.connect(to).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
 async fn greet(gate: &gate::Client, identity: &Identity) -> Result<host::Client, capnp::Error> {
     let challenge = gate.challenge_request().send().promise.await?;
     let nonce = challenge.get()?.get_nonce()?.to_vec();
--- a/crates/peer/src/links/mod.rs
+++ b/crates/peer/src/links/mod.rs
@@ -6,7 +6,11 @@
 mod pending;
 mod table;
 
-use std::{io, net::SocketAddr, thread};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    thread,
+};
 
 use base::{AttemptId, Missing, Outcome, PoolName, RequestId};
 use policy::message::{Batch, Part, PartResult, Redeemed, Redemption, Subquery, TargetStatus};
@@ -48,13 +52,15 @@
 type Reply<T> = oneshot::Sender<Result<T, LinkError>>;
 
 impl Links {
-    /// Starts the link thread, as capnp-rpc objects stay on one.
-    pub fn start(identity: Identity, log: Logger) -> io::Result<Links> {
+    /// Starts the link thread, as capnp-rpc objects stay on one. Links leave
+    /// from the address `source`.
+    pub fn start(identity: Identity, source: IpAddr, log: Logger) -> io::Result<Links> {
         let (tx, rx) = mpsc::channel(COMMAND_BUFFER);
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new().name("peer-links".to_owned()).spawn(move || {
             let local = task::LocalSet::new();
-            local.block_on(&runtime, serve_commands(rx, identity, log));
+            let table = Table::new(identity, source, log);
+            local.block_on(&runtime, serve_commands(rx, table));
         })?;
         Ok(Links { tx })
     }
@@ -113,8 +119,7 @@
     }
 }
 
-async fn serve_commands(mut rx: mpsc::Receiver<Command>, identity: Identity, log: Logger) {
-    let table = Table::new(identity, log);
+async fn serve_commands(mut rx: mpsc::Receiver<Command>, table: Table) {
     while let Some(command) = rx.recv().await {
         let table = table.clone();
         task::spawn_local(serve_command(table, command));
--- a/crates/peer/src/links/table.rs
+++ b/crates/peer/src/links/table.rs
@@ -1,6 +1,11 @@
 //! The links of this host by peer address.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use base::HashMap;
 use futures::{
@@ -28,6 +33,8 @@
 
 struct Inner {
     identity: Identity,
+    /// Address that links leave from.
+    source: IpAddr,
     log: Logger,
     entries: RefCell<HashMap<SocketAddr, Entry>>,
 }
@@ -40,8 +47,8 @@
 }
 
 impl Table {
-    pub(super) fn new(identity: Identity, log: Logger) -> Self {
-        Table { inner: Rc::new(Inner { identity, log, entries: RefCell::default() }) }
+    pub(super) fn new(identity: Identity, source: IpAddr, log: Logger) -> Self {
+        Table { inner: Rc::new(Inner { identity, source, log, entries: RefCell::default() }) }
     }
 
     pub(super) fn log(&self) -> &Logger {
@@ -70,7 +77,8 @@
     }
 
     async fn open(&self, to: SocketAddr) -> Option<Rc<Link>> {
-        let result = Link::open(to, &self.inner.identity, &self.inner.log).await;
+        let Inner { identity, source, log, .. } = &*self.inner;
+        let result = Link::open(to, *source, identity, log).await;
         let (entry, link) = match result {
             Ok(link) => (Entry::Open(Rc::clone(&link)), Some(link)),
             Err(err) => {
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -2,7 +2,7 @@
 //! the other end refuses, dies or goes silent.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -18,6 +18,9 @@
 /// Longest wait of a test for what must come; only a hang reaches it.
 const HANG: Duration = Duration::from_secs(20);
 
+/// Where the links under test leave from; not what the routes would choose.
+const SOURCE: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 9));
+
 #[derive(Clone, Copy, PartialEq)]
 enum Behaviour {
     Answer,
@@ -97,7 +100,7 @@
 
 fn links(fleet: &str, secret: Option<&str>) -> Links {
     let here = "127.0.0.1:1".parse().unwrap();
-    Links::start(identity(here, fleet, secret), log()).unwrap()
+    Links::start(identity(here, fleet, secret), SOURCE, log()).unwrap()
 }
 
 fn batch(shards: u32) -> Batch {
@@ -259,3 +262,12 @@
     let parts = collect(&links("test", None), host.address, batch(2)).await;
     assert_matches!(parts[0].result, PartResult::Answer { .. });
 }
+
+#[tokio::test]
+async fn links_leave_from_the_given_address() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let links = links("test", None);
+    links.deliver(listener.local_addr().unwrap(), b"message".to_vec());
+    let accepted = tokio::time::timeout(HANG, listener.accept()).await.unwrap();
+    assert_eq!(accepted.unwrap().1.ip(), SOURCE);
+}
