--- a/crates/entry/src/learn/mod.rs
+++ b/crates/entry/src/learn/mod.rs
@@ -1,18 +1,15 @@
 //! Learning what owners know of the targets of a pool in use.
 //!
-//! The first request of a pool waits until its shards are known; later ones
-//! find the last word, and set off a new round in the background once it is
-//! old. Owners in other failure domains are asked less often.
+//! The first requests of a pool wait until its shards are known or all owners
+//! were asked, and while no snapshot is known at all. Others find the last word,
+//! and set off a new round in the background once it is old. Owners in other failure domains are asked less often.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{sync::Mutex, time::Duration};
 
 use base::{HashMap, HashSet, HostName, PoolName, Time};
 use documents::Configuration;
 use futures::{StreamExt, stream::FuturesUnordered};
-use policy::request::{PoolView, choose_snapshot};
+use policy::request::{Pin, PoolView, choose_snapshot};
 use tokio::{sync::watch, time};
 
 use crate::{
@@ -46,7 +43,16 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Progress {
     words: u64,
-    open_rounds: u32,
+    ended_rounds: u64,
+}
+
+/// What is known of a pool's snapshots, in rising order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Knowledge {
+    None,
+    Partial,
+    /// Some snapshot can be served by every shard.
+    Complete,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -56,39 +62,46 @@
 }
 
 /// Sees to it that the pool's targets are known as far as owners tell; waits
-/// only if not every shard can be served by what is known, until `deadline`.
+/// for at most half of the time until `deadline`.
 pub(crate) async fn ensure_known<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     cfg: &Configuration,
     views: &PoolViews,
     deadline: Time,
 ) {
-    let is_known = is_complete(cx, cfg, views);
-    let mut progress = start_due_rounds(cx, &views.current, is_known);
-    if is_known {
-        return;
-    }
     let wait = deadline.until(cx.now()) / 2;
-    let learned = async {
-        while progress.borrow_and_update().open_rounds > 0 && !is_complete(cx, cfg, views) {
-            if progress.changed().await.is_err() {
-                return;
-            }
-        }
-    };
     // Past the wait the request goes on with what is known.
-    let _ = time::timeout(wait, learned).await;
+    let _ = time::timeout(wait, learn(cx, cfg, views)).await;
 }
 
-fn is_complete<S: State, O: Owners>(
+async fn learn<S: State, O: Owners>(cx: &EntryCx<S, O>, cfg: &Configuration, views: &PoolViews) {
+    loop {
+        let known = knowledge(cx, cfg, views);
+        let mut progress = start_due_rounds(cx, &views.current, known == Knowledge::Complete);
+        let was_asked = progress.borrow_and_update().ended_rounds > 0;
+        match known {
+            Knowledge::Complete => return,
+            Knowledge::Partial if was_asked => return,
+            Knowledge::Partial | Knowledge::None => (),
+        }
+        // Not longer, for the next round may be due.
+        let _ = time::timeout(URGENT_INTERVAL, progress.changed()).await;
+    }
+}
+
+fn knowledge<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     cfg: &Configuration,
     views: &PoolViews,
-) -> bool {
+) -> Knowledge {
     let table = &cx.decisions().table;
-    let mut views = std::iter::once(&views.current).chain(&views.previous);
-    let pin = |view: &Arc<PoolView>| choose_snapshot(cfg, table, view);
-    views.any(|it| pin(it).is_some_and(|it| it.is_complete()))
+    let views = std::iter::once(&views.current).chain(&views.previous);
+    let pins = views.filter_map(|it| choose_snapshot(cfg, table, it));
+    let of_pin = |it: Pin| match it.is_complete() {
+        true => Knowledge::Complete,
+        false => Knowledge::Partial,
+    };
+    pins.map(of_pin).max().unwrap_or(Knowledge::None)
 }
 
 fn start_due_rounds<S: State, O: Owners>(
@@ -102,7 +115,6 @@
     let due = rounds.take_due(now, is_known);
     let receiver = rounds.progress.subscribe();
     if due.local || due.remote {
-        rounds.progress.send_modify(|it| it.open_rounds += 1);
         tokio::spawn(ask_owners(
             cx.clone(),
             owners_of(cx, view, due),
@@ -138,7 +150,7 @@
     while words.next().await.is_some() {
         progress.send_modify(|it| it.words += 1);
     }
-    progress.send_modify(|it| it.open_rounds -= 1);
+    progress.send_modify(|it| it.ended_rounds += 1);
 }
 
 async fn ask<S: State, O: Owners>(
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -45,6 +45,8 @@
     pub held: HashMap<TargetName, Vec<Snapshot>>,
     pub leaving: HashSet<TargetName>,
     pub unreachable: HashSet<HostName>,
+    /// Hosts that never answer a question for status.
+    pub hanging: HashSet<HostName>,
     /// Each subquery that reached a target: owner, target, idempotent.
     pub runs: Vec<(HostName, TargetName, bool)>,
     pub cancelled: Vec<AttemptId>,
@@ -132,6 +134,7 @@
             held,
             leaving: HashSet::default(),
             unreachable: HashSet::default(),
+            hanging: HashSet::default(),
             runs: Vec::new(),
             cancelled: Vec::new(),
             minters: HashMap::default(),
@@ -280,6 +283,9 @@
     }
 
     async fn status(&self, owner: &HostName, _pool: &PoolName) -> Vec<TargetStatus> {
+        if self.with(|it| it.hanging.contains(owner)) {
+            std::future::pending::<()>().await;
+        }
         self.with(|it| {
             if it.unreachable.contains(owner) {
                 return Vec::new();
--- a/crates/policy/src/request/query/trial.rs
+++ b/crates/policy/src/request/query/trial.rs
@@ -210,10 +210,19 @@
         matches!(&self.trial, Trial::Running { target: at, .. } if at == target)
     }
 
+    /// A request without a ticket is the same one as those before it with its
+    /// fingerprint, and one of them did run.
+    fn quarantined_outcome(&self) -> Outcome {
+        match self.req.is_idempotent {
+            true => Outcome::MayHaveRun,
+            false => self.gather.outcome(),
+        }
+    }
+
     fn quarantined(&self, retry_after: Duration) -> Refusal {
         Refusal {
             reason: Reason::Quarantined,
-            outcome: self.gather.outcome(),
+            outcome: self.quarantined_outcome(),
             detail: "targets died while they ran this request".to_owned(),
             retry_after: Some(retry_after),
         }
