Look for owners until the deadline while nothing has run

Change: work that was not run may be sent 64 times, with waits of 10 to 80 ms between rounds; the bound of four stays once some send may have run. Measured: the new test of owners back after 100 ms (deadline 200 ms) fails before, with owner_unreachable, and passes after; cargo test of both crates. Conclusion: short losses of all owners cost time, not answers.

--- a/crates/entry/tests/query.rs
+++ b/crates/entry/tests/query.rs
@@ -214,6 +214,21 @@
     assert_eq!(body["coverage"], serde_json::json!({"answered": 3, "total": 3, "missing": []}));
 }
 
+#[tokio::test(start_paused = true)]
+async fn owners_that_come_back_before_the_deadline_still_answer() {
+    let fleet = Fleet::new(&Shape::default());
+    let client = client(&fleet).await;
+    post(&client, &[]).await;
+    let hosts = ["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"];
+    fleet.with(|it| it.unreachable.extend(hosts.iter().map(|it| (*it).into())));
+    let recover = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        fleet.with(|it| it.unreachable.clear());
+    };
+    let ((status, body), ()) = tokio::join!(post(&client, &[]), recover);
+    assert_eq!(status, Status::Ok, "{body}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_shard_that_is_down_does_not_hold_up_the_others() {
     let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
--- a/crates/policy/src/request/query/recover.rs
+++ b/crates/policy/src/request/query/recover.rs
@@ -6,7 +6,7 @@
 use base::{Missing, Outcome, ShardId, TargetName};
 use documents::{Target, model::Preference};
 
-use super::{Outbox, Query, Trial};
+use super::{Outbox, Query, ShardPlan, Trial};
 use crate::{
     message::Part,
     request::{
@@ -16,12 +16,15 @@
     },
 };
 
-/// Most subqueries for one shard, hedges included.
+/// Most subqueries for one shard, hedges included, when some may have run.
 const MAX_SENDS: u32 = 4;
+/// The same while none of them has run.
+const MAX_UNRUN_SENDS: u32 = 64;
 /// Most times that a request starts again on another snapshot.
 const MAX_RESTARTS: usize = 2;
 /// Wait before replicas that failed or are not usable are looked at again.
 const RETRY_BACKOFF: Duration = Duration::from_millis(10);
+const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(80);
 
 /// A subquery that failed.
 pub(super) struct Failure<'a> {
@@ -112,8 +115,7 @@
 
     fn may_send_again(&self, failure: &Failure<'_>) -> bool {
         let plan = self.plan(failure.shard);
-        let sends = plan.map_or(0, |it| it.sends);
-        self.may_send(failure.shard) && sends < MAX_SENDS
+        self.may_send(failure.shard) && plan.is_some_and(ShardPlan::has_sends_left)
     }
 
     fn retry_through_other_owner<R: Routes>(
@@ -176,12 +178,12 @@
     }
 
     fn retry_later<R>(&mut self, cx: &QueryCx<'_, R>, shard: ShardId) {
-        let at = cx.now + RETRY_BACKOFF;
-        if at >= self.req.deadline {
-            return;
-        }
+        let deadline = self.req.deadline;
         let Some(plan) = self.plan_mut(shard) else { return };
-        if plan.sends < MAX_SENDS {
+        let backoff = RETRY_BACKOFF * 2_u32.saturating_pow(plan.backoffs);
+        let at = cx.now + backoff.min(MAX_RETRY_BACKOFF);
+        if at < deadline && plan.has_sends_left() {
+            plan.backoffs += 1;
             plan.retry_at = Some(at);
         }
     }
@@ -216,6 +218,13 @@
     }
 }
 
+impl ShardPlan {
+    fn has_sends_left(&self) -> bool {
+        let most = if self.is_retry_charged { MAX_SENDS } else { MAX_UNRUN_SENDS };
+        self.sends < most
+    }
+}
+
 /// Whether a target or its owner had no room for the work.
 fn is_overload(missing: Missing, outcome: Outcome) -> bool {
     let is_turned_away = matches!(missing, Missing::Refused | Missing::Deadline);
--- a/crates/policy/src/request/query/send.rs
+++ b/crates/policy/src/request/query/send.rs
@@ -23,6 +23,8 @@
     pub sends: u32,
     pub hedge_at: Option<Time>,
     pub retry_at: Option<Time>,
+    /// Waits before a retry so far.
+    pub backoffs: u32,
     /// Whether another send would be extra load: some send may have run, or
     /// was shed.
     pub is_retry_charged: bool,
@@ -50,6 +52,7 @@
             sends: 0,
             hedge_at: None,
             retry_at: None,
+            backoffs: 0,
             is_retry_charged: false,
         }
     }
