Be ready only when the pools' targets are known

Ruled out: membership (all hosts knew each other by then). Change: readiness waits until every pool's shards can be served, six seconds at the most; a request with no servable shard asks again every 20 ms within half of its deadline; a pool served in part does not wait.

--- a/crates/entry/src/cx/builder.rs
+++ b/crates/entry/src/cx/builder.rs
@@ -75,6 +75,7 @@
             decisions: Mutex::new(Decisions::new(&self.policy)),
             views: Mutex::new(HashMap::default()),
             is_stopping: AtomicBool::new(false),
+            are_targets_known: AtomicBool::new(false),
         };
         EntryCx { inner: Arc::new(inner) }
     }
--- a/crates/entry/src/cx/mod.rs
+++ b/crates/entry/src/cx/mod.rs
@@ -48,6 +48,7 @@
     decisions: Mutex<Decisions>,
     views: Mutex<HashMap<PoolName, PoolViews>>,
     is_stopping: AtomicBool,
+    are_targets_known: AtomicBool,
 }
 
 /// A pool by its map in force and by the map before.
@@ -111,6 +112,10 @@
         }
     }
 
+    pub(crate) fn set_targets_known(&self) {
+        self.inner.are_targets_known.store(true, Ordering::Release);
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.inner.is_stopping.load(Ordering::Acquire)
     }
@@ -120,7 +125,11 @@
         if self.is_stopping() {
             return Some("the host is stopping".to_owned());
         }
-        self.inner.state.not_ready()
+        if let Some(reason) = self.inner.state.not_ready() {
+            return Some(reason);
+        }
+        let are_targets_known = self.inner.are_targets_known.load(Ordering::Acquire);
+        (!are_targets_known).then(|| "the pools' targets are not known yet".to_owned())
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/crates/entry/src/learn/mod.rs
+++ b/crates/entry/src/learn/mod.rs
@@ -4,15 +4,12 @@
 //! find the last word, and set off a new round in the background once it is
 //! old. Owners in other failure domains are asked less often.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{sync::Mutex, time::Duration};
 
 use base::{HashMap, HashSet, HostName, PoolName, Time};
 use documents::Configuration;
 use futures::{StreamExt, stream::FuturesUnordered};
-use policy::request::{PoolView, choose_snapshot};
+use policy::request::{Pin, PoolView, choose_snapshot};
 use tokio::{sync::watch, time};
 
 use crate::{
@@ -26,6 +23,12 @@
 const REMOTE_INTERVAL: Duration = Duration::from_secs(4);
 /// Least time between rounds while some shard cannot be served.
 const URGENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Least time between rounds while no shard can be served.
+const FIRST_WORD_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time that unknown targets keep a fresh host from being ready.
+const FIRST_ROUNDS_LIMIT: Duration = Duration::from_secs(6);
+/// Time between two looks at what is known, until the host is ready.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for one owner's word.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -49,6 +52,15 @@
     open_rounds: u32,
 }
 
+/// What is known of the shards of a pool, in rising order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Knowledge {
+    None,
+    /// Some shards can be served.
+    Partial,
+    Complete,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Due {
     local: bool,
@@ -63,43 +75,91 @@
     views: &PoolViews,
     deadline: Time,
 ) {
-    let is_known = is_complete(cx, cfg, views);
-    let mut progress = start_due_rounds(cx, &views.current, is_known);
-    if is_known {
+    let knowledge = knowledge(cx, cfg, views);
+    let mut progress = start_due_rounds(cx, &views.current, knowledge);
+    if knowledge == Knowledge::Complete {
         return;
     }
     let wait = deadline.until(cx.now()) / 2;
-    let learned = async {
-        while progress.borrow_and_update().open_rounds > 0 && !is_complete(cx, cfg, views) {
-            if progress.changed().await.is_err() {
-                return;
+    // Past the wait the request goes on with what is known.
+    let _ = time::timeout(wait, learn_enough(cx, cfg, views, &mut progress)).await;
+}
+
+/// Learns of the targets of all pools once the host has configuration and
+/// routes, so that its first callers find them known. Gives up after a while,
+/// as a pool that is wholly down must not keep the host from serving others.
+pub async fn learn_all_pools<S: State, O: Owners>(cx: &EntryCx<S, O>) {
+    while cx.state().not_ready().is_some() {
+        time::sleep(POLL_INTERVAL).await;
+    }
+    let limit = cx.now() + FIRST_ROUNDS_LIMIT;
+    while cx.now() < limit && !are_all_complete(cx) {
+        time::sleep(POLL_INTERVAL).await;
+    }
+    cx.set_targets_known();
+}
+
+fn are_all_complete<S: State, O: Owners>(cx: &EntryCx<S, O>) -> bool {
+    let cfg = cx.state().configuration();
+    let mut is_complete = true;
+    for pool in cfg.pools.keys() {
+        let Some(views) = cx.views(&cfg, pool) else { continue };
+        let knowledge = knowledge(cx, &cfg, &views);
+        start_due_rounds(cx, &views.current, knowledge);
+        is_complete &= knowledge == Knowledge::Complete;
+    }
+    is_complete
+}
+
+/// Waits for what owners tell: until every shard can be served or all have
+/// answered, and in any case until some shard can be.
+async fn learn_enough<S: State, O: Owners>(
+    cx: &EntryCx<S, O>,
+    cfg: &Configuration,
+    views: &PoolViews,
+    progress: &mut watch::Receiver<Progress>,
+) {
+    loop {
+        let is_open = progress.borrow_and_update().open_rounds > 0;
+        let knowledge = knowledge(cx, cfg, views);
+        match knowledge {
+            Knowledge::Complete => return,
+            Knowledge::Partial if !is_open => return,
+            Knowledge::None if !is_open => {
+                start_due_rounds(cx, &views.current, knowledge);
             }
+            _ => (),
         }
-    };
-    // Past the wait the request goes on with what is known.
-    let _ = time::timeout(wait, learned).await;
+        // A round may also become due without any owner's word.
+        let _ = time::timeout(FIRST_WORD_INTERVAL, progress.changed()).await;
+    }
 }
 
-fn is_complete<S: State, O: Owners>(
+/// What is known of a pool's shards.
+fn knowledge<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     cfg: &Configuration,
     views: &PoolViews,
-) -> bool {
+) -> Knowledge {
     let table = &cx.decisions().table;
-    let mut views = std::iter::once(&views.current).chain(&views.previous);
-    let pin = |view: &Arc<PoolView>| choose_snapshot(cfg, table, view);
-    views.any(|it| pin(it).is_some_and(|it| it.is_complete()))
+    let views = std::iter::once(&views.current).chain(&views.previous);
+    let pins = views.filter_map(|it| choose_snapshot(cfg, table, it));
+    let of_pin = |pin: Pin| match pin.is_complete() {
+        true => Knowledge::Complete,
+        false => Knowledge::Partial,
+    };
+    pins.map(of_pin).max().unwrap_or(Knowledge::None)
 }
 
 fn start_due_rounds<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     view: &PoolView,
-    is_known: bool,
+    knowledge: Knowledge,
 ) -> watch::Receiver<Progress> {
     let now = cx.now();
     let mut pools = lock(&cx.inner.learning.pools);
     let rounds = pools.entry(view.pool.name.clone()).or_insert_with(Rounds::new);
-    let due = rounds.take_due(now, is_known);
+    let due = rounds.take_due(now, knowledge);
     let receiver = rounds.progress.subscribe();
     if due.local || due.remote {
         rounds.progress.send_modify(|it| it.open_rounds += 1);
@@ -176,10 +236,11 @@
         Rounds { local_at: None, remote_at: None, progress }
     }
 
-    fn take_due(&mut self, now: Time, is_known: bool) -> Due {
-        let (local, remote) = match is_known {
-            true => (LOCAL_INTERVAL, REMOTE_INTERVAL),
-            false => (URGENT_INTERVAL, URGENT_INTERVAL),
+    fn take_due(&mut self, now: Time, knowledge: Knowledge) -> Due {
+        let (local, remote) = match knowledge {
+            Knowledge::Complete => (LOCAL_INTERVAL, REMOTE_INTERVAL),
+            Knowledge::Partial => (URGENT_INTERVAL, URGENT_INTERVAL),
+            Knowledge::None => (FIRST_WORD_INTERVAL, FIRST_WORD_INTERVAL),
         };
         let due = Due {
             local: is_due(self.local_at, now, local),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,4 +24,5 @@
     callers::callers_rocket,
     cx::{EntryBuilder, EntryCx},
     execute::redeem,
+    learn::learn_all_pools,
 };
--- a/crates/entry/tests/admin.rs
+++ b/crates/entry/tests/admin.rs
@@ -28,6 +28,7 @@
 async fn shows_state_and_explains_a_recent_request() {
     let fleet = Fleet::new(&Shape::default());
     let cx = fleet.entry();
+    entry::learn_all_pools(&cx).await;
     let callers = Client::untracked(entry::callers_rocket(cx.clone())).await.unwrap();
     let response = callers.post("/v1/services/planeador-01/query").body("wax").dispatch().await;
     let answer: Value = serde_json::from_str(&response.into_string().await.unwrap()).unwrap();
--- a/crates/entry/tests/query.rs
+++ b/crates/entry/tests/query.rs
@@ -180,13 +180,43 @@
 #[tokio::test(start_paused = true)]
 async fn readiness_follows_the_state() {
     let fleet = Fleet::new(&Shape::default());
-    let client = client(&fleet).await;
+    let cx = fleet.entry();
+    let client = Client::untracked(entry::callers_rocket(cx.clone())).await.unwrap();
+    assert_eq!(client.get("/readyz").dispatch().await.status(), Status::ServiceUnavailable);
+    entry::learn_all_pools(&cx).await;
     assert_eq!(client.get("/readyz").dispatch().await.status(), Status::Ok);
     fleet.with(|it| it.not_ready = Some("no configuration yet".to_owned()));
     assert_eq!(client.get("/readyz").dispatch().await.status(), Status::ServiceUnavailable);
     assert_eq!(client.get("/healthz").dispatch().await.status(), Status::Ok);
 }
 
+/// A fresh host asked while the owners have no share yet: the request waits
+/// for the first word instead of a refusal.
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_until_some_target_is_known() {
+    let fleet = Fleet::new(&Shape::default());
+    let held = fleet.with(|it| std::mem::take(&mut it.held));
+    let client = client(&fleet).await;
+    let later = fleet.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        later.with(|it| it.held = held);
+    });
+    let answer = post(&client, &[("godwityard-deadline-ms", "200")]).await.1;
+    assert_eq!(answer["coverage"]["answered"], 2);
+}
+
+/// A pool that is wholly down keeps a host from being ready only for a while.
+#[tokio::test(start_paused = true)]
+async fn a_dead_pool_does_not_keep_a_host_unready() {
+    let fleet = Fleet::new(&Shape::default());
+    fleet.with(|it| it.held.clear());
+    let cx = fleet.entry();
+    entry::learn_all_pools(&cx).await;
+    let client = Client::untracked(entry::callers_rocket(cx)).await.unwrap();
+    assert_eq!(client.get("/readyz").dispatch().await.status(), Status::Ok);
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_former_map_serves_until_the_new_one_is_held_by_every_shard() {
     let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
--- a/crates/godwityardd/src/daemon.rs
+++ b/crates/godwityardd/src/daemon.rs
@@ -83,6 +83,8 @@
         let datagrams = Datagrams::new(socket, identity.clone(), peer_log)?;
         tokio::spawn(receive_datagrams(datagrams.clone(), deliveries));
 
+        let learning = entry.clone();
+        tokio::spawn(async move { entry::learn_all_pools(&learning).await });
         tokio::spawn(suspects::tell(entry.clone(), view.clone(), datagrams.clone()));
 
         let platform_log = part_logger(root, Part::Platform);
