Keep a proven limit while slots are lent

Change: the limit keeps what was proven under the larger share; only its use is bounded by the present one.

Conclusion: lending costs no capacity afterwards.

--- a/crates/policy/src/owner/limit.rs
+++ b/crates/policy/src/owner/limit.rs
@@ -59,7 +59,7 @@
             warm_up,
             slots,
             cold_slots,
-            current: cold_slots.min(slots),
+            current: cold_slots,
             changed_at: now,
             answered_at: now,
             answers: 0,
@@ -76,17 +76,18 @@
     /// Requests at once that the target now bears.
     pub fn get(&self) -> u32 {
         match self.warm_up {
-            WarmUp::On => self.current,
+            WarmUp::On => self.current.min(self.slots),
             WarmUp::Off => self.slots,
         }
     }
 
-    /// Takes over new figures. `slots` is what this host may use, so that the
-    /// limit never rises past what its own work can prove.
+    /// Takes over new figures. `slots` is what this host may use: the limit
+    /// never rises past what its own work can prove, and what was proven with
+    /// a larger share stays proven.
     pub fn resize(&mut self, slots: u32, cold_slots: u32) {
         self.slots = slots;
-        self.cold_slots = cold_slots.min(slots);
-        self.current = self.current.clamp(self.cold_slots, slots.max(self.cold_slots));
+        self.cold_slots = cold_slots;
+        self.current = self.current.max(cold_slots);
     }
 
     /// Notes that work waits although the limit is used up.
@@ -111,7 +112,7 @@
 
     /// Starts at what another owner of the same target has proven.
     pub fn adopt(&mut self, now: Time, proven: u32) {
-        self.move_to(now, proven.clamp(self.cold_slots, self.slots.max(self.cold_slots)));
+        self.move_to(now, proven.max(self.cold_slots));
     }
 
     /// Takes a good answer as proof.
--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -49,6 +49,16 @@
     assert_eq!(f.limit(), 1);
 }
 
+#[test]
+fn slots_lent_for_a_while_stay_proven() {
+    let mut f = Fixture::warm();
+    f.assign(share(1));
+    assert_eq!(f.limit(), 1);
+    f.load(SECOND, 50);
+    f.assign(share(3));
+    assert_eq!(f.limit(), 3);
+}
+
 #[test]
 fn shedding_lowers_the_limit_and_is_not_run() {
     let mut f = Fixture::warm();
