Keep half the time in reserve when predicting the wait; scale proof by slots

Change: a step of the limit costs its part of 60 answers; the predicted wait counts twice; a limit rises only when work had to wait, as its comment said.

Conclusion: what is admitted is answered; refused work can go elsewhere.

--- a/crates/policy/src/owner/limit.rs
+++ b/crates/policy/src/owner/limit.rs
@@ -14,8 +14,9 @@
 
 /// Least time between two rises.
 const RISE_INTERVAL: Duration = Duration::from_millis(500);
-/// Answers at one limit that pay for the next.
-const RISE_ANSWERS: u32 = 50;
+/// Answers that pay for the rise from cold to all slots, divided evenly
+/// among its steps.
+const RISE_ANSWERS: u32 = 60;
 /// Answers this many times slower than the baseline tell of a cold target.
 const JUMP_FACTOR: f64 = 4.0;
 /// And at least this much slower.
@@ -35,6 +36,9 @@
 #[derive(Clone, Debug)]
 pub struct Limit {
     warm_up: WarmUp,
+    /// What the target bears when warm.
+    warm_slots: u32,
+    /// What this host may use of that.
     slots: u32,
     cold_slots: u32,
     current: u32,
@@ -57,6 +61,7 @@
     pub fn new(now: Time, warm_up: WarmUp, slots: u32, cold_slots: u32) -> Self {
         Limit {
             warm_up,
+            warm_slots: slots,
             slots,
             cold_slots,
             current: cold_slots,
@@ -81,15 +86,19 @@
         }
     }
 
-    /// Takes over new figures. `slots` is what this host may use: the limit
-    /// never rises past what its own work can prove, and what was proven with
-    /// a larger share stays proven.
-    pub fn resize(&mut self, slots: u32, cold_slots: u32) {
-        self.slots = slots;
+    /// Takes over the figures of the target's document.
+    pub fn resize(&mut self, warm_slots: u32, cold_slots: u32) {
+        self.warm_slots = warm_slots;
         self.cold_slots = cold_slots;
         self.current = self.current.max(cold_slots);
     }
 
+    /// Takes over what this host may use. The limit never rises past what its
+    /// own work can prove; what a larger share has proven stays proven.
+    pub fn set_share(&mut self, slots: u32) {
+        self.slots = slots.min(self.warm_slots);
+    }
+
     /// Notes that work waits although the limit is used up.
     pub fn observe_full(&mut self) {
         self.was_full = true;
@@ -156,7 +165,8 @@
     }
 
     fn step(&mut self, now: Time) -> Option<LimitChange> {
-        let is_proven = self.answers >= RISE_ANSWERS;
+        let steps = self.warm_slots.saturating_sub(self.cold_slots).max(1);
+        let is_proven = self.answers >= RISE_ANSWERS.div_ceil(steps);
         let is_due = now.since(self.changed_at) >= RISE_INTERVAL && now >= self.rise_after;
         if !is_proven || !is_due {
             return None;
--- a/crates/policy/src/owner/target/dispatch.rs
+++ b/crates/policy/src/owner/target/dispatch.rs
@@ -21,6 +21,9 @@
 /// usual time, and others that were sent later have been answered.
 const OVERDUE_FACTOR: u32 = 10;
 const OVERDUE_FLOOR: Duration = Duration::from_millis(500);
+/// How many times the predicted wait must fit before the deadline. Actual
+/// waits vary, and a request of many shards is as late as its latest.
+const WAIT_MARGIN: u32 = 2;
 /// Bound of one target's queue, whatever the deadlines say.
 const MAX_QUEUED: usize = 10_000;
 
@@ -74,9 +77,6 @@
             }
             self.send(cx, connection, job);
         }
-        if self.in_flight.len() >= self.allowed() {
-            self.limit.observe_full();
-        }
     }
 
     pub(super) fn fail_queue(&mut self, cx: &mut Cx<'_>, missing: Missing) {
@@ -151,7 +151,8 @@
         }
         let service = &job.batch.service;
         let wait = self.predicted_wait(self.queue.work_ahead(service, job.batch.weight));
-        !wait.is_zero() && cx.now + wait + self.queue.cost(service) > job.batch.deadline
+        let needed = wait * WAIT_MARGIN + self.queue.cost(service);
+        !wait.is_zero() && cx.now + needed > job.batch.deadline
     }
 
     /// Whether the time left is too short even for a quick answer, while
--- a/crates/policy/src/owner/target/mod.rs
+++ b/crates/policy/src/owner/target/mod.rs
@@ -321,8 +321,9 @@
     }
 
     fn resize_limit(&mut self) {
-        let Some(share) = self.share else { return };
-        self.limit.resize(share.slots.min(self.document.slots), self.document.cold_slots);
+        let share = self.share.map_or(0, |it| it.slots);
+        self.limit.resize(self.document.slots, self.document.cold_slots);
+        self.limit.set_share(share);
     }
 
     fn observe_proof(&mut self, cx: &mut Cx<'_>, entry: &InFlight, proof: Proof) {
