--- a/crates/policy/src/request/query/recover.rs
+++ b/crates/policy/src/request/query/recover.rs
@@ -101,7 +101,7 @@
             plan.is_retry_charged |= is_charged(missing, outcome);
         }
         let load = cx.decisions.pools.entry(self.req.service.pool.clone()).or_default();
-        load.record_part(cx.now, missing == Missing::Shed);
+        load.record_part(cx.now, is_overload(missing, outcome));
         let table = &mut cx.decisions.table;
         match missing {
             Missing::WrongSnapshot => table.forget_snapshot(&part.target, self.gather.snapshot()),
@@ -111,7 +111,7 @@
     }
 
     fn may_send_again(&self, failure: &Failure<'_>) -> bool {
-        let plan = self.plans.iter().find(|it| it.shard == failure.shard);
+        let plan = self.plan(failure.shard);
         let sends = plan.map_or(0, |it| it.sends);
         self.may_send(failure.shard) && sends < MAX_SENDS
     }
@@ -170,7 +170,7 @@
     }
 
     fn pay_retry<R>(&self, cx: &mut QueryCx<'_, R>, shard: ShardId, target: &TargetName) -> bool {
-        let plan = self.plans.iter().find(|it| it.shard == shard);
+        let plan = self.plan(shard);
         let is_charged = plan.is_none_or(|it| it.is_retry_charged);
         !is_charged || cx.decisions.budgets.try_spend(&self.req.service.name, target)
     }
@@ -216,6 +216,12 @@
     }
 }
 
+/// Whether a target or its owner had no room for the work.
+fn is_overload(missing: Missing, outcome: Outcome) -> bool {
+    let is_turned_away = matches!(missing, Missing::Refused | Missing::Deadline);
+    missing == Missing::Shed || (is_turned_away && outcome == Outcome::NotRun)
+}
+
 /// Whether a retry is extra load. Work that was not run was no load, but a
 /// shed subquery asked a target that had too much already.
 fn is_charged(missing: Missing, outcome: Outcome) -> bool {
