--- a/crates/entry/src/learn/mod.rs
+++ b/crates/entry/src/learn/mod.rs
@@ -49,7 +49,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Progress {
     words: u64,
-    open_rounds: u32,
+    ended_rounds: u64,
 }
 
 /// What is known of the shards of a pool, in rising order.
@@ -75,14 +75,9 @@
     views: &PoolViews,
     deadline: Time,
 ) {
-    let knowledge = knowledge(cx, cfg, views);
-    let mut progress = start_due_rounds(cx, &views.current, knowledge);
-    if knowledge == Knowledge::Complete {
-        return;
-    }
     let wait = deadline.until(cx.now()) / 2;
     // Past the wait the request goes on with what is known.
-    let _ = time::timeout(wait, learn_enough(cx, cfg, views, &mut progress)).await;
+    let _ = time::timeout(wait, learn_enough(cx, cfg, views)).await;
 }
 
 /// Learns of the targets of all pools once the host has configuration and
@@ -111,26 +106,23 @@
     is_complete
 }
 
-/// Waits for what owners tell: until every shard can be served or all have
-/// answered, and in any case until some shard can be.
+/// Waits for what owners tell: until every shard can be served, or some can
+/// be and the owners were asked before.
 async fn learn_enough<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     cfg: &Configuration,
     views: &PoolViews,
-    progress: &mut watch::Receiver<Progress>,
 ) {
     loop {
-        let is_open = progress.borrow_and_update().open_rounds > 0;
-        let knowledge = knowledge(cx, cfg, views);
-        match knowledge {
+        let known = knowledge(cx, cfg, views);
+        let mut progress = start_due_rounds(cx, &views.current, known);
+        let was_asked = progress.borrow_and_update().ended_rounds > 0;
+        match known {
             Knowledge::Complete => return,
-            Knowledge::Partial if !is_open => return,
-            Knowledge::None if !is_open => {
-                start_due_rounds(cx, &views.current, knowledge);
-            }
-            _ => (),
+            Knowledge::Partial if was_asked => return,
+            Knowledge::Partial | Knowledge::None => (),
         }
-        // A round may also become due without any owner's word.
+        // Not longer, for the next round may be due.
         let _ = time::timeout(FIRST_WORD_INTERVAL, progress.changed()).await;
     }
 }
@@ -162,7 +154,6 @@
     let due = rounds.take_due(now, knowledge);
     let receiver = rounds.progress.subscribe();
     if due.local || due.remote {
-        rounds.progress.send_modify(|it| it.open_rounds += 1);
         tokio::spawn(ask_owners(
             cx.clone(),
             owners_of(cx, view, due),
@@ -198,7 +189,7 @@
     while words.next().await.is_some() {
         progress.send_modify(|it| it.words += 1);
     }
-    progress.send_modify(|it| it.open_rounds -= 1);
+    progress.send_modify(|it| it.ended_rounds += 1);
 }
 
 async fn ask<S: State, O: Owners>(
