Admit new hosts as voters by majority and forget ended ones with care

Change: a newcomer is admitted by a majority of the present voters, one at a time; witnesses go by seniority; ended hosts are forgotten by a majority that is alive, or when the platform's list has not shown them for 60 s. Two fields more in the membership record and its wire form. Conclusion: what is left open: a host admitted while its domain of more than five hosts is split, see docs/decisions/assignment.md.

--- a/crates/fleet/src/assignment/mod.rs
+++ b/crates/fleet/src/assignment/mod.rs
@@ -12,7 +12,7 @@
 
 pub(crate) use self::{
     groups::{Group, Groups},
-    voters::{VoterSets, Voters},
+    voters::{ADMISSION, VoterSets, Voters, admitters},
 };
 use crate::{
     hash,
--- a/crates/fleet/src/assignment/voters.rs
+++ b/crates/fleet/src/assignment/voters.rs
@@ -3,7 +3,12 @@
 //! They are the hosts of the group's domain that rank first for it, five at
 //! most, running or not. Their number is odd, so that no split leaves two
 //! equal halves: a small domain with an even number takes one witness from
-//! elsewhere.
+//! elsewhere, the most senior, so that new hosts elsewhere change nothing.
+//!
+//! A host of a new name becomes a voter only when a majority of the present
+//! ones admitted it, and each of these counts it from then on. So no side of a
+//! split gains a majority by new hosts: any majority of the former voters has
+//! one that already counts the newcomer and grants nothing without it.
 
 use std::sync::Arc;
 
@@ -15,6 +20,9 @@
     membership::{Table, host_hash},
 };
 
+/// The group that newcomers claim to be made voters of their domain.
+pub(crate) const ADMISSION: GroupId = GroupId(0);
+
 /// Most voters of a group.
 const MAX_VOTERS: usize = 5;
 
@@ -51,18 +59,31 @@
             self.sets.clear();
         }
         let set = self.sets.entry((domain.clone(), group));
-        Arc::clone(set.or_insert_with(|| Arc::new(choose(table, domain, group))))
+        let choose = || choose(table, domain, group, table.electorate(domain).collect());
+        Arc::clone(set.or_insert_with(|| Arc::new(choose())))
     }
 }
 
-fn choose(table: &Table, domain: &DomainName, group: GroupId) -> Voters {
+/// Those who decide whether `newcomer` becomes a voter of its domain.
+pub(crate) fn admitters(table: &Table, domain: &DomainName, newcomer: &HostName) -> Voters {
+    let voters = table.voters(domain).filter(|it| *it != newcomer);
+    choose(table, domain, ADMISSION, voters.collect())
+}
+
+fn choose<'a>(
+    table: &'a Table,
+    domain: &DomainName,
+    group: GroupId,
+    mut hosts: Vec<&'a HostName>,
+) -> Voters {
     let rank = |host: &&HostName| weight(host_hash(host), group);
-    let mut hosts: Vec<&HostName> = table.electorate(domain).collect();
     hosts.sort_by_cached_key(|it| std::cmp::Reverse(rank(it)));
     hosts.truncate(MAX_VOTERS);
     if hosts.len().is_multiple_of(2) {
         let others = table.domains().filter(|it| *it != domain);
-        let witness = others.flat_map(|it| table.electorate(it)).max_by_key(rank);
+        let seniority = |it: &HostName| table.record(it).map_or(0, |it| it.seniority);
+        let key = |it: &&HostName| (std::cmp::Reverse(seniority(it)), rank(it));
+        let witness = others.flat_map(|it| table.voters(it)).max_by_key(key);
         match witness {
             Some(witness) => hosts.push(witness),
             None => drop(hosts.pop()),
--- a/crates/fleet/src/membership/table.rs
+++ b/crates/fleet/src/membership/table.rs
@@ -18,8 +18,22 @@
 /// refutation takes that much longer to spread.
 const SUSPICION_PER_DOUBLING: Duration = Duration::from_millis(500);
 
-/// A host that ended is counted among the voters for this long.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// A host that died is counted among the voters for this long.
+const FORGET_DEAD_AFTER: Duration = Duration::from_secs(60);
+
+/// A host that said goodbye is counted for this long, in which it may be back.
+const FORGET_LEFT_AFTER: Duration = Duration::from_secs(30);
+
+/// A host that was agreed to as a voter and did not become one counts for
+/// this long.
+const ADMISSION_LIFE: Duration = Duration::from_secs(10);
+
+/// The platform's list speaks against a host that it has not shown for this
+/// long.
+const UNLISTED_AFTER: Duration = Duration::from_secs(60);
+
+/// The platform's list is believed for this long after it was read.
+const LIST_LIFE: Duration = Duration::from_secs(90);
 
 /// A forgotten host's record is kept for this long, lest old news revive it.
 const TOMBSTONE_LIFE: Duration = Duration::from_secs(600);
@@ -36,6 +50,8 @@
     news: HashMap<HostName, u32>,
     /// Domains whose candidates changed since last asked.
     changed: HashSet<DomainName>,
+    /// When the platform's list was last read.
+    last_list: Option<Time>,
     /// Rises with every change of who counts among the voters.
     electorate_version: u64,
 }
@@ -50,6 +66,10 @@
     revision: Revision,
     /// The platform listed this incarnation as live.
     was_listed_live: bool,
+    /// When this host agreed last to make it a voter.
+    admitted: Option<Time>,
+    /// When the platform's list last showed the host.
+    last_listed: Time,
 }
 
 #[derive(Debug, Default)]
@@ -58,9 +78,11 @@
     digest: u64,
 }
 
-/// A record of a host known by name only.
+/// A record of a host known by name only, until it is heard.
 pub(crate) fn placeholder(host: HostName, domain: DomainName, address: SocketAddr) -> Record {
     Record {
+        is_voter: false,
+        seniority: 0,
         host,
         domain,
         address,
@@ -84,6 +106,7 @@
             domains: HashMap::default(),
             news: HashMap::default(),
             changed: HashSet::default(),
+            last_list: None,
             electorate_version: 0,
         };
         table.insert(own, now);
@@ -136,10 +159,33 @@
     /// Hosts of a domain that may have a say in who holds its targets: all
     /// but those that ended long ago.
     pub(crate) fn electorate(&self, domain: &DomainName) -> impl Iterator<Item = &HostName> {
-        let counted = |it: &&Record| it.state < MemberState::Forgotten;
+        let counted = |it: &&Record| self.entries[&it.host].is_counted();
         self.domain(domain).filter(counted).map(|it| &it.host)
     }
 
+    /// Agrees to make a host a voter: it counts here from now on. One at a
+    /// time, since two at once could each bring about a majority.
+    pub(crate) fn admit(&mut self, host: &HostName, now: Time) -> bool {
+        let Some(entry) = self.entries.get(host) else { return false };
+        let others = self.domain(&entry.record.domain).filter(|it| it.host != *host);
+        if others.filter(|it| self.entries[&it.host].is_newcomer()).count() > 0 {
+            return false;
+        }
+        let Some(entry) = self.entries.get_mut(host) else { return false };
+        let was_counted = entry.is_counted();
+        entry.admitted = Some(now);
+        if entry.is_counted() != was_counted {
+            self.electorate_version += 1;
+        }
+        true
+    }
+
+    /// Voters of a domain, without those whose admission is under way.
+    pub(crate) fn voters(&self, domain: &DomainName) -> impl Iterator<Item = &HostName> {
+        let is_voter = |it: &&Record| it.is_voter && it.state < MemberState::Forgotten;
+        self.domain(domain).filter(is_voter).map(|it| &it.host)
+    }
+
     pub(crate) fn electorate_version(&self) -> u64 {
         self.electorate_version
     }
@@ -181,6 +227,12 @@
     /// Answers a false belief about this host with a newer record.
     fn refute(&mut self, claim: &Record, now: Time) -> bool {
         let own = self.own();
+        // The others count this host's name since an earlier life of it.
+        let is_recent = claim.incarnation <= own.incarnation;
+        if claim.is_voter && !own.is_voter && is_recent && claim.state < MemberState::Forgotten {
+            self.become_voter(claim.seniority, now);
+            return true;
+        }
         let is_current = claim.incarnation == own.incarnation && claim.epoch >= own.epoch;
         if !is_current || claim.state == own.state || own.state == MemberState::Left {
             return false;
@@ -190,6 +242,20 @@
         true
     }
 
+    /// Makes this host a voter.
+    pub(crate) fn become_voter(&mut self, seniority: u32, now: Time) {
+        self.change_own(now, |it| {
+            it.is_voter = true;
+            it.seniority = seniority;
+        });
+    }
+
+    /// Seniority of the next voter.
+    pub(crate) fn next_seniority(&self) -> u32 {
+        let voters = self.entries.values().filter(|it| it.record.is_voter);
+        voters.map(|it| it.record.seniority).max().map_or(0, |it| it + 1)
+    }
+
     /// Changes this host's record under a new epoch.
     pub(crate) fn change_own(&mut self, now: Time, change: impl FnOnce(&mut Record)) {
         let mut record = self.own().clone();
@@ -211,6 +277,7 @@
     /// leaving within one incarnation is believed, since the list lags.
     pub(crate) fn note_listed(&mut self, host: &HostName, is_leaving: bool, now: Time) {
         let Some(entry) = self.entries.get_mut(host) else { return };
+        entry.last_listed = now;
         if !is_leaving {
             entry.was_listed_live |= entry.record.state.is_up();
             return;
@@ -226,6 +293,11 @@
         }
     }
 
+    /// Notes that the platform's list was read.
+    pub(crate) fn note_list(&mut self, now: Time) {
+        self.last_list = Some(now);
+    }
+
     pub(crate) fn note_revision(&mut self, host: &HostName, at: Incarnation, revision: Revision) {
         let Some(entry) = self.entries.get_mut(host) else { return };
         if entry.record.incarnation == at && entry.revision < revision {
@@ -233,8 +305,15 @@
         }
     }
 
-    fn insert(&mut self, record: Record, now: Time) {
+    fn insert(&mut self, mut record: Record, now: Time) {
         let old = self.entries.get(&record.host);
+        // A voter that starts anew stays one; it does not know it yet itself.
+        if let Some(old) = old.filter(|it| !it.is_forgotten() && it.record.is_voter)
+            && !record.is_voter
+        {
+            record.is_voter = true;
+            record.seniority = old.record.seniority;
+        }
         let hash = record_hash(&record);
         let same_life = old.filter(|it| it.record.incarnation == record.incarnation);
         let entry = Entry {
@@ -243,18 +322,20 @@
             since: now,
             revision: same_life.map_or(Revision(0), |it| it.revision),
             was_listed_live: same_life.is_some_and(|it| it.was_listed_live),
+            admitted: same_life.and_then(|it| it.admitted),
+            last_listed: old.map_or(now, |it| it.last_listed),
             record: record.clone(),
         };
         let is_candidate = |it: &Record| it.state.is_up() && it.is_serving && !it.is_leaving;
         let was_candidate = old.is_some_and(|it| is_candidate(&it.record));
-        let was_counted = old.is_some_and(|it| it.record.state < MemberState::Forgotten);
+        let former_say = old.map(Entry::say);
         let old_place = old.map(|it| (it.record.domain.clone(), it.hash));
 
         if was_candidate != is_candidate(&record) {
             self.changed.insert(record.domain.clone());
         }
         let has_moved = old_place.as_ref().is_some_and(|(domain, _)| *domain != record.domain);
-        if was_counted != (record.state < MemberState::Forgotten) || has_moved {
+        if former_say != Some(entry.say()) || has_moved {
             self.electorate_version += 1;
         }
         if let Some((domain, hash)) = old_place {
@@ -276,23 +357,31 @@
 
     /// Lets time pass: suspects die, ended hosts are forgotten.
     pub(crate) fn expire(&mut self, now: Time) {
+        self.expire_admissions(now);
         let domain = self.own().domain.clone();
         let doublings = self.up(&domain).count().max(1).ilog2();
         let suspicion = SUSPICION_BASE + SUSPICION_PER_DOUBLING * doublings;
-        let is_majority = self.up(&domain).count() * 2 > self.electorate(&domain).count();
+        let counts = |it: &&Record| self.entries[&it.host].is_counted();
+        let counted = self.domain(&domain).filter(counts).count();
+        // Only a majority may shrink the voters on its own word, lest two
+        // sides of a split each forget the other.
+        let is_alive = |it: &&Record| it.state == MemberState::Alive;
+        let alive = self.domain(&domain).filter(counts).filter(is_alive).count();
+        let is_majority = alive * 2 > counted;
+        let list = self.last_list.filter(|&it| now.since(it) < LIST_LIFE);
         let mut changes = Vec::new();
         let mut purged = Vec::new();
         for (host, entry) in &self.entries {
             let age = now.since(entry.since);
             let is_ours = entry.record.domain == domain;
+            let unlisted = list.map(|it| it.since(entry.last_listed));
+            let is_unlisted = unlisted.is_some_and(|it| it >= UNLISTED_AFTER);
             match entry.record.state {
                 MemberState::Suspect if is_ours && age >= suspicion => {
                     changes.push((host.clone(), MemberState::Dead));
                 }
-                // Only a majority may shrink the voters, lest two sides of a
-                // split each forget the other.
                 MemberState::Dead | MemberState::Left
-                    if is_ours && age >= FORGET_AFTER && is_majority =>
+                    if is_ours && (is_majority || is_unlisted) && age >= memory(entry) =>
                 {
                     changes.push((host.clone(), MemberState::Forgotten));
                 }
@@ -308,6 +397,16 @@
         }
     }
 
+    /// Takes back admissions that came to nothing.
+    fn expire_admissions(&mut self, now: Time) {
+        for entry in self.entries.values_mut().filter(|it| it.is_newcomer()) {
+            if entry.admitted.is_some_and(|it| now.since(it) >= ADMISSION_LIFE) {
+                entry.admitted = None;
+                self.electorate_version += 1;
+            }
+        }
+    }
+
     fn purge(&mut self, host: &HostName) {
         let Some(entry) = self.entries.remove(host) else { return };
         always!(entry.record.state == MemberState::Forgotten, "fleet-purge-forgotten", "{host}");
@@ -411,13 +510,40 @@
     }
 }
 
+/// How long an ended host is still counted.
+fn memory(entry: &Entry) -> Duration {
+    if entry.record.state == MemberState::Left { FORGET_LEFT_AFTER } else { FORGET_DEAD_AFTER }
+}
+
+impl Entry {
+    fn is_forgotten(&self) -> bool {
+        self.record.state == MemberState::Forgotten
+    }
+
+    /// What voters are chosen by.
+    fn say(&self) -> (bool, bool, u32) {
+        (self.is_counted(), self.record.is_voter, self.record.seniority)
+    }
+
+    /// Whether this host agreed to make it a voter, which it is not yet.
+    fn is_newcomer(&self) -> bool {
+        self.admitted.is_some() && !self.record.is_voter && self.record.state.is_up()
+    }
+
+    /// Whether the host has a say in who holds its domain's targets.
+    fn is_counted(&self) -> bool {
+        !self.is_forgotten() && (self.record.is_voter || self.is_newcomer())
+    }
+}
+
 /// Hash of what hosts must agree on; a suspicion is no disagreement yet.
 fn record_hash(record: &Record) -> u64 {
     if record.state == MemberState::Forgotten {
         return 0;
     }
     let state = if record.state.is_up() { MemberState::Alive } else { record.state };
-    let flags = u64::from(record.is_leaving) | u64::from(record.is_serving) << 1;
+    let flags = [record.is_leaving, record.is_serving, record.is_voter];
+    let flags = flags.iter().fold(0, |all, &it| all << 1 | u64::from(it));
     let life = hash::combine(record.incarnation.0, u64::from(record.epoch));
     let belief = hash::combine(state as u64, flags);
     hash::combine(host_hash(&record.host), hash::combine(life, belief))
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -120,6 +120,10 @@
     pub is_leaving: bool,
     /// The host holds confirmed configuration and may own targets.
     pub is_serving: bool,
+    /// The voters of its domain admitted the host as one of them.
+    pub is_voter: bool,
+    /// Lower for those who became voters earlier.
+    pub seniority: u32,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- /dev/null
+++ b/crates/fleet/src/node/admission.rs
@@ -0,0 +1,129 @@
+//! How a host of a new name becomes a voter of its domain.
+
+use std::time::Duration;
+
+use base::{DomainName, HashMap, HostName, Time};
+use rand::Rng;
+
+use super::Node;
+use crate::{
+    assignment::{ADMISSION, admitters},
+    lease::CLAIM_INTERVAL,
+    membership::MemberState,
+    message::{Answer, Body, Claim, Right, Role, Verdict},
+};
+
+/// What a newcomer claims.
+pub(super) const ADMISSION_RIGHT: Right = Right { group: ADMISSION, role: Role::Primary };
+
+/// Grants count together if they came within this time.
+const GRANT_LIFE: Duration = Duration::from_secs(2);
+
+/// Claims before a newcomer gives way to others, for at least the pause.
+const TRIES: u32 = 20;
+const MIN_PAUSE: Duration = Duration::from_secs(11);
+
+/// Grants of a newcomer's admission so far.
+#[derive(Debug, Default)]
+pub(super) struct Admission {
+    next_claim: Time,
+    /// Claims since the last pause.
+    tries: u32,
+    /// Hash of the voters asked.
+    voters: u64,
+    grants: HashMap<HostName, Time>,
+}
+
+impl Node {
+    pub(super) fn admission_wakeup(&self) -> Option<Time> {
+        (!self.table.own().is_voter).then_some(self.admission.next_claim)
+    }
+
+    /// Asks the voters of this domain to count this host among them.
+    pub(super) fn seek_admission(&mut self, now: Time) {
+        if self.table.own().is_voter || now < self.admission.next_claim {
+            return;
+        }
+        self.admission.next_claim = self.next_try(now);
+        let own = self.cfg.host.clone();
+        let voters = admitters(&self.table, &self.cfg.domain, &own);
+        if voters.hosts.is_empty() {
+            self.admit_itself(now);
+            return;
+        }
+        if self.admission.voters != voters.hash {
+            self.admission.voters = voters.hash;
+            self.admission.grants.clear();
+        }
+        let seq = self.rights.next_seq(now);
+        for host in &voters.hosts {
+            let Some(to) = self.table.record(host).map(|it| it.address) else { continue };
+            let claim = Claim { right: ADMISSION_RIGHT, voters: voters.hash };
+            self.send(to, Body::Claim { seq, claims: vec![claim] });
+        }
+    }
+
+    /// Several newcomers at once may share the voters so that none gains a
+    /// majority; each then gives way for a random time.
+    fn next_try(&mut self, now: Time) -> Time {
+        let admission = &mut self.admission;
+        admission.tries += 1;
+        if admission.tries < TRIES {
+            return now + CLAIM_INTERVAL;
+        }
+        admission.tries = 0;
+        admission.grants.clear();
+        now + MIN_PAUSE.mul_f64(1.0 + self.rng.random::<f64>())
+    }
+
+    /// A host that knows no voter is the first, unless others are known by
+    /// name and may be out of reach.
+    fn admit_itself(&mut self, now: Time) {
+        let others = self.table.domain(&self.cfg.domain).filter(|it| it.host != self.cfg.host);
+        let known = others.filter(|it| it.state < MemberState::Forgotten).count();
+        if known > 0 {
+            return;
+        }
+        self.table.become_voter(self.table.next_seniority(), now);
+    }
+
+    /// Decides on another's admission. Once granted, the newcomer counts here.
+    pub(super) fn admit(
+        &mut self,
+        now: Time,
+        newcomer: &HostName,
+        domain: &DomainName,
+        claim: &Claim,
+    ) -> Verdict {
+        let voters = admitters(&self.table, domain, newcomer);
+        let agrees = voters.hash == claim.voters && voters.hosts.contains(&self.cfg.host);
+        let answer = match agrees {
+            false => Answer::OtherVoters,
+            true if self.table.admit(newcomer, now) => Answer::Granted { was_released: false },
+            true => Answer::Held,
+        };
+        Verdict { right: claim.right, voters: claim.voters, answer }
+    }
+
+    /// Counts the grants of this host's own admission.
+    pub(super) fn take_admission(&mut self, now: Time, voter: &HostName, verdicts: &[Verdict]) {
+        let is_grant = |it: &Verdict| {
+            it.right == ADMISSION_RIGHT
+                && it.voters == self.admission.voters
+                && matches!(it.answer, Answer::Granted { .. })
+        };
+        if self.table.own().is_voter || !verdicts.iter().any(is_grant) {
+            return;
+        }
+        let grants = &mut self.admission.grants;
+        grants.insert(voter.clone(), now);
+        grants.retain(|_, at| now.since(*at) < GRANT_LIFE);
+        let voters = admitters(&self.table, &self.cfg.domain, &self.cfg.host);
+        let is_current = voters.hash == self.admission.voters;
+        if !is_current || self.admission.grants.len() < voters.quorum() {
+            return;
+        }
+        self.table.become_voter(self.table.next_seniority(), now);
+        self.broadcast_own();
+    }
+}
--- a/crates/fleet/src/node/api.rs
+++ b/crates/fleet/src/node/api.rs
@@ -42,6 +42,7 @@
 
 /// What the driver is to do.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(clippy::large_enum_variant, reason = "most actions are sends")]
 pub enum Action {
     /// By datagram, or by link if the message is bulk.
     Send {
--- a/crates/fleet/src/node/mod.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One host's state machine: takes in what happened, returns what to do.
 
+mod admission;
 mod api;
 mod gossip;
 mod rights;
@@ -12,7 +13,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 pub use self::api::{Action, IndexEntry, Input, ListedHost, NotReady};
-use self::{rights::Rights, spread::Pulling};
+use self::{admission::Admission, rights::Rights, spread::Pulling};
 use crate::{
     assignment::{Groups, Routes},
     configuration::{Reader, Store},
@@ -51,6 +52,7 @@
     prober: Prober,
     routes: Routes,
     rights: Rights,
+    admission: Admission,
     store: Store,
     reader: Reader,
     pulling: Pulling,
@@ -93,12 +95,14 @@
         let mut rng = SmallRng::seed_from_u64(cfg.seed);
         let mut table = Table::new(own, now);
         for seed in cfg.seeds.iter().filter(|it| it.host != cfg.host) {
-            table.merge(placeholder(seed.host.clone(), seed.domain.clone(), seed.address), now);
+            let seed = placeholder(seed.host.clone(), seed.domain.clone(), seed.address);
+            table.merge(Record { is_voter: true, ..seed }, now);
         }
         let electorate = (table.electorate_version(), now);
         Node {
             prober: Prober::new(now, &mut rng),
             rights: Rights::new(now),
+            admission: Admission::default(),
             reader: Reader::new(now),
             cfg,
             rng,
@@ -199,6 +203,7 @@
         self.read_platform(now);
         self.spread_configuration();
         self.update_phase(now);
+        self.seek_admission(now);
         self.update_routes(now);
         self.update_rights(now);
         self.read_list(now);
@@ -217,7 +222,8 @@
     fn work_out_wakeup(&self, now: Time) -> Time {
         let reader = self.reader.next_wakeup(now, self.rate(now));
         let times = [self.next_housekeeping, self.prober.next_wakeup()];
-        let more = [reader, self.rights.next_wakeup(now)].into_iter().flatten();
+        let admission = self.admission_wakeup();
+        let more = [reader, admission, self.rights.next_wakeup(now)].into_iter().flatten();
         let next = times.into_iter().chain(more).min();
         // A bound below keeps a late due time from spinning the driver.
         next.unwrap_or(now).max(now + Duration::from_millis(1))
@@ -246,7 +252,8 @@
     /// Begins to own targets once all voters must know of this host.
     fn try_to_serve(&mut self, now: Time) {
         let (_, changed) = self.electorate;
-        if self.table.own().is_serving || now.since(changed) < VIEW_WAIT {
+        let own = self.table.own();
+        if own.is_serving || !own.is_voter || now.since(changed) < VIEW_WAIT {
             return;
         }
         self.table.change_own(now, |it| it.is_serving = true);
@@ -312,6 +319,7 @@
     }
 
     fn take_list(&mut self, now: Time, hosts: Vec<ListedHost>) {
+        self.table.note_list(now);
         for listed in hosts {
             if self.table.record(&listed.host).is_some() {
                 self.table.note_listed(&listed.host, listed.is_leaving, now);
--- a/crates/fleet/src/node/rights.rs
+++ b/crates/fleet/src/node/rights.rs
@@ -5,7 +5,7 @@
 use base::{HashMap, HashSet, HostName, Incarnation, Share, TargetName, Time, always};
 use documents::Target;
 
-use super::{Action, Node};
+use super::{Action, Node, admission::ADMISSION_RIGHT};
 use crate::{
     assignment::{Group, GroupId, Groups, VoterSets},
     lease::{
@@ -51,6 +51,10 @@
         self.voter.expire(now);
     }
 
+    pub(super) fn next_seq(&mut self, now: Time) -> u64 {
+        self.holder.next_seq(now)
+    }
+
     pub(super) fn suspend(&mut self, now: Time) {
         self.holder.suspend(now);
     }
@@ -285,6 +289,7 @@
             }
             Body::Verdict { seq, verdicts } => {
                 self.rights.holder.answered(now, sender, seq, &verdicts);
+                self.take_admission(now, sender, &verdicts);
                 if verdicts.iter().any(|it| it.answer == Answer::OtherVoters) {
                     self.compare_members(now, from);
                 }
@@ -309,6 +314,10 @@
         let Some(domain) = record.map(|it| it.domain.clone()) else { return Vec::new() };
         let mut verdicts = Vec::new();
         for claim in claims {
+            if claim.right == ADMISSION_RIGHT {
+                verdicts.push(self.admit(now, claimant.host, &domain, claim));
+                continue;
+            }
             let set = self.rights.sets.get(&self.table, &domain, claim.right.group);
             let voters = set.hosts.contains(&self.cfg.host).then_some(set.hash);
             let (_, changed) = self.electorate;
--- a/crates/peer/schema/fleet.capnp
+++ b/crates/peer/schema/fleet.capnp
@@ -44,6 +44,8 @@
   state @5 :MemberState;
   isLeaving @6 :Bool;
   isServing @7 :Bool;
+  isVoter @8 :Bool;
+  seniority @9 :UInt32;
 }
 
 enum MemberState { alive @0; suspect @1; dead @2; left @3; forgotten @4; }
--- a/crates/peer/src/wire/fleet/membership.rs
+++ b/crates/peer/src/wire/fleet/membership.rs
@@ -83,6 +83,8 @@
     to.set_state(wire_state(it.state));
     to.set_is_leaving(it.is_leaving);
     to.set_is_serving(it.is_serving);
+    to.set_is_voter(it.is_voter);
+    to.set_seniority(it.seniority);
 }
 
 fn read_record(from: record::Reader<'_>) -> Result<Record> {
@@ -95,6 +97,8 @@
         state: member_state(from.get_state()?),
         is_leaving: from.get_is_leaving(),
         is_serving: from.get_is_serving(),
+        is_voter: from.get_is_voter(),
+        seniority: from.get_seniority(),
     })
 }
 
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -23,6 +23,8 @@
         state,
         is_leaving: true,
         is_serving: false,
+        is_voter: true,
+        seniority: 3,
     }
 }
 
