Bring a configuration into force whole

Cause: each document read at the start came into force alone, under revision 0: a fresh host announced one configuration a document. Change: documents wait for the revision that they belong to, and for a pull under way. The finding against an older platform says what to do. Probes carry four revisions of other hosts in place of eight, which saves bytes. Conclusion: one change of configuration for one answer of the index.

--- a/crates/fleet/src/configuration/store.rs
+++ b/crates/fleet/src/configuration/store.rs
@@ -20,6 +20,7 @@
     is_confirmed: bool,
     in_force: Arc<Configuration>,
     cross_findings: Vec<Finding>,
+    /// The store advanced since the configuration was built.
     is_stale: bool,
 }
 
@@ -116,7 +117,6 @@
             self.by_revision.remove(&(rejected.revision, Arc::clone(&key)));
         }
         self.by_revision.insert((revision, key), ());
-        self.is_stale = true;
     }
 
     fn reject(&mut self, key: Arc<str>, rejected: Rejected) {
@@ -141,8 +141,9 @@
         true
     }
 
-    /// Builds the configuration anew if documents changed; tells whether it
-    /// did.
+    /// Builds the configuration anew if the store advanced; tells whether it
+    /// did. Documents of a revision that is not complete wait, so that none
+    /// comes into force without those it belongs to.
     pub(crate) fn rebuild(&mut self) -> bool {
         if !std::mem::take(&mut self.is_stale) {
             return false;
--- a/crates/fleet/src/node/gossip.rs
+++ b/crates/fleet/src/node/gossip.rs
@@ -18,7 +18,7 @@
 const URGENT_DIGEST_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Revisions of other hosts that ride on a probe.
-const REVISIONS_PER_PROBE: usize = 8;
+const REVISIONS_PER_PROBE: usize = 4;
 
 /// Hosts told at once of a change that cannot wait for gossip.
 const BROADCAST: usize = 16;
--- a/crates/fleet/src/node/mod.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -167,7 +167,10 @@
         let mut findings = self.store.findings();
         if let Some(behind) = self.reader.behind() {
             let held = self.store.complete();
-            let message = format!("the platform is at revision {behind}, this host at {held}");
+            let message = format!(
+                "the platform's newest revision {behind} is below {held} in force; \
+                 changes are not taken until it publishes above {held}"
+            );
             let place = Place { source: "platform".into(), line: 0, column: 0 };
             findings.push(Finding::new(place, message));
         }
@@ -201,7 +204,7 @@
         }
         self.probe(now);
         self.read_platform(now);
-        self.spread_configuration();
+        self.spread_configuration(now);
         self.update_phase(now);
         self.seek_admission(now);
         self.update_routes(now);
@@ -290,7 +293,7 @@
 
     fn update_routes(&mut self, now: Time) {
         let changed = self.table.take_changed();
-        if self.store.rebuild() {
+        if !self.pulling.is_under_way(now) && self.store.rebuild() {
             let groups = Groups::new(&self.store.configuration(), self.cfg.group_size);
             self.routes.set_groups(groups, &self.table);
             self.rights.set_stale();
--- a/crates/fleet/src/node/spread.rs
+++ b/crates/fleet/src/node/spread.rs
@@ -48,6 +48,11 @@
     pub(super) fn newest_heard(&self) -> Revision {
         self.newest_heard
     }
+
+    /// Whether an answer to a pull is still awaited.
+    pub(super) fn is_under_way(&self, now: Time) -> bool {
+        self.sent.is_some_and(|it| now.since(it) < PULL_TIMEOUT)
+    }
 }
 
 impl Node {
@@ -124,7 +129,7 @@
             }
             return;
         }
-        if self.pulling.sent.is_some_and(|it| now.since(it) < PULL_TIMEOUT) {
+        if self.pulling.is_under_way(now) {
             return;
         }
         self.pulling.root = root;
@@ -165,9 +170,9 @@
     }
 
     /// Passes a new revision on, down the tree that it came by.
-    pub(super) fn spread_configuration(&mut self) {
+    pub(super) fn spread_configuration(&mut self, now: Time) {
         let revision = self.store.complete();
-        if revision <= self.pulling.announced || self.pulling.sent.is_some() {
+        if revision <= self.pulling.announced || self.pulling.is_under_way(now) {
             return;
         }
         self.pulling.announced = revision;
--- a/crates/fleet/tests/bag/mod.rs
+++ b/crates/fleet/tests/bag/mod.rs
@@ -62,6 +62,8 @@
     pub platform: Platform,
     pub sent: u64,
     pub left: Vec<usize>,
+    /// Revisions that came into force anywhere, in order.
+    pub in_force: Vec<Revision>,
     seq: u64,
     group_size: u32,
     first_hosts: usize,
@@ -80,6 +82,7 @@
             platform: Platform::default(),
             sent: 0,
             left: Vec::new(),
+            in_force: Vec::new(),
             seq: 0,
             group_size: 1,
             first_hosts: domains.iter().sum(),
@@ -242,7 +245,11 @@
                 self.answer(at, Duration::from_millis(5), input);
             }
             Action::ReadHosts => self.list(at),
-            Action::ConfigurationChanged | Action::SharesChanged => {}
+            Action::ConfigurationChanged => {
+                let node = self.hosts[at].node.as_ref();
+                self.in_force.extend(node.map(|it| it.configuration().revision));
+            }
+            Action::SharesChanged => {}
             Action::Left => {
                 self.hosts[at].node = None;
                 self.left.push(at);
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -46,6 +46,19 @@
     println!("in force on 60 hosts after {:?}", bag.now.since(begin));
 }
 
+#[test]
+fn configuration_comes_into_force_whole() {
+    let mut bag = Bag::new(9, &[2, 2]);
+    bag.platform.publish_basics(2);
+    bag.start_all();
+    bag.run_for(SETTLE);
+    let newest = bag.platform.newest();
+    assert!(!bag.in_force.is_empty());
+    for revision in &bag.in_force {
+        assert_eq!(*revision, newest, "a part was in force");
+    }
+}
+
 #[test]
 fn invalid_document_leaves_the_former_in_force() {
     let mut bag = started(2, &[3, 3]);
@@ -119,9 +132,7 @@
     bag.run_for(SETTLE);
     assert_weights(&bag, Some(6));
     let findings = bag.running().flat_map(|(_, _, node)| node.findings());
-    assert!(
-        findings.into_iter().any(|it| it.to_string().contains("the platform is at revision 2"))
-    );
+    assert!(findings.into_iter().any(|it| it.to_string().contains("newest revision 2 is below")));
 }
 
 #[test]
