Measure what the size of target groups costs

Cause: the group size was a guess. Change: example capacity prints, for sizes 1 to 16, the owners that a query to 220 targets meets in a domain of 121 hosts, and how targets are spread.

--- a/crates/fleet/examples/capacity.rs
+++ b/crates/fleet/examples/capacity.rs
@@ -15,7 +15,10 @@
 
 use base::{DomainName, HashMap, HostName, Incarnation, Revision, Time};
 use documents::model::SeedHost;
-use fleet::{Action, IndexEntry, Input, Message, Node, NodeSettings, message::Body};
+use fleet::{
+    Action, IndexEntry, Input, MemberState, Message, Node, NodeSettings,
+    message::{Body, DocumentRecord, Documents, Record},
+};
 use peer::Frame;
 
 const DOMAINS: usize = 14;
@@ -37,7 +40,13 @@
 const RESTARTS: usize = 10;
 const PHASE: Duration = Duration::from_secs(20);
 
+/// One domain's hosts at the long-run size, and the targets of a wide query.
+const DOMAIN_HOSTS: usize = 121;
+const QUERY_TARGETS: usize = 220;
+const DOMAIN_TARGETS: usize = TARGETS / DOMAINS;
+
 fn main() {
+    [1, 2, 4, 8, 16].into_iter().for_each(group_size);
     let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|it| it.parse().ok()).collect();
     let sizes = if sizes.is_empty() { vec![100, 400, LONG_RUN_HOSTS] } else { sizes };
     for size in sizes {
@@ -91,6 +100,64 @@
     println!("  every host cut off: {calls:.0} platform calls a second in all");
 }
 
+/// Owners that a wide query meets, and how unevenly targets are spread.
+fn group_size(size: u32) {
+    let seeds: Vec<SeedHost> = (0..DOMAIN_HOSTS).map(|it| seed(it * DOMAINS)).collect();
+    let SeedHost { host, domain, address } = seeds[0].clone();
+    let cfg = NodeSettings::builder(host, domain, address, Incarnation(1)).group_size(size).build();
+    let now = Time::from_millis(1);
+    let mut node = Node::new(cfg, now);
+    let mut send = |body: Body| {
+        let sender = seeds[1].host.clone();
+        let message = Message { sender, incarnation: Incarnation(1), body };
+        node.handle(now, Input::Message { from: seeds[1].address, message });
+    };
+    send(Body::Members { records: seeds.iter().skip(1).map(serving).collect() });
+    let widths = [QUERY_TARGETS, DOMAIN_TARGETS - QUERY_TARGETS];
+    let records = widths.into_iter().enumerate().map(|(pool, shards)| DocumentRecord {
+        key: format!("pool/p{pool}").into(),
+        revision: Revision(pool as u64 + 1),
+        text: Some(pool_text(pool, shards, 1).into()),
+    });
+    let revision = Revision(2);
+    let (after, upto) = (Revision(0), revision);
+    let records = records.collect();
+    send(Body::Documents(Documents { after, upto, revision, is_confirmed: true, records }));
+
+    let mut owned: HashMap<HostName, usize> = HashMap::default();
+    let mut met: HashMap<HostName, usize> = HashMap::default();
+    let configuration = node.configuration();
+    for target in configuration.targets() {
+        let Some((owner, _)) = node.owners(&target.name) else { continue };
+        *owned.entry(owner.clone()).or_default() += 1;
+        if target.pool.as_str() == "p0" {
+            *met.entry(owner).or_default() += 1;
+        }
+    }
+    println!(
+        "group size {size}: a query to {QUERY_TARGETS} targets meets {} owners of {DOMAIN_HOSTS}; \
+         {} hosts own some of {DOMAIN_TARGETS} targets, {} at most",
+        met.len(),
+        owned.len(),
+        owned.values().max().unwrap_or(&0),
+    );
+}
+
+fn serving(seed: &SeedHost) -> Record {
+    Record {
+        host: seed.host.clone(),
+        domain: seed.domain.clone(),
+        address: seed.address,
+        incarnation: Incarnation(1),
+        epoch: 1,
+        state: MemberState::Alive,
+        is_leaving: false,
+        is_serving: true,
+        is_voter: true,
+        seniority: 0,
+    }
+}
+
 struct Machine {
     now: Time,
     hosts: Vec<Host>,
@@ -186,7 +253,7 @@
     fn publish_all(&mut self, size: usize) {
         let per_domain = (TARGETS * size / LONG_RUN_HOSTS).div_ceil(DOMAINS);
         for pool in 0..POOLS {
-            let text = pool_text(pool, per_domain.div_ceil(POOLS));
+            let text = pool_text(pool, per_domain.div_ceil(POOLS), DOMAINS);
             self.document(&format!("pool/p{pool}"), &text);
         }
         for domain in 0..DOMAINS {
@@ -423,12 +490,12 @@
     )
 }
 
-fn pool_text(pool: usize, shards: usize) -> String {
+fn pool_text(pool: usize, shards: usize, domains: usize) -> String {
     let mut text = format!(
         "kind: pool\nname: p{pool}\nteam: t\nmap: 1\nshards: {shards}\nslots: 3\n\
          connections: 30\ncold-slots: 1\ntargets:\n"
     );
-    for domain in 0..DOMAINS {
+    for domain in 0..domains {
         for shard in 0..shards {
             let port = 10_000 + shard;
             text += &format!(
