Judge 'not run' of a resent query by the send it answers

Each send of a query is a request of its own, so the refusal was true and the check wrong. Change: a claim is judged against the runs only if no earlier send of that query may have run; sends under one ticket are still judged as one request. non_idempotent_runs tells how much work a zero of duplicate_runs stands on. Conclusion: as strict for tickets, true for queries.

--- a/xtask/src/judge/mod.rs
+++ b/xtask/src/judge/mod.rs
@@ -57,6 +57,8 @@
     pub crossed_answers: u64,
     pub false_not_run: u64,
     pub duplicate_runs: u64,
+    /// Pairs of key and shard that non-idempotent work ran on.
+    pub non_idempotent_runs: u64,
     pub extra_load_ratio: f64,
     /// Time that slots were in use, as a part of all slots' time.
     pub slot_use_ratio: f64,
@@ -121,6 +123,7 @@
             crossed_answers: check(|it| it.checks.crossed) as u64,
             false_not_run: self.false_not_run(),
             duplicate_runs: self.duplicate_runs(),
+            non_idempotent_runs: self.run_counts(false).len() as u64,
             extra_load_ratio: self.extra_load_ratio(),
             slot_use_ratio: self.slot_use_ratio(),
             wasted_run_ratio: self.wasted_run_ratio(),
@@ -155,7 +158,8 @@
     /// Calls whose last answer was "not run" although a target ran them.
     fn false_not_run(&self) -> u64 {
         let ran: BTreeSet<_> = self.runs.iter().map(|it| it.key.as_str()).collect();
-        let claims = self.results.iter().filter(|it| claims_not_run(&it.verdict));
+        let is_claim = |it: &&CallResult| it.verdict.claims_not_run() && !it.may_have_run_before;
+        let claims = self.results.iter().filter(is_claim);
         claims.filter(|it| ran.contains(it.call.key.as_str())).count() as u64
     }
 
@@ -288,10 +292,6 @@
     counts
 }
 
-fn claims_not_run(verdict: &Verdict) -> bool {
-    matches!(verdict, Verdict::Refused { outcome, .. } if outcome == "not_run")
-}
-
 /// Jain's index over the services with demand: what each got answered, as a
 /// part of its max-min fair share of all that was answered.
 fn fairness(results: &[&CallResult], from: Duration) -> f64 {
--- a/xtask/src/judge/tests.rs
+++ b/xtask/src/judge/tests.rs
@@ -27,6 +27,7 @@
         verdict,
         checks: Checks::default(),
         sends: 1,
+        may_have_run_before: false,
         is_host_stopping: false,
         body: Vec::new(),
     }
@@ -76,6 +77,15 @@
     assert_eq!(summary.broken_promises(), ["false_not_run", "duplicate_runs"]);
 }
 
+#[test]
+fn a_refused_resend_is_true_if_an_earlier_send_may_have_run() {
+    let mut resent = not_run("s", "k1");
+    resent.may_have_run_before = true;
+    let results = vec![resent, not_run("s", "k2")];
+    let runs = vec![run("k1", true, 1), run("k2", true, 1)];
+    assert_eq!(evidence(results, runs).summary().false_not_run, 1);
+}
+
 #[test]
 fn extra_load_is_runs_beyond_the_first() {
     let runs = vec![run("k1", true, 1), run("k1", true, 1), run("k2", true, 1), run("k3", true, 1)];
--- a/xtask/src/load/answer/mod.rs
+++ b/xtask/src/load/answer/mod.rs
@@ -73,6 +73,12 @@
     outcome: String,
 }
 
+impl Verdict {
+    pub fn claims_not_run(&self) -> bool {
+        matches!(self, Verdict::Refused { outcome, .. } if outcome == "not_run")
+    }
+}
+
 /// Reads a response. `shards_in` gives the true number of shards of a map.
 pub fn read(
     status: u16,
--- a/xtask/src/load/caller.rs
+++ b/xtask/src/load/caller.rs
@@ -26,6 +26,9 @@
     pub verdict: Verdict,
     pub checks: Checks,
     pub sends: u32,
+    /// Whether an earlier send of a query may have run. Each send of a query is
+    /// a request of its own; sends under one ticket are one request.
+    pub may_have_run_before: bool,
     /// Whether the last host had been told to stop when the call was sent.
     pub is_host_stopping: bool,
     /// The last answer as it came.
@@ -50,6 +53,7 @@
 pub async fn make(cx: Arc<LoadCx>, call: Call) -> CallResult {
     let mut ticket = None;
     let mut sends = 0;
+    let mut may_have_run_before = false;
     loop {
         sends += 1;
         let exchange = match call.kind {
@@ -63,11 +67,14 @@
                 verdict: exchange.verdict,
                 checks: exchange.checks,
                 sends,
+                may_have_run_before,
                 is_host_stopping: exchange.is_host_stopping,
                 body: exchange.body,
                 call,
             };
         }
+        let is_own_request = call.kind == CallKind::Query;
+        may_have_run_before |= is_own_request && !exchange.verdict.claims_not_run();
         tokio::time::sleep(RESEND_PAUSE).await;
     }
 }
--- a/xtask/src/report/mod.rs
+++ b/xtask/src/report/mod.rs
@@ -14,7 +14,7 @@
 };
 
 /// Keys printed for each run, in order.
-pub const KEYS: [&str; 29] = [
+pub const KEYS: [&str; 30] = [
     "requests",
     "answered",
     "refused",
@@ -30,6 +30,7 @@
     "crossed_answers",
     "false_not_run",
     "duplicate_runs",
+    "non_idempotent_runs",
     "extra_load_ratio",
     "slot_use_ratio",
     "wasted_run_ratio",
