--- a/crates/policy/src/request/mod.rs
+++ b/crates/policy/src/request/mod.rs
@@ -22,9 +22,9 @@
     gather::{Attempt, Coverage, Gather, SendKind, Settled, Settlement},
     latency::{LatencyHistogram, PoolLoad},
     pool_view::PoolView,
-    quarantine::{Admission, Death, Quarantine, SuspectNote},
+    quarantine::{Admission, Death, Quarantine, SuspectNote, TrialPlan},
     query::{Action, Answer, Query, QueryRequest, Verdict},
-    snapshot::{Pin, choose_snapshot},
+    snapshot::{Pin, choose_snapshot, choose_view},
     table::TargetTable,
     tickets::{RECORD_LIFETIME, Standing, TICKET_LIFETIME, TicketTable, parse_ticket, ticket_text},
 };
--- a/crates/policy/src/request/query/send.rs
+++ b/crates/policy/src/request/query/send.rs
@@ -23,6 +23,9 @@
     pub sends: u32,
     pub hedge_at: Option<Time>,
     pub retry_at: Option<Time>,
+    /// Whether another send would be extra load: some send may have run, or
+    /// was shed.
+    pub is_retry_charged: bool,
 }
 
 /// Sends and cancellations of one step, grouped by owner.
@@ -41,7 +44,14 @@
 
 impl ShardPlan {
     pub(super) fn new(shard: ShardId) -> Self {
-        ShardPlan { shard, tried: Vec::new(), sends: 0, hedge_at: None, retry_at: None }
+        ShardPlan {
+            shard,
+            tried: Vec::new(),
+            sends: 0,
+            hedge_at: None,
+            retry_at: None,
+            is_retry_charged: false,
+        }
     }
 
     pub(super) fn tried_targets(&self) -> Vec<TargetName> {
@@ -149,7 +159,7 @@
         cx: &mut QueryCx<'_, R>,
         shard: ShardId,
     ) -> Result<std::sync::Arc<Target>, base::Missing> {
-        let plan = self.plans.iter().find(|it| it.shard == shard);
+        let plan = self.plan(shard);
         let tried = plan.map(ShardPlan::tried_targets).unwrap_or_default();
         let plan_cx = PlanCx {
             now: cx.now,
@@ -234,7 +244,7 @@
         if let Ok(target) = self.choose_untried(cx, shard) {
             return Some(target);
         }
-        let plan = self.plans.iter().find(|it| it.shard == shard)?;
+        let plan = self.plan(shard)?;
         let (last, _) = plan.tried.last()?;
         let target = self.req.view.replicas(shard).iter().find(|it| it.name == *last)?;
         self.choose_owner(cx, shard, last).map(|_| target.clone())
@@ -248,7 +258,7 @@
         target: &TargetName,
     ) -> Option<HostName> {
         let (primary, standby) = cx.routes.owners(target)?;
-        let plan = self.plans.iter().find(|it| it.shard == shard)?;
+        let plan = self.plan(shard)?;
         let is_tried =
             |owner: &HostName| plan.tried.iter().any(|it| it.0 == *target && it.1 == *owner);
         let owners = std::iter::once(primary).chain(standby);
