Compare scenarios with mechanisms off, and tell the load's own lag

Cause: a bench table without its baseline says little, and a late load generator would pass for a slow tier. Conclusion: the next bench all shows each mechanism's worth.

--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -194,6 +194,8 @@
     let programs = Programs::build(options.is_release)?;
     let docs = workspace_folder().join("docs");
     fs::create_dir_all(&docs)?;
+    let load_average = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let load_average = load_average.split(' ').next().unwrap_or_default();
     let mut sections = Vec::new();
     let mut all_hold = true;
     for path in scenario_files()? {
@@ -216,18 +218,29 @@
             let settle = Duration::from_millis(scenario.settle_ms);
             report::draw(&docs.join(format!("{name}.svg")), &name, &run.results, settle)?;
         }
+        let mut others = Vec::new();
+        for baseline in scenario.comparisons()? {
+            let job =
+                Job { baseline: Some(baseline), ..Job::new(&programs, &scenario, &name, options) };
+            match run_scenario(job) {
+                Ok(run) => others.push(run.summary),
+                Err(err) => println!("{name} with {} off: {err:#}", baseline.name()),
+            }
+        }
         let command = format!("cargo xtask bench bench/{name}.yaml --seed {}", options.seed);
         let summary = run.summary;
-        sections.push(Ok(Section { title: scenario.title, command, summary, verdicts }));
+        sections.push(Ok(Section { title: scenario.title, command, summary, others, verdicts }));
     }
     let head = format!(
         "Written by `cargo xtask bench all --seed {}` on {} at commit {}, {} build.\n\
-         All processes ran on one machine over loopback.\n\n\
+         All processes ran on one machine over loopback; its load average was {} at\n\
+         the start, and other work ran beside. Compared runs have the same seed.\n\n\
          ![p99 and coverage while a failure domain leaves and returns]({PLOTTED}.svg)",
         options.seed,
         output_of("date", &["-u", "+%F %H:%M UTC"]),
         output_of("git", &["rev-parse", "--short", "HEAD"]),
         if options.is_release { "release" } else { "debug" },
+        load_average,
     );
     fs::write(docs.join("BENCHMARKS.md"), report::page(&head, &sections))?;
     Ok(if all_hold { ExitCode::SUCCESS } else { ExitCode::FAILURE })
--- a/xtask/src/judge/mod.rs
+++ b/xtask/src/judge/mod.rs
@@ -80,6 +80,8 @@
     pub cpu_us_per_query: f64,
     pub rss_mb_max: f64,
     pub invariant_violations: u64,
+    /// How late the load was in making its calls.
+    pub load_lag_p99_ms: f64,
 }
 
 /// Everything that a run left behind.
@@ -143,6 +145,7 @@
             cpu_us_per_query: after.cpu_us.saturating_sub(before.cpu_us) as f64 / queries,
             rss_mb_max: after.resident_kb_max as f64 / 1_024.0,
             invariant_violations: (after.invariants_broken as u64).max(self.logged_invariants),
+            load_lag_p99_ms: load_lag_p99(&measured),
             ..Summary::default()
         }
     }
@@ -252,8 +255,7 @@
                 slice.answered += 1;
                 coverage += f64::from(*answered) / f64::from((*total).max(1));
                 full += u64::from(answered == total);
-                let micros = u64::try_from(result.latency.as_micros()).unwrap_or(MAX_LATENCY_US);
-                latencies.saturating_record(micros);
+                latencies.saturating_record(micros(result.latency));
             }
             Verdict::Refused { .. } => slice.refused += 1,
             Verdict::Failed(_) => slice.failed += 1,
@@ -334,6 +336,16 @@
         .unwrap_or_else(|err| unreachable!("histogram bounds: {err}"))
 }
 
+fn load_lag_p99(results: &[&CallResult]) -> f64 {
+    let mut lags = latency_histogram();
+    results.iter().for_each(|it| lags.saturating_record(micros(it.lag)));
+    lags.value_at_quantile(0.99) as f64 / 1_000.0
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(MAX_LATENCY_US)
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/xtask/src/judge/tests.rs
+++ b/xtask/src/judge/tests.rs
@@ -24,6 +24,7 @@
         call,
         domain: "a".to_owned(),
         latency: Duration::from_millis(10),
+        lag: Duration::ZERO,
         verdict,
         checks: Checks::default(),
         sends: 1,
--- a/xtask/src/load/caller.rs
+++ b/xtask/src/load/caller.rs
@@ -23,6 +23,8 @@
     pub domain: String,
     /// From the intended start to the last answer.
     pub latency: Duration,
+    /// How late the load itself was in making the call.
+    pub lag: Duration,
     pub verdict: Verdict,
     pub checks: Checks,
     pub sends: u32,
@@ -51,6 +53,7 @@
 
 /// Makes a call, with its resends.
 pub async fn make(cx: Arc<LoadCx>, call: Call) -> CallResult {
+    let lag = cx.started.elapsed().saturating_sub(call.at);
     let mut ticket = None;
     let mut sends = 0;
     let mut may_have_run_before = false;
@@ -63,6 +66,7 @@
         if sends > call.resends || is_final(&exchange.verdict) {
             return CallResult {
                 latency: cx.started.elapsed().saturating_sub(call.at),
+                lag,
                 domain: exchange.domain,
                 verdict: exchange.verdict,
                 checks: exchange.checks,
--- a/xtask/src/report/markdown.rs
+++ b/xtask/src/report/markdown.rs
@@ -5,11 +5,27 @@
 use super::{KEYS, Verdict};
 use crate::judge::Summary;
 
+/// Keys of the comparison with a mechanism off.
+const COMPARED_KEYS: [&str; 10] = [
+    "answered_ratio",
+    "p50_ms",
+    "p99_ms",
+    "coverage_mean",
+    "coverage_full_ratio",
+    "extra_load_ratio",
+    "wasted_run_ratio",
+    "cold_overload_events",
+    "fairness_jain",
+    "cpu_us_per_query",
+];
+
 /// One scenario's part of the page.
 pub struct Section {
     pub title: String,
     pub command: String,
     pub summary: Summary,
+    /// The same scenario with a mechanism off.
+    pub others: Vec<Summary>,
     pub verdicts: Vec<Verdict>,
 }
 
@@ -48,6 +64,9 @@
             it.requests, it.answered, it.p50_ms, it.p99_ms, it.coverage_mean
         );
     }
+    if !section.others.is_empty() {
+        write_comparison(out, summary, &section.others);
+    }
     out.push_str("\n<details><summary>all keys</summary>\n\n");
     for key in KEYS {
         let _ = writeln!(out, "- {key}: {:.3}", summary.value(key).unwrap_or(f64::NAN));
@@ -57,3 +76,18 @@
     }
     out.push_str("\n</details>\n");
 }
+
+fn write_comparison(out: &mut String, summary: &Summary, others: &[Summary]) {
+    out.push_str("\n| key | as shipped |");
+    others.iter().for_each(|it| {
+        let _ = write!(out, " {} |", it.baseline);
+    });
+    let _ = writeln!(out, "\n| --- | --- |{}", " --- |".repeat(others.len()));
+    for key in COMPARED_KEYS {
+        let _ = write!(out, "| {key} |");
+        for it in std::iter::once(summary).chain(others) {
+            let _ = write!(out, " {:.3} |", it.value(key).unwrap_or(f64::NAN));
+        }
+        out.push('\n');
+    }
+}
--- a/xtask/src/report/mod.rs
+++ b/xtask/src/report/mod.rs
@@ -14,7 +14,7 @@
 };
 
 /// Keys printed for each run, in order.
-pub const KEYS: [&str; 30] = [
+pub const KEYS: [&str; 31] = [
     "requests",
     "answered",
     "refused",
@@ -45,6 +45,7 @@
     "cpu_us_per_query",
     "rss_mb_max",
     "invariant_violations",
+    "load_lag_p99_ms",
 ];
 
 /// A bound of a scenario against what was measured.
--- a/xtask/src/scenario/mod.rs
+++ b/xtask/src/scenario/mod.rs
@@ -38,6 +38,9 @@
     /// Events at times of the measured part.
     #[serde(default)]
     pub timeline: Vec<Event>,
+    /// Mechanisms that `bench all` turns off for comparison.
+    #[serde(default)]
+    pub compare: Vec<String>,
     /// Bounds on keys of the summary.
     #[serde(default)]
     pub bounds: BTreeMap<String, Bound>,
@@ -206,8 +209,13 @@
             scenario.deployment.is_some() == scenario.pools.is_empty(),
             "a scenario has either `deployment` or `pools`"
         );
+        scenario.comparisons()?;
         Ok(scenario)
     }
+
+    pub fn comparisons(&self) -> eyre::Result<Vec<Baseline>> {
+        self.compare.iter().map(|it| it.parse().map_err(|err| eyre!("compare: {err}"))).collect()
+    }
 }
 
 impl Bound {
