Count attempts beyond a target's slots

Cause: the direct baseline answered more than owners did at 60% of slots, and the summary did not tell that its requests waited at the targets. Change: attempts_over_slots.

--- a/xtask/src/judge/mod.rs
+++ b/xtask/src/judge/mod.rs
@@ -74,6 +74,8 @@
     pub config_reverts: u64,
     pub fairness_jain: f64,
     pub connections_over_limit: u64,
+    /// Attempts that found every slot of their target taken.
+    pub attempts_over_slots: u64,
     pub planned_stop_failures: u64,
     pub platform_calls_per_s: f64,
     pub control_bytes_per_s_per_host: f64,
@@ -139,6 +141,7 @@
             config_reverts: self.config_reverts,
             fairness_jain: fairness(&measured, self.fairness_from),
             connections_over_limit: self.sum(|it| it.connections_over_limit),
+            attempts_over_slots: self.sum(|it| it.over_slots),
             planned_stop_failures: self.planned_stop_failures(),
             platform_calls_per_s: self.platform_calls as f64 / seconds,
             control_bytes_per_s_per_host: control_bytes / seconds / self.hosts as f64,
--- a/xtask/src/report/markdown.rs
+++ b/xtask/src/report/markdown.rs
@@ -6,7 +6,7 @@
 use crate::judge::Summary;
 
 /// Keys of the comparison with a mechanism off.
-const COMPARED_KEYS: [&str; 10] = [
+const COMPARED_KEYS: [&str; 11] = [
     "answered_ratio",
     "p50_ms",
     "p99_ms",
@@ -15,6 +15,7 @@
     "extra_load_ratio",
     "wasted_run_ratio",
     "cold_overload_events",
+    "attempts_over_slots",
     "fairness_jain",
     "cpu_us_per_query",
 ];
--- a/xtask/src/report/mod.rs
+++ b/xtask/src/report/mod.rs
@@ -14,7 +14,7 @@
 };
 
 /// Keys printed for each run, in order.
-pub const KEYS: [&str; 31] = [
+pub const KEYS: [&str; 33] = [
     "requests",
     "answered",
     "refused",
@@ -38,6 +38,8 @@
     "retries",
     "cold_overload_events",
     "target_crashes",
+    "connections_over_limit",
+    "attempts_over_slots",
     "work_after_domain_out_ms_max",
     "config_in_force_ms_max",
     "fairness_jain",
