--- a/xtask/src/deployment/host.rs
+++ b/xtask/src/deployment/host.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     process::ExitStatus,
     sync::{Mutex, MutexGuard, PoisonError},
@@ -28,7 +28,10 @@
     pub domain: String,
     pub callers: SocketAddr,
     pub admin: SocketAddr,
+    /// Where other hosts reach this one.
     pub peers: SocketAddr,
+    /// Where it listens for them; `peers` unless a relay is between.
+    pub bound: SocketAddr,
     run: Mutex<(Phase, Option<Process>)>,
 }
 
@@ -42,7 +45,14 @@
 impl Host {
     pub fn new(name: String, domain: String, addresses: [SocketAddr; 3]) -> Self {
         let [callers, admin, peers] = addresses;
-        Host { name, domain, callers, admin, peers, run: Mutex::new((Phase::Down, None)) }
+        let run = Mutex::new((Phase::Down, None));
+        Host { name, domain, callers, admin, peers, bound: peers, run }
+    }
+
+    /// Lets the host listen for others at an IP of its own, behind a relay.
+    pub fn behind_relay(mut self, ip: IpAddr) -> Self {
+        self.bound.set_ip(ip);
+        self
     }
 
     pub fn settings_file(&self, folder: &Path) -> PathBuf {
--- a/xtask/src/deployment/mod.rs
+++ b/xtask/src/deployment/mod.rs
@@ -1,8 +1,9 @@
 //! One run's processes: platform, targets and daemons, with their files.
 
 use std::{
+    collections::BTreeSet,
     fs,
-    net::SocketAddr,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     sync::Arc,
     time::{Duration, Instant},
@@ -28,6 +29,7 @@
 };
 use crate::{
     ci,
+    relay::{Peer, PlatformPort, Relay},
     scenario::{Baseline, Scenario},
 };
 
@@ -54,6 +56,7 @@
     pub client: reqwest::Client,
     platform: Vec<SocketAddr>,
     control: SocketAddr,
+    relay: Option<Relay>,
     _stand_ins: Vec<Process>,
 }
 
@@ -97,10 +100,19 @@
         let stand_ins = start_stand_ins(programs, &folder, &platform, control, seed)?;
         let hosts = make_hosts(scenario, &documents, &mut ports);
         let policy = baseline.map(Baseline::policy_setting);
+        let ways = platform_ways(scenario, &hosts, &platform, &mut ports);
         for host in &hosts {
-            let text = texts::settings(host, &hosts, &platform, policy);
+            let own: Vec<_> = ways.iter().filter(|it| *it.domain == *host.domain).collect();
+            let addresses: Vec<_> = own.iter().map(|it| it.listen).collect();
+            let addresses = if own.is_empty() { &platform } else { &addresses };
+            let text = texts::settings(host, &hosts, addresses, policy);
             fs::write(host.settings_file(&folder), text)?;
         }
+        let relay = if scenario.needs_relay() {
+            Some(Relay::start(&relay_peers(&hosts), &ways).await?)
+        } else {
+            None
+        };
         let client = reqwest::Client::builder().no_proxy().timeout(START_TIMEOUT).build()?;
         let deployment = Deployment {
             folder,
@@ -110,6 +122,7 @@
             client,
             platform,
             control,
+            relay,
             _stand_ins: stand_ins,
         };
         deployment.wait_for_stand_ins().await?;
@@ -124,6 +137,11 @@
         Ok(deployment)
     }
 
+    /// The relay between hosts, if the scenario uses one.
+    pub fn relay(&self) -> eyre::Result<&Relay> {
+        self.relay.as_ref().ok_or_else(|| eyre::eyre!("the hosts are not behind a relay"))
+    }
+
     pub fn host(&self, name: &str) -> eyre::Result<&Arc<Host>> {
         let host = self.hosts.iter().find(|it| it.name == name);
         host.ok_or_else(|| eyre::eyre!("no host named `{name}`"))
@@ -276,11 +294,47 @@
     let host = |number: usize| {
         let domain = domains[number % domains.len()];
         let name = format!("{domain}-{}", number / domains.len() + 1);
-        Arc::new(Host::new(name, domain.to_owned(), [ports.next(), ports.next(), ports.next()]))
+        let addresses = [ports.next(), ports.next(), ports.next()];
+        let host = Host::new(name, domain.to_owned(), addresses);
+        if !scenario.needs_relay() {
+            return Arc::new(host);
+        }
+        let [domain_number, host_number] = [number % domains.len(), number / domains.len()];
+        // Hosts of one run are few; the last byte of each number is enough.
+        let ip = Ipv4Addr::new(127, 0, domain_number as u8 + 1, host_number as u8 + 1);
+        Arc::new(host.behind_relay(IpAddr::V4(ip)))
     };
     (0..scenario.hosts).map(host).collect()
 }
 
+/// Each domain's own way to the platform through the relay; none without one.
+fn platform_ways(
+    scenario: &Scenario,
+    hosts: &[Arc<Host>],
+    replicas: &[SocketAddr],
+    ports: &mut ports::Ports,
+) -> Vec<PlatformPort> {
+    if !scenario.needs_relay() {
+        return Vec::new();
+    }
+    let domains: BTreeSet<_> = hosts.iter().map(|it| it.domain.as_str()).collect();
+    let way = |(domain, replica): (&str, &SocketAddr)| PlatformPort {
+        domain: domain.into(),
+        listen: ports.next(),
+        replica: *replica,
+    };
+    domains.into_iter().zip(replicas.iter().cycle()).map(way).collect()
+}
+
+fn relay_peers(hosts: &[Arc<Host>]) -> Vec<Peer> {
+    let peer = |it: &Arc<Host>| Peer {
+        domain: it.domain.as_str().into(),
+        advertised: it.peers,
+        bound: it.bound,
+    };
+    hosts.iter().map(peer).collect()
+}
+
 fn listed_host(host: &Host) -> Option<ListedHost> {
     let state = match host.phase() {
         Phase::Down => return None,
--- a/xtask/src/deployment/texts/mod.rs
+++ b/xtask/src/deployment/texts/mod.rs
@@ -40,16 +40,21 @@
         let _ = writeln!(seeds, "  - {{host: {name}, domain: {domain}, address: \"{address}\"}}");
     }
     let platform: Vec<_> = platform.iter().map(|it| format!("\"{it}\"")).collect();
+    let advertise = if host.bound == host.peers {
+        String::new()
+    } else {
+        format!("advertise: \"{}\"\n", host.peers)
+    };
     let policy = policy.map(|it| format!("policy:\n  {it}\n")).unwrap_or_default();
     format!(
         "host: {}\ndomain: {}\nregion: bench\nfleet: bench\ncallers: \"{}\"\nadmin: \"{}\"\n\
-         peers: \"{}\"\nseeds:\n{seeds}platform:\n  addresses: [{}]\ngrace-ms: 5000\n\
+         peers: \"{}\"\n{advertise}seeds:\n{seeds}platform:\n  addresses: [{}]\ngrace-ms: 5000\n\
          balancer-lag-ms: 500\nworkers: 2\nlog:\n  format: json\n  level: info\n{policy}",
         host.name,
         host.domain,
         host.callers,
         host.admin,
-        host.peers,
+        host.bound,
         platform.join(", "),
     )
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -16,6 +16,7 @@
 mod deployment;
 mod judge;
 mod load;
+mod relay;
 mod report;
 mod scenario;
 mod timeline;
--- /dev/null
+++ b/xtask/src/relay/flow.rs
@@ -0,0 +1,99 @@
+//! One forwarded connection.
+
+use std::net::SocketAddr;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+    time::{self, Instant},
+};
+
+use super::{Direction, Rules, connect};
+
+const CHUNK_BYTES: usize = 16 << 10;
+/// Chunks that may be under way in one direction.
+const CHUNKS: usize = 256;
+
+type Watch = watch::Receiver<Rules>;
+
+/// Forwards a connection until it ends or is cut.
+pub async fn forward(stream: TcpStream, to: SocketAddr, there: Direction, rules: Watch) {
+    let mut cut = rules.clone();
+    let back = there.reversed();
+    let is_cut = |it: &Rules| it.is_cut(&there) || it.is_cut(&back);
+    tokio::select! {
+        () = carry(stream, to, &there, &back, rules) => (),
+        _ = cut.wait_for(is_cut) => (),
+    }
+}
+
+async fn carry(
+    stream: TcpStream,
+    to: SocketAddr,
+    there: &Direction,
+    back: &Direction,
+    mut rules: Watch,
+) {
+    passing(&mut rules, there).await;
+    let Ok(other) = connect(to).await else { return };
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let (other_reader, other_writer) = other.into_split();
+    tokio::join!(
+        copy(reader, other_writer, there, rules.clone()),
+        copy(other_reader, writer, back, rules.clone()),
+    );
+}
+
+async fn copy(reader: OwnedReadHalf, writer: OwnedWriteHalf, direction: &Direction, rules: Watch) {
+    let (tx, rx) = mpsc::channel(CHUNKS);
+    tokio::join!(read(reader, tx, direction, rules.clone()), write(writer, rx, direction, rules));
+}
+
+/// Reads chunks, each with the time at which it is due at the other end.
+async fn read(
+    mut reader: OwnedReadHalf,
+    tx: mpsc::Sender<(Instant, Vec<u8>)>,
+    direction: &Direction,
+    rules: Watch,
+) {
+    let mut buf = vec![0; CHUNK_BYTES];
+    loop {
+        let len = match reader.read(&mut buf).await {
+            Ok(0) | Err(_) => return,
+            Ok(len) => len,
+        };
+        let due = Instant::now() + rules.borrow().delay(direction);
+        if tx.send((due, buf[..len].to_vec())).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Writes chunks when they are due and may pass, then the end.
+async fn write(
+    mut writer: OwnedWriteHalf,
+    mut rx: mpsc::Receiver<(Instant, Vec<u8>)>,
+    direction: &Direction,
+    mut rules: Watch,
+) {
+    while let Some((due, chunk)) = rx.recv().await {
+        time::sleep_until(due).await;
+        passing(&mut rules, direction).await;
+        if writer.write_all(&chunk).await.is_err() {
+            return;
+        }
+    }
+    passing(&mut rules, direction).await;
+    let _ = writer.shutdown().await;
+}
+
+/// Returns when the direction passes; never, if it is silent for good.
+async fn passing(rules: &mut Watch, direction: &Direction) {
+    // The relay ends its flows before the rules' sender is dropped.
+    let _ = rules.wait_for(|it| it.passes(direction)).await;
+}
--- /dev/null
+++ b/xtask/src/relay/mod.rs
@@ -0,0 +1,229 @@
+//! Forwards what hosts send to each other and to the platform, and cuts,
+//! silences or delays it by failure domain.
+//!
+//! Each host has a loopback IP of its own, by which the relay knows senders,
+//! and advertises an address of the relay.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::watch,
+    task::JoinSet,
+    time,
+};
+
+mod flow;
+mod rules;
+#[cfg(test)]
+mod tests;
+
+use self::rules::{Direction, Rules};
+pub use self::rules::{LinkState, PLATFORM, Place};
+
+/// Largest datagram forwarded, in bytes.
+const DATAGRAM_BYTES: usize = 64 << 10;
+/// Rest after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// A host as the relay knows it.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    pub domain: Place,
+    /// Address of the relay that stands for the host.
+    pub advertised: SocketAddr,
+    /// Where the host listens and sends from.
+    pub bound: SocketAddr,
+}
+
+/// A domain's own way to the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformPort {
+    pub domain: Place,
+    pub listen: SocketAddr,
+    pub replica: SocketAddr,
+}
+
+/// A running relay; it stops when dropped.
+pub struct Relay {
+    _tasks: JoinSet<()>,
+    places: Vec<Place>,
+    rules: watch::Sender<Rules>,
+    flows: Arc<AtomicU64>,
+}
+
+/// Who listens on one of the relay's TCP ports, and for whom.
+struct Route {
+    senders: Senders,
+    to: Place,
+    address: SocketAddr,
+}
+
+enum Senders {
+    ByIp(Arc<BTreeMap<IpAddr, Place>>),
+    Of(Place),
+}
+
+impl Relay {
+    pub async fn start(peers: &[Peer], platform: &[PlatformPort]) -> io::Result<Self> {
+        let (rules, rx) = watch::channel(Rules::default());
+        let flows = Arc::new(AtomicU64::new(0));
+        let mut tasks = JoinSet::new();
+        let senders = peers.iter().map(|it| (it.bound.ip(), Arc::clone(&it.domain)));
+        let senders: Arc<BTreeMap<_, _>> = Arc::new(senders.collect());
+        for peer in peers {
+            let route = Route {
+                senders: Senders::ByIp(Arc::clone(&senders)),
+                to: Arc::clone(&peer.domain),
+                address: peer.bound,
+            };
+            let listener = TcpListener::bind(peer.advertised).await?;
+            tasks.spawn(accept(listener, route, rx.clone(), Arc::clone(&flows)));
+        }
+        for port in platform {
+            let route = Route {
+                senders: Senders::Of(Arc::clone(&port.domain)),
+                to: PLATFORM.into(),
+                address: port.replica,
+            };
+            let listener = TcpListener::bind(port.listen).await?;
+            tasks.spawn(accept(listener, route, rx.clone(), Arc::clone(&flows)));
+        }
+        spawn_datagrams(peers, &rx, &mut tasks).await?;
+        let mut places: Vec<_> = peers.iter().map(|it| Arc::clone(&it.domain)).collect();
+        places.push(PLATFORM.into());
+        places.sort();
+        places.dedup();
+        Ok(Relay { _tasks: tasks, places, rules, flows })
+    }
+
+    /// Sets both directions between two places.
+    pub fn set(&self, a: &str, b: &str, state: LinkState, delay: Duration) -> eyre::Result<()> {
+        let (a, b) = (self.place(a)?, self.place(b)?);
+        let next = self.flows.load(Ordering::Relaxed);
+        self.rules.send_modify(|it| {
+            it.set(&a, &b, state, delay, next);
+            it.set(&b, &a, state, delay, next);
+        });
+        Ok(())
+    }
+
+    /// Sets every pair of domains; the platform is left as it is.
+    pub fn set_all(&self, state: LinkState, delay: Duration) -> eyre::Result<()> {
+        let domains: Vec<_> = self.places.iter().filter(|it| &***it != PLATFORM).collect();
+        for (number, a) in domains.iter().enumerate() {
+            for b in &domains[number + 1..] {
+                self.set(a, b, state, delay)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Nothing passes any more between a place and all others.
+    pub fn isolate(&self, place: &str) -> eyre::Result<()> {
+        let others = self.places.iter().filter(|it| &***it != place);
+        others.into_iter().try_for_each(|it| self.set(place, it, LinkState::Silent, Duration::ZERO))
+    }
+
+    pub fn heal(&self) {
+        self.rules.send_modify(Rules::heal);
+    }
+
+    fn place(&self, name: &str) -> eyre::Result<Place> {
+        let place = self.places.iter().find(|it| &***it == name);
+        place.cloned().ok_or_else(|| eyre::eyre!("no domain named `{name}`"))
+    }
+}
+
+impl Route {
+    fn direction(&self, sender: IpAddr, flow: u64) -> Option<Direction> {
+        let from = match &self.senders {
+            Senders::ByIp(domains) => domains.get(&sender)?,
+            Senders::Of(domain) => domain,
+        };
+        Some(Direction { from: Arc::clone(from), to: Arc::clone(&self.to), flow })
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    route: Route,
+    rules: watch::Receiver<Rules>,
+    flows: Arc<AtomicU64>,
+) {
+    let mut open = JoinSet::new();
+    loop {
+        while open.try_join_next().is_some() {}
+        let Ok((stream, sender)) = listener.accept().await else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let number = flows.fetch_add(1, Ordering::Relaxed);
+        let Some(direction) = route.direction(sender.ip(), number) else { continue };
+        open.spawn(flow::forward(stream, route.address, direction, rules.clone()));
+    }
+}
+
+/// Forwards datagrams so that each seems to come from its sender's advertised
+/// address.
+async fn spawn_datagrams(
+    peers: &[Peer],
+    rules: &watch::Receiver<Rules>,
+    tasks: &mut JoinSet<()>,
+) -> io::Result<()> {
+    let mut sockets = BTreeMap::new();
+    for peer in peers {
+        let socket = Arc::new(UdpSocket::bind(peer.advertised).await?);
+        sockets.insert(peer.bound.ip(), (Arc::clone(&peer.domain), socket));
+    }
+    let sockets = Arc::new(sockets);
+    for peer in peers {
+        tasks.spawn(forward_datagrams(peer.clone(), Arc::clone(&sockets), rules.clone()));
+    }
+    Ok(())
+}
+
+type Sockets = BTreeMap<IpAddr, (Place, Arc<UdpSocket>)>;
+
+async fn forward_datagrams(peer: Peer, sockets: Arc<Sockets>, rules: watch::Receiver<Rules>) {
+    let Some((_, own)) = sockets.get(&peer.bound.ip()) else { return };
+    let mut buf = vec![0; DATAGRAM_BYTES];
+    let mut late = JoinSet::new();
+    loop {
+        while late.try_join_next().is_some() {}
+        let Ok((len, sender)) = own.recv_from(&mut buf).await else { continue };
+        let Some((from, socket)) = sockets.get(&sender.ip()) else { continue };
+        let (from, to) = (Arc::clone(from), Arc::clone(&peer.domain));
+        let direction = Direction { from, to, flow: u64::MAX };
+        if !rules.borrow().passes(&direction) {
+            continue;
+        }
+        let delay = rules.borrow().delay(&direction);
+        if delay.is_zero() {
+            // A full buffer drops the datagram, as the network may.
+            let _ = socket.try_send_to(&buf[..len], peer.bound);
+            continue;
+        }
+        let (socket, datagram, to) = (Arc::clone(socket), buf[..len].to_vec(), peer.bound);
+        late.spawn(async move {
+            time::sleep(delay).await;
+            let _ = socket.try_send_to(&datagram, to);
+        });
+    }
+}
+
+/// Connects to where a flow goes.
+async fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- a/xtask/src/scenario/mod.rs
+++ b/xtask/src/scenario/mod.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use standins::{platform::Outage, targets::Change};
 
+use crate::relay::LinkState;
+
 #[cfg(test)]
 mod tests;
 
@@ -116,6 +118,24 @@
     pub touch: Option<String>,
     pub repartition: Option<Repartition>,
     pub rolling_replacement: Option<RollingReplacement>,
+    pub links: Option<LinksEvent>,
+    /// Domain that is silently cut off from all others and the platform.
+    pub isolate: Option<String>,
+    /// Ends every cut, silence and delay.
+    #[serde(default)]
+    pub heal: bool,
+}
+
+/// What passes between two domains, or a domain and `platform`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct LinksEvent {
+    /// Every pair of domains if absent.
+    pub between: Option<[String; 2]>,
+    #[serde(default)]
+    pub state: LinkState,
+    #[serde(default)]
+    pub delay_ms: u64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -205,6 +225,11 @@
         );
         Ok(scenario)
     }
+
+    /// Whether hosts reach each other and the platform through the relay.
+    pub fn needs_relay(&self) -> bool {
+        self.timeline.iter().any(|it| it.links.is_some() || it.isolate.is_some())
+    }
 }
 
 impl Bound {
--- a/xtask/src/timeline.rs
+++ b/xtask/src/timeline.rs
@@ -13,8 +13,8 @@
     deployment::{Deployment, HOST_LIST_LAG, Host, PLATFORM_REPLICAS, Programs},
     load::LoadCx,
     scenario::{
-        DomainEvent, Event, HostEvent, PlatformEvent, Repartition, RollingReplacement, Scenario,
-        Signal,
+        DomainEvent, Event, HostEvent, LinksEvent, PlatformEvent, Repartition, RollingReplacement,
+        Scenario, Signal,
     },
     watch::RevisionWatch,
 };
@@ -66,6 +66,15 @@
     if let Some(repartition) = &event.repartition {
         draw_shards_again(cx, repartition).await?;
     }
+    if let Some(links) = &event.links {
+        change_links(cx, links)?;
+    }
+    if let Some(domain) = &event.isolate {
+        cx.deployment.relay()?.isolate(domain)?;
+    }
+    if event.heal {
+        cx.deployment.relay()?.heal();
+    }
     if let Some(rolling) = &event.rolling_replacement {
         failures += replace_hosts(cx, rolling).await?;
     }
@@ -103,6 +112,15 @@
     cx.deployment.list_hosts(HOST_LIST_LAG).await
 }
 
+fn change_links(cx: &TimelineCx, event: &LinksEvent) -> eyre::Result<()> {
+    let relay = cx.deployment.relay()?;
+    let delay = Duration::from_millis(event.delay_ms);
+    match &event.between {
+        Some([a, b]) => relay.set(a, b, event.state, delay),
+        None => relay.set_all(event.state, delay),
+    }
+}
+
 async fn change_platform(cx: &TimelineCx, event: &PlatformEvent) -> eyre::Result<()> {
     let deployment = &cx.deployment;
     let mut revision = deployment.platform_revision().await?;
