Do not let queries wait for a peer that could not be reached

Cause: while a peer is out of reach, each attempt to link to it again held the calls that came meanwhile for up to 300 ms, three times the deadline of a latency-bound service, and these calls then said nothing until it was over. Change: after a failed attempt, work that another owner can do fails at once as not run, and the next attempt goes on beside it. Non-idempotent work and everything else waits as before.

--- a/crates/peer/src/links/table.rs
+++ b/crates/peer/src/links/table.rs
@@ -21,6 +21,9 @@
 /// After a failed attempt, calls fail at once for this long.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 
+/// How long it is remembered that a peer could not be reached.
+const FAILURE_MEMORY: Duration = Duration::from_secs(10);
+
 /// Links kept; the longest unused one goes first.
 const MAX_LINKS: usize = 2_048;
 
@@ -41,9 +44,15 @@
 
 #[derive(Clone)]
 enum Entry {
-    Opening(Opening),
+    Opening {
+        opening: Opening,
+        /// Whether the last attempt failed.
+        is_retry: bool,
+    },
     Open(Rc<Link>),
-    Failed { retry_at: Instant },
+    Failed {
+        retry_at: Instant,
+    },
 }
 
 impl Table {
@@ -60,17 +69,37 @@
         let entry = self.inner.entries.borrow().get(&to).cloned();
         match entry {
             Some(Entry::Open(link)) if !link.is_closed() => Some(link),
-            Some(Entry::Opening(opening)) => opening.await,
+            Some(Entry::Opening { opening, .. }) => opening.await,
+            Some(Entry::Failed { retry_at }) if Instant::now() < retry_at => None,
+            Some(Entry::Failed { .. }) => self.start_opening(to, true).await,
+            _ => self.start_opening(to, false).await,
+        }
+    }
+
+    /// The link to a peer, without waiting for a peer that could not be
+    /// reached last time; whether it can be now is found out meanwhile.
+    pub(super) async fn prompt_link(&self, to: SocketAddr) -> Option<Rc<Link>> {
+        let entry = self.inner.entries.borrow().get(&to).cloned();
+        match entry {
+            Some(Entry::Opening { is_retry: true, .. }) => None,
             Some(Entry::Failed { retry_at }) if Instant::now() < retry_at => None,
-            _ => self.start_opening(to).await,
+            Some(Entry::Failed { retry_at }) if Instant::now() < retry_at + FAILURE_MEMORY => {
+                // Goes on by itself; nobody waits for it here.
+                drop(self.start_opening(to, true));
+                None
+            }
+            _ => self.link(to).await,
         }
     }
 
-    fn start_opening(&self, to: SocketAddr) -> Opening {
+    fn start_opening(&self, to: SocketAddr, is_retry: bool) -> Opening {
         self.make_room();
         let table = self.clone();
         let opening = async move { table.open(to).await }.boxed_local().shared();
-        self.inner.entries.borrow_mut().insert(to, Entry::Opening(opening.clone()));
+        self.inner
+            .entries
+            .borrow_mut()
+            .insert(to, Entry::Opening { opening: opening.clone(), is_retry });
         // Opening goes on also when the call that began it is dropped.
         task::spawn_local(opening.clone());
         opening
@@ -94,9 +123,9 @@
         let mut entries = self.inner.entries.borrow_mut();
         let now = Instant::now();
         entries.retain(|_, entry| match entry {
-            Entry::Opening(_) => true,
+            Entry::Opening { .. } => true,
             Entry::Open(link) => !link.is_closed(),
-            Entry::Failed { retry_at } => now < *retry_at,
+            Entry::Failed { retry_at } => now < *retry_at + FAILURE_MEMORY,
         });
         if entries.len() < MAX_LINKS {
             return;
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -18,6 +18,9 @@
 /// Longest wait of a test for what must come; only a hang reaches it.
 const HANG: Duration = Duration::from_secs(20);
 
+/// Time after which a peer that was not reached is tried again.
+const AFTER_RECONNECT_PAUSE: Duration = Duration::from_millis(250);
+
 /// Where the links under test leave from; not what the routes would choose.
 const SOURCE: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 9));
 
@@ -123,6 +126,16 @@
     }
 }
 
+fn redemption() -> Redemption {
+    Redemption {
+        ticket: Ticket { minter: "a-1".into(), incarnation: Incarnation(1), secret: 1 << 100 | 5 },
+        service: "s".into(),
+        time_left: Duration::from_secs(1),
+        shard: Some(ShardId(3)),
+        body: (*b"order").into(),
+    }
+}
+
 fn snapshot() -> Snapshot {
     Snapshot { map: 2, index: 5 }
 }
@@ -224,21 +237,14 @@
     let mut host = start(Behaviour::Answer, None);
     let links = links("test", None);
     assert_eq!(links.status(host.address, "p".into()).await, [status()]);
-    let redemption = Redemption {
-        ticket: Ticket { minter: "a-1".into(), incarnation: Incarnation(1), secret: 1 << 100 | 5 },
-        service: "s".into(),
-        time_left: Duration::from_secs(1),
-        shard: Some(ShardId(3)),
-        body: (*b"order").into(),
-    };
-    let redeemed = links.redeem(host.address, redemption.clone()).await;
+    let redeemed = links.redeem(host.address, redemption()).await;
     assert_matches!(redeemed, Ok(Redeemed { status: 200, body }) if *body == *b"order");
     links.deliver(host.address, b"digest".to_vec());
     let (from, message) = host.delivered.recv().await.unwrap();
     assert_eq!((from.to_string().as_str(), &*message), ("127.0.0.1:1", &b"digest"[..]));
 
     let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    assert_matches!(links.redeem(nobody, redemption).await, Err(LinkError::NotSent));
+    assert_matches!(links.redeem(nobody, redemption()).await, Err(LinkError::NotSent));
     assert!(links.status(nobody, "p".into()).await.is_empty());
 }
 
@@ -271,3 +277,25 @@
     let accepted = tokio::time::timeout(HANG, listener.accept()).await.unwrap();
     assert_eq!(accepted.unwrap().1.ip(), SOURCE);
 }
+
+#[tokio::test]
+async fn queries_do_not_wait_for_a_peer_that_was_not_reached() {
+    let hole = TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = hole.local_addr().unwrap();
+    let links = links("test", None);
+    let mut is_prompt = false;
+    // A test thread that gets no time may miss the moment, but not each time.
+    for _ in 0..10 {
+        // Waits until the link is given up, so that the last attempt failed.
+        assert_matches!(links.redeem(to, redemption()).await, Err(LinkError::NotSent));
+        tokio::time::sleep(AFTER_RECONNECT_PAUSE).await;
+        let mut waiting = std::pin::pin!(links.redeem(to, redemption()));
+        assert!(futures::poll!(waiting.as_mut()).is_pending());
+        check_lost(&collect(&links, to, batch(1)).await, 1, Outcome::NotRun);
+        is_prompt |= futures::poll!(waiting.as_mut()).is_pending();
+        if is_prompt {
+            break;
+        }
+    }
+    assert!(is_prompt);
+}
