--- a/crates/entry/tests/query.rs
+++ b/crates/entry/tests/query.rs
@@ -120,6 +120,20 @@
     assert_eq!(body["outcome"], "not_run");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_request_that_owners_have_no_room_for_may_be_sent_again_later() {
+    let fleet = Fleet::new(&Shape { shards: 1, ..Shape::default() });
+    for domain in ["a", "b", "c"] {
+        let refused = Behaviour::Fail(Missing::Deadline, Outcome::NotRun);
+        fleet.set(target(0, domain), refused);
+    }
+    let client = client(&fleet).await;
+    let response = client.post("/v1/services/planeador-01/query").body("wax").dispatch().await;
+    assert_eq!(response.headers().get_one("retry-after"), Some("1"));
+    let body: Value = serde_json::from_str(&response.into_string().await.unwrap()).unwrap();
+    assert_eq!((&body["reason"], &body["outcome"]), (&"overloaded".into(), &"not_run".into()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn moves_whole_to_a_newer_snapshot_when_the_pinned_one_is_gone() {
     let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
@@ -166,13 +180,43 @@
 #[tokio::test(start_paused = true)]
 async fn readiness_follows_the_state() {
     let fleet = Fleet::new(&Shape::default());
-    let client = client(&fleet).await;
+    let cx = fleet.entry();
+    let client = Client::untracked(entry::callers_rocket(cx.clone())).await.unwrap();
+    assert_eq!(client.get("/readyz").dispatch().await.status(), Status::ServiceUnavailable);
+    entry::learn_all_pools(&cx).await;
     assert_eq!(client.get("/readyz").dispatch().await.status(), Status::Ok);
     fleet.with(|it| it.not_ready = Some("no configuration yet".to_owned()));
     assert_eq!(client.get("/readyz").dispatch().await.status(), Status::ServiceUnavailable);
     assert_eq!(client.get("/healthz").dispatch().await.status(), Status::Ok);
 }
 
+/// A fresh host asked while the owners have no share yet: the request waits
+/// for the first word instead of a refusal.
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_until_some_target_is_known() {
+    let fleet = Fleet::new(&Shape::default());
+    let held = fleet.with(|it| std::mem::take(&mut it.held));
+    let client = client(&fleet).await;
+    let later = fleet.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        later.with(|it| it.held = held);
+    });
+    let answer = post(&client, &[("godwityard-deadline-ms", "200")]).await.1;
+    assert_eq!(answer["coverage"]["answered"], 2);
+}
+
+/// A pool that is wholly down keeps a host from being ready only for a while.
+#[tokio::test(start_paused = true)]
+async fn a_dead_pool_does_not_keep_a_host_unready() {
+    let fleet = Fleet::new(&Shape::default());
+    fleet.with(|it| it.held.clear());
+    let cx = fleet.entry();
+    entry::learn_all_pools(&cx).await;
+    let client = Client::untracked(entry::callers_rocket(cx)).await.unwrap();
+    assert_eq!(client.get("/readyz").dispatch().await.status(), Status::Ok);
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_former_map_serves_until_the_new_one_is_held_by_every_shard() {
     let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
