--- a/crates/entry/tests/query.rs
+++ b/crates/entry/tests/query.rs
@@ -180,13 +180,27 @@
 #[tokio::test(start_paused = true)]
 async fn readiness_follows_the_state() {
     let fleet = Fleet::new(&Shape::default());
-    let client = client(&fleet).await;
+    let cx = fleet.entry();
+    let client = Client::untracked(entry::callers_rocket(cx.clone())).await.unwrap();
+    assert_eq!(client.get("/readyz").dispatch().await.status(), Status::ServiceUnavailable);
+    entry::learn_all_pools(&cx).await;
     assert_eq!(client.get("/readyz").dispatch().await.status(), Status::Ok);
     fleet.with(|it| it.not_ready = Some("no configuration yet".to_owned()));
     assert_eq!(client.get("/readyz").dispatch().await.status(), Status::ServiceUnavailable);
     assert_eq!(client.get("/healthz").dispatch().await.status(), Status::Ok);
 }
 
+/// A pool that is wholly down keeps a host from being ready only for a while.
+#[tokio::test(start_paused = true)]
+async fn a_dead_pool_does_not_keep_a_host_unready() {
+    let fleet = Fleet::new(&Shape::default());
+    fleet.with(|it| it.held.clear());
+    let cx = fleet.entry();
+    entry::learn_all_pools(&cx).await;
+    let client = Client::untracked(entry::callers_rocket(cx)).await.unwrap();
+    assert_eq!(client.get("/readyz").dispatch().await.status(), Status::Ok);
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_former_map_serves_until_the_new_one_is_held_by_every_shard() {
     let fleet = Fleet::new(&Shape { domains: vec!["a"], ..Shape::default() });
--- a/xtask/src/report/mod.rs
+++ b/xtask/src/report/mod.rs
@@ -14,7 +14,7 @@
 };
 
 /// Keys printed for each run, in order.
-pub const KEYS: [&str; 29] = [
+pub const KEYS: [&str; 33] = [
     "requests",
     "answered",
     "refused",
@@ -30,6 +30,7 @@
     "crossed_answers",
     "false_not_run",
     "duplicate_runs",
+    "non_idempotent_runs",
     "extra_load_ratio",
     "slot_use_ratio",
     "wasted_run_ratio",
@@ -37,6 +38,8 @@
     "retries",
     "cold_overload_events",
     "target_crashes",
+    "connections_over_limit",
+    "attempts_over_slots",
     "work_after_domain_out_ms_max",
     "config_in_force_ms_max",
     "fairness_jain",
@@ -44,6 +47,7 @@
     "cpu_us_per_query",
     "rss_mb_max",
     "invariant_violations",
+    "load_lag_p99_ms",
 ];
 
 /// A bound of a scenario against what was measured.
