Weigh a replica's work in flight against its limit

Cause: when a domain returned, its cold targets looked as fast as idle warm ones, and every entry sent to them what they then refused; equal replicas were all taken in the same order. Change: expected latency is the recent one, fading towards the pool's median, times the turns that work in flight needs at the limit, plus the predicted wait, which fades; one of those within 1 ms is drawn. After two owners had no room a retry costs budget.

--- a/crates/entry/src/learn/mod.rs
+++ b/crates/entry/src/learn/mod.rs
@@ -214,9 +214,10 @@
 ) -> bool {
     let status = time::timeout(STATUS_TIMEOUT, cx.owners().status(owner, pool)).await;
     let Ok(status) = status else { return false };
+    let now = cx.now();
     let mut decisions = cx.decisions();
     for target in &status {
-        decisions.table.learn(target);
+        decisions.table.learn(now, target);
     }
     !status.is_empty()
 }
--- a/crates/policy/examples/request_bench.rs
+++ b/crates/policy/examples/request_bench.rs
@@ -24,7 +24,7 @@
 
 fn main() {
     println!("60 shards by 3 replicas, 8 hosts, seed 1; 1 replica in 50 is 20 times slower");
-    println!("hedging         p50 ms  p99 ms  answered  extra load");
+    println!("hedging         p50 ms  p99 ms p99.9 ms  answered  extra load");
     let modes = [
         ("off", Hedging::Off),
         ("fixed 20 ms", Hedging::Fixed(Duration::from_millis(20))),
@@ -57,9 +57,10 @@
     let count = |kind| fleet.sends.get(kind).copied().unwrap_or(0) as f64;
     let extra = (count("hedge") + count("retry") + count("restart")) / count("first");
     println!(
-        "{name:<14} {:>7.1} {:>7.1} {:>9.4} {:>11.4}",
+        "{name:<14} {:>7.1} {:>7.1} {:>8.1} {:>9.4} {:>11.4}",
         quantile(0.5),
         quantile(0.99),
+        quantile(0.999),
         answered as f64 / fleet.verdicts.len() as f64,
         extra
     );
--- a/crates/policy/src/request/decisions.rs
+++ b/crates/policy/src/request/decisions.rs
@@ -67,6 +67,12 @@
         }
     }
 
+    /// The median latency of the pool now; zero while it is not known.
+    pub fn usual_latency(&self, pool: &PoolName) -> Duration {
+        let load = self.pools.get(pool);
+        load.and_then(|it| it.latency.quantile(0.5)).unwrap_or_default()
+    }
+
     /// A latency that few subqueries of the pool exceed.
     pub fn high_latency(&self, pool: &PoolName) -> Option<Duration> {
         let latency = self.pools.get(pool)?.latency.quantile(HEDGE_QUANTILE)?;
--- a/crates/policy/src/request/plan.rs
+++ b/crates/policy/src/request/plan.rs
@@ -22,8 +22,9 @@
 /// What a replica whose primary owner is silent must be faster by; its standby
 /// owner has few slots.
 const SILENT_OWNER_HANDICAP: Duration = Duration::from_millis(8);
-/// Scores vary by up to this part, so that hosts do not all choose alike.
-const SCORE_JITTER: f64 = 0.1;
+/// Replicas that are worse than the best one by no more than this are as good,
+/// and one of them is drawn, so that hosts do not all choose alike.
+const SCORE_TOLERANCE: Duration = Duration::from_millis(1);
 
 /// What a choice looks at.
 pub(super) struct PlanCx<'a, R> {
@@ -34,6 +35,8 @@
     pub table: &'a TargetTable,
     pub view: &'a PoolView,
     pub snapshot: Snapshot,
+    /// The pool's usual latency.
+    pub typical: Duration,
 }
 
 /// The best usable replica that holds the snapshot, other than those in
@@ -46,13 +49,12 @@
 ) -> Result<Arc<Target>, Missing> {
     let is_untried = |it: &&Arc<Target>| !tried.contains(&it.name);
     let holders = usable_replicas(cx, shard).filter(is_untried);
-    if let Some(best) = holders.min_by_key(|it| score(cx, it, rng)) {
-        return Ok(Arc::clone(best));
+    if let Some(best) = draw_best(cx, holders, rng) {
+        return Ok(best);
     }
     let successors = cx.view.replicas(shard).iter().filter(is_untried);
     let successors = successors.filter(|it| may_hold_by_now(cx, it));
-    let best = successors.min_by_key(|it| score(cx, it, rng));
-    best.cloned().ok_or_else(|| reason_for_none(cx, shard))
+    draw_best(cx, successors, rng).ok_or_else(|| reason_for_none(cx, shard))
 }
 
 /// Replicas of a shard that may get work and hold the snapshot.
@@ -63,6 +65,18 @@
     cx.view.replicas(shard).iter().filter(move |it| why_not(cx, it).is_none())
 }
 
+fn draw_best<'a, R: Routes>(
+    cx: &PlanCx<'_, R>,
+    candidates: impl Iterator<Item = &'a Arc<Target>>,
+    rng: &mut SmallRng,
+) -> Option<Arc<Target>> {
+    let mut scored: Vec<_> = candidates.map(|it| (score(cx, it), it)).collect();
+    let best = scored.iter().map(|it| it.0).min()?;
+    scored.retain(|it| it.0 <= best + SCORE_TOLERANCE);
+    let (_, drawn) = scored.swap_remove(rng.random_range(0..scored.len()));
+    Some(Arc::clone(drawn))
+}
+
 /// The nearest reason to being usable among all replicas of a shard.
 fn reason_for_none<R>(cx: &PlanCx<'_, R>, shard: ShardId) -> Missing {
     let reasons = cx.view.replicas(shard).iter().filter_map(|it| why_not(cx, it));
@@ -107,14 +121,14 @@
     }
 }
 
-fn score<R: Routes>(cx: &PlanCx<'_, R>, target: &Target, rng: &mut SmallRng) -> u64 {
-    let expected = cx.table.expected_latency(cx.now, &target.name);
-    let jittered = expected.mul_f64(1.0 + rng.random::<f64>() * SCORE_JITTER);
+/// Expected time to an answer, with the handicaps; less is better.
+fn score<R: Routes>(cx: &PlanCx<'_, R>, target: &Target) -> Duration {
+    let expected = cx.table.expected_latency(cx.now, &target.name, cx.typical);
     let is_local = target.domain == *cx.domain;
     let handicap = if is_local { Duration::ZERO } else { REMOTE_HANDICAP };
     let is_silent = is_primary_silent(cx, target);
     let silence = if is_silent { SILENT_OWNER_HANDICAP } else { Duration::ZERO };
-    (jittered + handicap + silence).as_micros() as u64
+    expected + handicap + silence
 }
 
 fn is_primary_silent<R: Routes>(cx: &PlanCx<'_, R>, target: &Target) -> bool {
--- a/crates/policy/src/request/query/mod.rs
+++ b/crates/policy/src/request/query/mod.rs
@@ -203,7 +203,7 @@
     fn learn<R>(&mut self, cx: &mut QueryCx<'_, R>, part: &Part) {
         let table = &mut cx.decisions.table;
         if let Some(status) = &part.status {
-            table.learn(status);
+            table.learn(cx.now, status);
         }
         let Some(attempt) = self.gather.attempt(part.attempt) else { return };
         let is_unreachable =
--- a/crates/policy/src/request/query/recover.rs
+++ b/crates/policy/src/request/query/recover.rs
@@ -101,7 +101,8 @@
     fn note_failure<R>(&mut self, cx: &mut QueryCx<'_, R>, failure: &Failure<'_>) {
         let &Failure { part, shard, missing, outcome } = failure;
         if let Some(plan) = self.plan_mut(shard) {
-            plan.is_retry_charged |= is_charged(missing, outcome);
+            let is_again = plan.sends > 1 && is_overload(missing, outcome);
+            plan.is_retry_charged |= is_again || is_charged(missing, outcome);
         }
         let load = cx.decisions.pools.entry(self.req.service.pool.clone()).or_default();
         load.record_part(cx.now, is_overload(missing, outcome));
@@ -232,7 +233,8 @@
 }
 
 /// Whether a retry is extra load. Work that was not run was no load, but a
-/// shed subquery asked a target that had too much already.
+/// shed subquery asked a target that had too much already. One replica more is
+/// asked freely when an owner had no room, as the others may have some.
 fn is_charged(missing: Missing, outcome: Outcome) -> bool {
     outcome != Outcome::NotRun || missing == Missing::Shed
 }
--- a/crates/policy/src/request/query/send.rs
+++ b/crates/policy/src/request/query/send.rs
@@ -172,6 +172,7 @@
             table: &cx.decisions.table,
             view: &self.req.view,
             snapshot: self.gather.snapshot(),
+            typical: cx.decisions.usual_latency(&self.req.service.pool),
         };
         choose_replica(&plan_cx, shard, &tried, cx.rng)
     }
@@ -205,6 +206,7 @@
         let status = cx.decisions.table.status(&target.name);
         let incarnation = status.map_or(Incarnation::default(), |it| it.incarnation);
         self.sent_to.insert(target.name.clone(), incarnation);
+        cx.decisions.table.note_sent(&target.name);
         let id = AttemptId(cx.rng.random());
         let attempt = Attempt {
             shard,
--- a/crates/policy/src/request/query/trial.rs
+++ b/crates/policy/src/request/query/trial.rs
@@ -185,6 +185,7 @@
             table: &cx.decisions.table,
             view: &self.req.view,
             snapshot: self.gather.snapshot(),
+            typical: cx.decisions.usual_latency(&self.req.service.pool),
         };
         let is_due = |&shard: &ShardId| !self.gather.is_open(shard) && self.may_send(shard);
         let asked: Vec<_> = self.shards().filter(is_due).collect();
--- a/crates/policy/src/request/table.rs
+++ b/crates/policy/src/request/table.rs
@@ -19,6 +19,8 @@
 const LATENCY_GAIN: f64 = 0.2;
 /// After this long without a sample half of the running mean is forgotten.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
+/// The same for the wait that an owner predicted.
+const WAIT_HALF_LIFE: Duration = Duration::from_millis(250);
 
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
@@ -37,13 +39,17 @@
 #[derive(Clone, Debug, Default)]
 struct Record {
     status: Option<TargetStatus>,
+    /// When the status came.
+    told: Time,
+    /// Subqueries sent since then.
+    sent_since: u32,
     latency_us: f64,
     sampled: Time,
 }
 
 impl TargetTable {
     /// Takes in an owner's word of a target.
-    pub fn learn(&mut self, status: &TargetStatus) {
+    pub fn learn(&mut self, now: Time, status: &TargetStatus) {
         let record = self.targets.entry(status.target.clone()).or_default();
         let mut status = status.clone();
         if let Some(known) = &record.status {
@@ -53,6 +59,14 @@
             status.is_leaving |= status.incarnation == known.incarnation && known.is_leaving;
         }
         record.status = Some(status);
+        record.told = now;
+        record.sent_since = 0;
+    }
+
+    /// Counts a subquery that was sent to a target.
+    pub fn note_sent(&mut self, target: &TargetName) {
+        let Some(record) = self.targets.get_mut(target) else { return };
+        record.sent_since = record.sent_since.saturating_add(1);
     }
 
     /// Takes in the latency of one answer, or of one that did not come.
@@ -113,14 +127,24 @@
         self.targets.get(target)?.status.as_ref()
     }
 
-    /// Expected time from hand-over to answer; fades while there are no
-    /// samples, so that a target that was slow once gets another chance.
-    pub fn expected_latency(&self, now: Time, target: &TargetName) -> Duration {
-        let Some(record) = self.targets.get(target) else { return Duration::ZERO };
-        let age = now.since(record.sampled).as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64();
-        let latency = record.latency_us * 0.5_f64.powf(age);
-        let wait = record.status.as_ref().map_or(Duration::ZERO, |it| it.wait);
-        Duration::from_micros(latency as u64) + wait
+    /// Expected time from hand-over to answer.
+    ///
+    /// What is known of a target fades towards `typical`, the pool's usual
+    /// latency, so that one that was slow once gets another chance and a fresh
+    /// one no more trust than others. Work beyond its limit waits its turn.
+    pub fn expected_latency(&self, now: Time, target: &TargetName, typical: Duration) -> Duration {
+        let Some(record) = self.targets.get(target) else { return typical };
+        let typical_us = typical.as_micros() as f64;
+        let known_us = if record.latency_us == 0.0 { typical_us } else { record.latency_us };
+        let deviation_us =
+            fade(known_us - typical_us, now.since(record.sampled), LATENCY_HALF_LIFE);
+        let Some(status) = &record.status else { return typical };
+        let age = now.since(record.told);
+        let wait_us = fade(status.wait.as_micros() as f64, age, WAIT_HALF_LIFE);
+        let in_flight = fade(f64::from(status.in_flight), age, WAIT_HALF_LIFE);
+        let queue = in_flight + f64::from(record.sent_since) + 1.0;
+        let turns = (queue / f64::from(status.limit.max(1))).max(1.0);
+        Duration::from_micros(((typical_us + deviation_us) * turns + wait_us) as u64)
     }
 
     /// Drops targets that no document names any more.
@@ -141,3 +165,10 @@
         self.targets.is_empty()
     }
 }
+
+fn fade(value: f64, age: Duration, half_life: Duration) -> f64 {
+    if value == 0.0 {
+        return 0.0;
+    }
+    value * 0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
--- a/crates/policy/tests/request_fleet/mod.rs
+++ b/crates/policy/tests/request_fleet/mod.rs
@@ -446,7 +446,7 @@
     fn refresh(&mut self) {
         let statuses: Vec<_> = self.targets.keys().map(|it| self.status(it)).collect();
         for host in &mut self.hosts {
-            statuses.iter().for_each(|it| host.table.learn(it));
+            statuses.iter().for_each(|it| host.table.learn(self.now, it));
         }
         self.after(REFRESH_INTERVAL, Event::Refresh);
     }
