Never send cancelled work over another connection; split large files

Measured: owner_faults: the new test fails without the change (answered) and passes with it, 36 of 36; owner_load, 60,000 random steps and the 12 socket tests pass.

Conclusion: a cancellation that comes before the first byte holds.

--- a/crates/policy/src/owner/target/dispatch.rs
+++ b/crates/policy/src/owner/target/dispatch.rs
@@ -255,7 +255,7 @@
     }
 }
 
-fn not_run(missing: Missing) -> PartResult {
+pub(super) fn not_run(missing: Missing) -> PartResult {
     PartResult::Failed { missing, outcome: Outcome::NotRun }
 }
 
--- a/crates/policy/src/owner/target/mod.rs
+++ b/crates/policy/src/owner/target/mod.rs
@@ -1,34 +1,35 @@
 //! One target: what it is told, and what is on the way to it.
 //!
-//! `dispatch` decides on work (accept, refuse, send, reply), `upkeep` on
-//! connections and probes. Every input ends in [`TargetCore::advance`], which
-//! brings both in line with what is now believed.
+//! `assignment` says what this host may use of it, `dispatch` decides on work
+//! (accept, refuse, send, reply), `upkeep` on connections and probes, and
+//! `strength` on what results say of the target. Every input ends in
+//! [`TargetCore::advance`], which brings work and connections in line with
+//! what is now believed.
 
+mod assignment;
 mod dispatch;
+mod strength;
 mod upkeep;
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use base::{AttemptId, HashMap, Incarnation, Missing, Share, TargetName, Time};
+use base::{AttemptId, HashMap, Missing, Share, TargetName, Time};
 use documents::{Target, model::PolicySettings};
 use rand::rngs::SmallRng;
 
+pub(super) use self::assignment::Hint;
+use self::dispatch::not_run;
 use super::{
     action::{Action, CloseCause, Job, LimitCause, Note},
     connections::{Connections, State},
     input::{AttemptResult, ConnectionId, ControlResult, LoadReport},
-    limit::{Limit, LimitChange},
+    limit::Limit,
     queue::FairQueue,
-    trust::{Trust, TrustChange},
+    trust::Trust,
     verdict::{self, Proof, Verdict},
 };
 use crate::message::TargetStatus;
 
-/// What is known of a target that was let go is kept so long.
-const MEMORY: Duration = Duration::from_secs(30);
-/// Age up to which another owner's word counts.
-const HINT_FRESH: Duration = Duration::from_secs(5);
-
 /// What a target needs of the machine while it handles an input.
 pub(super) struct Cx<'a> {
     pub now: Time,
@@ -75,24 +76,6 @@
     is_cancelled: bool,
 }
 
-/// What another owner last said that a target bears.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Hint {
-    incarnation: Incarnation,
-    limit: u32,
-    told_at: Time,
-}
-
-impl Hint {
-    pub fn new(now: Time, status: &TargetStatus) -> Self {
-        Hint { incarnation: status.incarnation, limit: status.limit, told_at: now }
-    }
-
-    pub fn is_fresh(&self, now: Time) -> bool {
-        now.since(self.told_at) < HINT_FRESH
-    }
-}
-
 impl TargetCore {
     /// A target of which nothing is known yet, so that it counts as cold.
     pub fn new(cx: &mut Cx<'_>, document: Arc<Target>, is_domain_in: bool) -> Self {
@@ -128,58 +111,10 @@
         self.in_flight.is_empty()
     }
 
-    /// Whether a target that was let go is done with, and so long ago that
-    /// nothing known of it is worth keeping.
-    pub fn is_forgotten(&self, now: Time) -> bool {
-        let is_gone = self.share.is_none() && self.is_idle() && self.connections.len() == 0;
-        is_gone && now.since(self.let_go_at) >= MEMORY
-    }
-
     pub fn prune_services(&mut self, keep: impl Fn(&base::ServiceName) -> bool) {
         self.queue.prune(keep);
     }
 
-    pub fn assign(&mut self, cx: &mut Cx<'_>, share: Share, hint: Option<Hint>) {
-        let was_cold = self.share.is_some_and(|it| it.starts_cold);
-        let size = self.share.map(|it| (it.slots, it.connections));
-        if size != Some((share.slots, share.connections)) {
-            let note = Note::Assigned { slots: share.slots, connections: share.connections };
-            self.note(cx, note);
-        }
-        if self.share.is_none() {
-            self.hint = hint.filter(|it| it.is_fresh(cx.now) && !share.starts_cold);
-        }
-        self.share = Some(share);
-        self.resize_limit();
-        if share.starts_cold && !was_cold {
-            self.lower_limit(cx, LimitCause::StartsCold);
-        }
-        self.advance(cx);
-    }
-
-    pub fn let_go(&mut self, cx: &mut Cx<'_>) {
-        if self.share.take().is_some() {
-            self.let_go_at = cx.now;
-            self.note(cx, Note::LetGo);
-        }
-        self.advance(cx);
-    }
-
-    pub fn configure(&mut self, cx: &mut Cx<'_>, document: Arc<Target>, is_domain_in: bool) {
-        let has_moved = document.address != self.document.address;
-        self.document = document;
-        self.resize_limit();
-        if has_moved {
-            self.forget_connections(cx);
-            self.lower_limit(cx, LimitCause::NewIncarnation);
-        }
-        if is_domain_in && !self.is_domain_in {
-            self.lower_limit(cx, LimitCause::DomainReturned);
-        }
-        self.is_domain_in = is_domain_in;
-        self.advance(cx);
-    }
-
     pub fn opened(&mut self, cx: &mut Cx<'_>, connection: ConnectionId, report: &LoadReport) {
         let Some(opened) = self.connections.get(connection) else { return };
         self.proven_at = self.proven_at.max(Some(opened.since));
@@ -244,7 +179,10 @@
             let change = self.trust.observe_answer(cx.now, &head);
             self.apply(cx, change);
         }
-        if proof == Proof::NotSent && !entry.has_part {
+        if proof == Proof::NotSent && entry.is_cancelled {
+            self.queue.settle(&entry.job, Duration::ZERO);
+            self.reply_to(cx, &entry, not_run(Missing::Cancelled));
+        } else if proof == Proof::NotSent && !entry.has_part {
             // Nothing was sent, so the job waits for another connection.
             self.queue.push_front(entry.job);
         } else {
@@ -311,74 +249,6 @@
         self.share.and_then(|it| it.valid_until).is_some_and(|it| now > it)
     }
 
-    /// Starts where the former owner was, if that was the same incarnation.
-    fn take_hint(&mut self, cx: &mut Cx<'_>) {
-        let Some(hint) = self.hint.take() else { return };
-        if hint.incarnation == self.trust.incarnation() && hint.limit > self.limit.get() {
-            self.limit.adopt(cx.now, hint.limit);
-            self.note_limit(cx, Some(LimitChange::Raised));
-        }
-    }
-
-    fn resize_limit(&mut self) {
-        let share = self.share.map_or(0, |it| it.slots);
-        self.limit.resize(self.document.slots, self.document.cold_slots);
-        self.limit.set_share(share);
-    }
-
-    fn observe_proof(&mut self, cx: &mut Cx<'_>, entry: &InFlight, proof: Proof) {
-        match proof {
-            Proof::Answered => {
-                self.proven_at = self.proven_at.max(Some(entry.sent_at));
-                self.silent_since = None;
-                let change = self.limit.observe_answer(cx.now, cx.now.since(entry.sent_at));
-                self.note_limit(cx, change);
-            }
-            Proof::TimedOut => {
-                let change = self.limit.observe_timeout(cx.now, cx.now.since(entry.sent_at));
-                self.note_limit(cx, change);
-            }
-            Proof::Shed => self.lower_limit(cx, LimitCause::Shed),
-            Proof::Lost => {
-                self.trust.observe_doubt();
-                self.lower_limit(cx, LimitCause::ConnectionLost);
-            }
-            Proof::NotSent => self.trust.observe_doubt(),
-            Proof::None => {}
-        }
-    }
-
-    fn apply(&mut self, cx: &mut Cx<'_>, change: TrustChange) {
-        let incarnation = self.trust.incarnation();
-        if change.is_now_up {
-            self.note(cx, Note::Up { incarnation });
-        }
-        if change.is_new_incarnation {
-            self.lower_limit(cx, LimitCause::NewIncarnation);
-        }
-        if change.is_now_unhealthy {
-            self.lower_limit(cx, LimitCause::Unhealthy);
-        }
-        if change.is_now_leaving {
-            self.note(cx, Note::Leaving { incarnation });
-        }
-    }
-
-    fn lower_limit(&mut self, cx: &mut Cx<'_>, cause: LimitCause) {
-        if self.limit.reset(cx.now) {
-            self.note_limit(cx, Some(LimitChange::Lowered(cause)));
-        }
-    }
-
-    fn note_limit(&self, cx: &mut Cx<'_>, change: Option<LimitChange>) {
-        let to = self.limit.get();
-        match change {
-            Some(LimitChange::Raised) => self.note(cx, Note::LimitRaised { to }),
-            Some(LimitChange::Lowered(cause)) => self.note(cx, Note::LimitLowered { to, cause }),
-            None => {}
-        }
-    }
-
     fn note(&self, cx: &mut Cx<'_>, note: Note) {
         cx.actions.push(Action::Note { target: self.document.name.clone(), note });
     }
--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -368,6 +368,17 @@
     assert_eq!(f.failure(attempts[0]).0, Missing::Cancelled);
 }
 
+#[test]
+fn cancelled_work_is_not_sent_over_another_connection() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).restart();
+    // Its connection will turn out to be closed.
+    let attempt = f.submit(SECOND);
+    f.world.cancel(attempt);
+    f.world.run_for(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::Cancelled, Outcome::NotRun));
+}
+
 #[test]
 fn target_is_told_of_a_cancellation_once() {
     let mut f = Fixture::warm();
