Test voters and holders message by message

Cause: the random run did not notice two breaks: a late release that ends a newer promise, and a voter that grants although its voters differ. Conclusion: both are held by a test now.

--- a/crates/fleet/src/lease/mod.rs
+++ b/crates/fleet/src/lease/mod.rs
@@ -22,6 +22,8 @@
 
 mod holder;
 mod share;
+#[cfg(test)]
+mod tests;
 mod voter;
 
 use std::time::Duration;
