--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -45,6 +45,8 @@
     pub held: HashMap<TargetName, Vec<Snapshot>>,
     pub leaving: HashSet<TargetName>,
     pub unreachable: HashSet<HostName>,
+    /// Hosts that never answer a question for status.
+    pub hanging: HashSet<HostName>,
     /// Each subquery that reached a target: owner, target, idempotent.
     pub runs: Vec<(HostName, TargetName, bool)>,
     pub cancelled: Vec<AttemptId>,
@@ -57,6 +59,7 @@
 }
 
 pub struct Shape {
+    pub map: u32,
     pub shards: u32,
     pub domains: Vec<&'static str>,
     pub service: Service,
@@ -64,7 +67,7 @@
 
 impl Default for Shape {
     fn default() -> Self {
-        Shape { shards: 2, domains: vec!["a", "b", "c"], service: service() }
+        Shape { map: 1, shards: 2, domains: vec!["a", "b", "c"], service: service() }
     }
 }
 
@@ -103,7 +106,7 @@
     let pool = Pool {
         name: shape.service.pool.clone(),
         team: "planeacion".into(),
-        map: 1,
+        map: shape.map,
         shards: shape.shards,
         targets,
     };
@@ -131,6 +134,7 @@
             held,
             leaving: HashSet::default(),
             unreachable: HashSet::default(),
+            hanging: HashSet::default(),
             runs: Vec::new(),
             cancelled: Vec::new(),
             minters: HashMap::default(),
@@ -233,8 +237,9 @@
                 if is_unreachable {
                     behaviour = Behaviour::Fail(Missing::OwnerUnreachable, Outcome::NotRun);
                 } else {
-                    let holds =
-                        fleet.with(|it| it.held[&subquery.target].contains(&batch.snapshot));
+                    let holds = fleet.with(|it| {
+                        it.held.get(&subquery.target).is_some_and(|it| it.contains(&batch.snapshot))
+                    });
                     if !holds {
                         behaviour = Behaviour::Fail(Missing::WrongSnapshot, Outcome::NotRun);
                     }
@@ -278,6 +283,9 @@
     }
 
     async fn status(&self, owner: &HostName, _pool: &PoolName) -> Vec<TargetStatus> {
+        if self.with(|it| it.hanging.contains(owner)) {
+            std::future::pending::<()>().await;
+        }
         self.with(|it| {
             if it.unreachable.contains(owner) {
                 return Vec::new();
--- a/xtask/src/load/caller.rs
+++ b/xtask/src/load/caller.rs
@@ -23,9 +23,14 @@
     pub domain: String,
     /// From the intended start to the last answer.
     pub latency: Duration,
+    /// How late the load itself was in making the call.
+    pub lag: Duration,
     pub verdict: Verdict,
     pub checks: Checks,
     pub sends: u32,
+    /// Whether an earlier send of a query may have run. Each send of a query is
+    /// a request of its own; sends under one ticket are one request.
+    pub may_have_run_before: bool,
     /// Whether the last host had been told to stop when the call was sent.
     pub is_host_stopping: bool,
     /// The last answer as it came.
@@ -48,8 +53,10 @@
 
 /// Makes a call, with its resends.
 pub async fn make(cx: Arc<LoadCx>, call: Call) -> CallResult {
+    let lag = cx.started.elapsed().saturating_sub(call.at);
     let mut ticket = None;
     let mut sends = 0;
+    let mut may_have_run_before = false;
     loop {
         sends += 1;
         let exchange = match call.kind {
@@ -59,15 +66,19 @@
         if sends > call.resends || is_final(&exchange.verdict) {
             return CallResult {
                 latency: cx.started.elapsed().saturating_sub(call.at),
+                lag,
                 domain: exchange.domain,
                 verdict: exchange.verdict,
                 checks: exchange.checks,
                 sends,
+                may_have_run_before,
                 is_host_stopping: exchange.is_host_stopping,
                 body: exchange.body,
                 call,
             };
         }
+        let is_own_request = call.kind == CallKind::Query;
+        may_have_run_before |= is_own_request && !exchange.verdict.claims_not_run();
         tokio::time::sleep(RESEND_PAUSE).await;
     }
 }
