Hold the slot of an unanswered attempt until the target gave it up

An attempt whose connection was given up 50 ms after its deadline freed its slot, though the target might still run it; on a cold target that is an overload.

Change: the slot is held until the target confirms the cancellation, shows a new incarnation, or 1 s has passed; a probe or cancellation that hangs is given up along with the silent connections; the second connection opened is the one for control.

Conclusion: the limit counts what the target runs, not what is waited for.

--- a/crates/policy/src/owner/connections.rs
+++ b/crates/policy/src/owner/connections.rs
@@ -25,8 +25,15 @@
     Opening,
     Idle,
     Serving(AttemptId),
-    /// Carries a probe or a cancellation.
-    Controlling,
+    /// Carries a probe.
+    Probing,
+    Cancelling(AttemptId),
+}
+
+impl State {
+    fn is_controlling(self) -> bool {
+        matches!(self, State::Probing | State::Cancelling(_))
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -81,9 +88,17 @@
         self.all.iter().find(|it| it.id == id)
     }
 
-    /// The role that lacks a connection, data first.
+    /// The role that lacks a connection: one for data, one for control, then
+    /// the others for data.
     pub fn lacking(&self, wanted: Wanted) -> Option<Role> {
-        [Role::Data, Role::Control].into_iter().find(|&it| self.count(it) < wanted.of(it))
+        let has_data = self.count(Role::Data) > 0;
+        let order =
+            if has_data { [Role::Control, Role::Data] } else { [Role::Data, Role::Control] };
+        order.into_iter().find(|&it| self.count(it) < wanted.of(it))
+    }
+
+    pub fn is_controlling(&self) -> bool {
+        self.all.iter().any(|it| it.state.is_controlling())
     }
 
     /// An idle connection beyond what is wanted.
@@ -138,6 +153,13 @@
             .map(|it| it.id)
     }
 
+    /// A connection whose probe or cancellation takes at least `time`.
+    pub fn controlling_for(&self, now: Time, time: Duration) -> Option<Connection> {
+        let is_controlling = |it: &Connection| it.state.is_controlling();
+        let mut used = self.all.iter().filter(|it| is_controlling(it));
+        used.find(|it| now.since(it.since) >= time).copied()
+    }
+
     /// An idle connection without a success since `time`.
     pub fn idle_since_before(&self, time: Time) -> Option<ConnectionId> {
         let mut idle = self.all.iter().filter(|it| it.state == State::Idle);
--- a/crates/policy/src/owner/target/dispatch.rs
+++ b/crates/policy/src/owner/target/dispatch.rs
@@ -5,7 +5,7 @@
 use base::{AttemptId, Missing, Outcome, Time, always};
 use documents::model::EarlyRefusal;
 
-use super::{Cx, InFlight, TargetCore};
+use super::{Abandoned, Cancellation, Cx, InFlight, TargetCore};
 use crate::{
     message::{Part, PartResult},
     owner::{
@@ -21,6 +21,9 @@
 /// usual time, and others that were sent later have been answered.
 const OVERDUE_FACTOR: u32 = 10;
 const OVERDUE_FLOOR: Duration = Duration::from_millis(500);
+/// How long an attempt without an answer holds its slot after its connection
+/// was given up, unless the target confirms its cancellation.
+const ABANDONED_HOLD: Duration = Duration::from_secs(1);
 /// How many times the predicted wait must fit before the deadline. Actual
 /// waits vary, and a request of many shards is as late as its latest.
 const WAIT_MARGIN: u32 = 2;
@@ -50,11 +53,11 @@
     /// Time a new job with `ahead` before it is likely to wait.
     pub(super) fn predicted_wait(&self, ahead: Duration) -> Duration {
         let allowed = self.allowed();
-        if self.queue.is_empty() && self.in_flight.len() < allowed {
+        if self.queue.is_empty() && self.busy() < allowed {
             return Duration::ZERO;
         }
         let slots = u32::try_from(allowed.max(1)).unwrap_or(u32::MAX);
-        let busy = u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX);
+        let busy = u32::try_from(self.busy()).unwrap_or(u32::MAX);
         // A job in flight is on average half done.
         let in_flight = self.queue.mean_cost() * busy / 2;
         (ahead + in_flight) / slots
@@ -65,7 +68,7 @@
             return;
         }
         while !self.queue.is_empty() {
-            if self.in_flight.len() >= self.allowed() {
+            if self.busy() >= self.allowed() {
                 return self.limit.observe_full();
             }
             let Some(connection) = self.connections.idle(Role::Data) else { return };
@@ -119,7 +122,7 @@
     }
 
     fn send(&mut self, cx: &mut Cx<'_>, connection: crate::owner::ConnectionId, job: Job) {
-        let in_flight = self.in_flight.len() + 1;
+        let in_flight = self.busy() + 1;
         let allowed = self.allowed();
         always!(in_flight <= allowed, "owner-in-flight-limit", "{in_flight} of {allowed}");
         always!(!self.is_lease_stale(cx.now), "owner-no-send-on-stale-lease");
@@ -136,7 +139,7 @@
             connection,
             sent_at: cx.now,
             has_part: false,
-            is_cancelled: false,
+            cancellation: Cancellation::None,
         };
         self.in_flight.insert(job.attempt, entry);
         let target = self.document.name.clone();
@@ -184,8 +187,8 @@
     /// off midway.
     fn cancel_in_flight(&mut self, attempt: AttemptId) {
         let Some(entry) = self.in_flight.get_mut(&attempt) else { return };
-        if entry.job.batch.is_idempotent && !entry.is_cancelled {
-            entry.is_cancelled = true;
+        if entry.job.batch.is_idempotent && entry.cancellation == Cancellation::None {
+            entry.cancellation = Cancellation::Asked;
             self.cancels.push_back(attempt);
         }
     }
@@ -204,18 +207,56 @@
     /// of one connection often loses them all.
     fn condemn(&mut self, cx: &mut Cx<'_>, attempt: AttemptId) {
         let Some(entry) = self.in_flight.remove(&attempt) else { return };
-        self.cancels.retain(|it| *it != attempt);
         self.blame_for_silence(cx, &entry);
+        self.abandon(cx, &entry);
         self.close(cx, entry.connection, CloseCause::Silent);
         while let Some(id) = self.connections.idle_since_before(entry.sent_at) {
             self.close(cx, id, CloseCause::Silent);
         }
+        while let Some(used) = self.connections.controlling_for(cx.now, OVERDUE_GRACE) {
+            self.close(cx, used.id, CloseCause::Silent);
+            if let State::Cancelling(attempt) = used.state {
+                self.observe_cancellation(attempt, false);
+            }
+        }
         let used = cx.now.since(entry.sent_at);
         self.queue.settle(&entry.job, used);
         self.queue.learn(&entry.job, used);
         self.reply_to(cx, &entry, may_have_run(Missing::Deadline));
     }
 
+    /// Keeps the slot of an attempt that the target may still run.
+    fn abandon(&mut self, cx: &Cx<'_>, entry: &InFlight) {
+        if entry.cancellation == Cancellation::Confirmed {
+            return;
+        }
+        let attempt = entry.job.attempt;
+        self.abandoned.push(Abandoned { attempt, until: cx.now + ABANDONED_HOLD });
+        let is_under_way = self.connections.iter().any(|it| it.state == State::Cancelling(attempt));
+        if entry.job.batch.is_idempotent && !is_under_way && !self.cancels.contains(&attempt) {
+            self.cancels.push_back(attempt);
+        }
+    }
+
+    /// Frees the slot of an attempt whose cancellation the target confirmed;
+    /// one that got no answer is asked again while the slot is held.
+    pub(super) fn observe_cancellation(&mut self, attempt: AttemptId, is_confirmed: bool) {
+        let is_abandoned = self.abandoned.iter().any(|it| it.attempt == attempt);
+        if is_confirmed {
+            self.abandoned.retain(|it| it.attempt != attempt);
+        } else if is_abandoned {
+            self.cancels.push_back(attempt);
+        }
+        if let Some(entry) = self.in_flight.get_mut(&attempt).filter(|_| is_confirmed) {
+            entry.cancellation = Cancellation::Confirmed;
+        }
+    }
+
+    /// Slots in use, as far as is known.
+    pub(super) fn busy(&self) -> usize {
+        self.in_flight.len() + self.abandoned.len()
+    }
+
     /// Doubts the target if nothing sent later was answered, and treats it as
     /// cold if a connection fell silent that was opened after an earlier one
     /// had: then it is not the connections.
--- a/crates/policy/src/owner/target/mod.rs
+++ b/crates/policy/src/owner/target/mod.rs
@@ -56,6 +56,7 @@
     connections: Connections,
     trust: Trust,
     in_flight: HashMap<AttemptId, InFlight>,
+    abandoned: Vec<Abandoned>,
     /// Attempts to cancel at the target.
     cancels: VecDeque<AttemptId>,
     /// Send time of the latest attempt or probe that was answered.
@@ -73,7 +74,24 @@
     sent_at: Time,
     /// Whether the part has gone out, because the deadline passed first.
     has_part: bool,
-    is_cancelled: bool,
+    cancellation: Cancellation,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cancellation {
+    None,
+    Asked,
+    /// The target said that it does not run the attempt any more.
+    Confirmed,
+}
+
+/// An attempt whose connection was given up, and which the target may still
+/// run. It holds a slot until the target confirms its cancellation, or for a
+/// bounded time.
+#[derive(Clone, Copy, Debug)]
+struct Abandoned {
+    attempt: AttemptId,
+    until: Time,
 }
 
 impl TargetCore {
@@ -91,6 +109,7 @@
             connections: Connections::default(),
             trust: Trust::default(),
             in_flight: HashMap::default(),
+            abandoned: Vec::new(),
             cancels: VecDeque::new(),
             proven_at: None,
             silent_since: None,
@@ -135,7 +154,10 @@
     }
 
     pub fn controlled(&mut self, cx: &mut Cx<'_>, connection: ConnectionId, result: ControlResult) {
-        let Some(used) = self.connections.get(connection) else { return };
+        let Some(&used) = self.connections.get(connection) else { return };
+        if let State::Cancelling(attempt) = used.state {
+            self.observe_cancellation(attempt, result == ControlResult::Cancelled);
+        }
         if result == ControlResult::Failed {
             self.close(cx, connection, CloseCause::Silent);
             self.trust.observe_doubt();
@@ -179,7 +201,7 @@
             let change = self.trust.observe_answer(cx.now, &head);
             self.apply(cx, change);
         }
-        if proof == Proof::NotSent && entry.is_cancelled {
+        if proof == Proof::NotSent && entry.cancellation != Cancellation::None {
             self.queue.settle(&entry.job, Duration::ZERO);
             self.reply_to(cx, &entry, not_run(Missing::Cancelled));
         } else if proof == Proof::NotSent && !entry.has_part {
@@ -198,6 +220,7 @@
 
     pub fn tick(&mut self, cx: &mut Cx<'_>) {
         self.expire(cx);
+        self.abandoned.retain(|it| cx.now < it.until);
         if self.limit.is_long_idle(cx.now) {
             self.lower_limit(cx, LimitCause::LongIdle);
         }
@@ -212,7 +235,7 @@
             is_leaving: self.is_leaving() || !self.is_domain_in,
             is_up: self.trust.is_up() && !self.is_lease_stale(now),
             limit: allowed,
-            in_flight: u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX),
+            in_flight: u32::try_from(self.busy()).unwrap_or(u32::MAX),
             wait: self.predicted_wait(self.queue.work()),
             snapshots: self.trust.snapshots().to_vec(),
         }
--- a/crates/policy/src/owner/target/strength.rs
+++ b/crates/policy/src/owner/target/strength.rs
@@ -37,6 +37,7 @@
             self.note(cx, Note::Up { incarnation });
         }
         if change.is_new_incarnation {
+            self.abandoned.clear();
             self.lower_limit(cx, LimitCause::NewIncarnation);
         }
         if change.is_now_unhealthy {
--- a/crates/policy/src/owner/target/upkeep.rs
+++ b/crates/policy/src/owner/target/upkeep.rs
@@ -102,7 +102,7 @@
         while !self.cancels.is_empty() {
             let Some(connection) = self.connections.idle(Role::Control) else { return };
             let Some(attempt) = self.cancels.pop_front() else { return };
-            self.connections.set(cx.now, connection, State::Controlling);
+            self.connections.set(cx.now, connection, State::Cancelling(attempt));
             let target = self.document.name.clone();
             cx.actions.push(Action::CancelAttempt { target, connection, attempt });
         }
@@ -111,14 +111,13 @@
     fn send_probes(&mut self, cx: &mut Cx<'_>) {
         let silence = self.trust.silence(cx.now);
         let is_quiet = silence.is_none_or(|it| it >= REPORT_INTERVAL) || self.trust.is_doubted();
-        let is_asked = self.connections.iter().any(|it| it.state == State::Controlling);
-        if is_asked {
+        if self.connections.is_controlling() {
             return;
         }
         let control = self.connections.idle(Role::Control).filter(|_| is_quiet);
         let idle = || self.connections.idle_for(cx.now, KEEP_WARM_INTERVAL);
         let Some(connection) = control.or_else(idle) else { return };
-        self.connections.set(cx.now, connection, State::Controlling);
+        self.connections.set(cx.now, connection, State::Probing);
         let target = self.document.name.clone();
         cx.actions.push(Action::Probe { target, connection });
     }
--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -368,6 +368,19 @@
     assert_eq!(f.failure(attempts[0]).0, Missing::Cancelled);
 }
 
+#[test]
+fn slot_is_held_until_the_target_has_given_an_attempt_up() {
+    let mut f = Fixture::new();
+    let model = f.world.target(&f.target);
+    model.restart();
+    model.service_ms = 5_000.0;
+    model.cancel_ms = 200;
+    f.load(5 * SECOND, 50);
+    // A second attempt at once would bring the cold target down.
+    assert_eq!(f.world.targets[&f.target].overloads, 0);
+    assert!(f.world.targets[&f.target].cancellations > 5);
+}
+
 #[test]
 fn cancelled_work_is_not_sent_over_another_connection() {
     let mut f = Fixture::warm();
--- a/crates/policy/tests/owner_world/mod.rs
+++ b/crates/policy/tests/owner_world/mod.rs
@@ -60,6 +60,7 @@
 enum Event {
     Tell(Input),
     Send { target: TargetName, connection: ConnectionId, job: Job, valid_until: Option<Time> },
+    Cancel { target: TargetName, connection: ConnectionId, attempt: AttemptId },
     Done { target: TargetName, connection: ConnectionId, job: Job, incarnation: u64 },
 }
 
@@ -222,15 +223,9 @@
                 self.controlled(target, connection, result);
             }
             Action::CancelAttempt { target, connection, attempt } => {
-                let is_heard = self.target(&target).report(connection).is_some();
-                if is_heard {
-                    let model = self.target(&target);
-                    model.cancellations += 1;
-                    model.cancelled.insert(attempt);
-                }
-                let result =
-                    if is_heard { ControlResult::Cancelled } else { ControlResult::Failed };
-                self.controlled(target, connection, result);
+                self.target(&target).cancellations += 1;
+                let delay = Duration::from_millis(self.target(&target).cancel_ms);
+                self.later(delay, Event::Cancel { target, connection, attempt });
             }
             Action::Close { target, connection } => self.target(&target).close(connection),
             Action::Reply { part, .. } => self.judge(part),
@@ -270,6 +265,16 @@
             Event::Send { target, connection, job, valid_until } => {
                 self.send(target, connection, job, valid_until);
             }
+            Event::Cancel { target, connection, attempt } => {
+                let model = self.targets.get_mut(&target).unwrap();
+                let is_heard = model.report(connection).is_some();
+                if is_heard {
+                    model.cancel(attempt);
+                }
+                let result =
+                    if is_heard { ControlResult::Cancelled } else { ControlResult::Failed };
+                self.controlled(target, connection, result);
+            }
             Event::Done { target, connection, job, incarnation } => {
                 let now = self.now;
                 let model = self.targets.get_mut(&target).unwrap();
--- a/crates/policy/tests/owner_world/target.rs
+++ b/crates/policy/tests/owner_world/target.rs
@@ -52,6 +52,8 @@
     /// The connection of the next attempt goes silent.
     pub silence_next: bool,
     pub cancelled: HashSet<AttemptId>,
+    /// Takes so long to give an attempt up, and runs past its deadline.
+    pub cancel_ms: u64,
     pub cancellations: u32,
     pub service_ms: f64,
     /// Service times of single services, where they differ.
@@ -85,6 +87,7 @@
             is_stuck: false,
             silence_next: false,
             cancelled: HashSet::default(),
+            cancel_ms: 0,
             cancellations: 0,
             service_ms: SERVICE_TIME_MS,
             service_ms_of: HashMap::default(),
@@ -123,6 +126,12 @@
         self.cold_slots + (self.slots - self.cold_slots) * self.warmth / WARM_ANSWERS
     }
 
+    /// Gives an attempt up.
+    pub fn cancel(&mut self, attempt: AttemptId) {
+        self.cancelled.insert(attempt);
+        self.running.remove(&attempt);
+    }
+
     pub fn running(&self) -> usize {
         self.running.len()
     }
@@ -196,7 +205,10 @@
         let mean = self.service_ms_of.get(&job.batch.service).unwrap_or(&self.service_ms);
         let wanted = mean * cold * -rng.random_range(f64::EPSILON..1.0).ln();
         // The target gives up at the deadline.
-        let left = job.batch.deadline.until(now);
+        let left = match self.cancel_ms {
+            0 => job.batch.deadline.until(now),
+            _ => Duration::MAX,
+        };
         Duration::from_secs_f64(wanted / 1_000.0).min(left)
     }
 
