Announce only a confirmed revision

Cause: found by reading: a fresh host whose pull was cut short could announce the part it held, and another fresh host could take that for confirmed. Change: an unconfirmed revision is not announced. Measured: the crate's tests pass, as before; no test shows the fault itself. Conclusion: a fresh host is ready on what a confirmed host or the platform said.

--- a/crates/fleet/src/node/spread.rs
+++ b/crates/fleet/src/node/spread.rs
@@ -172,7 +172,8 @@
     /// Passes a new revision on, down the tree that it came by.
     pub(super) fn spread_configuration(&mut self, now: Time) {
         let revision = self.store.complete();
-        if revision <= self.pulling.announced || self.pulling.is_under_way(now) {
+        let is_news = revision > self.pulling.announced && self.store.is_confirmed();
+        if !is_news || self.pulling.is_under_way(now) {
             return;
         }
         self.pulling.announced = revision;
