--- /dev/null
+++ b/crates/fleet/src/membership/table/merge.rs
@@ -0,0 +1,90 @@
+//! Taking in what others believe.
+
+use base::{HostName, Incarnation, Revision, Time};
+
+use super::Table;
+use crate::{
+    membership::MemberState,
+    message::{HostRevision, Record},
+};
+
+impl Table {
+    /// Takes in a record from elsewhere; tells whether it was a false belief
+    /// about this host, which others must hear refuted.
+    pub(crate) fn merge(&mut self, record: Record, now: Time) -> bool {
+        if record.host == self.own {
+            return self.refute(&record, now);
+        }
+        let key = |it: &Record| (it.incarnation, it.epoch, it.state);
+        if let Some(entry) = self.entries.get(&record.host)
+            && key(&record) <= key(&entry.record)
+        {
+            return false;
+        }
+        self.insert(record, now);
+        false
+    }
+
+    /// Answers a false belief about this host with a newer record.
+    fn refute(&mut self, claim: &Record, now: Time) -> bool {
+        let own = self.own();
+        // The others count this host's name since an earlier life of it.
+        let is_recent = claim.incarnation <= own.incarnation;
+        if claim.is_voter && !own.is_voter && is_recent && claim.state < MemberState::Forgotten {
+            self.become_voter(claim.seniority, now);
+            return true;
+        }
+        let is_current = claim.incarnation == own.incarnation && claim.epoch >= own.epoch;
+        if !is_current || claim.state == own.state || own.state == MemberState::Left {
+            return false;
+        }
+        let epoch = claim.epoch;
+        self.change_own(now, |it| it.epoch = it.epoch.max(epoch));
+        true
+    }
+
+    /// Notes that the platform lists a host. Only a change from live to
+    /// leaving within one incarnation is believed, since the list lags.
+    pub(crate) fn note_listed(&mut self, host: &HostName, is_leaving: bool, now: Time) {
+        let Some(entry) = self.entries.get_mut(host) else { return };
+        entry.last_listed = now;
+        if !is_leaving {
+            entry.was_listed_live |= entry.record.state.is_up();
+            return;
+        }
+        if !entry.was_listed_live || entry.record.is_leaving || !entry.record.state.is_up() {
+            return;
+        }
+        if *host == self.own {
+            self.change_own(now, |it| it.is_leaving = true);
+        } else {
+            let record = Record { is_leaving: true, ..entry.record.clone() };
+            self.insert(record, now);
+        }
+    }
+
+    /// Notes that the platform's list was read.
+    pub(crate) fn note_list(&mut self, now: Time) {
+        self.last_list = Some(now);
+    }
+
+    pub(crate) fn note_revision(&mut self, host: &HostName, at: Incarnation, revision: Revision) {
+        let Some(entry) = self.entries.get_mut(host) else { return };
+        if entry.record.incarnation == at && entry.revision < revision {
+            entry.revision = revision;
+        }
+    }
+
+    pub(crate) fn note_revisions(&mut self, revisions: &[HostRevision]) {
+        if revisions.is_empty() {
+            return;
+        }
+        for entry in self.entries.values_mut() {
+            let heard = revisions.iter().find(|it| it.host == entry.name_hash);
+            let Some(heard) = heard else { continue };
+            if heard.incarnation == entry.record.incarnation && heard.revision > entry.revision {
+                entry.revision = heard.revision;
+            }
+        }
+    }
+}
