Let a host found its domain only when the platform's list names no other

Cause: a fleet's one seed has no seeds itself: restarted alone in a split it made itself the first voter at once and held targets that others held. Change: a host that knows no voter waits 2 s, until it is ready, and until the platform's list was read and names no other host of its domain. Measured: test fleet_with_one_seed_comes_together_and_the_seed_restarts_alone fails before (6 of 3 slots in use) and passes after; 27 tests pass. Conclusion: hosts should have more than one seed; with one they are safe too.

--- a/crates/fleet/src/membership/table/merge.rs
+++ b/crates/fleet/src/membership/table/merge.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Whether the platform's list was ever read.
+    pub(crate) fn has_list(&self) -> bool {
+        self.last_list.is_some()
+    }
+
     /// Notes that the platform's list was read.
     pub(crate) fn note_list(&mut self, now: Time) {
         self.last_list = Some(now);
--- a/crates/fleet/src/node/admission.rs
+++ b/crates/fleet/src/node/admission.rs
@@ -5,7 +5,7 @@
 use base::{DomainName, HashMap, HostName, Time};
 use rand::Rng;
 
-use super::Node;
+use super::{Node, Phase};
 use crate::{
     assignment::{ADMISSION, admitters},
     lease::CLAIM_INTERVAL,
@@ -23,6 +23,9 @@
 const TRIES: u32 = 20;
 const MIN_PAUSE: Duration = Duration::from_secs(11);
 
+/// A host that heard of no other for this long may be the first.
+const ALONE_AFTER: Duration = Duration::from_secs(2);
+
 /// Grants of a newcomer's admission so far.
 #[derive(Debug, Default)]
 pub(super) struct Admission {
@@ -76,9 +79,13 @@
         now + MIN_PAUSE.mul_f64(1.0 + self.rng.random::<f64>())
     }
 
-    /// A host that knows no voter is the first, unless others are known by
-    /// name and may be out of reach.
+    /// A host that knows no voter is the first, unless the platform's list or
+    /// anyone else names others, which may be out of reach.
     fn admit_itself(&mut self, now: Time) {
+        let has_waited = now.since(self.started) >= ALONE_AFTER;
+        if self.phase != Phase::Ready || !has_waited || !self.table.has_list() {
+            return;
+        }
         let others = self.table.domain(&self.cfg.domain).filter(|it| it.host != self.cfg.host);
         let known = others.filter(|it| it.state < MemberState::Forgotten).count();
         if known > 0 {
--- a/crates/fleet/src/node/mod.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -36,6 +36,9 @@
 /// Time between two reads of the platform's list of hosts.
 const LIST_INTERVAL: Duration = Duration::from_secs(30);
 
+/// The same while none was answered.
+const FIRST_LIST_INTERVAL: Duration = Duration::from_secs(5);
+
 /// A leaving host stays at least this long, so that peers learn of it.
 const MIN_GOODBYE: Duration = Duration::from_millis(500);
 
@@ -314,7 +317,8 @@
         if now < self.next_list {
             return;
         }
-        self.next_list = now + LIST_INTERVAL;
+        let interval = if self.table.has_list() { LIST_INTERVAL } else { FIRST_LIST_INTERVAL };
+        self.next_list = now + interval;
         let is_first = now == self.started;
         if is_first || self.is_watcher || self.rate(now).is_alone {
             self.out.push(Action::ReadHosts);
--- a/crates/fleet/tests/bag/mod.rs
+++ b/crates/fleet/tests/bag/mod.rs
@@ -66,7 +66,8 @@
     pub in_force: Vec<Revision>,
     seq: u64,
     group_size: u32,
-    first_hosts: usize,
+    /// Hosts that the settings name as seeds, from the first.
+    pub seeds: usize,
     messages: BinaryHeap<Reverse<(Time, u64)>>,
     in_flight: HashMap<u64, (usize, u64, Input)>,
 }
@@ -85,7 +86,7 @@
             in_force: Vec::new(),
             seq: 0,
             group_size: 1,
-            first_hosts: domains.iter().sum(),
+            seeds: domains.iter().sum(),
             messages: BinaryHeap::new(),
             in_flight: HashMap::default(),
         };
@@ -121,7 +122,7 @@
 
     pub fn start(&mut self, at: usize) {
         // Settings stay as they were written for the first hosts.
-        let first = &self.hosts[..self.first_hosts];
+        let first = &self.hosts[..self.seeds];
         let seeds: Vec<_> = first.iter().map(|it| it.seed.clone()).collect();
         let rate = 1.0 + self.rng.random_range(-CLOCK_ERROR..CLOCK_ERROR);
         let host = &mut self.hosts[at];
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -69,6 +69,26 @@
     println!("first shares {:?} after the start", time + Duration::from_millis(1_500));
 }
 
+#[test]
+fn fleet_with_one_seed_comes_together_and_the_seed_restarts_alone() {
+    base::invariant::panic_when_broken();
+    let mut bag = Bag::new(9, &[3, 2, 1]);
+    bag.platform.publish_basics(3);
+    bag.seeds = 1;
+    bag.start_all();
+    bag.run_for(START * 3);
+    (0..3).for_each(|it| assert_eq!(fully_used(&bag, &format!("d{it}")), 3, "d{it}"));
+    bag.hosts[0].side = 9;
+    bag.kill(0);
+    bag.start(0);
+    for _ in 0..300 {
+        bag.run_for(Duration::from_millis(100));
+        bag.assert_within_limits();
+    }
+    bag.hosts[0].side = 0;
+    time_until_full(&mut bag, "d0", START);
+}
+
 #[test]
 fn fleet_restarted_during_an_outage_is_not_ready_and_says_why() {
     let mut bag = started(2, &[2, 2]);
