--- a/crates/standins/src/targets/listener.rs
+++ b/crates/standins/src/targets/listener.rs
@@ -12,8 +12,8 @@
 };
 
 use super::{
-    RETRY_INTERVAL,
-    query::{self, Reply},
+    RETRY_INTERVAL, query,
+    reply::Reply,
     target::{ConnectionGuard, Target},
 };
 use crate::http::{Request, Response, read_request, write_all};
--- a/crates/standins/src/targets/mod.rs
+++ b/crates/standins/src/targets/mod.rs
@@ -11,6 +11,7 @@
 mod listener;
 mod query;
 mod record;
+mod reply;
 mod state;
 mod target;
 
--- a/xtask/src/judge/mod.rs
+++ b/xtask/src/judge/mod.rs
@@ -6,41 +6,28 @@
     time::Duration,
 };
 
-use hdrhistogram::Histogram;
 use serde::Serialize;
 use standins::targets::{Record, Run};
 
 use crate::{
     load::{CallResult, Verdict},
-    scenario::CallKind,
     watch::Counters,
 };
 
+mod fairness;
+mod slice;
 #[cfg(test)]
 mod tests;
 
-/// Longest latency that a histogram tells apart.
-const MAX_LATENCY_US: u64 = 60_000_000;
-const SIGNIFICANT_DIGITS: u8 = 3;
+pub use self::slice::{Slice, slice};
+use self::{
+    fairness::jain_index,
+    slice::{latency_histogram, micros, slices},
+};
+
 /// Reasons with which a host that stops turns callers away.
 const STOP_REASONS: [&str; 2] = ["stopping", "not_ready"];
 
-/// Latency and fate of a set of calls.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Slice {
-    pub requests: u64,
-    pub answered: u64,
-    pub refused: u64,
-    pub failed: u64,
-    pub answered_ratio: f64,
-    pub p50_ms: f64,
-    pub p90_ms: f64,
-    pub p99_ms: f64,
-    pub p999_ms: f64,
-    pub coverage_mean: f64,
-    pub coverage_full_ratio: f64,
-}
-
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Summary {
     pub scenario: String,
@@ -139,7 +126,7 @@
             work_after_domain_out_ms_max: self.max(|it| it.work_after_out_ms_max),
             config_in_force_ms_max: millis(self.config_in_force),
             config_reverts: self.config_reverts,
-            fairness_jain: fairness(&measured, self.fairness_from),
+            fairness_jain: jain_index(&measured, self.fairness_from),
             connections_over_limit: self.sum(|it| it.connections_over_limit),
             attempts_over_slots: self.sum(|it| it.over_slots),
             planned_stop_failures: self.planned_stop_failures(),
@@ -247,43 +234,6 @@
     }
 }
 
-pub fn slice(results: &[&CallResult]) -> Slice {
-    let mut latencies = latency_histogram();
-    let mut slice = Slice { requests: results.len() as u64, ..Slice::default() };
-    let mut coverage = 0.0;
-    let mut full = 0_u64;
-    for result in results {
-        match &result.verdict {
-            Verdict::Answered { answered, total } => {
-                slice.answered += 1;
-                coverage += f64::from(*answered) / f64::from((*total).max(1));
-                full += u64::from(answered == total);
-                latencies.saturating_record(micros(result.latency));
-            }
-            Verdict::Refused { .. } => slice.refused += 1,
-            Verdict::Failed(_) => slice.failed += 1,
-        }
-    }
-    let quantile = |it: f64| latencies.value_at_quantile(it) as f64 / 1_000.0;
-    let answered = (slice.answered as f64).max(1.0);
-    slice.answered_ratio = slice.answered as f64 / (slice.requests as f64).max(1.0);
-    slice.p50_ms = quantile(0.5);
-    slice.p90_ms = quantile(0.9);
-    slice.p99_ms = quantile(0.99);
-    slice.p999_ms = quantile(0.999);
-    slice.coverage_mean = coverage / answered;
-    slice.coverage_full_ratio = full as f64 / answered;
-    slice
-}
-
-fn slices(results: &[&CallResult], key: impl Fn(&CallResult) -> String) -> BTreeMap<String, Slice> {
-    let mut parts: BTreeMap<String, Vec<&CallResult>> = BTreeMap::new();
-    for result in results {
-        parts.entry(key(result)).or_default().push(result);
-    }
-    parts.into_iter().map(|(name, part)| (name, slice(&part))).collect()
-}
-
 fn reasons(results: &[&CallResult]) -> BTreeMap<String, u64> {
     let mut counts = BTreeMap::new();
     for result in results {
@@ -297,58 +247,12 @@
     counts
 }
 
-/// Jain's index over the services with demand: what each got answered, as a
-/// part of its max-min fair share of all that was answered.
-fn fairness(results: &[&CallResult], from: Duration) -> f64 {
-    let mut services: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
-    let counts = |it: &&&CallResult| it.call.at >= from && it.call.kind == CallKind::Query;
-    for result in results.iter().filter(counts) {
-        let (demand, got) = services.entry(&result.call.service).or_default();
-        *demand += 1.0;
-        if matches!(result.verdict, Verdict::Answered { .. }) {
-            *got += 1.0;
-        }
-    }
-    let demands: Vec<f64> = services.values().map(|(demand, _)| *demand).collect();
-    let all: f64 = services.values().map(|(_, got)| *got).sum();
-    let shares = fair_shares(&demands, all);
-    let parts: Vec<f64> =
-        services.values().zip(shares).map(|((_, got), share)| got / share.max(1.0)).collect();
-    let sum: f64 = parts.iter().sum();
-    let squares: f64 = parts.iter().map(|it| it * it).sum();
-    if squares == 0.0 { 1.0 } else { sum * sum / (parts.len() as f64 * squares) }
-}
-
-/// Max-min fair shares of `capacity` under the demands.
-fn fair_shares(demands: &[f64], capacity: f64) -> Vec<f64> {
-    let mut order: Vec<usize> = (0..demands.len()).collect();
-    order.sort_by(|a, b| demands[*a].total_cmp(&demands[*b]));
-    let mut shares = vec![0.0; demands.len()];
-    let mut left = capacity;
-    for (done, index) in order.iter().enumerate() {
-        let equal = left / (demands.len() - done) as f64;
-        shares[*index] = demands[*index].min(equal);
-        left -= shares[*index];
-    }
-    shares
-}
-
-fn latency_histogram() -> Histogram<u64> {
-    // Fixed bounds: the library refuses only more digits or an empty range.
-    Histogram::new_with_bounds(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
-        .unwrap_or_else(|err| unreachable!("histogram bounds: {err}"))
-}
-
 fn load_lag_p99(results: &[&CallResult]) -> f64 {
     let mut lags = latency_histogram();
     results.iter().for_each(|it| lags.saturating_record(micros(it.lag)));
     lags.value_at_quantile(0.99) as f64 / 1_000.0
 }
 
-fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(MAX_LATENCY_US)
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/xtask/src/judge/tests.rs
+++ b/xtask/src/judge/tests.rs
@@ -2,7 +2,7 @@
 
 use standins::targets::Run;
 
-use super::{Evidence, fair_shares};
+use super::{Evidence, fairness::fair_shares};
 use crate::{
     load::{Call, CallResult, Verdict, answer::Checks},
     scenario::CallKind,
--- a/xtask/src/scenario/mod.rs
+++ b/xtask/src/scenario/mod.rs
@@ -1,6 +1,6 @@
 //! The scenario format, described in docs/BENCH.md.
 
-use std::{collections::BTreeMap, fs, path::Path, str::FromStr};
+use std::{collections::BTreeMap, fs, path::Path};
 
 use eyre::{WrapErr, eyre};
 use serde::{Deserialize, Serialize};
@@ -8,9 +8,12 @@
 
 use crate::relay::LinkState;
 
+mod baseline;
 #[cfg(test)]
 mod tests;
 
+pub use self::baseline::Baseline;
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Scenario {
@@ -206,16 +209,6 @@
     pub max: Option<f64>,
 }
 
-/// A mechanism turned off for comparison.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Baseline {
-    Direct,
-    NoHedge,
-    NoWarmUp,
-    Fifo,
-    NoEarlyRefusal,
-}
-
 impl Scenario {
     pub fn read(path: &Path) -> eyre::Result<Self> {
         let text = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
@@ -249,40 +242,6 @@
     }
 }
 
-impl Baseline {
-    pub const NAMES: &'static [(&'static str, Baseline)] = &[
-        ("direct", Baseline::Direct),
-        ("no-hedge", Baseline::NoHedge),
-        ("no-warmup", Baseline::NoWarmUp),
-        ("fifo", Baseline::Fifo),
-        ("no-early-refusal", Baseline::NoEarlyRefusal),
-    ];
-
-    pub fn name(self) -> &'static str {
-        Self::NAMES.iter().find(|(_, it)| *it == self).map_or("", |(name, _)| name)
-    }
-
-    /// The daemons' `policy` setting.
-    pub fn policy_setting(self) -> &'static str {
-        match self {
-            Baseline::Direct => "owners: direct",
-            Baseline::NoHedge => "hedging: off",
-            Baseline::NoWarmUp => "warm-up: false",
-            Baseline::Fifo => "fair-turns: first-come-first-served",
-            Baseline::NoEarlyRefusal => "early-refusal: false",
-        }
-    }
-}
-
-impl FromStr for Baseline {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        let known = Self::NAMES.iter().find(|(name, _)| *name == text);
-        known.map(|(_, it)| *it).ok_or_else(|| format!("unknown baseline `{text}`"))
-    }
-}
-
 fn default_hosts() -> usize {
     8
 }
