Do not let non-idempotent work wait for an unreachable peer either

Cause: work under a ticket that was planned for a replica in a domain cut off waited 300 ms for the link, longer than its deadline of 200 ms, though nothing had been sent and another replica could have run it. Change: every batch fails at once as not run while a peer that could not be reached is tried again; the entry then sends it to another replica.

--- a/crates/peer/src/links/calls.rs
+++ b/crates/peer/src/links/calls.rs
@@ -22,13 +22,9 @@
 
 pub(super) async fn run(table: &Table, to: SocketAddr, batch: Batch, parts: mpsc::Sender<Part>) {
     let pending = Rc::new(Pending::new(&batch.subqueries, parts));
-    // Work that another owner can do does not wait for a peer that is likely
-    // to be out of reach.
-    let link = match batch.is_idempotent {
-        true => table.prompt_link(to).await,
-        false => table.link(to).await,
-    };
-    let Some(link) = link else {
+    // Another owner or replica can do the work; it does not wait for a peer
+    // that is likely to be out of reach.
+    let Some(link) = table.prompt_link(to).await else {
         pending.fail_rest(Outcome::NotRun).await;
         return;
     };
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -279,7 +279,7 @@
 }
 
 #[tokio::test]
-async fn queries_do_not_wait_for_a_peer_that_was_not_reached() {
+async fn subqueries_do_not_wait_for_a_peer_that_was_not_reached() {
     let hole = TcpListener::bind("127.0.0.1:0").unwrap();
     let to = hole.local_addr().unwrap();
     let links = links("test", None);
@@ -291,7 +291,10 @@
         tokio::time::sleep(AFTER_RECONNECT_PAUSE).await;
         let mut waiting = std::pin::pin!(links.redeem(to, redemption()));
         assert!(futures::poll!(waiting.as_mut()).is_pending());
-        check_lost(&collect(&links, to, batch(1)).await, 1, Outcome::NotRun);
+        for is_idempotent in [true, false] {
+            let batch = Batch { is_idempotent, ..batch(1) };
+            check_lost(&collect(&links, to, batch).await, 1, Outcome::NotRun);
+        }
         is_prompt |= futures::poll!(waiting.as_mut()).is_pending();
         if is_prompt {
             break;
