Test that a loss stops sends until the target shows life

Cause: taking rules out one at a time again showed that, since slots are held for unanswered attempts, no test held the pause of sends after a loss.

Change: a test for it.

--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -240,6 +240,23 @@
     assert!(f.has_note(|it| *it == Note::Down));
 }
 
+#[test]
+fn after_a_loss_nothing_is_sent_until_the_target_shows_life() {
+    let mut f = Fixture::new();
+    f.world.target(&f.target).fault = Some(Fault::Lost);
+    let lost = f.submit(SECOND);
+    let next = f.submit(SECOND);
+    while f.result(lost).is_none() {
+        f.world.run_for(Duration::from_micros(100));
+    }
+    // A new connection takes a millisecond at least.
+    f.world.run_for(Duration::from_micros(500));
+    assert_eq!(f.failure(lost), (Missing::ConnectionLost, Outcome::MayHaveRun));
+    assert_eq!(f.world.targets[&f.target].runs(next), 0);
+    f.world.run_for(SECOND);
+    assert!(f.is_answered(next));
+}
+
 #[test]
 fn down_target_is_probed_by_single_spaced_connections() {
     let mut f = Fixture::warm();
