--- a/crates/entry/src/learn/mod.rs
+++ b/crates/entry/src/learn/mod.rs
@@ -26,7 +26,7 @@
 /// Least time between rounds while no shard can be served.
 const FIRST_WORD_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest time that unknown targets keep a fresh host from being ready.
-const FIRST_ROUNDS_LIMIT: Duration = Duration::from_secs(6);
+const FIRST_ROUNDS_LIMIT: Duration = Duration::from_secs(10);
 /// Time between two looks at what is known, until the host is ready.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for one owner's word.
--- a/crates/godwityardd/src/owners.rs
+++ b/crates/godwityardd/src/owners.rs
@@ -56,10 +56,11 @@
         if self.is_here(owner) {
             return self.local.status(Some(pool.clone())).await;
         }
-        match self.address(owner) {
-            Some(address) => self.links.status(address, pool.clone()).await,
-            None => Vec::new(),
-        }
+        let Some(address) = self.address(owner) else { return Vec::new() };
+        let statuses = self.links.status(address, pool.clone()).await;
+        // What another owner proved of a target holds when it is handed over.
+        self.local.learn(statuses.clone());
+        statuses
     }
 
     async fn redeem(
