Replace a link that says nothing while a new one works

Cause: a link that had fallen silent got new calls until it was given up, 600 to 800 ms after it was first used; each was lost as may-have-run, which is final for work under a ticket. Change: a ping unanswered for 100 ms makes the link suspect; another one is opened, and if it opens while the first is still silent, new calls take it. Calls under way stay where they are. Orders already sent on a silent link stay unknown; sending fewer of them across domains is the entry's choice of replica.

--- a/crates/peer/src/links/link.rs
+++ b/crates/peer/src/links/link.rs
@@ -32,6 +32,13 @@
 /// How often a link in use is looked at.
 const WATCH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// A ping unanswered for this long makes the link suspect: another link to the
+/// same peer is tried.
+const SUSPECT_AFTER: Duration = Duration::from_millis(100);
+
+/// The same for a far peer, in round trips of the last ping.
+const SUSPECT_ROUND_TRIPS: u32 = 3;
+
 /// Longest silence after a ping on a link in use.
 const PING_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -43,6 +50,7 @@
     host: host::Client,
     calls: Cell<u32>,
     last_use: Cell<Instant>,
+    is_suspect: watch::Sender<bool>,
     closed: watch::Sender<bool>,
 }
 
@@ -69,9 +77,9 @@
     ) -> Result<Rc<Link>, OpenError> {
         let opened = timeout(OPEN_TIMEOUT, connect(to, source, identity));
         let (system, host) = opened.await.map_err(|_| OpenError::Timeout)??;
-        let (closed, _) = watch::channel(false);
+        let (closed, is_suspect) = (watch::Sender::new(false), watch::Sender::new(false));
         let (calls, last_use) = (Cell::new(0), Cell::new(Instant::now()));
-        let link = Rc::new(Link { peer: to, host, calls, last_use, closed });
+        let link = Rc::new(Link { peer: to, host, calls, last_use, is_suspect, closed });
         let (watched, log) = (Rc::downgrade(&link), log.clone());
         task::spawn_local(async move {
             let reason = tokio::select! {
@@ -98,6 +106,15 @@
         let _ = self.closed.subscribe().wait_for(|&closed| closed).await;
     }
 
+    /// Changes of whether the link may have fallen silent; ends with the link.
+    pub(super) fn suspicion(&self) -> watch::Receiver<bool> {
+        self.is_suspect.subscribe()
+    }
+
+    pub(super) fn is_suspect(&self) -> bool {
+        *self.is_suspect.borrow()
+    }
+
     pub(super) fn is_closed(&self) -> bool {
         *self.closed.borrow()
     }
@@ -183,6 +200,7 @@
 
 /// Pings the link while calls are under way; returns why it must close.
 async fn watch_silence(link: Weak<Link>) -> &'static str {
+    let mut suspect_after = SUSPECT_AFTER;
     loop {
         sleep(WATCH_INTERVAL).await;
         let Some(link) = link.upgrade() else { return "it was dropped" };
@@ -192,15 +210,27 @@
             }
             continue;
         }
-        let ping = link.host.ping_request().send().promise;
-        match timeout(PING_TIMEOUT, ping).await {
-            Ok(Ok(_)) => (),
+        let sent = Instant::now();
+        match timeout(PING_TIMEOUT, ping(&link, suspect_after)).await {
+            Ok(Ok(())) => suspect_after = SUSPECT_AFTER.max(sent.elapsed() * SUSPECT_ROUND_TRIPS),
             Ok(Err(_)) => return "a ping failed",
             Err(_) => return "it went silent",
         }
     }
 }
 
+/// Pings the peer; the link is suspect from `suspect_after` until the answer.
+async fn ping(link: &Link, suspect_after: Duration) -> Result<(), capnp::Error> {
+    let mut answer = link.host.ping_request().send().promise;
+    if let Ok(answer) = timeout(suspect_after, &mut answer).await {
+        return answer.map(|_| ());
+    }
+    link.is_suspect.send_replace(true);
+    answer.await?;
+    link.is_suspect.send_replace(false);
+    Ok(())
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.closed.send_replace(true);
--- a/crates/peer/src/links/table.rs
+++ b/crates/peer/src/links/table.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::RefCell,
     net::{IpAddr, SocketAddr},
-    rc::Rc,
+    rc::{Rc, Weak},
     time::Duration,
 };
 
@@ -13,9 +13,12 @@
     future::{LocalBoxFuture, Shared},
 };
 use slog::{Logger, info};
-use tokio::{task, time::Instant};
+use tokio::{
+    task,
+    time::{Instant, sleep},
+};
 
-use super::link::Link;
+use super::link::{Link, OpenError};
 use crate::identity::Identity;
 
 /// After a failed attempt, calls fail at once for this long.
@@ -106,9 +109,7 @@
     }
 
     async fn open(&self, to: SocketAddr) -> Option<Rc<Link>> {
-        let Inner { identity, source, log, .. } = &*self.inner;
-        let result = Link::open(to, *source, identity, log).await;
-        let (entry, link) = match result {
+        let (entry, link) = match self.open_link(to).await {
             Ok(link) => (Entry::Open(Rc::clone(&link)), Some(link)),
             Err(err) => {
                 info!(self.inner.log, "no link"; "to" => %to, "error" => %err);
@@ -119,6 +120,47 @@
         link
     }
 
+    async fn open_link(&self, to: SocketAddr) -> Result<Rc<Link>, OpenError> {
+        let Inner { identity, source, log, .. } = &*self.inner;
+        let link = Link::open(to, *source, identity, log).await?;
+        task::spawn_local(self.clone().replace_when_silent(to, Rc::downgrade(&link)));
+        Ok(link)
+    }
+
+    /// Puts another link in the place of one that may have fallen silent, if
+    /// another can be opened while it says nothing. What is under way on the
+    /// former stays there.
+    async fn replace_when_silent(self, to: SocketAddr, former: Weak<Link>) {
+        let Some(mut suspicion) = former.upgrade().map(|it| it.suspicion()) else { return };
+        while suspicion.wait_for(|&it| it).await.is_ok() {
+            let opened = self.open_boxed(to).await;
+            let Some(former) = former.upgrade().filter(|it| !it.is_closed()) else { return };
+            let Ok(link) = opened else {
+                drop(former);
+                sleep(RECONNECT_PAUSE).await;
+                continue;
+            };
+            if former.is_suspect() {
+                return self.replace(to, &former, link);
+            }
+        }
+    }
+
+    fn replace(&self, to: SocketAddr, former: &Rc<Link>, link: Rc<Link>) {
+        let mut entries = self.inner.entries.borrow_mut();
+        let Some(Entry::Open(known)) = entries.get_mut(&to) else { return };
+        if Rc::ptr_eq(known, former) {
+            info!(self.inner.log, "link replaced"; "to" => %to,
+                "reason" => "it says nothing while a new one works");
+            *known = link;
+        }
+    }
+
+    /// Opening a link starts a watch that may open another one.
+    fn open_boxed(&self, to: SocketAddr) -> LocalBoxFuture<'_, Result<Rc<Link>, OpenError>> {
+        self.open_link(to).boxed_local()
+    }
+
     fn make_room(&self) {
         let mut entries = self.inner.entries.borrow_mut();
         let now = Instant::now();
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -13,11 +13,17 @@
 use policy::message::{
     Batch, Part, PartResult, Redeemed, Redemption, Subquery, TargetStatus, Ticket,
 };
-use tokio::sync::mpsc;
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, watch},
+};
 
 /// Longest wait of a test for what must come; only a hang reaches it.
 const HANG: Duration = Duration::from_secs(20);
 
+/// How long a test waits for one batch before it sends the next.
+const PATIENCE: Duration = Duration::from_millis(20);
+
 /// Time after which a peer that was not reached is tried again.
 const AFTER_RECONNECT_PAUSE: Duration = Duration::from_millis(250);
 
@@ -32,6 +38,26 @@
     NeverAnswer,
 }
 
+/// Forwards connections to a host; each number sent silences those of before.
+async fn forward(
+    listener: tokio::net::TcpListener,
+    to: SocketAddr,
+    silenced: watch::Receiver<u32>,
+) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut silenced = silenced.clone();
+        silenced.mark_unchanged();
+        tokio::spawn(async move {
+            let mut host = TcpStream::connect(to).await.unwrap();
+            tokio::select! {
+                _ = tokio::io::copy_bidirectional(&mut stream, &mut host) => (),
+                _ = silenced.changed() => std::future::pending().await,
+            }
+        });
+    }
+}
+
 #[derive(Clone)]
 struct Fake {
     behaviour: Behaviour,
@@ -302,3 +328,35 @@
     }
     assert!(is_prompt);
 }
+
+#[tokio::test]
+async fn silent_connection_is_replaced_before_it_is_given_up() {
+    let host = start(Behaviour::Answer, None);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let (silence, silenced) = watch::channel(0);
+    tokio::spawn(forward(listener, host.address, silenced));
+    let links = links("test", None);
+    let mut is_replaced = false;
+    // A machine that is busy may give the old link up first, but not each time.
+    for round in 0..10 {
+        collect(&links, to, batch(1)).await;
+        silence.send(round).unwrap();
+        let (tx, mut lost) = mpsc::channel(1);
+        links.run(to, batch(1), tx);
+        loop {
+            let parts = tokio::time::timeout(PATIENCE, collect(&links, to, batch(1))).await;
+            let is_answered =
+                parts.is_ok_and(|it| matches!(it[0].result, PartResult::Answer { .. }));
+            is_replaced |= is_answered && lost.is_empty();
+            if is_answered || !lost.is_empty() {
+                break;
+            }
+        }
+        check_lost(&[lost.recv().await.unwrap()], 1, Outcome::MayHaveRun);
+        if is_replaced {
+            break;
+        }
+    }
+    assert!(is_replaced);
+}
