--- a/crates/policy/tests/owner_faults.rs
+++ b/crates/policy/tests/owner_faults.rs
@@ -240,6 +240,23 @@
     assert!(f.has_note(|it| *it == Note::Down));
 }
 
+#[test]
+fn after_a_loss_nothing_is_sent_until_the_target_shows_life() {
+    let mut f = Fixture::new();
+    f.world.target(&f.target).fault = Some(Fault::Lost);
+    let lost = f.submit(SECOND);
+    let next = f.submit(SECOND);
+    while f.result(lost).is_none() {
+        f.world.run_for(Duration::from_micros(100));
+    }
+    // A new connection takes a millisecond at least.
+    f.world.run_for(Duration::from_micros(500));
+    assert_eq!(f.failure(lost), (Missing::ConnectionLost, Outcome::MayHaveRun));
+    assert_eq!(f.world.targets[&f.target].runs(next), 0);
+    f.world.run_for(SECOND);
+    assert!(f.is_answered(next));
+}
+
 #[test]
 fn down_target_is_probed_by_single_spaced_connections() {
     let mut f = Fixture::warm();
@@ -368,6 +385,30 @@
     assert_eq!(f.failure(attempts[0]).0, Missing::Cancelled);
 }
 
+#[test]
+fn slot_is_held_until_the_target_has_given_an_attempt_up() {
+    let mut f = Fixture::new();
+    let model = f.world.target(&f.target);
+    model.restart();
+    model.service_ms = 5_000.0;
+    model.cancel_ms = 200;
+    f.load(5 * SECOND, 50);
+    // A second attempt at once would bring the cold target down.
+    assert_eq!(f.world.targets[&f.target].overloads, 0);
+    assert!(f.world.targets[&f.target].cancellations > 5);
+}
+
+#[test]
+fn cancelled_work_is_not_sent_over_another_connection() {
+    let mut f = Fixture::warm();
+    f.world.target(&f.target).restart();
+    // Its connection will turn out to be closed.
+    let attempt = f.submit(SECOND);
+    f.world.cancel(attempt);
+    f.world.run_for(SECOND);
+    assert_eq!(f.failure(attempt), (Missing::Cancelled, Outcome::NotRun));
+}
+
 #[test]
 fn target_is_told_of_a_cancellation_once() {
     let mut f = Fixture::warm();
