Keep an even number of voters where no witness is known

Change: without a witness both count, and both must agree. Conclusion: a fleet of one domain with two hosts now needs both, or the last resort.

--- a/crates/fleet/src/assignment/voters.rs
+++ b/crates/fleet/src/assignment/voters.rs
@@ -84,10 +84,7 @@
         let seniority = |it: &HostName| table.record(it).map_or(0, |it| it.seniority);
         let key = |it: &&HostName| (std::cmp::Reverse(seniority(it)), rank(it));
         let witness = others.flat_map(|it| table.voters(it)).max_by_key(key);
-        match witness {
-            Some(witness) => hosts.push(witness),
-            None => drop(hosts.pop()),
-        }
+        hosts.extend(witness);
     }
     let hash = hosts.iter().fold(0, |all, it| hash::combine(all, host_hash(it)));
     Voters { hosts: hosts.into_iter().cloned().collect(), hash }
