Serve as the only voter of a domain only when no other is named

Change: such a host owns nothing until the platform's list was read and names no other host of its domain, or it knows another voter.

--- a/crates/fleet/src/node/admission.rs
+++ b/crates/fleet/src/node/admission.rs
@@ -79,19 +79,21 @@
         now + MIN_PAUSE.mul_f64(1.0 + self.rng.random::<f64>())
     }
 
-    /// A host that knows no voter is the first, unless the platform's list or
-    /// anyone else names others, which may be out of reach.
+    /// A host that knows no voter is the first, if it may be.
     fn admit_itself(&mut self, now: Time) {
-        let has_waited = now.since(self.started) >= ALONE_AFTER;
-        if self.phase != Phase::Ready || !has_waited || !self.table.has_list() {
-            return;
+        if self.may_be_alone(now) {
+            self.table.become_voter(self.table.next_seniority(), now);
         }
+    }
+
+    /// Whether this host may take itself for the only one of its domain: not
+    /// while the platform's list or anyone else names others, which may be out
+    /// of reach.
+    pub(super) fn may_be_alone(&self, now: Time) -> bool {
+        let has_waited = now.since(self.started) >= ALONE_AFTER;
         let others = self.table.domain(&self.cfg.domain).filter(|it| it.host != self.cfg.host);
         let known = others.filter(|it| it.state < MemberState::Forgotten).count();
-        if known > 0 {
-            return;
-        }
-        self.table.become_voter(self.table.next_seniority(), now);
+        self.phase == Phase::Ready && has_waited && self.table.has_list() && known == 0
     }
 
     /// Decides on another's admission. Once granted, the newcomer counts here.
--- a/crates/fleet/src/node/mod.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -262,6 +262,12 @@
         if own.is_serving || !own.is_voter || now.since(changed) < VIEW_WAIT {
             return;
         }
+        // Word of its former life may make a host a voter before it heard of
+        // the others.
+        let is_only_voter = self.table.voters(&own.domain).count() == 1;
+        if is_only_voter && !self.may_be_alone(now) {
+            return;
+        }
         self.table.change_own(now, |it| it.is_serving = true);
     }
 
