--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -194,8 +194,7 @@
     let programs = Programs::build(options.is_release)?;
     let docs = workspace_folder().join("docs");
     fs::create_dir_all(&docs)?;
-    let load_average = fs::read_to_string("/proc/loadavg").unwrap_or_default();
-    let load_average = load_average.split(' ').next().unwrap_or_default();
+    let head = page_head(options);
     let mut sections = Vec::new();
     let mut all_hold = true;
     for path in scenario_files()? {
@@ -231,8 +230,15 @@
         let summary = run.summary;
         sections.push(Ok(Section { title: scenario.title, command, summary, others, verdicts }));
     }
-    let head = format!(
-        "Written by `cargo xtask bench all --seed {}` on {} at commit {}, {} build.\n\
+    fs::write(docs.join("BENCHMARKS.md"), report::page(&head, &sections))?;
+    Ok(if all_hold { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// What was run, when and on what; taken before the first run.
+fn page_head(options: &Options) -> String {
+    let load_average = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    format!(
+        "Written by `cargo xtask bench all --seed {}`, begun on {} at commit {}, {} build.\n\
          All processes ran on one machine over loopback; its load average was {} at\n\
          the start, and other work ran beside. Compared runs have the same seed.\n\n\
          ![p99 and coverage while a failure domain leaves and returns]({PLOTTED}.svg)",
@@ -240,10 +246,8 @@
         output_of("date", &["-u", "+%F %H:%M UTC"]),
         output_of("git", &["rev-parse", "--short", "HEAD"]),
         if options.is_release { "release" } else { "debug" },
-        load_average,
-    );
-    fs::write(docs.join("BENCHMARKS.md"), report::page(&head, &sections))?;
-    Ok(if all_hold { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        load_average.split(' ').next().unwrap_or_default(),
+    )
 }
 
 fn scenario_files() -> eyre::Result<Vec<PathBuf>> {
