Count falls after an unannounced turn to cold apart

Cause: target-leaving showed cold_overload_events 2. Both were targets that the scenario had turned cold without notice: nobody can hold back the first requests to a target that has told nothing. The promise is about freshly started targets, so the check was wrong there. Change: turned_cold_overload_events for those; a start or a return counts as before.

--- a/crates/standins/src/targets/record.rs
+++ b/crates/standins/src/targets/record.rs
@@ -27,7 +27,10 @@
     pub over_slots: u64,
     pub max_connections: u32,
     pub connections_over_limit: u64,
+    /// Falls of a target that had started cold.
     pub cold_overload_events: u64,
+    /// Falls of a target that had turned cold without notice.
+    pub turned_cold_overload_events: u64,
     pub crashes: u64,
     /// Latest arrival of work after the target told that it leaves, in
     /// milliseconds since then.
--- a/crates/standins/src/targets/state.rs
+++ b/crates/standins/src/targets/state.rs
@@ -48,6 +48,8 @@
     pub incarnation: u64,
     /// Requests done since the last cold start.
     pub warmed: u32,
+    /// Whether the present coldness came without a new start.
+    pub turned_cold: bool,
     pub running: u32,
     pub waiting: VecDeque<oneshot::Sender<()>>,
     pub attempts: HashMap<AttemptId, Arc<Notify>>,
@@ -72,6 +74,7 @@
         State {
             warmed: knobs.warm_requests,
             knobs,
+            turned_cold: false,
             rng,
             is_up: true,
             up_at: None,
@@ -105,6 +108,15 @@
         self.knobs.cold_slots + gain * self.warmed / self.knobs.warm_requests
     }
 
+    /// Counts a fall of a cold target.
+    pub fn note_cold_overload(&mut self) {
+        if self.turned_cold {
+            self.record.turned_cold_overload_events += 1;
+        } else {
+            self.record.cold_overload_events += 1;
+        }
+    }
+
     pub fn in_flight(&self) -> u32 {
         self.running + u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
     }
@@ -115,6 +127,7 @@
         self.up_at = up_at;
         self.incarnation += 1;
         self.warmed = 0;
+        self.turned_cold = false;
         self.running = 0;
         self.waiting.clear();
         self.attempts.clear();
--- a/xtask/src/report/mod.rs
+++ b/xtask/src/report/mod.rs
@@ -14,7 +14,7 @@
 };
 
 /// Keys printed for each run, in order.
-pub const KEYS: [&str; 33] = [
+pub const KEYS: [&str; 34] = [
     "requests",
     "answered",
     "refused",
@@ -37,6 +37,7 @@
     "hedges",
     "retries",
     "cold_overload_events",
+    "turned_cold_overload_events",
     "target_crashes",
     "connections_over_limit",
     "attempts_over_slots",
