Split the daemon's start into steps, and catch signals from its beginning

Cause: Host::start had grown to sixty lines; a SIGTERM between the servers' start and the registration of handlers killed the process. Change: one function for each step; signals are caught before anything starts. Conclusion: no other behaviour changes.

--- a/crates/godwityardd/src/daemon.rs
+++ b/crates/godwityardd/src/daemon.rs
@@ -5,7 +5,7 @@
 use documents::Settings;
 use entry::EntryCx;
 use eyre::WrapErr;
-use fleet::{Node, NodeSettings};
+use fleet::{Input, Node, NodeSettings};
 use owner::OwnerHandle;
 use peer::{Datagrams, Identity, Links};
 use platform::HttpPlatform;
@@ -18,9 +18,9 @@
 
 use crate::{
     clock,
-    fleet_driver::{Driver, DriverCx, Inbox, Leave, PlatformReader, receive_datagrams},
+    fleet_driver::{Delivery, Driver, DriverCx, Inbox, Leave, PlatformReader, receive_datagrams},
     owners::FleetOwners,
-    servers::{self, Servers},
+    servers::{Servers, StopSignals},
     service::Service,
     start::Start,
     suspects,
@@ -40,56 +40,41 @@
     log: Logger,
 }
 
+/// Senders into the fleet driver.
+struct Outbox {
+    deliveries: mpsc::Sender<Delivery>,
+    platform: mpsc::Sender<Input>,
+    leave: mpsc::Sender<Leave>,
+}
+
 /// Runs the host until a signal asks it to stop, then stops it gracefully.
 pub async fn run(start: Start) -> eyre::Result<()> {
     let (root, _guard) = telemetry::root_logger(&start.cfg.log, &start.cfg.host);
     telemetry::report_broken_invariants(&root);
+    let mut signals = StopSignals::new()?;
     let host = Host::start(start, &root).await?;
-    servers::stop_signal().await?;
+    signals.received().await;
     host.stop().await;
     Ok(())
 }
 
 impl Host {
     async fn start(start: Start, root: &Logger) -> eyre::Result<Host> {
-        let cfg = start.cfg;
-        let log = part_logger(root, Part::Daemon);
+        let Start { cfg, fleet_secret, admin_token } = start;
         let metrics = Metrics::new()?;
-        let identity = Identity {
-            fleet: cfg.fleet.as_str().into(),
-            host: cfg.host.clone(),
-            address: cfg.advertise,
-            incarnation: clock::incarnation(),
-            secret: start.fleet_secret,
-        };
-        let peer_log = part_logger(root, Part::Peer);
-        let links = Links::start(identity.clone(), cfg.peers.ip(), peer_log.clone())?;
+        let identity = identity(&cfg, fleet_secret);
+        let links = Links::start(identity.clone(), cfg.peers.ip(), part_logger(root, Part::Peer))?;
         let owner = start_owner(&cfg, &metrics, root);
         let view = SharedView::new(cfg.host.clone(), cfg.domain.clone(), identity.incarnation);
         let owners = FleetOwners::new(view.clone(), owner.clone(), links.clone());
-        let entry =
-            start_entry(&cfg, start.admin_token.clone(), view.clone(), owners, &metrics, root);
-
-        let (deliveries, delivered) = mpsc::channel(INBOX);
-        let (platform_tx, platform_rx) = mpsc::channel(INBOX);
-        let (leave, leave_rx) = mpsc::channel(1);
-        let service =
-            Service { owner: owner.clone(), entry: entry.clone(), deliveries: deliveries.clone() };
-        let listener = std::net::TcpListener::bind(cfg.peers)
-            .wrap_err_with(|| format!("cannot listen for peers on {}", cfg.peers))?;
-        peer::serve(listener, identity.clone(), service, peer_log.clone())?;
-        let socket = std::net::UdpSocket::bind(cfg.peers)
-            .wrap_err_with(|| format!("cannot open the datagram socket {}", cfg.peers))?;
-        let datagrams = Datagrams::new(socket, identity.clone(), peer_log)?;
-        tokio::spawn(receive_datagrams(datagrams.clone(), deliveries));
-
-        let learning = entry.clone();
-        tokio::spawn(async move { entry::learn_all_pools(&learning).await });
-        tokio::spawn(suspects::tell(entry.clone(), view.clone(), datagrams.clone()));
-
-        let platform_log = part_logger(root, Part::Platform);
-        let platform =
-            PlatformReader::new(replicas(&cfg)?, platform_tx, metrics.clone(), platform_log);
+        let entry = start_entry(&cfg, admin_token.clone(), view.clone(), owners, &metrics, root);
+
+        let (outbox, inbox) = driver_channels();
+        let deliveries = outbox.deliveries;
+        let service = Service { owner: owner.clone(), entry: entry.clone(), deliveries };
+        let datagrams = serve_peers(&cfg, &identity, service, root)?;
+        start_background(&entry, &view, &datagrams);
+        let platform = platform_reader(&cfg, outbox.platform, &metrics, root)?;
         let cx = DriverCx {
             datagrams,
             links,
@@ -101,14 +86,14 @@
             metrics: metrics.clone(),
             log: part_logger(root, Part::Fleet),
         };
-        let inbox = Inbox { deliveries: delivered, platform: platform_rx, leave: leave_rx };
         let node = Node::new(node_settings(&cfg, &identity), clock::now());
         tokio::spawn(Driver::new(node, cx).run(inbox));
 
-        let servers = Servers::start(&cfg, &entry, start.admin_token, metrics).await?;
+        let servers = Servers::start(&cfg, &entry, admin_token, metrics).await?;
+        let log = part_logger(root, Part::Daemon);
         info!(log, "started"; "callers" => %cfg.callers, "admin" => %cfg.admin,
             "peers" => %cfg.peers, "incarnation" => identity.incarnation.0);
-        Ok(Host { cfg, entry, owner, servers, leave, log })
+        Ok(Host { cfg, entry, owner, servers, leave: outbox.leave, log })
     }
 
     /// Stops in an order that fails no request: first the balancer and peers
@@ -118,7 +103,7 @@
         let grace = self.cfg.grace;
         match timeout(grace, self.stop_in_order()).await {
             Ok(log) => info!(log, "stopped"),
-            Err(_) => eprintln_grace(grace),
+            Err(_) => report_grace_passed(grace),
         }
     }
 
@@ -137,10 +122,67 @@
 }
 
 #[expect(clippy::print_stderr, reason = "the log may be what hangs")]
-fn eprintln_grace(grace: Duration) {
+fn report_grace_passed(grace: Duration) {
     eprintln!("godwityardd: not drained after {} ms, leaving all the same", grace.as_millis());
 }
 
+fn identity(cfg: &Settings, secret: Option<Arc<[u8]>>) -> Identity {
+    Identity {
+        fleet: cfg.fleet.as_str().into(),
+        host: cfg.host.clone(),
+        address: cfg.advertise,
+        incarnation: clock::incarnation(),
+        secret,
+    }
+}
+
+fn driver_channels() -> (Outbox, Inbox) {
+    let (deliveries, delivered) = mpsc::channel(INBOX);
+    let (platform, platform_rx) = mpsc::channel(INBOX);
+    let (leave, leave_rx) = mpsc::channel(1);
+    let inbox = Inbox { deliveries: delivered, platform: platform_rx, leave: leave_rx };
+    (Outbox { deliveries, platform, leave }, inbox)
+}
+
+/// Listens for other hosts, by link and by datagram.
+fn serve_peers(
+    cfg: &Settings,
+    identity: &Identity,
+    service: Service,
+    root: &Logger,
+) -> eyre::Result<Datagrams> {
+    let log = part_logger(root, Part::Peer);
+    let deliveries = service.deliveries.clone();
+    let listener = std::net::TcpListener::bind(cfg.peers)
+        .wrap_err_with(|| format!("cannot listen for peers on {}", cfg.peers))?;
+    peer::serve(listener, identity.clone(), service, log.clone())?;
+    let socket = std::net::UdpSocket::bind(cfg.peers)
+        .wrap_err_with(|| format!("cannot open the datagram socket {}", cfg.peers))?;
+    let datagrams = Datagrams::new(socket, identity.clone(), log)?;
+    tokio::spawn(receive_datagrams(datagrams.clone(), deliveries));
+    Ok(datagrams)
+}
+
+fn start_background(
+    entry: &EntryCx<SharedView, FleetOwners>,
+    view: &SharedView,
+    datagrams: &Datagrams,
+) {
+    let learning = entry.clone();
+    tokio::spawn(async move { entry::learn_all_pools(&learning).await });
+    tokio::spawn(suspects::tell(entry.clone(), view.clone(), datagrams.clone()));
+}
+
+fn platform_reader(
+    cfg: &Settings,
+    tx: mpsc::Sender<Input>,
+    metrics: &Metrics,
+    root: &Logger,
+) -> eyre::Result<PlatformReader> {
+    let log = part_logger(root, Part::Platform);
+    Ok(PlatformReader::new(replicas(cfg)?, tx, metrics.clone(), log))
+}
+
 fn start_owner(cfg: &Settings, metrics: &Metrics, root: &Logger) -> OwnerHandle {
     OwnerHandle::start(owner::OwnerCx {
         host: cfg.host.clone(),
--- a/crates/godwityardd/src/servers/mod.rs
+++ b/crates/godwityardd/src/servers/mod.rs
@@ -1,6 +1,6 @@
 //! The HTTP servers of a host and the signals that stop it.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc};
 
 use documents::Settings;
 use entry::EntryCx;
@@ -14,7 +14,7 @@
 };
 use telemetry::Metrics;
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     task::JoinHandle,
 };
 
@@ -49,15 +49,25 @@
     }
 }
 
-/// Returns when a signal asks the process to stop.
-pub async fn stop_signal() -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => (),
-        _ = interrupt.recv() => (),
+/// The signals that ask the process to stop, caught from its start on.
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    pub fn new() -> io::Result<StopSignals> {
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(StopSignals { terminate, interrupt })
+    }
+
+    pub async fn received(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => (),
+            _ = self.interrupt.recv() => (),
+        }
     }
-    Ok(())
 }
 
 fn configure(rocket: Rocket<Build>, address: SocketAddr) -> Rocket<Build> {
