Do not claim other work in the head of the benchmarks page

Cause: the sentence stood in the code whatever the machine did. Change: the page gives the load average and leaves it there.

--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -240,7 +240,7 @@
     format!(
         "Written by `cargo xtask bench all --seed {}`, begun on {} at commit {}, {} build.\n\
          All processes ran on one machine over loopback; its load average was {} at\n\
-         the start, and other work ran beside. Compared runs have the same seed.\n\n\
+         the start. Compared runs have the same seed.\n\n\
          ![p99 and coverage while a failure domain leaves and returns]({PLOTTED}.svg)",
         options.seed,
         output_of("date", &["-u", "+%F %H:%M UTC"]),
