--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -332,13 +332,20 @@
     assert!(is_prompt);
 }
 
-#[tokio::test]
-async fn silent_connection_is_replaced_before_it_is_given_up() {
-    let host = start(Behaviour::Answer, None);
+/// An address that leads to the host, and what silences the connections that
+/// are open there.
+async fn forwarded(host: &Host) -> (SocketAddr, watch::Sender<u32>) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let to = listener.local_addr().unwrap();
     let (silence, silenced) = watch::channel(0);
     tokio::spawn(forward(listener, host.address, silenced));
+    (to, silence)
+}
+
+#[tokio::test]
+async fn silent_connection_is_replaced_before_it_is_given_up() {
+    let host = start(Behaviour::Answer, None);
+    let (to, silence) = forwarded(&host).await;
     let links = links("test", None);
     let mut is_replaced = false;
     // A machine that is busy may give the old link up first, but not each time.
@@ -367,10 +374,7 @@
 #[tokio::test]
 async fn connection_that_falls_silent_between_calls_loses_none() {
     let host = start(Behaviour::Answer, None);
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let to = listener.local_addr().unwrap();
-    let (silence, silenced) = watch::channel(0);
-    tokio::spawn(forward(listener, host.address, silenced));
+    let (to, silence) = forwarded(&host).await;
     let links = links("test", None);
     let mut is_answered = false;
     // A machine that is busy may not find it in time, but not each time.
