--- a/crates/platform/tests/client.rs
+++ b/crates/config-client/tests/client.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 use base::Revision;
-use platform::{HttpPlatform, Platform, PlatformError};
+use config_client::{HttpPlatform, Platform, PlatformError};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
--- /dev/null
+++ b/crates/forward/src/gather/mod.rs
@@ -0,0 +1,186 @@
+//! A query over many shards: what is in, what is hedged, when it is answered.
+//!
+//! Load patterns answered: with wide fan-out and targets that pause 4% of the
+//! time, most queries meet a late part. A part is hedged when it is late; the
+//! query is answered whole if it can be in time, else shortly before the
+//! caller's objective with what is in, once that is enough; parts that cannot
+//! be had are not waited for; and a query that cannot become an answer is
+//! refused at once.
+
+use std::time::Duration;
+
+use base::Time;
+
+/// A query is answered this share of its objective early, and at least
+/// `MIN_MARGIN`, so that the answer arrives in time.
+const MARGIN_SHARE: f64 = 0.08;
+const MIN_MARGIN: Duration = Duration::from_millis(8);
+
+/// Times that bound a query, on the host's clock.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Schedule {
+    pub received: Time,
+    pub objective: Duration,
+    /// When the caller or the route wants a final answer.
+    pub until: Time,
+}
+
+/// One shard's standing within a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartState {
+    /// Waits for a connection.
+    Waiting,
+    /// All of its targets are silent.
+    Silent,
+    /// Sends in flight.
+    Sent { in_flight: u32 },
+    Done,
+    /// Nothing more is tried.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Look again then, unless something comes in first.
+    Wait(Time),
+    /// Merge what is in.
+    Answer,
+    /// Too few parts can come in.
+    GiveUp,
+    /// The time is over with too few parts.
+    TimedOut,
+}
+
+/// The state of one query.
+#[derive(Clone, Debug)]
+pub struct Gather {
+    parts: Vec<PartState>,
+    sent_at: Vec<Time>,
+    hedged: Vec<bool>,
+    min_shards: usize,
+    schedule: Schedule,
+}
+
+impl Gather {
+    pub fn new(shards: usize, min_shards: usize, schedule: Schedule) -> Gather {
+        Gather {
+            parts: vec![PartState::Waiting; shards],
+            sent_at: vec![schedule.received; shards],
+            hedged: vec![false; shards],
+            min_shards,
+            schedule,
+        }
+    }
+
+    pub fn part(&self, index: usize) -> PartState {
+        self.parts[index]
+    }
+
+    pub fn done(&self) -> usize {
+        self.count(|it| it == PartState::Done)
+    }
+
+    pub fn missing(&self) -> usize {
+        self.parts.len() - self.done()
+    }
+
+    pub fn sent(&mut self, index: usize, now: Time) {
+        self.sent_at[index] = now;
+        self.parts[index] = match self.parts[index] {
+            PartState::Sent { in_flight } => PartState::Sent { in_flight: in_flight + 1 },
+            PartState::Waiting | PartState::Silent | PartState::Failed => {
+                PartState::Sent { in_flight: 1 }
+            }
+            PartState::Done => PartState::Done,
+        };
+    }
+
+    pub fn waits(&mut self, index: usize, is_silent: bool) {
+        if matches!(self.parts[index], PartState::Sent { .. } | PartState::Done) {
+            return;
+        }
+        self.parts[index] = if is_silent { PartState::Silent } else { PartState::Waiting };
+    }
+
+    /// A part came in; false if one was there already.
+    pub fn arrived(&mut self, index: usize) -> bool {
+        let is_first = self.parts[index] != PartState::Done;
+        self.parts[index] = PartState::Done;
+        is_first
+    }
+
+    /// A send of the part ended without an answer. True if no other is in
+    /// flight, so that the part should be tried elsewhere.
+    pub fn lost(&mut self, index: usize) -> bool {
+        let PartState::Sent { in_flight } = self.parts[index] else { return false };
+        if in_flight > 1 {
+            self.parts[index] = PartState::Sent { in_flight: in_flight - 1 };
+            return false;
+        }
+        self.parts[index] = PartState::Failed;
+        true
+    }
+
+    pub fn failed(&mut self, index: usize) {
+        if self.parts[index] != PartState::Done {
+            self.parts[index] = PartState::Failed;
+        }
+    }
+
+    /// Parts whose only send is older than `delay`, each named once.
+    pub fn due_hedges(&mut self, now: Time, delay: Duration) -> Vec<usize> {
+        let mut due = Vec::new();
+        for index in 0..self.parts.len() {
+            let is_due = self.parts[index] == PartState::Sent { in_flight: 1 }
+                && !self.hedged[index]
+                && now.since(self.sent_at[index]) >= delay;
+            if is_due {
+                self.hedged[index] = true;
+                due.push(index);
+            }
+        }
+        due
+    }
+
+    /// When the next part is due for a hedge.
+    pub fn next_hedge(&self, delay: Duration) -> Option<Time> {
+        let open = (0..self.parts.len()).filter(|&index| {
+            self.parts[index] == PartState::Sent { in_flight: 1 } && !self.hedged[index]
+        });
+        open.map(|index| self.sent_at[index] + delay).min()
+    }
+
+    /// The moment from which an incomplete answer is better than a late one.
+    pub fn settle_at(&self) -> Time {
+        let objective = self.schedule.objective;
+        let margin = objective.mul_f64(MARGIN_SHARE).max(MIN_MARGIN);
+        self.schedule.received + objective.saturating_sub(margin)
+    }
+
+    pub fn verdict(&self, now: Time) -> Verdict {
+        let done = self.done();
+        if done == self.parts.len() {
+            return Verdict::Answer;
+        }
+        let is_enough = done >= self.min_shards;
+        let failed = self.count(|it| it == PartState::Failed);
+        if self.parts.len() - failed < self.min_shards {
+            return Verdict::GiveUp;
+        }
+        if now >= self.schedule.until {
+            return if is_enough { Verdict::Answer } else { Verdict::TimedOut };
+        }
+        let can_come =
+            self.count(|it| matches!(it, PartState::Sent { .. } | PartState::Waiting));
+        let settle_at = self.settle_at();
+        if is_enough && (can_come == 0 || now >= settle_at) {
+            return Verdict::Answer;
+        }
+        let next = if now < settle_at { settle_at } else { self.schedule.until };
+        Verdict::Wait(next.min(self.schedule.until))
+    }
+
+    fn count(&self, is_counted: impl Fn(PartState) -> bool) -> usize {
+        self.parts.iter().filter(|it| is_counted(**it)).count()
+    }
+}
--- /dev/null
+++ b/crates/forward/src/latency.rs
@@ -0,0 +1,97 @@
+//! Quantiles of recent latencies, in a small histogram that forgets.
+//!
+//! Load pattern answered: latencies that move within seconds, when targets
+//! slow down or a burst begins; hedge delays follow them.
+
+use std::time::Duration;
+
+/// Upper bound of the first bucket, in microseconds.
+const FIRST_BOUND_US: f64 = 500.0;
+/// Ratio of the bounds of neighbouring buckets.
+const GROWTH: f64 = 1.15;
+const BUCKETS: usize = 64;
+/// After this many latencies all counts are halved.
+const HALVE_AFTER: u32 = 400;
+/// A quantile is worked out anew after this many latencies.
+const REFRESH_AFTER: u32 = 32;
+
+/// A live quantile and mean of latencies.
+#[derive(Clone, Debug)]
+pub struct LatencyQuantile {
+    quantile: f64,
+    counts: [u32; BUCKETS],
+    total: u32,
+    since_refresh: u32,
+    cached: Option<Duration>,
+    mean_us: f64,
+}
+
+impl LatencyQuantile {
+    /// `quantile` lies between 0 and 1.
+    pub fn new(quantile: f64) -> LatencyQuantile {
+        LatencyQuantile {
+            quantile,
+            counts: [0; BUCKETS],
+            total: 0,
+            since_refresh: 0,
+            cached: None,
+            mean_us: 0.0,
+        }
+    }
+
+    pub fn record(&mut self, latency: Duration) {
+        let us = latency.as_micros() as f64;
+        self.counts[bucket(us)] += 1;
+        self.total += 1;
+        self.mean_us = if self.total == 1 { us } else { self.mean_us + (us - self.mean_us) / 50.0 };
+        if self.total >= HALVE_AFTER {
+            self.halve();
+        }
+        self.since_refresh += 1;
+        if self.since_refresh >= REFRESH_AFTER || self.cached.is_none() {
+            self.since_refresh = 0;
+            self.cached = Some(self.compute(self.quantile));
+        }
+    }
+
+    /// The quantile; `None` before the first latency.
+    pub fn get(&self) -> Option<Duration> {
+        self.cached
+    }
+
+    /// The moving mean; `None` before the first latency.
+    pub fn mean(&self) -> Option<Duration> {
+        (self.total > 0).then(|| Duration::from_micros(self.mean_us as u64))
+    }
+
+    fn compute(&self, quantile: f64) -> Duration {
+        let wanted = quantile * f64::from(self.total);
+        let mut seen = 0.0;
+        let mut bound = FIRST_BOUND_US;
+        for count in &self.counts {
+            seen += f64::from(*count);
+            if seen >= wanted {
+                break;
+            }
+            bound *= GROWTH;
+        }
+        Duration::from_micros(bound as u64)
+    }
+
+    fn halve(&mut self) {
+        self.total = 0;
+        for count in &mut self.counts {
+            *count /= 2;
+            self.total += *count;
+        }
+        self.total = self.total.max(1);
+    }
+}
+
+fn bucket(us: f64) -> usize {
+    if us <= FIRST_BOUND_US {
+        return 0;
+    }
+    let index = ((us / FIRST_BOUND_US).ln() / GROWTH.ln()).ceil() as usize;
+    index.min(BUCKETS - 1)
+}
--- /dev/null
+++ b/crates/forward/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions of the forwarding tier: which route takes a request, which
+//! target gets a subquery, when one is hedged, and when a query over many
+//! shards is answered with what has come in.
+//!
+//! It does no I/O, reads no clock and draws no random numbers: time is an
+//! argument. HTTP, header names and sockets live in `front`.
+
+pub mod budget;
+pub mod gather;
+pub mod latency;
+pub mod merge;
+pub mod peers;
+pub mod placement;
+pub mod retry_after;
+pub mod route;
+pub mod target;
+
+pub use crate::{
+    budget::RetryBudget,
+    gather::{Gather, Verdict},
+    latency::LatencyQuantile,
+    placement::{Placement, Targets},
+    route::{CallerLimits, Configuration, Destination, Repeat, Route, RouteTable, Service},
+    target::{Lifecycle, TargetReport},
+};
--- /dev/null
+++ b/crates/forward/src/peers/mod.rs
@@ -0,0 +1,94 @@
+//! Hosts of the system that know of each other.
+//!
+//! Load pattern answered: starts, kills and cuts of many hosts at once. Each
+//! target's limits are divided by the number of hosts, so the number must not
+//! fall while a host that is out of reach may still be at work.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{HashMap, Time};
+
+/// Time between two digests to a peer.
+pub const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Peers that get each digest.
+const FANOUT: usize = 4;
+
+/// A peer that was not heard for this long no longer counts.
+const COUNTED_FOR: Duration = Duration::from_secs(60);
+
+/// Hosts named in one digest.
+const MAX_NAMED: usize = 64;
+
+/// What one host tells another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Digest {
+    pub from: SocketAddr,
+    /// Version of the configuration in force there.
+    pub version: u64,
+    /// Hosts heard of, with the age of the last word of them.
+    pub hosts: Vec<(SocketAddr, Duration)>,
+}
+
+/// The hosts heard of.
+#[derive(Debug)]
+pub struct Peers {
+    me: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    heard: HashMap<SocketAddr, Time>,
+    newest_version: u64,
+    turn: usize,
+}
+
+impl Peers {
+    pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>) -> Peers {
+        let seeds = seeds.into_iter().filter(|it| *it != me).collect();
+        Peers { me, seeds, heard: HashMap::default(), newest_version: 0, turn: 0 }
+    }
+
+    /// Hosts that may be at work, this one included.
+    pub fn count(&self, now: Time) -> usize {
+        let is_counted = |at: &Time| now.since(*at) < COUNTED_FOR;
+        let heard = self.heard.values().filter(|at| is_counted(at)).count();
+        let unheard = self.seeds.iter().filter(|it| !self.heard.contains_key(*it)).count();
+        1 + heard + unheard
+    }
+
+    /// Highest version of the configuration that a peer has in force.
+    pub fn newest_version(&self) -> u64 {
+        self.newest_version
+    }
+
+    pub fn receive(&mut self, digest: &Digest, now: Time) {
+        self.newest_version = self.newest_version.max(digest.version);
+        self.hear(digest.from, now);
+        for (host, age) in &digest.hosts {
+            let heard = Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
+            if *age < COUNTED_FOR {
+                self.hear(*host, heard);
+            }
+        }
+    }
+
+    /// The digest of this moment and the peers to send it to.
+    pub fn tick(&mut self, now: Time, version: u64) -> (Digest, Vec<SocketAddr>) {
+        self.heard.retain(|_, at| now.since(*at) < COUNTED_FOR);
+        let mut known: Vec<SocketAddr> = self.heard.keys().copied().collect();
+        known.extend(self.seeds.iter().filter(|it| !self.heard.contains_key(*it)));
+        known.sort_unstable();
+        let count = known.len().min(FANOUT);
+        let to = (0..count).map(|i| known[(self.turn + i) % known.len()]).collect();
+        self.turn = self.turn.wrapping_add(count);
+        let hosts = self.heard.iter().map(|(host, at)| (*host, now.since(*at)));
+        let digest = Digest { from: self.me, version, hosts: hosts.take(MAX_NAMED).collect() };
+        (digest, to)
+    }
+
+    fn hear(&mut self, host: SocketAddr, at: Time) {
+        if host == self.me {
+            return;
+        }
+        let heard = self.heard.entry(host).or_insert(at);
+        *heard = (*heard).max(at);
+    }
+}
--- /dev/null
+++ b/crates/forward/src/placement/choice.rs
@@ -0,0 +1,128 @@
+//! The choice among a service's targets.
+
+use std::time::Duration;
+
+use base::Time;
+
+use super::{Ask, Send, TargetKey, Targets};
+use crate::target::Target;
+
+/// Where a request can go now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    Send(Send),
+    /// Some target works, but no connection is free.
+    Busy,
+    /// All targets are silent, and what was sent to them is not answered.
+    Silent,
+    /// No target may be used.
+    Nowhere,
+}
+
+/// The best of a service's targets, before anything is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Candidate {
+    Usable(TargetKey),
+    Busy,
+    Silent,
+    Nowhere,
+}
+
+/// Weight of a target's share of failures against its speed.
+const FAILURE_WEIGHT: f64 = 4.0;
+
+/// Sends in flight at a silent target, as trials.
+const TRIALS: usize = 1;
+
+impl From<Candidate> for Placement {
+    fn from(candidate: Candidate) -> Placement {
+        match candidate {
+            Candidate::Usable(_) | Candidate::Busy => Placement::Busy,
+            Candidate::Silent => Placement::Silent,
+            Candidate::Nowhere => Placement::Nowhere,
+        }
+    }
+}
+
+impl<W> Targets<W> {
+    pub(super) fn choose(&mut self, ask: &Ask<'_>, now: Time) -> Candidate {
+        let expected = self.expected(ask.class);
+        let share = self.connection_share(ask.service);
+        self.rotation = self.rotation.wrapping_add(1);
+        let targets = &self.services[ask.service.0].targets;
+        let mut worst = Candidate::Nowhere;
+        let mut best: Option<(bool, Duration, TargetKey)> = None;
+        for i in 0..targets.len() {
+            let key = targets[(i + self.rotation) % targets.len()];
+            let Some(target) = self.targets.get(&key) else { continue };
+            if ask.tried.contains(&key) || !self.is_allowed(target, ask, now) {
+                continue;
+            }
+            if self.is_silent(target, now) && target.sends_in_flight() >= TRIALS
+                || target.is_down(now)
+            {
+                if worst == Candidate::Nowhere {
+                    worst = Candidate::Silent;
+                }
+                continue;
+            }
+            if target.sends_in_flight() >= share || self.is_cold_limit_used(ask, target, now) {
+                worst = Candidate::Busy;
+                continue;
+            }
+            let is_leaving = target.leaving_since().is_some();
+            let cost = self.expected_time(target, expected, now);
+            if best.is_none_or(|(leaves, least, _)| (is_leaving, cost) < (leaves, least)) {
+                best = Some((is_leaving, cost, key));
+            }
+        }
+        best.map_or(worst, |(_, _, key)| Candidate::Usable(key))
+    }
+
+    /// Whether some target of the service may take work at all.
+    pub fn is_served(&self, ask: &Ask<'_>, now: Time) -> bool {
+        let targets = &self.services[ask.service.0].targets;
+        let mut known = targets.iter().filter_map(|key| self.targets.get(key));
+        known.any(|it| self.is_allowed(it, ask, now))
+    }
+
+    fn is_allowed(&self, target: &Target, ask: &Ask<'_>, now: Time) -> bool {
+        let domain = &target.report.domain;
+        if target.is_gone() || self.evacuated.contains(domain) {
+            return false;
+        }
+        let is_out = |since| now.since(since) > self.limits.leaving_for;
+        if target.leaving_since().is_some_and(is_out) {
+            return false;
+        }
+        ask.regions.is_empty()
+            || self.regions.get(domain).is_some_and(|it| ask.regions.contains(it))
+    }
+
+    fn is_cold_limit_used(&self, ask: &Ask<'_>, target: &Target, now: Time) -> bool {
+        if !target.is_cold(now) {
+            return false;
+        }
+        let settings = self.services[ask.service.0].settings.as_ref();
+        let Some(rate) = settings.and_then(|it| it.warmup_rate) else { return false };
+        let hosts = (self.hosts + self.hosts.div_ceil(3)) as f64;
+        let all = rate * self.limits.cold_ratio + self.limits.cold_slack;
+        // Two seconds of counting touch each second that is judged.
+        let own = (all / hosts / 2.0).floor();
+        f64::from(target.sends_this_second(now)) >= own
+    }
+
+    /// Time until an answer is expected.
+    fn expected_time(&self, target: &Target, expected: Duration, now: Time) -> Duration {
+        let slots = f64::from(target.report.slots.max(1));
+        let work = target.work(now);
+        let queue = ((work + 1.0 - slots) / slots).max(0.0);
+        let crowding = 0.3 * (work / slots).min(1.0);
+        let failures = 1.0 + FAILURE_WEIGHT * target.failure_share();
+        let doubt = if target.is_doubtful() { 3.0 } else { 1.0 };
+        let factor = target.slowdown(now) * (1.0 + queue + crowding) * failures * doubt;
+        let local = target.report.domain == self.home;
+        let distance = if local { Duration::ZERO } else { self.limits.cross_domain };
+        expected.mul_f64(factor) + distance
+    }
+}
--- /dev/null
+++ b/crates/forward/src/placement/directory.rs
@@ -0,0 +1,150 @@
+//! Changes of what is known: reports of targets, services, evacuations.
+
+use base::{DomainName, HashSet, ServiceName, TargetName, Time};
+
+use super::{Queue, ServiceKey, TargetKey, Targets, Waiting};
+use crate::{
+    route::{Configuration, Service},
+    target::{Target, TargetReport},
+};
+
+impl<W> Targets<W> {
+    /// Takes the services' settings of a configuration.
+    pub fn configure(&mut self, cfg: &Configuration) {
+        for (name, settings) in &cfg.services {
+            self.set_service(name, settings);
+        }
+    }
+
+    fn set_service(&mut self, name: &ServiceName, settings: &Service) {
+        let key = self.service(name);
+        self.services[key.0].settings = Some(settings.clone());
+    }
+
+    /// Takes a target's report; one of another incarnation, address or
+    /// service replaces the target whole.
+    pub fn reported(&mut self, report: TargetReport, now: Time) -> TargetKey {
+        let known = self.target_keys.get(&report.name).copied();
+        if let Some(key) = known
+            && let Some(target) = self.targets.get_mut(&key)
+            && is_same_incarnation(&target.report, &report)
+        {
+            target.listed(report, now);
+            return key;
+        }
+        if let Some(old) = known {
+            self.retire(old);
+        }
+        self.add(report, now)
+    }
+
+    /// The platform no longer lists the target. It may come back: an entry
+    /// that lapsed while the platform was away does, so the target stays for
+    /// a while as a last resort.
+    pub fn unlisted(&mut self, name: &TargetName, now: Time) {
+        let key = self.target_keys.get(name);
+        if let Some(target) = key.and_then(|it| self.targets.get_mut(it)) {
+            target.unlisted(now);
+        }
+    }
+
+    /// Forgets targets that have been unlisted for long.
+    pub fn forget_unlisted(&mut self, now: Time) {
+        let limit = self.limits.leaving_for;
+        let is_over = |it: &Target| it.leaving_since().is_some_and(|at| now.since(at) > limit * 4);
+        let over: Vec<TargetKey> =
+            self.targets.iter().filter(|(_, it)| is_over(it)).map(|(key, _)| *key).collect();
+        for key in over {
+            if let Some(target) = self.targets.get_mut(&key) {
+                target.forget();
+            }
+            self.remove_if_unused(key);
+        }
+    }
+
+    /// All targets whose names are not in `listed` are unlisted.
+    pub fn retain_listed(&mut self, listed: &HashSet<TargetName>, now: Time) {
+        let missing: Vec<TargetName> =
+            self.target_keys.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+        for name in missing {
+            self.unlisted(&name, now);
+        }
+    }
+
+    pub fn set_evacuated(&mut self, domains: HashSet<DomainName>) {
+        self.evacuated = domains;
+    }
+
+    pub fn evacuated(&self) -> &HashSet<DomainName> {
+        &self.evacuated
+    }
+
+    pub fn target_count(&self) -> usize {
+        self.target_keys.len()
+    }
+
+    /// Lets `who` wait for a free connection; false if too many wait.
+    pub fn wait(&mut self, service: ServiceKey, waiting: Waiting<W>) -> bool {
+        self.services[service.0].queue.push(waiting).is_ok()
+    }
+
+    /// The next that waits for `service`, to be placed now.
+    pub fn next_waiting(&mut self, service: ServiceKey, now: Time) -> Option<W> {
+        self.services[service.0].queue.pop(now).map(|it| it.who)
+    }
+
+    pub fn waiting(&self, service: ServiceKey) -> usize {
+        self.services[service.0].queue.len()
+    }
+
+    pub fn service_name(&self, service: ServiceKey) -> &ServiceName {
+        &self.services[service.0].name
+    }
+
+    /// Services that something waits for.
+    pub fn services_with_waiting(&self) -> Vec<ServiceKey> {
+        let has_waiting = |queue: &Queue<W>| queue.len() > 0;
+        let indexes = self.services.iter().enumerate();
+        indexes.filter(|(_, it)| has_waiting(&it.queue)).map(|(i, _)| ServiceKey(i)).collect()
+    }
+
+    fn add(&mut self, report: TargetReport, now: Time) -> TargetKey {
+        self.next_target += 1;
+        let key = TargetKey(self.next_target);
+        let service = self.service(&report.service);
+        self.services[service.0].targets.push(key);
+        self.target_keys.insert(report.name.clone(), key);
+        self.targets.insert(key, Target::new(report, now));
+        key
+    }
+
+    fn retire(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        target.replaced();
+        if self.target_keys.get(&target.report.name) == Some(&key) {
+            self.target_keys.remove(&target.report.name);
+        }
+        self.remove_if_unused(key);
+    }
+
+    fn remove_if_unused(&mut self, key: TargetKey) {
+        let is_used = self.targets.get(&key).is_some_and(|it| it.sends_in_flight() > 0);
+        if !is_used {
+            self.remove(key);
+        }
+    }
+
+    pub(super) fn remove(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.remove(&key) else { return };
+        if self.target_keys.get(&target.report.name) == Some(&key) {
+            self.target_keys.remove(&target.report.name);
+        }
+        if let Some(service) = self.service_keys.get(&target.report.service) {
+            self.services[service.0].targets.retain(|it| *it != key);
+        }
+    }
+}
+
+fn is_same_incarnation(old: &TargetReport, new: &TargetReport) -> bool {
+    old.born == new.born && old.address == new.address && old.service == new.service
+}
--- /dev/null
+++ b/crates/forward/src/placement/mod.rs
@@ -0,0 +1,244 @@
+//! Placement: which target gets a send, and what waits.
+//!
+//! Load patterns answered:
+//! - a target that pauses for some hundred milliseconds: its oldest send is
+//!   overdue, so new work goes to its siblings at once, and what must wait
+//!   for it counts as hopeless;
+//! - targets that turn slow: work follows the expected time of an answer;
+//! - a target that is down: one trial at a time until it shows life;
+//! - more work than connections: a bounded queue for each service, most
+//!   urgent first.
+
+mod choice;
+mod directory;
+mod queue;
+
+use std::time::Duration;
+
+use base::{DomainName, HashMap, HashSet, RegionName, ServiceName, TargetName, Time};
+
+pub use self::{choice::Placement, queue::Waiting};
+use self::{choice::Candidate, queue::Queue};
+use crate::{
+    budget::{RetryBudget, RetryLimits},
+    latency::LatencyQuantile,
+    route::{Regions, Service},
+    target::{ReportedLoad, SendResult, Target},
+};
+
+/// Quantile of a class's latencies after which a send is hedged.
+const HEDGE_QUANTILE: f64 = 0.93;
+
+/// Time an answer is expected to take before anything was measured.
+const DEFAULT_EXPECTED: Duration = Duration::from_millis(20);
+
+/// Index of a service, stable while the process lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceKey(usize);
+
+/// Index of a target, never used again for another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetKey(u64);
+
+/// Index of a class of requests with similar work: the requests of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ClassKey(usize);
+
+/// What bounds all placement.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub retry: RetryLimits,
+    /// Requests in a second to a cold target, as a multiple of what it bears,
+    /// and beside that, over all hosts.
+    pub cold_ratio: f64,
+    pub cold_slack: f64,
+    /// Time by which a send into another failure domain is expected to be
+    /// slower.
+    pub cross_domain: Duration,
+    /// A target that leaves is a last resort for this long.
+    pub leaving_for: Duration,
+}
+
+/// All targets, by service, and their state. `W` is what waits in queues.
+#[derive(Debug)]
+pub struct Targets<W> {
+    limits: Limits,
+    home: DomainName,
+    regions: Regions,
+    hosts: usize,
+    service_keys: HashMap<ServiceName, ServiceKey>,
+    services: Vec<ServiceState<W>>,
+    target_keys: HashMap<TargetName, TargetKey>,
+    targets: HashMap<TargetKey, Target>,
+    next_target: u64,
+    next_send: u64,
+    evacuated: HashSet<DomainName>,
+    class_keys: HashMap<std::sync::Arc<str>, ClassKey>,
+    classes: Vec<LatencyQuantile>,
+    rotation: usize,
+}
+
+#[derive(Debug)]
+struct ServiceState<W> {
+    name: ServiceName,
+    settings: Option<Service>,
+    targets: Vec<TargetKey>,
+    budget: RetryBudget,
+    queue: Queue<W>,
+}
+
+/// A send that was placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Send {
+    pub id: u64,
+    pub target: TargetKey,
+    pub service: ServiceKey,
+    pub class: ClassKey,
+}
+
+/// What a request asks of placement.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    pub service: ServiceKey,
+    pub class: ClassKey,
+    /// Targets that had this request before.
+    pub tried: &'a [TargetKey],
+    /// Regions allowed; empty: all.
+    pub regions: &'a [RegionName],
+}
+
+impl<W> Targets<W> {
+    pub fn new(limits: Limits, home: DomainName, regions: Regions) -> Targets<W> {
+        Targets {
+            limits,
+            home,
+            regions,
+            hosts: 1,
+            service_keys: HashMap::default(),
+            services: Vec::new(),
+            target_keys: HashMap::default(),
+            targets: HashMap::default(),
+            next_target: 0,
+            next_send: 0,
+            evacuated: HashSet::default(),
+            class_keys: HashMap::default(),
+            classes: Vec::new(),
+            rotation: 0,
+        }
+    }
+
+    /// Hosts that share each target's limits with this one, itself included.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts.max(1);
+    }
+
+    pub fn service(&mut self, name: &ServiceName) -> ServiceKey {
+        if let Some(&key) = self.service_keys.get(name) {
+            return key;
+        }
+        let key = ServiceKey(self.services.len());
+        self.service_keys.insert(name.clone(), key);
+        self.services.push(ServiceState {
+            name: name.clone(),
+            settings: None,
+            targets: Vec::new(),
+            budget: RetryBudget::default(),
+            queue: Queue::default(),
+        });
+        key
+    }
+
+    pub fn class(&mut self, route: &std::sync::Arc<str>) -> ClassKey {
+        if let Some(&key) = self.class_keys.get(route) {
+            return key;
+        }
+        let key = ClassKey(self.classes.len());
+        self.class_keys.insert(route.clone(), key);
+        self.classes.push(LatencyQuantile::new(HEDGE_QUANTILE));
+        key
+    }
+
+    pub fn target(&self, key: TargetKey) -> Option<&Target> {
+        self.targets.get(&key)
+    }
+
+    /// Counts a request for the budget of `service`.
+    pub fn note_request(&mut self, service: ServiceKey, now: Time) {
+        let limits = self.limits.retry;
+        self.services[service.0].budget.note_request(now, &limits);
+    }
+
+    /// Takes one extra send to `service` from its budget.
+    pub fn take_retry(&mut self, service: ServiceKey, now: Time) -> bool {
+        let (limits, hosts) = (self.limits.retry, self.hosts);
+        self.services[service.0].budget.try_take(now, &limits, hosts)
+    }
+
+    /// Time after which a send of `class` is late enough for a hedge.
+    pub fn hedge_delay(&self, class: ClassKey) -> Option<Duration> {
+        self.classes[class.0].get()
+    }
+
+    /// Time that an answer of `class` usually takes.
+    pub fn expected(&self, class: ClassKey) -> Duration {
+        self.classes[class.0].mean().unwrap_or(DEFAULT_EXPECTED)
+    }
+
+    /// Chooses a target and counts the send as in flight there.
+    pub fn place(&mut self, ask: &Ask<'_>, now: Time) -> Placement {
+        let choice = self.choose(ask, now);
+        let Candidate::Usable(target) = choice else { return choice.into() };
+        let expected = self.expected(ask.class);
+        self.next_send += 1;
+        let id = self.next_send;
+        if let Some(it) = self.targets.get_mut(&target) {
+            it.started(id, now, expected);
+        }
+        Placement::Send(Send { id, target, service: ask.service, class: ask.class })
+    }
+
+    /// Notes the end of a send.
+    pub fn finished(&mut self, send: &Send, now: Time, result: SendResult) {
+        let Some(target) = self.targets.get_mut(&send.target) else { return };
+        let took = target.finished(send.id, now, result);
+        if result == SendResult::Answered
+            && let Some(took) = took
+        {
+            self.classes[send.class.0].record(took);
+        }
+        let is_finished = target.is_gone() && target.sends_in_flight() == 0;
+        if is_finished {
+            self.remove(send.target);
+        }
+    }
+
+    pub fn note_load(&mut self, target: TargetKey, load: ReportedLoad) {
+        if let Some(it) = self.targets.get_mut(&target) {
+            it.load = Some(load);
+        }
+    }
+
+    /// The target says how much longer it is cold.
+    pub fn note_cold(&mut self, target: TargetKey, now: Time, cold_for: Duration) {
+        if let Some(it) = self.targets.get_mut(&target) {
+            it.cold_until = it.cold_until.max(now + cold_for);
+        }
+    }
+
+    /// Connections of this host to one target of `service`.
+    pub fn connection_share(&self, service: ServiceKey) -> usize {
+        let Some(settings) = &self.services[service.0].settings else { return 1 };
+        // Hosts that start while others stop count for a while beside them.
+        let spare_hosts = self.hosts.div_ceil(3);
+        let hosts = self.hosts + spare_hosts;
+        (settings.max_connections as usize / hosts).max(1)
+    }
+
+    fn is_silent(&self, target: &Target, now: Time) -> bool {
+        target.is_down(now) || (target.oldest_ratio(now) > SILENT_RATIO)
+    }
+}
+
+/// A target whose oldest send took this many times as long as usual is taken
+/// to be silent.
+const SILENT_RATIO: f64 = 3.0;
--- /dev/null
+++ b/crates/forward/src/target.rs
@@ -0,0 +1,286 @@
+//! What is known of one target: its reports, the sends in flight, how fast it
+//! answers and whether it can be trusted with more.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{DomainName, ServiceName, TargetName, Time};
+
+/// A target's own report, as the platform publishes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetReport {
+    pub name: TargetName,
+    /// Start of this incarnation, if stated. Only compared with other reports
+    /// of the same target, never with a clock of ours.
+    pub born: Option<u64>,
+    pub service: ServiceName,
+    pub address: SocketAddr,
+    pub domain: DomainName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    pub lifecycle: Lifecycle,
+    /// How much longer it is cold.
+    pub cold_for: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    Ready,
+    /// Leaves soon and gets no new work.
+    Draining,
+}
+
+/// How a send ended, for the target's standing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendResult {
+    /// A usable answer.
+    Answered,
+    /// The target said that it did not run the request.
+    Shed,
+    /// An answer that reports a failure, or one that cannot be used.
+    Failed,
+    /// The connection broke before the answer was whole.
+    Broken,
+    /// No connection could be made, or no answer came in time.
+    Silent,
+    /// Another target has the address now.
+    Misdirected,
+    /// Nothing was written.
+    NotSent,
+    /// Given up because the caller left or another answer was first.
+    Cancelled,
+}
+
+/// Load as the target itself told it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReportedLoad {
+    pub running: u32,
+    pub waiting: u32,
+    pub at: Time,
+}
+
+/// A reported load counts for this long.
+const LOAD_LIFE: Duration = Duration::from_millis(250);
+
+/// An old slowdown is halved in this time without news.
+const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// Weight of the newest answer in the slowdown.
+const SLOWDOWN_GAIN: f64 = 0.25;
+
+/// Weight of the newest answer in the share of failures.
+const FAILURE_GAIN: f64 = 0.15;
+
+/// Longest slowdown that is believed.
+const MAX_SLOWDOWN: f64 = 50.0;
+
+/// Failures in a row after which a target is taken for down.
+const DOWN_AFTER: u32 = 3;
+
+/// Pause between two trials of a target that is down.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(400);
+
+/// A send in flight.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    send: u64,
+    at: Time,
+    expected: Duration,
+}
+
+/// One target's state.
+#[derive(Debug)]
+pub struct Target {
+    pub report: TargetReport,
+    in_flight: Vec<InFlight>,
+    slowdown: f64,
+    slowdown_at: Time,
+    failures: f64,
+    failed_in_row: u32,
+    down_until: Option<Time>,
+    pub load: Option<ReportedLoad>,
+    /// Cold until then, and how many sends the current second saw.
+    pub cold_until: Time,
+    cold_second: (Time, u32),
+    /// Leaves or is no longer listed since then.
+    leaving_since: Option<Time>,
+    /// Another has its address, or another incarnation its name.
+    is_replaced: bool,
+    /// No longer listed long enough.
+    is_forgotten: bool,
+}
+
+impl Target {
+    pub fn new(report: TargetReport, now: Time) -> Target {
+        let cold_until = now + report.cold_for;
+        Target {
+            report,
+            in_flight: Vec::new(),
+            slowdown: 1.0,
+            slowdown_at: now,
+            failures: 0.0,
+            failed_in_row: 0,
+            down_until: None,
+            load: None,
+            cold_until,
+            cold_second: (now, 0),
+            leaving_since: None,
+            is_replaced: false,
+            is_forgotten: false,
+        }
+    }
+
+    /// The platform lists it, as `report` says.
+    pub fn listed(&mut self, report: TargetReport, now: Time) {
+        self.cold_until = self.cold_until.max(now + report.cold_for);
+        let was_draining = self.report.lifecycle == Lifecycle::Draining;
+        self.report = report;
+        if was_draining || self.report.lifecycle == Lifecycle::Draining {
+            self.report.lifecycle = Lifecycle::Draining;
+            self.leaving_since.get_or_insert(now);
+        } else {
+            self.leaving_since = None;
+        }
+    }
+
+    /// The platform does not list it.
+    pub fn unlisted(&mut self, now: Time) {
+        self.leaving_since.get_or_insert(now);
+    }
+
+    /// Nothing more may be sent to it, ever.
+    pub fn replaced(&mut self) {
+        self.is_replaced = true;
+    }
+
+    pub fn forget(&mut self) {
+        self.is_forgotten = true;
+    }
+
+    pub fn is_gone(&self) -> bool {
+        self.is_replaced || self.is_forgotten
+    }
+
+    pub fn leaving_since(&self) -> Option<Time> {
+        self.leaving_since
+    }
+
+    pub fn sends_in_flight(&self) -> usize {
+        self.in_flight.len()
+    }
+
+    pub fn started(&mut self, send: u64, now: Time, expected: Duration) {
+        self.in_flight.push(InFlight { send, at: now, expected });
+        if let Some(until) = &mut self.down_until {
+            *until = now + TRIAL_INTERVAL;
+        }
+        if now.since(self.cold_second.0) >= Duration::from_secs(1) {
+            self.cold_second = (now, 0);
+        }
+        self.cold_second.1 += 1;
+    }
+
+    /// Notes the end of a send and returns how long it took.
+    pub fn finished(&mut self, send: u64, now: Time, result: SendResult) -> Option<Duration> {
+        let index = self.in_flight.iter().position(|it| it.send == send)?;
+        let sent = self.in_flight.swap_remove(index);
+        let took = now.since(sent.at);
+        let ratio = took.as_secs_f64() / sent.expected.as_secs_f64().max(1e-4);
+        match result {
+            SendResult::Answered => {
+                self.note_speed(ratio, now);
+                self.note_outcome(0.0);
+                self.failed_in_row = 0;
+                self.down_until = None;
+            }
+            SendResult::Shed => {
+                self.note_outcome(1.0);
+                self.failed_in_row = 0;
+                self.down_until = None;
+            }
+            SendResult::Failed | SendResult::Broken => {
+                self.note_outcome(1.0);
+                self.failed_in_row += 1;
+                if self.failed_in_row >= DOWN_AFTER {
+                    self.down_until = Some(now + TRIAL_INTERVAL);
+                }
+            }
+            SendResult::Silent => {
+                self.note_outcome(1.0);
+                self.note_speed(ratio.max(2.0), now);
+                self.failed_in_row += 1;
+                self.down_until = Some(now + TRIAL_INTERVAL);
+            }
+            SendResult::Misdirected => self.is_replaced = true,
+            SendResult::Cancelled if ratio > 1.0 => self.note_speed(ratio, now),
+            SendResult::NotSent | SendResult::Cancelled => {}
+        }
+        Some(took)
+    }
+
+    /// How many times longer than usual it takes to answer, at least 1 for
+    /// a target of which nothing is known.
+    pub fn slowdown(&self, now: Time) -> f64 {
+        let age = now.since(self.slowdown_at).as_secs_f64();
+        let weight = 0.5_f64.powf(age / SLOWDOWN_HALF_LIFE.as_secs_f64());
+        let known = 1.0 + (self.slowdown - 1.0) * weight;
+        known.max(self.oldest_ratio(now))
+    }
+
+    /// The age of the send that is most overdue, as a multiple of the time
+    /// that it was expected to take.
+    pub fn oldest_ratio(&self, now: Time) -> f64 {
+        let ratio = |it: &InFlight| now.since(it.at).as_secs_f64() / it.expected.as_secs_f64();
+        self.in_flight.iter().map(ratio).fold(0.0, f64::max)
+    }
+
+    /// Share of recent sends that failed or were shed.
+    pub fn failure_share(&self) -> f64 {
+        self.failures
+    }
+
+    /// Whether it is down and no trial is due.
+    pub fn is_down(&self, now: Time) -> bool {
+        self.down_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it is down, whether or not a trial is due.
+    pub fn is_doubtful(&self) -> bool {
+        self.down_until.is_some()
+    }
+
+    pub fn is_cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
+    /// Sends of the running second, for the limit of a cold target.
+    pub fn sends_this_second(&self, now: Time) -> u32 {
+        if now.since(self.cold_second.0) >= Duration::from_secs(1) { 0 } else { self.cold_second.1 }
+    }
+
+    /// Work at the target: what it told lately, or what this host sent.
+    pub fn work(&self, now: Time) -> f64 {
+        let own = self.in_flight.len() as f64;
+        let Some(load) = self.load else { return own };
+        let age = now.since(load.at);
+        if age >= LOAD_LIFE {
+            return own;
+        }
+        let freshness = 1.0 - age.as_secs_f64() / LOAD_LIFE.as_secs_f64();
+        let told = f64::from(load.running + load.waiting);
+        own.max(told * freshness)
+    }
+
+    fn note_speed(&mut self, ratio: f64, now: Time) {
+        let known = {
+            let age = now.since(self.slowdown_at).as_secs_f64();
+            let weight = 0.5_f64.powf(age / SLOWDOWN_HALF_LIFE.as_secs_f64());
+            1.0 + (self.slowdown - 1.0) * weight
+        };
+        self.slowdown = (known + (ratio.min(MAX_SLOWDOWN) - known) * SLOWDOWN_GAIN).max(0.3);
+        self.slowdown_at = now;
+    }
+
+    fn note_outcome(&mut self, failed: f64) {
+        self.failures += (failed - self.failures) * FAILURE_GAIN;
+    }
+}
--- /dev/null
+++ b/crates/front/src/callers/mod.rs
@@ -0,0 +1,83 @@
+//! Callers' connections: accepting, timeouts, the stop of the process.
+
+mod answer;
+mod connection;
+mod forward;
+mod read;
+mod readiness;
+mod stop;
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use slog::{info, warn};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    signal::unix::{Signal, SignalKind, signal},
+    time::{MissedTickBehavior, interval},
+};
+
+use self::connection::Connections;
+use crate::{SharedCx, peers};
+
+/// New connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Time between two looks at callers' timeouts and at what waits.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Serves callers until a stop signal was obeyed.
+pub async fn serve(cx: SharedCx) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let callers = listen(cx.cfg.callers)?;
+    let connections = Rc::new(Connections::default());
+    tokio::task::spawn_local(readiness::serve(cx.clone(), listen(cx.cfg.readiness)?));
+    tokio::task::spawn_local(peers::run(cx.clone()));
+    tokio::task::spawn_local(sweep(cx.clone(), connections.clone()));
+    info!(cx.log, "front: serving"; "callers" => %cx.cfg.callers);
+    accept_until_stopped(&cx, &callers, &connections, &mut terminate).await;
+    stop::drain(&cx, &callers, &connections).await;
+    info!(cx.log, "front: stopped"; "open_connections" => connections.len());
+    Ok(())
+}
+
+async fn accept_until_stopped(
+    cx: &SharedCx,
+    callers: &TcpListener,
+    connections: &Rc<Connections>,
+    terminate: &mut Signal,
+) {
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            accepted = callers.accept() => take(cx, accepted, connections),
+        }
+    }
+}
+
+fn take(
+    cx: &SharedCx,
+    accepted: io::Result<(tokio::net::TcpStream, SocketAddr)>,
+    connections: &Rc<Connections>,
+) {
+    match accepted {
+        Ok((stream, _)) => connection::spawn(cx, stream, connections),
+        Err(err) => warn!(cx.log, "front: a caller's connection was not accepted"; "error" => %err),
+    }
+}
+
+async fn sweep(cx: SharedCx, connections: Rc<Connections>) {
+    let mut ticks = interval(SWEEP_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        connections.sweep(cx.clock.now(), &cx.limits.get());
+        cx.sweep();
+    }
+}
+
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/front/src/cx.rs
@@ -0,0 +1,128 @@
+//! The state that all parts of the forwarding tier on one host share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use base::{DomainName, HashSet, TargetName};
+use forward::{
+    CallerLimits, Configuration, RouteTable, TargetReport, Targets, placement::ServiceKey,
+};
+use slog::{Logger, info, warn};
+
+use crate::{
+    Clock, FrontSettings,
+    scatter::{Event, Waiter},
+    targets::Pools,
+};
+
+/// Shared on one thread.
+pub type SharedCx = Rc<Cx>;
+
+pub struct Cx {
+    pub cfg: FrontSettings,
+    pub clock: Clock,
+    pub log: Logger,
+    pub(crate) targets: RefCell<Targets<Waiter>>,
+    pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
+    pub(crate) limits: Cell<CallerLimits>,
+    pub(crate) pools: RefCell<Pools>,
+    pub(crate) is_stopping: Cell<bool>,
+    has_targets: Cell<bool>,
+}
+
+impl Cx {
+    pub fn new(cfg: FrontSettings, log: Logger) -> SharedCx {
+        let targets = Targets::new(cfg.limits.clone(), cfg.domain.clone(), cfg.regions.clone());
+        Rc::new(Cx {
+            cfg,
+            clock: Clock::start(),
+            log,
+            targets: RefCell::new(targets),
+            table: RefCell::new(None),
+            limits: Cell::new(CallerLimits::default()),
+            pools: RefCell::new(Pools::default()),
+            is_stopping: Cell::new(false),
+            has_targets: Cell::new(false),
+        })
+    }
+
+    /// Version of the configuration in force, 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.table.borrow().as_ref().map_or(0, |it| it.version)
+    }
+
+    /// Puts a configuration in force unless a later one is.
+    pub fn apply(&self, cfg: &Configuration) {
+        let current = self.version();
+        if cfg.version <= current {
+            info!(self.log, "front: kept the configuration in force";
+                "version" => current, "offered" => cfg.version);
+            return;
+        }
+        self.targets.borrow_mut().configure(cfg);
+        self.limits.set(cfg.limits);
+        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(cfg)));
+        info!(self.log, "front: configuration in force";
+            "version" => cfg.version, "routes" => cfg.routes.len());
+    }
+
+    pub fn report(&self, report: TargetReport) {
+        self.targets.borrow_mut().reported(report, self.clock.now());
+    }
+
+    /// The platform no longer lists the target.
+    pub fn unlist(&self, name: &TargetName) {
+        self.targets.borrow_mut().unlisted(name, self.clock.now());
+    }
+
+    /// The platform lists these targets and no others.
+    pub fn retain_listed(&self, listed: &HashSet<TargetName>) {
+        self.targets.borrow_mut().retain_listed(listed, self.clock.now());
+        self.has_targets.set(true);
+    }
+
+    pub fn set_evacuated(&self, domains: HashSet<DomainName>) {
+        if *self.targets.borrow().evacuated() != domains {
+            warn!(self.log, "front: evacuated domains changed"; "domains" => ?domains);
+        }
+        self.targets.borrow_mut().set_evacuated(domains);
+    }
+
+    /// Adds or removes one evacuated domain.
+    pub fn set_evacuation(&self, domain: DomainName, is_out: bool) {
+        let mut domains = self.targets.borrow().evacuated().clone();
+        if is_out {
+            domains.insert(domain);
+        } else {
+            domains.remove(&domain);
+        }
+        self.set_evacuated(domains);
+    }
+
+    /// Whether this host should get callers.
+    pub fn is_ready(&self) -> bool {
+        self.table.borrow().is_some() && self.has_targets.get() && !self.is_stopping.get()
+    }
+
+    /// Lets the next that waits for `service` try to be placed.
+    pub(crate) fn wake_waiting(&self, service: ServiceKey) {
+        loop {
+            let next = self.targets.borrow_mut().next_waiting(service, self.clock.now());
+            let Some(waiter) = next else { return };
+            if waiter.tx.send(Event::Place { index: waiter.index }).is_ok() {
+                return;
+            }
+        }
+    }
+
+    /// Wakes one waiting request of each service, and forgets what left.
+    pub(crate) fn sweep(&self) {
+        self.targets.borrow_mut().forget_unlisted(self.clock.now());
+        let services = self.targets.borrow().services_with_waiting();
+        for service in services {
+            self.wake_waiting(service);
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/follow/mod.rs
@@ -0,0 +1,170 @@
+//! Follows what the platform publishes: targets, the configuration and
+//! evacuations.
+//!
+//! A feed is read whole, then its changes are awaited. When the source fails,
+//! what is known stays in force, and the feed is read anew as soon as the
+//! source answers.
+//!
+//! Load pattern answered: a source that is away, slow, forgets its history or
+//! turns some hosts away, and many hosts that return to it at once.
+
+use std::{future::Future, time::Duration};
+
+use base::{DomainName, HashSet, TargetName};
+use forward::{Configuration, TargetReport};
+use slog::{info, warn};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::SharedCx;
+
+/// Longest wait of one call for changes.
+const CHANGES_WAIT: Duration = Duration::from_secs(20);
+
+/// A call for changes that is this much later than its wait has failed.
+const CHANGES_SLACK: Duration = Duration::from_secs(2);
+
+/// Longest time for reading a feed whole.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause after a failed call: the first, and the longest.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+
+/// One of the two things that are followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Feed {
+    Targets,
+    /// The configuration and evacuations.
+    Operations,
+}
+
+/// One published item, decoded.
+#[derive(Clone, Debug)]
+pub enum Item {
+    Target(TargetReport),
+    TargetGone(TargetName),
+    Configuration(Configuration),
+    Evacuated(DomainName),
+    EvacuationOver(DomainName),
+}
+
+/// All items of a feed at some revision.
+#[derive(Clone, Debug)]
+pub struct Whole {
+    pub items: Vec<Item>,
+    pub revision: u64,
+}
+
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum SourceError {
+    #[error("the source no longer has the history")]
+    HistoryGone,
+    #[error("the source is not available: {0}")]
+    Unavailable(String),
+    #[error("the source's answer cannot be read: {0}")]
+    Unreadable(String),
+}
+
+/// Where published items come from. Calls are not retried inside.
+pub trait Source {
+    fn read(&self, feed: Feed) -> impl Future<Output = Result<Whole, SourceError>>;
+
+    /// Items that changed after `revision`, as soon as there are any.
+    fn changes(
+        &self,
+        feed: Feed,
+        revision: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Whole, SourceError>>;
+}
+
+/// Follows `feed` for as long as the process lives.
+pub async fn follow(cx: SharedCx, source: impl Source, feed: Feed) {
+    let mut pause = MIN_PAUSE;
+    let mut lost_since: Option<Instant> = None;
+    loop {
+        let err = match read(&source, feed).await {
+            Ok(whole) => {
+                if let Some(since) = lost_since.take() {
+                    info!(cx.log, "follow: the source is back"; "feed" => ?feed,
+                        "away_ms" => since.elapsed().as_millis() as u64);
+                }
+                pause = MIN_PAUSE;
+                let revision = whole.revision;
+                apply_whole(&cx, feed, whole);
+                follow_changes(&cx, &source, feed, revision).await
+            }
+            Err(err) => err,
+        };
+        if matches!(err, SourceError::HistoryGone) {
+            info!(cx.log, "follow: reading the feed anew"; "feed" => ?feed, "error" => %err);
+            continue;
+        }
+        if lost_since.is_none() {
+            lost_since = Some(Instant::now());
+            warn!(cx.log, "follow: the source is lost, what is known stays in force";
+                "feed" => ?feed, "error" => %err);
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_PAUSE);
+    }
+}
+
+async fn read(source: &impl Source, feed: Feed) -> Result<Whole, SourceError> {
+    let late = |_| SourceError::Unavailable("no answer in time".to_owned());
+    timeout(READ_TIMEOUT, source.read(feed)).await.map_err(late)?
+}
+
+/// Applies changes until a call fails.
+async fn follow_changes(
+    cx: &SharedCx,
+    source: &impl Source,
+    feed: Feed,
+    mut revision: u64,
+) -> SourceError {
+    loop {
+        let call = source.changes(feed, revision, CHANGES_WAIT);
+        match timeout(CHANGES_WAIT + CHANGES_SLACK, call).await {
+            Ok(Ok(changes)) => {
+                revision = revision.max(changes.revision);
+                changes.items.into_iter().for_each(|it| apply(cx, it));
+            }
+            Ok(Err(err)) => return err,
+            Err(_) => return SourceError::Unavailable("no answer in time".to_owned()),
+        }
+    }
+}
+
+fn apply_whole(cx: &SharedCx, feed: Feed, whole: Whole) {
+    match feed {
+        Feed::Targets => {
+            let names = whole.items.iter().filter_map(|it| match it {
+                Item::Target(report) => Some(report.name.clone()),
+                _ => None,
+            });
+            let listed: HashSet<TargetName> = names.collect();
+            whole.items.into_iter().for_each(|it| apply(cx, it));
+            cx.retain_listed(&listed);
+        }
+        Feed::Operations => {
+            let domains = whole.items.iter().filter_map(|it| match it {
+                Item::Evacuated(domain) => Some(domain.clone()),
+                _ => None,
+            });
+            cx.set_evacuated(domains.collect());
+            let is_configuration = |it: &Item| matches!(it, Item::Configuration(_));
+            whole.items.into_iter().filter(is_configuration).for_each(|it| apply(cx, it));
+        }
+    }
+}
+
+fn apply(cx: &SharedCx, item: Item) {
+    match item {
+        Item::Target(report) => cx.report(report),
+        Item::TargetGone(name) => cx.unlist(&name),
+        Item::Configuration(cfg) => cx.apply(&cfg),
+        Item::Evacuated(domain) => cx.set_evacuation(domain, true),
+        Item::EvacuationOver(domain) => cx.set_evacuation(domain, false),
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,27 @@
+//! The forwarding tier's input and output: callers' connections, connections
+//! to targets, and datagrams between hosts.
+//!
+//! It decides nothing about routes, targets or answers: `forward` does. It
+//! knows no platform: header names are settings, configurations and reports
+//! of targets are handed in. It is not a proxy library: each request is read
+//! whole, and each answer is checked whole before its first byte goes out.
+
+mod callers;
+mod clock;
+mod cx;
+pub mod follow;
+mod names;
+mod peers;
+mod scatter;
+mod settings;
+mod socket;
+mod targets;
+
+pub use crate::{
+    callers::serve,
+    clock::Clock,
+    cx::{Cx, SharedCx},
+    names::HeaderNames,
+    settings::{FrontSettings, FrontSettingsBuilder},
+    socket::connect,
+};
--- /dev/null
+++ b/crates/front/src/peers.rs
@@ -0,0 +1,93 @@
+//! Datagrams by which hosts find each other.
+
+use std::{net::SocketAddr, time::Duration};
+
+use forward::peers::{DIGEST_INTERVAL, Digest, Peers};
+use serde::{Deserialize, Serialize};
+use slog::{debug, info, warn};
+use tokio::{
+    net::UdpSocket,
+    time::{MissedTickBehavior, interval},
+};
+
+use crate::SharedCx;
+
+/// Largest datagram read.
+const MAX_DATAGRAM: usize = 4 * 1024;
+
+/// A digest on the wire.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct WireDigest {
+    from: SocketAddr,
+    version: u64,
+    /// Hosts and the milliseconds since the last word of them.
+    hosts: Vec<(SocketAddr, u64)>,
+}
+
+impl From<&Digest> for WireDigest {
+    fn from(digest: &Digest) -> Self {
+        let hosts = digest.hosts.iter().map(|(host, age)| (*host, age.as_millis() as u64));
+        WireDigest { from: digest.from, version: digest.version, hosts: hosts.collect() }
+    }
+}
+
+impl From<WireDigest> for Digest {
+    fn from(wire: WireDigest) -> Self {
+        let hosts = wire.hosts.into_iter().map(|(host, ms)| (host, Duration::from_millis(ms)));
+        Digest { from: wire.from, version: wire.version, hosts: hosts.collect() }
+    }
+}
+
+pub(crate) async fn run(cx: SharedCx) {
+    let socket = match UdpSocket::bind(cx.cfg.peers).await {
+        Ok(socket) => socket,
+        Err(err) => {
+            warn!(cx.log, "front: no datagrams, so no other host is known"; "error" => %err);
+            return;
+        }
+    };
+    let mut peers = Peers::new(cx.cfg.peers, cx.cfg.seeds.clone());
+    let mut ticks = interval(DIGEST_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buf = vec![0; MAX_DATAGRAM];
+    let mut known = 0;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => send(&cx, &socket, &mut peers).await,
+            received = socket.recv_from(&mut buf) => match received {
+                Ok((len, _)) => receive(&cx, &mut peers, &buf[..len]),
+                Err(err) => debug!(cx.log, "front: no datagram was read"; "error" => %err),
+            },
+        }
+        let count = peers.count(cx.clock.now());
+        if count != known {
+            known = count;
+            cx.targets.borrow_mut().set_hosts(count);
+            info!(cx.log, "front: number of hosts changed"; "hosts" => count);
+        }
+    }
+}
+
+async fn send(cx: &SharedCx, socket: &UdpSocket, peers: &mut Peers) {
+    let (digest, to) = peers.tick(cx.clock.now(), cx.version());
+    let bytes = match serde_json::to_vec(&WireDigest::from(&digest)) {
+        Ok(bytes) => bytes,
+        Err(err) => {
+            warn!(cx.log, "front: a digest was not encoded"; "error" => %err);
+            return;
+        }
+    };
+    for peer in to {
+        if let Err(err) = socket.send_to(&bytes, peer).await {
+            debug!(cx.log, "front: a digest was not sent"; "peer" => %peer, "error" => %err);
+        }
+    }
+}
+
+fn receive(cx: &SharedCx, peers: &mut Peers, bytes: &[u8]) {
+    match serde_json::from_slice::<WireDigest>(bytes) {
+        Ok(wire) => peers.receive(&wire.into(), cx.clock.now()),
+        Err(err) => debug!(cx.log, "front: a datagram was not a digest"; "error" => %err),
+    }
+}
--- /dev/null
+++ b/crates/front/src/scatter/mod.rs
@@ -0,0 +1,260 @@
+//! Drives one request over its shards; a request to one target is a query
+//! over a single shard.
+
+use std::rc::Rc;
+
+use base::RegionName;
+use forward::{
+    Gather, Placement, Verdict,
+    gather::{PartState, Schedule},
+    placement::{Ask, ClassKey, Send, ServiceKey, TargetKey, Waiting},
+    target::SendResult,
+};
+use tokio::{sync::mpsc, time::sleep_until};
+
+use crate::{
+    SharedCx,
+    targets::{Job, Outcome, Outgoing, TargetAnswer, submit},
+};
+
+/// What a request in flight is told.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A send ended.
+    Ended { index: usize, send: Send, outcome: Outcome },
+    /// A connection may be free for the part.
+    Place { index: usize },
+}
+
+/// A part that waits for a connection.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    pub tx: mpsc::UnboundedSender<Event>,
+    pub index: usize,
+}
+
+/// What to run, where, and how often.
+pub(crate) struct Plan<'a> {
+    pub shards: Vec<ServiceKey>,
+    pub min_shards: usize,
+    pub class: ClassKey,
+    pub regions: &'a [RegionName],
+    pub attempts: u32,
+    pub priority: u32,
+    pub schedule: Schedule,
+    pub request: Rc<Outgoing>,
+}
+
+/// What came of it.
+pub(crate) struct Collected {
+    pub verdict: Verdict,
+    pub parts: Vec<TargetAnswer>,
+    pub missing: usize,
+    /// A failure that a target reported, to be passed on.
+    pub failure: Option<TargetAnswer>,
+    /// Whether any target may have run the request.
+    pub may_have_run: bool,
+}
+
+struct Scatter<'a> {
+    cx: &'a SharedCx,
+    plan: Plan<'a>,
+    gather: Gather,
+    tried: Vec<Vec<TargetKey>>,
+    /// Sends of each part that may have run.
+    runs: Vec<u32>,
+    tx: mpsc::UnboundedSender<Event>,
+    parts: Vec<TargetAnswer>,
+    failure: Option<TargetAnswer>,
+    in_flight: usize,
+    may_have_run: bool,
+}
+
+/// Marks the request as over when the caller has its answer.
+pub(crate) async fn scatter(cx: &SharedCx, plan: Plan<'_>) -> Collected {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let shards = plan.shards.len();
+    let gather = Gather::new(shards, plan.min_shards, plan.schedule);
+    let mut scatter = Scatter {
+        cx,
+        gather,
+        tried: vec![Vec::new(); shards],
+        runs: vec![0; shards],
+        tx,
+        parts: Vec::with_capacity(shards),
+        failure: None,
+        in_flight: 0,
+        may_have_run: false,
+        plan,
+    };
+    scatter.start();
+    let verdict = scatter.run(&mut rx).await;
+    scatter.plan.request.is_answered.set(true);
+    let missing = scatter.gather.missing();
+    Collected {
+        verdict,
+        parts: scatter.parts,
+        missing,
+        failure: scatter.failure,
+        may_have_run: scatter.may_have_run || scatter.in_flight > 0,
+    }
+}
+
+impl Scatter<'_> {
+    fn start(&mut self) {
+        let now = self.cx.clock.now();
+        for &service in &self.plan.shards {
+            self.cx.targets.borrow_mut().note_request(service, now);
+        }
+        for index in 0..self.plan.shards.len() {
+            self.place(index);
+        }
+    }
+
+    async fn run(&mut self, rx: &mut mpsc::UnboundedReceiver<Event>) -> Verdict {
+        loop {
+            while let Ok(event) = rx.try_recv() {
+                self.handle(event);
+            }
+            let next_hedge = self.hedge();
+            let wake_at = match self.gather.verdict(self.cx.clock.now()) {
+                Verdict::Wait(until) => next_hedge.map_or(until, |it| it.min(until)),
+                verdict => return verdict,
+            };
+            tokio::select! {
+                biased;
+                event = rx.recv() => {
+                    if let Some(event) = event {
+                        self.handle(event);
+                    }
+                }
+                () = sleep_until(self.cx.clock.instant(wake_at)) => {}
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Ended { index, send, outcome } => self.ended(index, &send, outcome),
+            Event::Place { index } => {
+                let is_open =
+                    matches!(self.gather.part(index), PartState::Waiting | PartState::Silent);
+                if is_open {
+                    self.place(index);
+                } else {
+                    self.cx.wake_waiting(self.plan.shards[index]);
+                }
+            }
+        }
+    }
+
+    fn ended(&mut self, index: usize, send: &Send, outcome: Outcome) {
+        self.in_flight -= 1;
+        match outcome.result {
+            SendResult::Answered => {
+                self.may_have_run = true;
+                if self.gather.arrived(index)
+                    && let Some(answer) = outcome.answer
+                {
+                    self.parts.push(answer);
+                }
+                return;
+            }
+            SendResult::Failed | SendResult::Broken | SendResult::Silent => {
+                self.may_have_run = true;
+            }
+            SendResult::Shed
+            | SendResult::Misdirected
+            | SendResult::NotSent
+            | SendResult::Cancelled => self.runs[index] -= 1,
+        }
+        if outcome.result == SendResult::NotSent {
+            self.tried[index].retain(|it| *it != send.target);
+        }
+        if outcome.result == SendResult::Failed && outcome.answer.is_some() {
+            self.failure = outcome.answer;
+        }
+        if self.gather.lost(index) {
+            self.retry(index, outcome.result);
+        }
+    }
+
+    /// Tries the part elsewhere if that is allowed and within the budget.
+    fn retry(&mut self, index: usize, result: SendResult) {
+        let did_not_run =
+            matches!(result, SendResult::Shed | SendResult::Misdirected | SendResult::NotSent);
+        if !did_not_run && !self.plan.request.is_idempotent {
+            return;
+        }
+        if self.runs[index] >= self.plan.attempts {
+            return;
+        }
+        let now = self.cx.clock.now();
+        let service = self.plan.shards[index];
+        let is_free = result == SendResult::NotSent;
+        if is_free || self.cx.targets.borrow_mut().take_retry(service, now) {
+            self.place(index);
+        }
+    }
+
+    fn place(&mut self, index: usize) {
+        match self.try_place(index) {
+            Placement::Send(_) => {}
+            Placement::Busy => self.wait(index, false),
+            Placement::Silent => self.wait(index, true),
+            Placement::Nowhere => self.gather.failed(index),
+        }
+    }
+
+    fn try_place(&mut self, index: usize) -> Placement {
+        let now = self.cx.clock.now();
+        let service = self.plan.shards[index];
+        let ask = Ask {
+            service,
+            class: self.plan.class,
+            tried: &self.tried[index],
+            regions: self.plan.regions,
+        };
+        let placement = self.cx.targets.borrow_mut().place(&ask, now);
+        if let Placement::Send(send) = placement {
+            self.tried[index].push(send.target);
+            self.runs[index] += 1;
+            self.in_flight += 1;
+            self.gather.sent(index, now);
+            let request = self.plan.request.clone();
+            submit(self.cx, Job { request, send, index, tx: self.tx.clone() });
+        }
+        placement
+    }
+
+    fn wait(&mut self, index: usize, is_silent: bool) {
+        self.gather.waits(index, is_silent);
+        let waiting = Waiting {
+            priority: self.plan.priority,
+            until: self.plan.schedule.until,
+            who: Waiter { tx: self.tx.clone(), index },
+        };
+        let service = self.plan.shards[index];
+        if !self.cx.targets.borrow_mut().wait(service, waiting) {
+            self.gather.failed(index);
+        }
+    }
+
+    /// Sends late parts once more; returns when the next is due.
+    fn hedge(&mut self) -> Option<base::Time> {
+        if !self.plan.request.is_idempotent || self.plan.attempts < 2 {
+            return None;
+        }
+        let now = self.cx.clock.now();
+        let delay = self.cx.targets.borrow().hedge_delay(self.plan.class)?;
+        for index in self.gather.due_hedges(now, delay) {
+            let service = self.plan.shards[index];
+            if self.runs[index] < self.plan.attempts
+                && self.cx.targets.borrow_mut().take_retry(service, now)
+            {
+                self.try_place(index);
+            }
+        }
+        self.gather.next_hedge(delay)
+    }
+}
--- /dev/null
+++ b/crates/front/src/settings.rs
@@ -0,0 +1,95 @@
+//! Settings of the forwarding tier.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::DomainName;
+use forward::{placement::Limits, route::Regions};
+
+use crate::HeaderNames;
+
+#[derive(Clone, Debug)]
+pub struct FrontSettings {
+    /// Callers connect here.
+    pub callers: SocketAddr,
+    /// Asked whether this host takes callers.
+    pub readiness: SocketAddr,
+    pub readiness_path: String,
+    /// Datagrams of other hosts.
+    pub peers: SocketAddr,
+    /// Hosts to find others through.
+    pub seeds: Vec<SocketAddr>,
+    pub domain: DomainName,
+    pub regions: Regions,
+    pub limits: Limits,
+    pub names: HeaderNames,
+    /// Longest time from the stop signal to the end of the process.
+    pub stop_within: Duration,
+}
+
+/// Builds [`FrontSettings`]; addresses and names come first, as there is no
+/// sensible default for them.
+#[derive(Clone, Debug)]
+pub struct FrontSettingsBuilder {
+    cfg: FrontSettings,
+}
+
+impl FrontSettingsBuilder {
+    pub fn new(callers: SocketAddr, readiness: SocketAddr, names: HeaderNames) -> Self {
+        let retry = forward::budget::RetryLimits {
+            ratio: 0.05,
+            window: Duration::from_secs(10),
+            slack: 10.0,
+        };
+        let limits = Limits {
+            retry,
+            cold_ratio: 1.0,
+            cold_slack: 0.0,
+            cross_domain: Duration::from_millis(2),
+            leaving_for: Duration::from_secs(1),
+        };
+        let cfg = FrontSettings {
+            callers,
+            readiness,
+            readiness_path: "/ready".to_owned(),
+            peers: SocketAddr::new(callers.ip(), 0),
+            seeds: Vec::new(),
+            domain: DomainName::new("local"),
+            regions: Regions::default(),
+            limits,
+            names,
+            stop_within: Duration::from_secs(6),
+        };
+        FrontSettingsBuilder { cfg }
+    }
+
+    pub fn readiness_path(mut self, path: &str) -> Self {
+        self.cfg.readiness_path = path.to_owned();
+        self
+    }
+
+    pub fn peers(mut self, address: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
+        self.cfg.peers = address;
+        self.cfg.seeds = seeds;
+        self
+    }
+
+    pub fn place(mut self, domain: DomainName, regions: Regions) -> Self {
+        self.cfg.domain = domain;
+        self.cfg.regions = regions;
+        self
+    }
+
+    pub fn limits(mut self, limits: Limits) -> Self {
+        self.cfg.limits = limits;
+        self
+    }
+
+    pub fn stop_within(mut self, limit: Duration) -> Self {
+        self.cfg.stop_within = limit;
+        self
+    }
+
+    pub fn build(self) -> FrontSettings {
+        self.cfg
+    }
+}
--- /dev/null
+++ b/crates/front/src/targets/exchange.rs
@@ -0,0 +1,180 @@
+//! One request and its answer on a connection, checked.
+
+use std::{pin::Pin, time::Duration};
+
+use base::TargetName;
+use bytes::Bytes;
+use forward::target::{ReportedLoad, SendResult};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{Connection, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, sleep_until},
+};
+
+use super::{Job, Outcome, TargetAnswer};
+use crate::SharedCx;
+
+type TargetConnection = Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
+/// Longest answer of a target.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// A target that answers at its deadline gets this long for the way back.
+const ANSWER_SLACK: Duration = Duration::from_millis(60);
+
+/// After its caller left, a request that is nearly done may end, so that the
+/// connection can be kept.
+const CANCEL_DELAY: Duration = Duration::from_millis(250);
+
+/// The end of an exchange, and whether its connection can be used again.
+pub(super) struct Ended {
+    pub outcome: Outcome,
+    pub is_reusable: bool,
+}
+
+enum SendError {
+    NotSent,
+    Broken,
+}
+
+pub(super) async fn exchange(
+    cx: &SharedCx,
+    name: &TargetName,
+    sender: &mut SendRequest<Full<Bytes>>,
+    mut connection: Pin<&mut TargetConnection>,
+    job: &Job,
+) -> Ended {
+    let Some(request) = request(cx, name, job) else {
+        return ended(SendResult::Cancelled, true);
+    };
+    let mut call = std::pin::pin!(call(sender, request));
+    let mut give_up = std::pin::pin!(give_up(job));
+    let mut is_open = true;
+    let result = loop {
+        tokio::select! {
+            biased;
+            answer = call.as_mut() => break answer,
+            _ = connection.as_mut(), if is_open => is_open = false,
+            result = give_up.as_mut() => return ended(result, false),
+        }
+    };
+    match result {
+        Ok(answer) => accept(cx, job, answer, is_open),
+        Err(SendError::NotSent) => ended(SendResult::NotSent, false),
+        Err(SendError::Broken) => ended(SendResult::Broken, false),
+    }
+}
+
+fn ended(result: SendResult, is_reusable: bool) -> Ended {
+    Ended { outcome: Outcome { result, answer: None }, is_reusable }
+}
+
+/// The request with this host's own headers; `None` if no time is left.
+fn request(cx: &SharedCx, name: &TargetName, job: &Job) -> Option<Request<Full<Bytes>>> {
+    let names = &cx.cfg.names;
+    let left = job.request.until.saturating_duration_since(Instant::now()).as_millis();
+    if left == 0 || job.tx.is_closed() {
+        return None;
+    }
+    let mut headers = job.request.headers.clone();
+    headers.insert(names.deadline_ms.clone(), HeaderValue::from(left as u64));
+    headers.insert(names.expected_target.clone(), HeaderValue::from_str(name).ok()?);
+    let mut request = Request::new(Full::new(job.request.body.clone()));
+    *request.method_mut() = job.request.method.clone();
+    *request.uri_mut() = job.request.uri.clone();
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+async fn call(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> Result<TargetAnswer, SendError> {
+    if sender.ready().await.is_err() {
+        return Err(SendError::NotSent);
+    }
+    let answer = sender.try_send_request(request).await.map_err(|mut err| {
+        if err.take_message().is_some() { SendError::NotSent } else { SendError::Broken }
+    })?;
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES);
+    let body = body.collect().await.map_err(|_| SendError::Broken)?.to_bytes();
+    Ok(TargetAnswer { status: head.status, headers: head.headers, body })
+}
+
+/// Ends when the exchange should be given up, with how it counts.
+async fn give_up(job: &Job) -> SendResult {
+    let until = job.request.until + ANSWER_SLACK;
+    tokio::select! {
+        () = sleep_until(until) => SendResult::Silent,
+        () = abandoned(job) => SendResult::Cancelled,
+    }
+}
+
+/// Ends some time after the caller left without an answer.
+async fn abandoned(job: &Job) {
+    job.tx.closed().await;
+    if job.request.is_answered.get() || !job.request.is_idempotent {
+        std::future::pending::<()>().await;
+    }
+    sleep(CANCEL_DELAY).await;
+}
+
+/// Judges an answer and notes what the target says of itself.
+fn accept(cx: &SharedCx, job: &Job, answer: TargetAnswer, is_open: bool) -> Ended {
+    let names = &cx.cfg.names;
+    let asked = job.request.headers.get(&names.request_id);
+    let echoed = answer.headers.get(&names.request_id);
+    if echoed.is_some() && echoed != asked {
+        // The answer of another request: the connection is out of step.
+        return ended(SendResult::Broken, false);
+    }
+    note_state(cx, job, &answer.headers);
+    let result = judge(cx, &answer);
+    let is_kept = is_open && !closes(&answer.headers);
+    Ended { outcome: Outcome { result, answer: Some(answer) }, is_reusable: is_kept }
+}
+
+fn judge(cx: &SharedCx, answer: &TargetAnswer) -> SendResult {
+    let names = &cx.cfg.names;
+    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        return SendResult::Misdirected;
+    }
+    if answer.headers.contains_key(&names.not_run) {
+        return SendResult::Shed;
+    }
+    let is_whole = answer.status.is_success()
+        && answer.headers.contains_key(&names.stamp)
+        && !answer.headers.contains_key(header::CONTENT_ENCODING);
+    if is_whole { SendResult::Answered } else { SendResult::Failed }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values.filter_map(|it| it.to_str().ok()).any(|it| it.to_ascii_lowercase().contains("close"))
+}
+
+fn note_state(cx: &SharedCx, job: &Job, headers: &HeaderMap) {
+    let names = &cx.cfg.names;
+    let now = cx.clock.now();
+    let mut targets = cx.targets.borrow_mut();
+    if let Some(load) = headers.get(&names.load).and_then(parse_load) {
+        let (running, waiting) = load;
+        targets.note_load(job.send.target, ReportedLoad { running, waiting, at: now });
+    }
+    let cold_ms = headers.get(&names.cold_ms).and_then(|it| it.to_str().ok()?.parse().ok());
+    if let Some(cold_ms) = cold_ms {
+        targets.note_cold(job.send.target, now, Duration::from_millis(cold_ms));
+    }
+}
+
+/// Running and waiting requests.
+fn parse_load(value: &HeaderValue) -> Option<(u32, u32)> {
+    let mut fields = value.to_str().ok()?.split(',');
+    let running = fields.next()?.trim().parse().ok()?;
+    let waiting = fields.next()?.trim().parse().ok()?;
+    Some((running, waiting))
+}
--- /dev/null
+++ b/crates/front/src/targets/mod.rs
@@ -0,0 +1,98 @@
+//! Connections to targets: one task a connection, one request at a time.
+
+mod connection;
+mod exchange;
+
+use std::{cell::Cell, rc::Rc};
+
+use base::HashMap;
+use bytes::Bytes;
+use forward::{
+    placement::{Send, TargetKey},
+    target::SendResult,
+};
+use http::{HeaderMap, Method, StatusCode, Uri};
+use tokio::{sync::mpsc, time::Instant};
+
+use crate::{SharedCx, scatter::Event};
+
+/// A request on its way to one target.
+pub(crate) struct Job {
+    pub request: Rc<Outgoing>,
+    pub send: Send,
+    /// Shard within the query.
+    pub index: usize,
+    pub tx: mpsc::UnboundedSender<Event>,
+}
+
+/// What is sent, the same to each target.
+pub(crate) struct Outgoing {
+    pub method: Method,
+    pub uri: Uri,
+    /// End-to-end headers of the caller.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// The caller waits until then.
+    pub until: Instant,
+    pub is_idempotent: bool,
+    /// The caller has its answer; sends in flight may end by themselves.
+    pub is_answered: Cell<bool>,
+}
+
+/// What came of a send.
+#[derive(Debug)]
+pub(crate) struct Outcome {
+    pub result: SendResult,
+    pub answer: Option<TargetAnswer>,
+}
+
+/// A target's answer, whole.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// Idle connections, by target.
+#[derive(Default)]
+pub(crate) struct Pools {
+    idle: HashMap<TargetKey, Vec<mpsc::UnboundedSender<Job>>>,
+}
+
+impl Pools {
+    fn put(&mut self, target: TargetKey, connection: mpsc::UnboundedSender<Job>) {
+        self.idle.entry(target).or_default().push(connection);
+    }
+
+    fn forget(&mut self, target: TargetKey, connection: &mpsc::UnboundedSender<Job>) {
+        let Some(idle) = self.idle.get_mut(&target) else { return };
+        idle.retain(|it| !it.same_channel(connection));
+        if idle.is_empty() {
+            self.idle.remove(&target);
+        }
+    }
+}
+
+/// Sends `job` on an idle connection of its target, or on a new one.
+pub(crate) fn submit(cx: &SharedCx, mut job: Job) {
+    let target = job.send.target;
+    loop {
+        let idle = cx.pools.borrow_mut().idle.get_mut(&target).and_then(Vec::pop);
+        let Some(connection) = idle else { break };
+        match connection.send(job) {
+            Ok(()) => return,
+            Err(mpsc::error::SendError(returned)) => job = returned,
+        }
+    }
+    connection::open(cx, job);
+}
+
+/// Reports the end of a send to placement, then to the request.
+pub(crate) fn finish(cx: &SharedCx, job: &Job, outcome: Outcome) {
+    let now = cx.clock.now();
+    cx.targets.borrow_mut().finished(&job.send, now, outcome.result);
+    // An error means that the request is over; the outcome has been counted.
+    let _ = job.tx.send(Event::Ended { index: job.index, send: job.send, outcome });
+    cx.wake_waiting(job.send.service);
+}
--- a/crates/godwityardd/src/daemon.rs
+++ b/crates/godwityardd/src/daemon.rs
@@ -8,7 +8,7 @@
 use fleet::{Input, Node, NodeSettings};
 use owner::OwnerHandle;
 use peer::{Datagrams, Identity, Links};
-use platform::HttpPlatform;
+use config_client::HttpPlatform;
 use slog::{Logger, info};
 use telemetry::{Metrics, Part, part_logger};
 use tokio::{
--- a/crates/godwityardd/src/fleet_driver/platform_reader.rs
+++ b/crates/godwityardd/src/fleet_driver/platform_reader.rs
@@ -12,7 +12,7 @@
 
 use base::Revision;
 use fleet::{IndexEntry, Input, ListedHost};
-use platform::{HttpPlatform, Index, Platform, PlatformError, StoredDocument};
+use config_client::{HttpPlatform, Index, Platform, PlatformError, StoredDocument};
 use slog::{Logger, warn};
 use telemetry::{Metrics, metrics::label};
 use tokio::sync::mpsc;
@@ -81,7 +81,7 @@
 }
 
 fn index_input(index: Index) -> Input {
-    let entry = |it: platform::IndexEntry| IndexEntry {
+    let entry = |it: config_client::IndexEntry| IndexEntry {
         key: it.key,
         revision: it.revision,
         is_deleted: it.deleted,
@@ -99,6 +99,6 @@
     }
 }
 
-fn listed_host(it: platform::ListedHost) -> ListedHost {
+fn listed_host(it: config_client::ListedHost) -> ListedHost {
     ListedHost { host: it.host, domain: it.domain, address: it.address, is_leaving: it.is_leaving }
 }
