--- a/crates/forward/src/gather/mod.rs
+++ b/crates/forward/src/gather/mod.rs
@@ -33,7 +33,9 @@
     /// All of its targets are silent.
     Silent,
     /// Sends in flight.
-    Sent { in_flight: u32 },
+    Sent {
+        in_flight: u32,
+    },
     Done,
     /// Nothing more is tried.
     Failed,
@@ -51,12 +53,25 @@
     TimedOut,
 }
 
+impl Verdict {
+    /// For the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::Wait(_) => "waiting",
+            Verdict::Answer => "answer",
+            Verdict::GiveUp => "too few parts can come",
+            Verdict::TimedOut => "timed out",
+        }
+    }
+}
+
 /// The state of one query.
 #[derive(Clone, Debug)]
 pub struct Gather {
     parts: Vec<PartState>,
     sent_at: Vec<Time>,
     hedged: Vec<bool>,
+    was_sent: Vec<bool>,
     min_shards: usize,
     schedule: Schedule,
 }
@@ -67,6 +82,7 @@
             parts: vec![PartState::Waiting; shards],
             sent_at: vec![schedule.received; shards],
             hedged: vec![false; shards],
+            was_sent: vec![false; shards],
             min_shards,
             schedule,
         }
@@ -80,12 +96,18 @@
         self.count(|it| it == PartState::Done)
     }
 
+    /// Parts that were sent at least once.
+    pub fn started(&self) -> usize {
+        self.was_sent.iter().filter(|it| **it).count()
+    }
+
     pub fn missing(&self) -> usize {
         self.parts.len() - self.done()
     }
 
     pub fn sent(&mut self, index: usize, now: Time) {
         self.sent_at[index] = now;
+        self.was_sent[index] = true;
         self.parts[index] = match self.parts[index] {
             PartState::Sent { in_flight } => PartState::Sent { in_flight: in_flight + 1 },
             PartState::Waiting | PartState::Silent | PartState::Failed => {
@@ -170,8 +192,7 @@
         if now >= self.schedule.until {
             return if is_enough { Verdict::Answer } else { Verdict::TimedOut };
         }
-        let can_come =
-            self.count(|it| matches!(it, PartState::Sent { .. } | PartState::Waiting));
+        let can_come = self.count(|it| matches!(it, PartState::Sent { .. } | PartState::Waiting));
         let settle_at = self.settle_at();
         if is_enough && (can_come == 0 || now >= settle_at) {
             return Verdict::Answer;
--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -31,9 +31,6 @@
 /// Weight of a target's share of failures against its speed.
 const FAILURE_WEIGHT: f64 = 4.0;
 
-/// Sends in flight at a silent target, as trials.
-const TRIALS: usize = 1;
-
 impl From<Candidate> for Placement {
     fn from(candidate: Candidate) -> Placement {
         match candidate {
@@ -58,9 +55,7 @@
             if ask.tried.contains(&key) || !self.is_allowed(target, ask, now) {
                 continue;
             }
-            if self.is_silent(target, now) && target.sends_in_flight() >= TRIALS
-                || target.is_down(now)
-            {
+            if self.is_silent(target, now) {
                 if worst == Candidate::Nowhere {
                     worst = Candidate::Silent;
                 }
@@ -79,6 +74,11 @@
         best.map_or(worst, |(_, _, key)| Candidate::Usable(key))
     }
 
+    /// Whether `ask` would be placed now; counts nothing.
+    pub fn can_place(&mut self, ask: &Ask<'_>, now: Time) -> bool {
+        matches!(self.choose(ask, now), Candidate::Usable(_))
+    }
+
     /// Whether some target of the service may take work at all.
     pub fn is_served(&self, ask: &Ask<'_>, now: Time) -> bool {
         let targets = &self.services[ask.service.0].targets;
@@ -119,8 +119,7 @@
         let queue = ((work + 1.0 - slots) / slots).max(0.0);
         let crowding = 0.3 * (work / slots).min(1.0);
         let failures = 1.0 + FAILURE_WEIGHT * target.failure_share();
-        let doubt = if target.is_doubtful() { 3.0 } else { 1.0 };
-        let factor = target.slowdown(now) * (1.0 + queue + crowding) * failures * doubt;
+        let factor = target.slowdown(now) * (1.0 + queue + crowding) * failures;
         let local = target.report.domain == self.home;
         let distance = if local { Duration::ZERO } else { self.limits.cross_domain };
         expected.mul_f64(factor) + distance
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -5,7 +5,8 @@
 //!   overdue, so new work goes to its siblings at once, and what must wait
 //!   for it counts as hopeless;
 //! - targets that turn slow: work follows the expected time of an answer;
-//! - a target that is down: one trial at a time until it shows life;
+//! - a target that is down: connections are tried apart from requests, so
+//!   that no caller waits for the trial;
 //! - more work than connections: a bounded queue for each service, most
 //!   urgent first.
 
@@ -17,8 +18,8 @@
 
 use base::{DomainName, HashMap, HashSet, RegionName, ServiceName, TargetName, Time};
 
-pub use self::{choice::Placement, queue::Waiting};
 use self::{choice::Candidate, queue::Queue};
+pub use self::{choice::Placement, queue::Waiting};
 use crate::{
     budget::{RetryBudget, RetryLimits},
     latency::LatencyQuantile,
@@ -127,6 +128,10 @@
         }
     }
 
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Hosts that share each target's limits with this one, itself included.
     pub fn set_hosts(&mut self, hosts: usize) {
         self.hosts = hosts.max(1);
@@ -212,6 +217,22 @@
         }
     }
 
+    /// Targets to be tried now by opening a connection.
+    pub fn due_trials(&mut self, now: Time) -> Vec<TargetKey> {
+        let due = self.targets.iter_mut().filter_map(|(key, it)| {
+            let is_wanted = !it.is_gone() && it.take_trial(now);
+            is_wanted.then_some(*key)
+        });
+        due.collect()
+    }
+
+    /// A trial reached the target; returns its service.
+    pub fn reached(&mut self, target: TargetKey, now: Time) -> Option<ServiceKey> {
+        let it = self.targets.get_mut(&target)?;
+        it.reached(now);
+        self.service_keys.get(&it.report.service).copied()
+    }
+
     pub fn note_load(&mut self, target: TargetKey, load: ReportedLoad) {
         if let Some(it) = self.targets.get_mut(&target) {
             it.load = Some(load);
@@ -235,7 +256,7 @@
     }
 
     fn is_silent(&self, target: &Target, now: Time) -> bool {
-        target.is_down(now) || (target.oldest_ratio(now) > SILENT_RATIO)
+        target.is_down() || target.oldest_ratio(now) > SILENT_RATIO
     }
 }
 
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -50,6 +50,22 @@
     Cancelled,
 }
 
+impl SendResult {
+    /// For the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            SendResult::Answered => "answered",
+            SendResult::Shed => "shed",
+            SendResult::Failed => "failed",
+            SendResult::Broken => "connection broke",
+            SendResult::Silent => "silent",
+            SendResult::Misdirected => "another target has the address",
+            SendResult::NotSent => "not sent",
+            SendResult::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// Load as the target itself told it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReportedLoad {
@@ -70,14 +86,18 @@
 /// Weight of the newest answer in the share of failures.
 const FAILURE_GAIN: f64 = 0.15;
 
+/// Slowdown assumed of a target that was down and can be reached again.
+const REACHED_SLOWDOWN: f64 = 1.5;
+
 /// Longest slowdown that is believed.
 const MAX_SLOWDOWN: f64 = 50.0;
 
 /// Failures in a row after which a target is taken for down.
 const DOWN_AFTER: u32 = 3;
 
-/// Pause between two trials of a target that is down.
-const TRIAL_INTERVAL: Duration = Duration::from_millis(400);
+/// Pause before the first trial of a target that is down, and the longest.
+const MIN_TRIAL_PAUSE: Duration = Duration::from_millis(100);
+const MAX_TRIAL_PAUSE: Duration = Duration::from_millis(1_600);
 
 /// A send in flight.
 #[derive(Clone, Copy, Debug)]
@@ -87,6 +107,13 @@
     expected: Duration,
 }
 
+/// A target that gets no requests until a trial shows that it can be reached.
+#[derive(Clone, Copy, Debug)]
+struct Down {
+    next_trial: Time,
+    pause: Duration,
+}
+
 /// One target's state.
 #[derive(Debug)]
 pub struct Target {
@@ -96,7 +123,9 @@
     slowdown_at: Time,
     failures: f64,
     failed_in_row: u32,
-    down_until: Option<Time>,
+    down: Option<Down>,
+    /// Pause of the next time that it is down.
+    trial_pause: Duration,
     pub load: Option<ReportedLoad>,
     /// Cold until then, and how many sends the current second saw.
     pub cold_until: Time,
@@ -119,7 +148,8 @@
             slowdown_at: now,
             failures: 0.0,
             failed_in_row: 0,
-            down_until: None,
+            down: None,
+            trial_pause: MIN_TRIAL_PAUSE,
             load: None,
             cold_until,
             cold_second: (now, 0),
@@ -170,9 +200,6 @@
 
     pub fn started(&mut self, send: u64, now: Time, expected: Duration) {
         self.in_flight.push(InFlight { send, at: now, expected });
-        if let Some(until) = &mut self.down_until {
-            *until = now + TRIAL_INTERVAL;
-        }
         if now.since(self.cold_second.0) >= Duration::from_secs(1) {
             self.cold_second = (now, 0);
         }
@@ -190,25 +217,26 @@
                 self.note_speed(ratio, now);
                 self.note_outcome(0.0);
                 self.failed_in_row = 0;
-                self.down_until = None;
+                self.down = None;
+                self.trial_pause = MIN_TRIAL_PAUSE;
             }
             SendResult::Shed => {
                 self.note_outcome(1.0);
                 self.failed_in_row = 0;
-                self.down_until = None;
+                self.down = None;
             }
             SendResult::Failed | SendResult::Broken => {
                 self.note_outcome(1.0);
                 self.failed_in_row += 1;
                 if self.failed_in_row >= DOWN_AFTER {
-                    self.down_until = Some(now + TRIAL_INTERVAL);
+                    self.take_down(now);
                 }
             }
             SendResult::Silent => {
                 self.note_outcome(1.0);
                 self.note_speed(ratio.max(2.0), now);
                 self.failed_in_row += 1;
-                self.down_until = Some(now + TRIAL_INTERVAL);
+                self.take_down(now);
             }
             SendResult::Misdirected => self.is_replaced = true,
             SendResult::Cancelled if ratio > 1.0 => self.note_speed(ratio, now),
@@ -238,14 +266,37 @@
         self.failures
     }
 
-    /// Whether it is down and no trial is due.
-    pub fn is_down(&self, now: Time) -> bool {
-        self.down_until.is_some_and(|until| now < until)
+    /// Whether it gets no requests until a trial succeeds.
+    pub fn is_down(&self) -> bool {
+        self.down.is_some()
+    }
+
+    /// Whether a trial is due; the next one is later then.
+    pub fn take_trial(&mut self, now: Time) -> bool {
+        let Some(down) = &mut self.down else { return false };
+        if now < down.next_trial {
+            return false;
+        }
+        down.pause = (down.pause * 2).min(MAX_TRIAL_PAUSE);
+        down.next_trial = now + down.pause;
+        true
+    }
+
+    /// A trial reached it. How it answers is not known yet.
+    pub fn reached(&mut self, now: Time) {
+        if self.down.take().is_some() {
+            self.slowdown = self.slowdown.min(REACHED_SLOWDOWN);
+            self.slowdown_at = now;
+            self.failed_in_row = 0;
+        }
     }
 
-    /// Whether it is down, whether or not a trial is due.
-    pub fn is_doubtful(&self) -> bool {
-        self.down_until.is_some()
+    fn take_down(&mut self, now: Time) {
+        if self.down.is_none() {
+            let pause = self.trial_pause;
+            self.down = Some(Down { next_trial: now + pause, pause });
+            self.trial_pause = (pause * 2).min(MAX_TRIAL_PAUSE);
+        }
     }
 
     pub fn is_cold(&self, now: Time) -> bool {
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -15,6 +15,7 @@
 use super::{
     answer::{self, Answer},
     connection::{ConnectionState, Phase},
+    log_line::Line,
     read::{BodyError, read_body, strip_hop_headers},
 };
 use crate::{
@@ -52,7 +53,11 @@
 
 async fn respond(cx: &SharedCx, received: Time, req: Request<Incoming>) -> Result<Answer, Answer> {
     let (head, body) = req.into_parts();
-    let deadline = deadline(&head.headers, &cx.cfg.names.deadline_ms)?;
+    let names = &cx.cfg.names;
+    if !head.headers.contains_key(&names.request_id) {
+        return Err(answer::failure(StatusCode::BAD_REQUEST, "the request has no id"));
+    }
+    let deadline = deadline(&head.headers, &names.deadline_ms)?;
     let entry = find_route(cx, &head, deadline)?;
     let timeout = entry.route.timeout;
     let left = deadline.map_or(timeout, |it| it.min(timeout));
@@ -68,6 +73,8 @@
     })?;
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
+    // The body is in hand, so nobody has to be asked for it.
+    headers.remove(header::EXPECT);
     let request = Rc::new(Outgoing {
         method: head.method,
         uri: head.uri,
@@ -150,9 +157,13 @@
         schedule,
         request,
     };
+    let request = plan.request.clone();
     let collected = scatter(cx, plan).await;
     let left = schedule.until.until(cx.clock.now());
-    finish(cx, entry, collected, left)
+    let line = Line::new(cx, entry, &request, schedule, &collected);
+    let answer = finish(cx, entry, collected, left);
+    line.write(cx, answer.status());
+    answer
 }
 
 /// The services to send to, and how many of them must answer.
@@ -170,12 +181,7 @@
 fn finish(cx: &SharedCx, entry: &RouteEntry, mut collected: Collected, left: Duration) -> Answer {
     if collected.verdict == Verdict::Answer {
         if let Destination::Gather(spec) = &entry.route.destination {
-            return answer::merged(
-                &cx.cfg.names,
-                &collected.parts,
-                collected.missing,
-                spec.top,
-            );
+            return answer::merged(&cx.cfg.names, &collected.parts, collected.missing, spec.top);
         }
         if let Some(part) = collected.parts.pop() {
             return answer::pass_on(part);
@@ -184,6 +190,7 @@
     let is_gather = matches!(entry.route.destination, Destination::Gather(_));
     if let Some(failure) = collected.failure
         && !is_gather
+        && !promises_not_run(failure.status)
     {
         return answer::pass_on(failure);
     }
@@ -197,3 +204,15 @@
         }
     }
 }
+
+/// Whether callers take the status as a promise that nothing ran; a target
+/// that sends one without saying so has given no such promise.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod connection;
 mod forward;
+pub(crate) mod log_line;
 mod read;
 mod readiness;
 mod stop;
@@ -17,7 +18,7 @@
 };
 
 use self::connection::Connections;
-use crate::{SharedCx, peers};
+use crate::{SharedCx, peers, targets};
 
 /// New connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -72,6 +73,7 @@
         ticks.tick().await;
         connections.sweep(cx.clock.now(), &cx.limits.get());
         cx.sweep();
+        targets::try_down(&cx);
     }
 }
 
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -7,7 +7,8 @@
 
 use base::{DomainName, HashSet, TargetName};
 use forward::{
-    CallerLimits, Configuration, RouteTable, TargetReport, Targets, placement::ServiceKey,
+    CallerLimits, Configuration, RouteTable, TargetReport, Targets,
+    placement::{Limits, ServiceKey},
 };
 use slog::{Logger, info, warn};
 
@@ -101,6 +102,10 @@
         self.set_evacuated(domains);
     }
 
+    pub fn set_limits(&self, limits: Limits) {
+        self.targets.borrow_mut().set_limits(limits);
+    }
+
     /// Whether this host should get callers.
     pub fn is_ready(&self) -> bool {
         self.table.borrow().is_some() && self.has_targets.get() && !self.is_stopping.get()
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -1,9 +1,9 @@
 //! Drives one request over its shards; a request to one target is a query
 //! over a single shard.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
-use base::RegionName;
+use base::{RegionName, ServiceName, TargetName, Time};
 use forward::{
     Gather, Placement, Verdict,
     gather::{PartState, Schedule},
@@ -14,6 +14,7 @@
 
 use crate::{
     SharedCx,
+    callers::log_line::caller_left,
     targets::{Job, Outcome, Outgoing, TargetAnswer, submit},
 };
 
@@ -54,8 +55,25 @@
     pub failure: Option<TargetAnswer>,
     /// Whether any target may have run the request.
     pub may_have_run: bool,
+    /// Sends beyond the first of each part.
+    pub extra_sends: u32,
+    /// What went otherwise than planned, for the log.
+    pub notes: Vec<Note>,
 }
 
+/// A send that did not bring a part, or a part that is missing.
+#[derive(Clone, Debug)]
+pub(crate) struct Note {
+    pub service: ServiceName,
+    pub target: Option<TargetName>,
+    pub what: &'static str,
+    /// Since the request came.
+    pub after: Duration,
+}
+
+/// Notes kept of one request.
+const MAX_NOTES: usize = 12;
+
 struct Scatter<'a> {
     cx: &'a SharedCx,
     plan: Plan<'a>,
@@ -68,6 +86,9 @@
     failure: Option<TargetAnswer>,
     in_flight: usize,
     may_have_run: bool,
+    sends: u32,
+    notes: Vec<Note>,
+    is_ended: bool,
 }
 
 /// Marks the request as over when the caller has its answer.
@@ -85,18 +106,37 @@
         failure: None,
         in_flight: 0,
         may_have_run: false,
+        sends: 0,
+        notes: Vec::new(),
+        is_ended: false,
         plan,
     };
     scatter.start();
     let verdict = scatter.run(&mut rx).await;
     scatter.plan.request.is_answered.set(true);
     let missing = scatter.gather.missing();
+    scatter.note_missing();
+    let started = scatter.gather.started() as u32;
+    scatter.is_ended = true;
     Collected {
         verdict,
-        parts: scatter.parts,
+        parts: std::mem::take(&mut scatter.parts),
         missing,
-        failure: scatter.failure,
+        failure: scatter.failure.take(),
         may_have_run: scatter.may_have_run || scatter.in_flight > 0,
+        extra_sends: scatter.sends - started,
+        notes: std::mem::take(&mut scatter.notes),
+    }
+}
+
+impl Drop for Scatter<'_> {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.note_missing();
+            let received = self.plan.schedule.received;
+            let done = self.gather.done();
+            caller_left(self.cx, &self.plan.request, received, done, &self.notes);
+        }
     }
 }
 
@@ -162,11 +202,15 @@
             }
             SendResult::Failed | SendResult::Broken | SendResult::Silent => {
                 self.may_have_run = true;
+                self.note(index, Some(send.target), outcome.result.as_str());
             }
             SendResult::Shed
             | SendResult::Misdirected
             | SendResult::NotSent
-            | SendResult::Cancelled => self.runs[index] -= 1,
+            | SendResult::Cancelled => {
+                self.runs[index] -= 1;
+                self.note(index, Some(send.target), outcome.result.as_str());
+            }
         }
         if outcome.result == SendResult::NotSent {
             self.tried[index].retain(|it| *it != send.target);
@@ -208,18 +252,12 @@
 
     fn try_place(&mut self, index: usize) -> Placement {
         let now = self.cx.clock.now();
-        let service = self.plan.shards[index];
-        let ask = Ask {
-            service,
-            class: self.plan.class,
-            tried: &self.tried[index],
-            regions: self.plan.regions,
-        };
-        let placement = self.cx.targets.borrow_mut().place(&ask, now);
+        let placement = self.cx.targets.borrow_mut().place(&self.ask(index), now);
         if let Placement::Send(send) = placement {
             self.tried[index].push(send.target);
             self.runs[index] += 1;
             self.in_flight += 1;
+            self.sends += 1;
             self.gather.sent(index, now);
             let request = self.plan.request.clone();
             submit(self.cx, Job { request, send, index, tx: self.tx.clone() });
@@ -240,18 +278,57 @@
         }
     }
 
+    /// Takes a hedge from the budget if there is a target for it.
+    fn take_hedge(&mut self, index: usize, now: Time) -> bool {
+        let mut targets = self.cx.targets.borrow_mut();
+        let ask = self.ask(index);
+        targets.can_place(&ask, now) && targets.take_retry(ask.service, now)
+    }
+
+    fn ask(&self, index: usize) -> Ask<'_> {
+        Ask {
+            service: self.plan.shards[index],
+            class: self.plan.class,
+            tried: &self.tried[index],
+            regions: self.plan.regions,
+        }
+    }
+
+    fn note(&mut self, index: usize, target: Option<TargetKey>, what: &'static str) {
+        if self.notes.len() >= MAX_NOTES {
+            return;
+        }
+        let targets = self.cx.targets.borrow();
+        let target = target.and_then(|it| targets.target(it)).map(|it| it.report.name.clone());
+        let service = targets.service_name(self.plan.shards[index]).clone();
+        let after = self.cx.clock.now().since(self.plan.schedule.received);
+        self.notes.push(Note { service, target, what, after });
+    }
+
+    /// Notes the parts that the answer lacks, and why.
+    fn note_missing(&mut self) {
+        for index in 0..self.plan.shards.len() {
+            let what = match self.gather.part(index) {
+                PartState::Done => continue,
+                PartState::Waiting => "no connection was free",
+                PartState::Silent => "all targets silent",
+                PartState::Sent { .. } => "not answered yet",
+                PartState::Failed => "failed",
+            };
+            let target = self.tried[index].last().copied();
+            self.note(index, target, what);
+        }
+    }
+
     /// Sends late parts once more; returns when the next is due.
-    fn hedge(&mut self) -> Option<base::Time> {
+    fn hedge(&mut self) -> Option<Time> {
         if !self.plan.request.is_idempotent || self.plan.attempts < 2 {
             return None;
         }
         let now = self.cx.clock.now();
         let delay = self.cx.targets.borrow().hedge_delay(self.plan.class)?;
         for index in self.gather.due_hedges(now, delay) {
-            let service = self.plan.shards[index];
-            if self.runs[index] < self.plan.attempts
-                && self.cx.targets.borrow_mut().take_retry(service, now)
-            {
+            if self.runs[index] < self.plan.attempts && self.take_hedge(index, now) {
                 self.try_place(index);
             }
         }
--- a/crates/front/src/socket.rs
+++ b/crates/front/src/socket.rs
@@ -29,8 +29,7 @@
 pub(crate) fn watch_silence(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    let keepalive =
-        TcpKeepalive::new().with_time(KEEPALIVE_TIME).with_interval(KEEPALIVE_INTERVAL);
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_TIME).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -4,46 +4,75 @@
 
 use base::TargetName;
 use bytes::Bytes;
-use forward::target::SendResult;
+use forward::{placement::TargetKey, target::SendResult};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use slog::info;
 use tokio::{net::TcpStream, sync::mpsc};
 
 use super::{Job, Outcome, exchange::exchange, finish};
 use crate::{SharedCx, socket};
 
+/// What a connection is for.
+struct Peer {
+    target: TargetKey,
+    address: SocketAddr,
+    name: TargetName,
+}
+
 /// Opens a connection for `job` and keeps it while it is good.
 pub(super) fn open(cx: &SharedCx, job: Job) {
-    let address = {
-        let targets = cx.targets.borrow();
-        let target = targets.target(job.send.target);
-        target.map(|it| (it.report.address, it.report.name.clone()))
-    };
-    let Some((address, name)) = address else {
+    let Some(peer) = peer(cx, job.send.target) else {
         finish(cx, &job, Outcome { result: SendResult::NotSent, answer: None });
         return;
     };
-    tokio::task::spawn_local(run(cx.clone(), address, name, job));
+    tokio::task::spawn_local(open_for(cx.clone(), peer, job));
 }
 
-async fn run(cx: SharedCx, address: SocketAddr, name: TargetName, job: Job) {
-    let stream = match connect(address, &job).await {
-        Ok(stream) => stream,
-        Err(result) => {
-            finish(&cx, &job, Outcome { result, answer: None });
-            return;
+/// Finds out whether a target can be reached, and keeps the connection.
+pub(super) fn try_target(cx: &SharedCx, target: TargetKey) {
+    let Some(peer) = peer(cx, target) else { return };
+    let cx = cx.clone();
+    tokio::task::spawn_local(async move {
+        let Ok(stream) = socket::connect(peer.address).await else { return };
+        let service = cx.targets.borrow_mut().reached(target, cx.clock.now());
+        info!(cx.log, "targets: reached again"; "target" => %peer.name);
+        if let Some(service) = service {
+            cx.wake_waiting(service);
         }
-    };
+        run(&cx, &peer, stream, None).await;
+    });
+}
+
+fn peer(cx: &SharedCx, target: TargetKey) -> Option<Peer> {
+    let targets = cx.targets.borrow();
+    let report = &targets.target(target)?.report;
+    Some(Peer { target, address: report.address, name: report.name.clone() })
+}
+
+async fn open_for(cx: SharedCx, peer: Peer, job: Job) {
+    match connect(peer.address, &job).await {
+        Ok(stream) => run(&cx, &peer, stream, Some(job)).await,
+        Err(result) => finish(&cx, &job, Outcome { result, answer: None }),
+    }
+}
+
+/// Keeps a connection while it is good; `first` goes out on it at once.
+async fn run(cx: &SharedCx, peer: &Peer, stream: TcpStream, first: Option<Job>) {
     let handshake = http1::Builder::new().handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
     let Ok((mut sender, connection)) = handshake else {
-        finish(&cx, &job, Outcome { result: SendResult::NotSent, answer: None });
+        if let Some(job) = first {
+            finish(cx, &job, Outcome { result: SendResult::NotSent, answer: None });
+        }
         return;
     };
     let mut connection = pin!(connection);
-    let target = job.send.target;
     let (tx, mut jobs) = mpsc::unbounded_channel();
-    let mut next = Some(job);
+    let mut next = first;
+    if next.is_none() {
+        cx.pools.borrow_mut().put(peer.target, tx.clone());
+    }
     loop {
         let job = match next.take() {
             Some(job) => job,
@@ -58,19 +87,19 @@
                 }
             }
         };
-        let ended = exchange(&cx, &name, &mut sender, connection.as_mut(), &job).await;
+        let ended = exchange(cx, &peer.name, &mut sender, connection.as_mut(), &job).await;
         if ended.is_reusable {
-            cx.pools.borrow_mut().put(target, tx.clone());
+            cx.pools.borrow_mut().put(peer.target, tx.clone());
         }
-        finish(&cx, &job, ended.outcome);
+        finish(cx, &job, ended.outcome);
         if !ended.is_reusable {
             break;
         }
     }
-    cx.pools.borrow_mut().forget(target, &tx);
+    cx.pools.borrow_mut().forget(peer.target, &tx);
     jobs.close();
     while let Ok(job) = jobs.try_recv() {
-        finish(&cx, &job, Outcome { result: SendResult::NotSent, answer: None });
+        finish(cx, &job, Outcome { result: SendResult::NotSent, answer: None });
     }
 }
 
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -88,6 +88,14 @@
     connection::open(cx, job);
 }
 
+/// Opens a connection to each target that is down and due for a trial.
+pub(crate) fn try_down(cx: &SharedCx) {
+    let due = cx.targets.borrow_mut().due_trials(cx.clock.now());
+    for target in due {
+        connection::try_target(cx, target);
+    }
+}
+
 /// Reports the end of a send to placement, then to the request.
 pub(crate) fn finish(cx: &SharedCx, job: &Job, outcome: Outcome) {
     let now = cx.clock.now();
--- a/crates/godwityardd/src/daemon.rs
+++ b/crates/godwityardd/src/daemon.rs
@@ -2,13 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use config_client::HttpPlatform;
 use documents::Settings;
 use entry::EntryCx;
 use eyre::WrapErr;
 use fleet::{Input, Node, NodeSettings};
 use owner::OwnerHandle;
 use peer::{Datagrams, Identity, Links};
-use config_client::HttpPlatform;
 use slog::{Logger, info};
 use telemetry::{Metrics, Part, part_logger};
 use tokio::{
--- a/crates/godwityardd/src/fleet_driver/platform_reader.rs
+++ b/crates/godwityardd/src/fleet_driver/platform_reader.rs
@@ -11,8 +11,8 @@
 };
 
 use base::Revision;
-use fleet::{IndexEntry, Input, ListedHost};
 use config_client::{HttpPlatform, Index, Platform, PlatformError, StoredDocument};
+use fleet::{IndexEntry, Input, ListedHost};
 use slog::{Logger, warn};
 use telemetry::{Metrics, metrics::label};
 use tokio::sync::mpsc;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,6 +3,7 @@
 //! It decides nothing and never blocks its callers: a full log buffer drops
 //! lines and counts them.
 
+pub mod buffered;
 pub mod log;
 pub mod metrics;
 
