Step back on the smaller side of a cut, refuse what cannot be served

A leaf busy with a long request counted as silent, so test routes got 502 before their timeout. Each change of a target cost a watch call on each host. Change: isolation (pure): dark targets and unheard hosts of most domains make a host not ready and close callers' connections after their answers; gathers without hope are refused at once or given up before the objective; silence counts from a target's last answer; changes of targets are read in batches; hedge quantile 0.88, margin 14 ms.

--- a/crates/forward/src/gather/mod.rs
+++ b/crates/forward/src/gather/mod.rs
@@ -14,7 +14,7 @@
 /// A query is answered this share of its objective early, and at least
 /// `MIN_MARGIN`, so that the answer arrives in time.
 const MARGIN_SHARE: f64 = 0.08;
-const MIN_MARGIN: Duration = Duration::from_millis(8);
+const MIN_MARGIN: Duration = Duration::from_millis(14);
 
 /// Times that bound a query, on the host's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -32,6 +32,10 @@
     Waiting,
     /// All of its targets are silent.
     Silent,
+    /// Sends in flight, all to targets that have not answered for long.
+    Hopeless {
+        in_flight: u32,
+    },
     /// Sends in flight.
     Sent {
         in_flight: u32,
@@ -110,6 +114,7 @@
         self.was_sent[index] = true;
         self.parts[index] = match self.parts[index] {
             PartState::Sent { in_flight } => PartState::Sent { in_flight: in_flight + 1 },
+            PartState::Hopeless { in_flight } => PartState::Sent { in_flight: in_flight + 1 },
             PartState::Waiting | PartState::Silent | PartState::Failed => {
                 PartState::Sent { in_flight: 1 }
             }
@@ -118,7 +123,9 @@
     }
 
     pub fn waits(&mut self, index: usize, is_silent: bool) {
-        if matches!(self.parts[index], PartState::Sent { .. } | PartState::Done) {
+        let is_open =
+            matches!(self.parts[index], PartState::Waiting | PartState::Silent | PartState::Failed);
+        if !is_open {
             return;
         }
         self.parts[index] = if is_silent { PartState::Silent } else { PartState::Waiting };
@@ -134,7 +141,10 @@
     /// A send of the part ended without an answer. True if no other is in
     /// flight, so that the part should be tried elsewhere.
     pub fn lost(&mut self, index: usize) -> bool {
-        let PartState::Sent { in_flight } = self.parts[index] else { return false };
+        let (PartState::Sent { in_flight } | PartState::Hopeless { in_flight }) = self.parts[index]
+        else {
+            return false;
+        };
         if in_flight > 1 {
             self.parts[index] = PartState::Sent { in_flight: in_flight - 1 };
             return false;
@@ -143,6 +153,17 @@
         true
     }
 
+    /// The targets that the part was sent to are not expected to answer.
+    ///
+    /// A request to a single target waits on: the target may be at work.
+    pub fn doubt(&mut self, index: usize) {
+        if self.parts.len() > 1
+            && let PartState::Sent { in_flight } = self.parts[index]
+        {
+            self.parts[index] = PartState::Hopeless { in_flight };
+        }
+    }
+
     pub fn failed(&mut self, index: usize) {
         if self.parts[index] != PartState::Done {
             self.parts[index] = PartState::Failed;
@@ -197,6 +218,9 @@
         if is_enough && (can_come == 0 || now >= settle_at) {
             return Verdict::Answer;
         }
+        if now >= settle_at && done + can_come < self.min_shards {
+            return Verdict::GiveUp;
+        }
         let next = if now < settle_at { settle_at } else { self.schedule.until };
         Verdict::Wait(next.min(self.schedule.until))
     }
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -6,10 +6,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use base::{HashMap, Time};
+use base::{DomainName, HashMap, HashSet, Time};
 
 /// Time between two digests to a peer.
-pub const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+pub const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Peers that get each digest.
 const FANOUT: usize = 4;
@@ -17,6 +17,10 @@
 /// A peer that was not heard for this long no longer counts.
 const COUNTED_FOR: Duration = Duration::from_secs(60);
 
+/// A domain none of whose hosts was heard for this long is out of reach.
+/// Several datagrams in a row must be lost for it.
+const UNHEARD_AFTER: Duration = Duration::from_millis(900);
+
 /// Hosts named in one digest.
 const MAX_NAMED: usize = 64;
 
@@ -24,6 +28,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Digest {
     pub from: SocketAddr,
+    pub domain: DomainName,
     /// Version of the configuration in force there.
     pub version: u64,
     /// Hosts heard of, with the age of the last word of them.
@@ -36,14 +41,25 @@
     me: SocketAddr,
     seeds: Vec<SocketAddr>,
     heard: HashMap<SocketAddr, Time>,
+    /// The last digest that came from a host of each other domain.
+    domains: HashMap<DomainName, Time>,
+    home: DomainName,
     newest_version: u64,
     turn: usize,
 }
 
 impl Peers {
-    pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>) -> Peers {
+    pub fn new(me: SocketAddr, home: DomainName, seeds: Vec<SocketAddr>) -> Peers {
         let seeds = seeds.into_iter().filter(|it| *it != me).collect();
-        Peers { me, seeds, heard: HashMap::default(), newest_version: 0, turn: 0 }
+        Peers {
+            me,
+            seeds,
+            heard: HashMap::default(),
+            domains: HashMap::default(),
+            home,
+            newest_version: 0,
+            turn: 0,
+        }
     }
 
     /// Hosts that may be at work, this one included.
@@ -54,6 +70,14 @@
         1 + heard + unheard
     }
 
+    /// Other domains that were heard of once, and those of them that are out of
+    /// reach now.
+    pub fn domains(&self, now: Time) -> (usize, HashSet<DomainName>) {
+        let is_unheard = |at: &Time| now.since(*at) > UNHEARD_AFTER;
+        let unheard = self.domains.iter().filter(|(_, at)| is_unheard(at));
+        (self.domains.len(), unheard.map(|(domain, _)| domain.clone()).collect())
+    }
+
     /// Highest version of the configuration that a peer has in force.
     pub fn newest_version(&self) -> u64 {
         self.newest_version
@@ -62,6 +86,9 @@
     pub fn receive(&mut self, digest: &Digest, now: Time) {
         self.newest_version = self.newest_version.max(digest.version);
         self.hear(digest.from, now);
+        if digest.domain != self.home {
+            self.domains.insert(digest.domain.clone(), now);
+        }
         for (host, age) in &digest.hosts {
             let heard = Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
             if *age < COUNTED_FOR {
@@ -80,7 +107,12 @@
         let to = (0..count).map(|i| known[(self.turn + i) % known.len()]).collect();
         self.turn = self.turn.wrapping_add(count);
         let hosts = self.heard.iter().map(|(host, at)| (*host, now.since(*at)));
-        let digest = Digest { from: self.me, version, hosts: hosts.take(MAX_NAMED).collect() };
+        let digest = Digest {
+            from: self.me,
+            domain: self.home.clone(),
+            version,
+            hosts: hosts.take(MAX_NAMED).collect(),
+        };
         (digest, to)
     }
 
--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -86,7 +86,7 @@
         known.any(|it| self.is_allowed(it, ask, now))
     }
 
-    fn is_allowed(&self, target: &Target, ask: &Ask<'_>, now: Time) -> bool {
+    pub(super) fn is_allowed(&self, target: &Target, ask: &Ask<'_>, now: Time) -> bool {
         let domain = &target.report.domain;
         if target.is_gone() || self.evacuated.contains(domain) {
             return false;
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -13,6 +13,7 @@
 mod choice;
 mod directory;
 mod queue;
+mod reach;
 
 use std::time::Duration;
 
@@ -28,7 +29,7 @@
 };
 
 /// Quantile of a class's latencies after which a send is hedged.
-const HEDGE_QUANTILE: f64 = 0.93;
+const HEDGE_QUANTILE: f64 = 0.88;
 
 /// Time an answer is expected to take before anything was measured.
 const DEFAULT_EXPECTED: Duration = Duration::from_millis(20);
@@ -77,6 +78,8 @@
     class_keys: HashMap<std::sync::Arc<str>, ClassKey>,
     classes: Vec<LatencyQuantile>,
     rotation: usize,
+    /// When a target of each domain answered last.
+    domain_answers: HashMap<DomainName, Time>,
 }
 
 #[derive(Debug)]
@@ -125,6 +128,7 @@
             class_keys: HashMap::default(),
             classes: Vec::new(),
             rotation: 0,
+            domain_answers: HashMap::default(),
         }
     }
 
@@ -206,7 +210,11 @@
     pub fn finished(&mut self, send: &Send, now: Time, result: SendResult) {
         let Some(target) = self.targets.get_mut(&send.target) else { return };
         let took = target.finished(send.id, now, result);
-        if result == SendResult::Answered
+        if matches!(result, SendResult::Answered | SendResult::Shed | SendResult::Failed) {
+            reach::note_answer(&mut self.domain_answers, &target.report.domain, now);
+        }
+        // A send that was given up tells that such requests take long.
+        if matches!(result, SendResult::Answered | SendResult::Silent)
             && let Some(took) = took
         {
             self.classes[send.class.0].record(took);
@@ -228,9 +236,8 @@
 
     /// A trial reached the target; returns its service.
     pub fn reached(&mut self, target: TargetKey, now: Time) -> Option<ServiceKey> {
-        let it = self.targets.get_mut(&target)?;
-        it.reached(now);
-        self.service_keys.get(&it.report.service).copied()
+        self.targets.get_mut(&target)?.reached(now);
+        self.service_of(target)
     }
 
     pub fn note_load(&mut self, target: TargetKey, load: ReportedLoad) {
@@ -256,10 +263,10 @@
     }
 
     fn is_silent(&self, target: &Target, now: Time) -> bool {
-        target.is_down() || target.oldest_ratio(now) > SILENT_RATIO
+        target.is_down() || target.silence_ratio(now) > SILENT_RATIO
     }
 }
 
-/// A target whose oldest send took this many times as long as usual is taken
-/// to be silent.
+/// A target from which nothing came for this many times as long as an answer
+/// usually takes is silent.
 const SILENT_RATIO: f64 = 3.0;
--- a/crates/forward/src/route/table.rs
+++ b/crates/forward/src/route/table.rs
@@ -1,11 +1,19 @@
 //! Lookup of a request's route, and the turn of weighted services.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
-use base::{HashMap, ServiceName};
+use base::{HashMap, ServiceName, Time};
 
 use super::{Configuration, Destination, Route};
 
+/// A route counts as in use for this long after a request.
+const IN_USE_FOR: Duration = Duration::from_secs(2);
+
 /// The routes of one configuration, indexed.
 #[derive(Debug)]
 pub struct RouteTable {
@@ -20,6 +28,7 @@
     /// Version of the configuration that the route belongs to.
     pub version: u64,
     credits: RefCell<Vec<f64>>,
+    last_request: Cell<Option<Time>>,
 }
 
 impl RouteTable {
@@ -35,6 +44,10 @@
         RouteTable { version: cfg.version, by_host }
     }
 
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<RouteEntry>> {
+        self.by_host.values().flatten()
+    }
+
     /// The route of the longest prefix that begins `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Rc<RouteEntry>> {
         let routes = self.by_host.get(host)?;
@@ -48,7 +61,21 @@
             Destination::Weighted(parts) => parts.len(),
             Destination::Service(_) | Destination::Gather(_) => 0,
         };
-        RouteEntry { route, version, credits: RefCell::new(vec![0.0; parts]) }
+        RouteEntry {
+            route,
+            version,
+            credits: RefCell::new(vec![0.0; parts]),
+            last_request: Cell::new(None),
+        }
+    }
+
+    pub fn note_request(&self, now: Time) {
+        self.last_request.set(Some(now));
+    }
+
+    /// Whether callers use the route.
+    pub fn is_in_use(&self, now: Time) -> bool {
+        self.last_request.get().is_some_and(|at| now.since(at) < IN_USE_FOR)
     }
 
     /// The service whose turn it is: each gets its weight's share in any run
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -119,6 +119,8 @@
 pub struct Target {
     pub report: TargetReport,
     in_flight: Vec<InFlight>,
+    /// When anything came from it last.
+    last_answer: Option<Time>,
     slowdown: f64,
     slowdown_at: Time,
     failures: f64,
@@ -144,6 +146,7 @@
         Target {
             report,
             in_flight: Vec::new(),
+            last_answer: None,
             slowdown: 1.0,
             slowdown_at: now,
             failures: 0.0,
@@ -212,6 +215,10 @@
         let sent = self.in_flight.swap_remove(index);
         let took = now.since(sent.at);
         let ratio = took.as_secs_f64() / sent.expected.as_secs_f64().max(1e-4);
+        let showed_life = self.last_answer.is_some_and(|at| at > sent.at);
+        if matches!(result, SendResult::Answered | SendResult::Shed | SendResult::Failed) {
+            self.last_answer = Some(now);
+        }
         match result {
             SendResult::Answered => {
                 self.note_speed(ratio, now);
@@ -232,6 +239,8 @@
                     self.take_down(now);
                 }
             }
+            // A long request at a target that answers others.
+            SendResult::Silent if showed_life => self.note_outcome(1.0),
             SendResult::Silent => {
                 self.note_outcome(1.0);
                 self.note_speed(ratio.max(2.0), now);
@@ -251,16 +260,26 @@
         let age = now.since(self.slowdown_at).as_secs_f64();
         let weight = 0.5_f64.powf(age / SLOWDOWN_HALF_LIFE.as_secs_f64());
         let known = 1.0 + (self.slowdown - 1.0) * weight;
-        known.max(self.oldest_ratio(now))
+        known.max(self.silence_ratio(now))
     }
 
-    /// The age of the send that is most overdue, as a multiple of the time
-    /// that it was expected to take.
-    pub fn oldest_ratio(&self, now: Time) -> f64 {
-        let ratio = |it: &InFlight| now.since(it.at).as_secs_f64() / it.expected.as_secs_f64();
+    /// How long nothing came from it while a send waited, as a multiple of the
+    /// time that the send was expected to take.
+    pub fn silence_ratio(&self, now: Time) -> f64 {
+        let ratio = |it: &InFlight| self.silence(it, now).as_secs_f64() / it.expected.as_secs_f64();
         self.in_flight.iter().map(ratio).fold(0.0, f64::max)
     }
 
+    /// How long nothing came from it while a send waited.
+    pub fn silent_for(&self, now: Time) -> Duration {
+        self.in_flight.iter().map(|it| self.silence(it, now)).max().unwrap_or_default()
+    }
+
+    fn silence(&self, send: &InFlight, now: Time) -> Duration {
+        let since = self.last_answer.map_or(send.at, |at| at.max(send.at));
+        now.since(since)
+    }
+
     /// Share of recent sends that failed or were shed.
     pub fn failure_share(&self) -> f64 {
         self.failures
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -4,10 +4,7 @@
 
 use base::Time;
 use forward::{
-    Destination, Repeat, Verdict,
-    gather::Schedule,
-    placement::{Ask, ServiceKey},
-    route::RouteEntry,
+    Destination, Repeat, Verdict, gather::Schedule, placement::ServiceKey, route::RouteEntry,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, header, request::Parts};
 use hyper::body::Incoming;
@@ -15,11 +12,12 @@
 use super::{
     answer::{self, Answer},
     connection::{ConnectionState, Phase},
-    log_line::Line,
+    log_line::{self, Line},
     read::{BodyError, read_body, strip_hop_headers},
 };
 use crate::{
     SharedCx,
+    isolation::is_servable,
     scatter::{Collected, Plan, scatter},
     targets::Outgoing,
 };
@@ -45,7 +43,7 @@
         return answer::closing(StatusCode::BAD_REQUEST, "two lengths of the body are stated");
     }
     let mut answer = respond(cx, received, req).await.unwrap_or_else(|refusal| refusal);
-    if cx.is_stopping.get() {
+    if cx.sends_callers_away() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     answer
@@ -139,13 +137,12 @@
     let route = &entry.route;
     let (shards, min_shards) = shards(cx, entry);
     let class = cx.targets.borrow_mut().class(&route.name);
-    let is_served = |service: &ServiceKey| {
-        let ask = Ask { service: *service, class, tried: &[], regions: &route.regions };
-        cx.targets.borrow().is_served(&ask, cx.clock.now())
-    };
-    let left = schedule.until.until(cx.clock.now());
-    if shards.iter().filter(|it| is_served(it)).count() < min_shards {
-        return answer::not_run("too few targets are known", UNSERVED_WAIT, left);
+    let now = cx.clock.now();
+    entry.note_request(now);
+    if !is_servable(cx, entry, now) {
+        let left = schedule.until.until(now);
+        log_line::refused(cx, entry, &request, "too few targets can be reached");
+        return answer::not_run("too few targets can be reached", UNSERVED_WAIT, left);
     }
     let plan = Plan {
         shards,
--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/callers/log_line.rs
@@ -70,6 +70,12 @@
         "after_ms" => after.as_millis() as u64, "parts" => done, "notes" => compact(notes));
 }
 
+/// Logs that a request was turned away before anything was sent.
+pub(super) fn refused(cx: &SharedCx, entry: &RouteEntry, request: &Outgoing, reason: &'static str) {
+    info!(cx.log, "request: refused"; "id" => request_id(cx, request),
+        "route" => &*entry.route.name, "version" => entry.version, "reason" => reason);
+}
+
 fn request_id(cx: &SharedCx, request: &Outgoing) -> String {
     let id = request.headers.get(&cx.cfg.names.request_id);
     id.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned()
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -18,7 +18,7 @@
 };
 
 use self::connection::Connections;
-use crate::{SharedCx, peers, targets};
+use crate::{SharedCx, isolation, peers, targets};
 
 /// New connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -74,6 +74,7 @@
         connections.sweep(cx.clock.now(), &cx.limits.get());
         cx.sweep();
         targets::try_down(&cx);
+        isolation::watch(&cx);
     }
 }
 
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -8,6 +8,7 @@
 use base::{DomainName, HashSet, TargetName};
 use forward::{
     CallerLimits, Configuration, RouteTable, TargetReport, Targets,
+    peers::Peers,
     placement::{Limits, ServiceKey},
 };
 use slog::{Logger, info, warn};
@@ -31,11 +32,17 @@
     pub(crate) pools: RefCell<Pools>,
     pub(crate) is_stopping: Cell<bool>,
     has_targets: Cell<bool>,
+    /// Domains beyond a cut on whose smaller side this host is.
+    pub(crate) cut_off: RefCell<HashSet<DomainName>>,
+    /// Callers are better served elsewhere.
+    pub(crate) is_isolated: Cell<bool>,
+    pub(crate) peers: RefCell<Peers>,
 }
 
 impl Cx {
     pub fn new(cfg: FrontSettings, log: Logger) -> SharedCx {
         let targets = Targets::new(cfg.limits.clone(), cfg.domain.clone(), cfg.regions.clone());
+        let peers = Peers::new(cfg.peers, cfg.domain.clone(), cfg.seeds.clone());
         Rc::new(Cx {
             cfg,
             clock: Clock::start(),
@@ -46,6 +53,9 @@
             pools: RefCell::new(Pools::default()),
             is_stopping: Cell::new(false),
             has_targets: Cell::new(false),
+            cut_off: RefCell::new(HashSet::default()),
+            is_isolated: Cell::new(false),
+            peers: RefCell::new(peers),
         })
     }
 
@@ -108,7 +118,13 @@
 
     /// Whether this host should get callers.
     pub fn is_ready(&self) -> bool {
-        self.table.borrow().is_some() && self.has_targets.get() && !self.is_stopping.get()
+        let knows_enough = self.table.borrow().is_some() && self.has_targets.get();
+        knows_enough && !self.is_stopping.get() && !self.is_isolated.get()
+    }
+
+    /// Whether callers should open their next connection to another host.
+    pub(crate) fn sends_callers_away(&self) -> bool {
+        self.is_stopping.get() || self.is_isolated.get()
     }
 
     /// Lets the next that waits for `service` try to be placed.
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -27,8 +27,13 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Pause after a failed call: the first, and the longest.
-const MIN_PAUSE: Duration = Duration::from_millis(100);
-const MAX_PAUSE: Duration = Duration::from_millis(800);
+const MIN_PAUSE: Duration = Duration::from_millis(200);
+const MAX_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// Pause between two calls for changes, so that changes that come close
+/// together cost one call.
+const TARGETS_PAUSE: Duration = Duration::from_millis(250);
+const OPERATIONS_PAUSE: Duration = Duration::from_millis(50);
 
 /// One of the two things that are followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +43,15 @@
     Operations,
 }
 
+impl Feed {
+    fn pause(self) -> Duration {
+        match self {
+            Feed::Targets => TARGETS_PAUSE,
+            Feed::Operations => OPERATIONS_PAUSE,
+        }
+    }
+}
+
 /// One published item, decoded.
 #[derive(Clone, Debug)]
 pub enum Item {
@@ -129,6 +143,7 @@
             Ok(Ok(changes)) => {
                 revision = revision.max(changes.revision);
                 changes.items.into_iter().for_each(|it| apply(cx, it));
+                sleep(feed.pause()).await;
             }
             Ok(Err(err)) => return err,
             Err(_) => return SourceError::Unavailable("no answer in time".to_owned()),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod cx;
 pub mod follow;
+mod isolation;
 mod names;
 mod peers;
 mod scatter;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use forward::peers::{DIGEST_INTERVAL, Digest, Peers};
+use forward::peers::{DIGEST_INTERVAL, Digest};
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
 use tokio::{
@@ -20,6 +20,7 @@
 #[derive(Serialize, Deserialize)]
 struct WireDigest {
     from: SocketAddr,
+    domain: String,
     version: u64,
     /// Hosts and the milliseconds since the last word of them.
     hosts: Vec<(SocketAddr, u64)>,
@@ -28,14 +29,24 @@
 impl From<&Digest> for WireDigest {
     fn from(digest: &Digest) -> Self {
         let hosts = digest.hosts.iter().map(|(host, age)| (*host, age.as_millis() as u64));
-        WireDigest { from: digest.from, version: digest.version, hosts: hosts.collect() }
+        WireDigest {
+            from: digest.from,
+            domain: digest.domain.as_str().to_owned(),
+            version: digest.version,
+            hosts: hosts.collect(),
+        }
     }
 }
 
 impl From<WireDigest> for Digest {
     fn from(wire: WireDigest) -> Self {
         let hosts = wire.hosts.into_iter().map(|(host, ms)| (host, Duration::from_millis(ms)));
-        Digest { from: wire.from, version: wire.version, hosts: hosts.collect() }
+        Digest {
+            from: wire.from,
+            domain: wire.domain.into(),
+            version: wire.version,
+            hosts: hosts.collect(),
+        }
     }
 }
 
@@ -47,20 +58,19 @@
             return;
         }
     };
-    let mut peers = Peers::new(cx.cfg.peers, cx.cfg.seeds.clone());
     let mut ticks = interval(DIGEST_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buf = vec![0; MAX_DATAGRAM];
     let mut known = 0;
     loop {
         tokio::select! {
-            _ = ticks.tick() => send(&cx, &socket, &mut peers).await,
+            _ = ticks.tick() => send(&cx, &socket).await,
             received = socket.recv_from(&mut buf) => match received {
-                Ok((len, _)) => receive(&cx, &mut peers, &buf[..len]),
+                Ok((len, _)) => receive(&cx, &buf[..len]),
                 Err(err) => debug!(cx.log, "front: no datagram was read"; "error" => %err),
             },
         }
-        let count = peers.count(cx.clock.now());
+        let count = cx.peers.borrow().count(cx.clock.now());
         if count != known {
             known = count;
             cx.targets.borrow_mut().set_hosts(count);
@@ -69,8 +79,8 @@
     }
 }
 
-async fn send(cx: &SharedCx, socket: &UdpSocket, peers: &mut Peers) {
-    let (digest, to) = peers.tick(cx.clock.now(), cx.version());
+async fn send(cx: &SharedCx, socket: &UdpSocket) {
+    let (digest, to) = cx.peers.borrow_mut().tick(cx.clock.now(), cx.version());
     let bytes = match serde_json::to_vec(&WireDigest::from(&digest)) {
         Ok(bytes) => bytes,
         Err(err) => {
@@ -85,9 +95,9 @@
     }
 }
 
-fn receive(cx: &SharedCx, peers: &mut Peers, bytes: &[u8]) {
+fn receive(cx: &SharedCx, bytes: &[u8]) {
     match serde_json::from_slice::<WireDigest>(bytes) {
-        Ok(wire) => peers.receive(&wire.into(), cx.clock.now()),
+        Ok(wire) => cx.peers.borrow_mut().receive(&wire.into(), cx.clock.now()),
         Err(err) => debug!(cx.log, "front: a datagram was not a digest"; "error" => %err),
     }
 }
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -71,6 +71,9 @@
     pub after: Duration,
 }
 
+/// Time between two looks at targets that a late request waits for.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Notes kept of one request.
 const MAX_NOTES: usize = 12;
 
@@ -157,8 +160,13 @@
                 self.handle(event);
             }
             let next_hedge = self.hedge();
-            let wake_at = match self.gather.verdict(self.cx.clock.now()) {
-                Verdict::Wait(until) => next_hedge.map_or(until, |it| it.min(until)),
+            self.doubt_silent();
+            let now = self.cx.clock.now();
+            let wake_at = match self.gather.verdict(now) {
+                Verdict::Wait(until) => {
+                    let next = next_hedge.map_or(until, |it| it.min(until));
+                    next.min(self.next_doubt(now))
+                }
                 verdict => return verdict,
             };
             tokio::select! {
@@ -278,6 +286,26 @@
         }
     }
 
+    /// Marks parts whose targets have not answered anything for long.
+    fn doubt_silent(&mut self) {
+        let now = self.cx.clock.now();
+        if now < self.gather.settle_at() {
+            return;
+        }
+        let targets = self.cx.targets.borrow();
+        for index in 0..self.plan.shards.len() {
+            let is_sent = matches!(self.gather.part(index), PartState::Sent { .. });
+            if is_sent && self.tried[index].iter().all(|it| targets.is_hopeless(*it, now)) {
+                self.gather.doubt(index);
+            }
+        }
+    }
+
+    /// When to look again for targets without hope.
+    fn next_doubt(&self, now: Time) -> Time {
+        if now < self.gather.settle_at() { self.gather.settle_at() } else { now + DOUBT_INTERVAL }
+    }
+
     /// Takes a hedge from the budget if there is a target for it.
     fn take_hedge(&mut self, index: usize, now: Time) -> bool {
         let mut targets = self.cx.targets.borrow_mut();
@@ -313,6 +341,7 @@
                 PartState::Waiting => "no connection was free",
                 PartState::Silent => "all targets silent",
                 PartState::Sent { .. } => "not answered yet",
+                PartState::Hopeless { .. } => "its targets answer nothing",
                 PartState::Failed => "failed",
             };
             let target = self.tried[index].last().copied();
