--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -21,6 +21,10 @@
 /// Several datagrams in a row must be lost for it.
 const UNHEARD_AFTER: Duration = Duration::from_millis(900);
 
+/// Hosts find each other within this time of a start; until then a host does
+/// not know with how many it shares.
+const SETTLES_WITHIN: Duration = Duration::from_millis(1_500);
+
 /// Hosts named in one digest.
 const MAX_NAMED: usize = 64;
 
@@ -70,6 +74,11 @@
         1 + heard + unheard
     }
 
+    /// Whether the count can be relied on.
+    pub fn is_settled(&self, uptime: Duration) -> bool {
+        uptime >= SETTLES_WITHIN
+    }
+
     /// Other domains that were heard of once, and those of them that are out of
     /// reach now.
     pub fn domains(&self, now: Time) -> (usize, HashSet<DomainName>) {
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -27,10 +27,15 @@
         let known = self.target_keys.get(&report.name).copied();
         if let Some(key) = known
             && let Some(target) = self.targets.get_mut(&key)
-            && is_same_incarnation(&target.report, &report)
         {
-            target.listed(report, now);
-            return key;
+            match compare(&target.report, &report) {
+                Relation::Older => return key,
+                Relation::Same => {
+                    target.listed(report, now);
+                    return key;
+                }
+                Relation::Restarted => {}
+            }
         }
         if let Some(old) = known {
             self.retire(old);
@@ -145,6 +150,23 @@
     }
 }
 
-fn is_same_incarnation(old: &TargetReport, new: &TargetReport) -> bool {
-    old.born == new.born && old.address == new.address && old.service == new.service
+/// How a report stands to the one that is known.
+enum Relation {
+    /// Of an earlier incarnation, or an earlier one of the same.
+    Older,
+    Same,
+    Restarted,
+}
+
+fn compare(known: &TargetReport, new: &TargetReport) -> Relation {
+    let is_moved = known.address != new.address || known.service != new.service;
+    match (known.born, new.born) {
+        (Some(old), Some(born)) if born < old => Relation::Older,
+        (Some(old), Some(born)) if born > old => Relation::Restarted,
+        (Some(_), Some(_)) if new.sequence < known.sequence => Relation::Older,
+        // Counts start anew at a start.
+        (None, None) if new.sequence < known.sequence => Relation::Restarted,
+        _ if is_moved => Relation::Restarted,
+        _ => Relation::Same,
+    }
 }
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -68,6 +68,7 @@
     home: DomainName,
     regions: Regions,
     hosts: usize,
+    knows_hosts: bool,
     service_keys: HashMap<ServiceName, ServiceKey>,
     services: Vec<ServiceState<W>>,
     target_keys: HashMap<TargetName, TargetKey>,
@@ -118,6 +119,7 @@
             home,
             regions,
             hosts: 1,
+            knows_hosts: false,
             service_keys: HashMap::default(),
             services: Vec::new(),
             target_keys: HashMap::default(),
@@ -137,8 +139,10 @@
     }
 
     /// Hosts that share each target's limits with this one, itself included.
+    /// Until this is called, a single connection a target is used.
     pub fn set_hosts(&mut self, hosts: usize) {
         self.hosts = hosts.max(1);
+        self.knows_hosts = true;
     }
 
     pub fn service(&mut self, name: &ServiceName) -> ServiceKey {
@@ -255,7 +259,8 @@
 
     /// Connections of this host to one target of `service`.
     pub fn connection_share(&self, service: ServiceKey) -> usize {
-        let Some(settings) = &self.services[service.0].settings else { return 1 };
+        let settings = &self.services[service.0].settings;
+        let Some(settings) = settings.as_ref().filter(|_| self.knows_hosts) else { return 1 };
         // Hosts that start while others stop count for a while beside them.
         let spare_hosts = self.hosts.div_ceil(3);
         let hosts = self.hosts + spare_hosts;
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -12,6 +12,8 @@
     /// Start of this incarnation, if stated. Only compared with other reports
     /// of the same target, never with a clock of ours.
     pub born: Option<u64>,
+    /// Counts the reports of one incarnation.
+    pub sequence: u64,
     pub service: ServiceName,
     pub address: SocketAddr,
     pub domain: DomainName,
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -26,6 +26,10 @@
 /// service's targets.
 const UNSERVED_WAIT: Duration = Duration::from_millis(300);
 
+/// Requests in progress on this host; more are turned away, so that bodies and
+/// answers fit into its memory.
+const MAX_IN_PROGRESS: usize = 1_000;
+
 /// Longest deadline that is taken from a caller.
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 
@@ -42,6 +46,7 @@
     if state.is_ambiguous.get() {
         return answer::closing(StatusCode::BAD_REQUEST, "two lengths of the body are stated");
     }
+    let _counted = cx.in_progress.enter();
     let mut answer = respond(cx, received, req).await.unwrap_or_else(|refusal| refusal);
     if cx.sends_callers_away() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -57,6 +62,10 @@
     }
     let deadline = deadline(&head.headers, &names.deadline_ms)?;
     let entry = find_route(cx, &head, deadline)?;
+    if cx.in_progress.count() > MAX_IN_PROGRESS {
+        let left = deadline.unwrap_or(entry.route.timeout);
+        return Err(answer::not_run("too many requests are in progress", UNSERVED_WAIT, left));
+    }
     let timeout = entry.route.timeout;
     let left = deadline.map_or(timeout, |it| it.min(timeout));
     let until = received + left;
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -37,6 +37,22 @@
     /// Callers are better served elsewhere.
     pub(crate) is_isolated: Cell<bool>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) in_progress: InProgress,
+}
+
+/// Counts requests in progress.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InProgress(Rc<()>);
+
+impl InProgress {
+    /// Counted until it is dropped.
+    pub(crate) fn enter(&self) -> InProgress {
+        self.clone()
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        Rc::strong_count(&self.0) - 1
+    }
 }
 
 impl Cx {
@@ -56,6 +72,7 @@
             cut_off: RefCell::new(HashSet::default()),
             is_isolated: Cell::new(false),
             peers: RefCell::new(peers),
+            in_progress: InProgress::default(),
         })
     }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use base::Time;
 use forward::peers::{DIGEST_INTERVAL, Digest};
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
@@ -70,8 +71,10 @@
                 Err(err) => debug!(cx.log, "front: no datagram was read"; "error" => %err),
             },
         }
-        let count = cx.peers.borrow().count(cx.clock.now());
-        if count != known {
+        let now = cx.clock.now();
+        let count = cx.peers.borrow().count(now);
+        let is_settled = cx.peers.borrow().is_settled(now.since(Time::ZERO));
+        if count != known && is_settled {
             known = count;
             cx.targets.borrow_mut().set_hosts(count);
             info!(cx.log, "front: number of hosts changed"; "hosts" => count);
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -3,7 +3,7 @@
 mod connection;
 mod exchange;
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use base::HashMap;
 use bytes::Bytes;
@@ -57,30 +57,49 @@
 /// Idle connections, by target.
 #[derive(Default)]
 pub(crate) struct Pools {
-    idle: HashMap<TargetKey, Vec<mpsc::UnboundedSender<Job>>>,
+    idle: HashMap<TargetKey, Vec<IdleConnection>>,
+}
+
+struct IdleConnection {
+    jobs: mpsc::UnboundedSender<Job>,
+    since: Instant,
 }
 
 impl Pools {
-    fn put(&mut self, target: TargetKey, connection: mpsc::UnboundedSender<Job>) {
+    fn put(&mut self, target: TargetKey, jobs: mpsc::UnboundedSender<Job>) {
+        let connection = IdleConnection { jobs, since: Instant::now() };
         self.idle.entry(target).or_default().push(connection);
     }
 
-    fn forget(&mut self, target: TargetKey, connection: &mpsc::UnboundedSender<Job>) {
+    /// The connection that was used last.
+    fn take(&mut self, target: TargetKey) -> Option<IdleConnection> {
+        self.idle.get_mut(&target)?.pop()
+    }
+
+    fn forget(&mut self, target: TargetKey, jobs: &mpsc::UnboundedSender<Job>) {
         let Some(idle) = self.idle.get_mut(&target) else { return };
-        idle.retain(|it| !it.same_channel(connection));
+        idle.retain(|it| !it.jobs.same_channel(jobs));
         if idle.is_empty() {
             self.idle.remove(&target);
         }
     }
 }
 
+/// A request that must not be repeated uses no connection that was idle for
+/// longer: a target may have forgotten it, and what is sent then may be lost.
+const FRESH_FOR: Duration = Duration::from_millis(1_000);
+
 /// Sends `job` on an idle connection of its target, or on a new one.
 pub(crate) fn submit(cx: &SharedCx, mut job: Job) {
     let target = job.send.target;
     loop {
-        let idle = cx.pools.borrow_mut().idle.get_mut(&target).and_then(Vec::pop);
+        let idle = cx.pools.borrow_mut().take(target);
         let Some(connection) = idle else { break };
-        match connection.send(job) {
+        if !job.request.is_idempotent && connection.since.elapsed() > FRESH_FOR {
+            // Dropped: it closes.
+            continue;
+        }
+        match connection.jobs.send(job) {
             Ok(()) => return,
             Err(mpsc::error::SendError(returned)) => job = returned,
         }
