--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod placement;
 pub mod retry_after;
 pub mod route;
+pub mod suspects;
 pub mod target;
 
 pub use crate::{
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -8,6 +8,8 @@
 
 use base::{DomainName, HashMap, HashSet, Time};
 
+use crate::suspects::Strike;
+
 /// Time between two digests to a peer.
 pub const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -37,6 +39,8 @@
     pub version: u64,
     /// Hosts heard of, with the age of the last word of them.
     pub hosts: Vec<(SocketAddr, Duration)>,
+    /// Requests that crashed targets.
+    pub strikes: Vec<Strike>,
 }
 
 /// The hosts heard of.
@@ -107,7 +111,12 @@
     }
 
     /// The digest of this moment and the peers to send it to.
-    pub fn tick(&mut self, now: Time, version: u64) -> (Digest, Vec<SocketAddr>) {
+    pub fn tick(
+        &mut self,
+        now: Time,
+        version: u64,
+        strikes: Vec<Strike>,
+    ) -> (Digest, Vec<SocketAddr>) {
         self.heard.retain(|_, at| now.since(*at) < COUNTED_FOR);
         let mut known: Vec<SocketAddr> = self.heard.keys().copied().collect();
         known.extend(self.seeds.iter().filter(|it| !self.heard.contains_key(*it)));
@@ -121,6 +130,7 @@
             domain: self.home.clone(),
             version,
             hosts: hosts.take(MAX_NAMED).collect(),
+            strikes,
         };
         (digest, to)
     }
--- /dev/null
+++ b/crates/forward/tests/load_patterns.rs
@@ -0,0 +1,93 @@
+//! The load patterns that the decisions answer, replayed on virtual time, each
+//! with the mechanism and without it.
+
+mod model;
+
+use std::time::Duration;
+
+use model::{Load, Slow, play};
+
+const SEEDS: u64 = 5;
+
+/// Extra sends that the users' deployments allow.
+const MAX_EXTRA: f64 = 0.2;
+
+fn pauses() -> Load {
+    Load {
+        pause: Duration::from_millis(150),
+        pause_period: Duration::from_millis(3_600),
+        ..Load::default()
+    }
+}
+
+#[test]
+fn pauses_under_wide_fan_out_do_not_make_queries_late() {
+    for seed in 1..=SEEDS {
+        let load = Load { seed, shards: 30, min_shards: 27, ..pauses() };
+        let hedged = play(&load);
+        let bare = play(&Load { retry_ratio: 0.0, ..load });
+        assert!(hedged.in_time_share() >= 0.95, "seed {seed}: {hedged:?}");
+        assert!(hedged.missing_parts < bare.missing_parts, "seed {seed}: {hedged:?} {bare:?}");
+        assert!(hedged.extra_share() <= MAX_EXTRA, "seed {seed}: {hedged:?}");
+    }
+}
+
+#[test]
+fn a_burst_with_pauses_is_served_in_time() {
+    for seed in 1..=SEEDS {
+        let burst = Some((Duration::from_secs(10), Duration::from_secs(15), 1.7));
+        let load = Load { seed, burst, queries_per_s: 40.0, ..pauses() };
+        let report = play(&load);
+        assert!(report.in_time_share() >= 0.95, "seed {seed}: {report:?}");
+        assert_eq!(report.unserved, 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_shard_whose_targets_are_all_silent_is_left_out_in_time() {
+    for seed in 1..=SEEDS {
+        let silent = |replica| Slow {
+            shard: 3,
+            replica,
+            from: Duration::from_secs(5),
+            until: Duration::from_secs(60),
+            factor: f64::INFINITY,
+        };
+        let load = Load { seed, slow: vec![silent(0), silent(1)], ..pauses() };
+        let report = play(&load);
+        assert!(report.in_time_share() >= 0.95, "seed {seed}: {report:?}");
+    }
+}
+
+#[test]
+fn more_silent_shards_than_may_be_missing_end_queries_before_their_timeout() {
+    let silent = |shard, replica| Slow {
+        shard,
+        replica,
+        from: Duration::from_secs(5),
+        until: Duration::from_secs(60),
+        factor: f64::INFINITY,
+    };
+    let slow = (0..4).flat_map(|shard| [silent(shard, 0), silent(shard, 1)]).collect();
+    let report = play(&Load { slow, ..pauses() });
+    assert!(report.unserved > 0, "{report:?}");
+    assert!(report.in_time + report.late + report.unserved == report.queries, "{report:?}");
+}
+
+#[test]
+fn work_moves_away_from_targets_that_turn_slow() {
+    for seed in 1..=SEEDS {
+        let slow = |shard| Slow {
+            shard,
+            replica: 0,
+            from: Duration::from_secs(5),
+            until: Duration::from_secs(60),
+            factor: 8.0,
+        };
+        let load = Load { seed, slow: (0..8).map(slow).collect(), ..Load::default() };
+        let report = play(&load);
+        assert!(report.in_time_share() >= 0.95, "seed {seed}: {report:?}");
+        let missing = report.missing_parts as f64 / report.parts as f64;
+        assert!(missing < 0.02, "seed {seed}: {report:?}");
+    }
+}
--- /dev/null
+++ b/crates/forward/tests/model/mod.rs
@@ -0,0 +1,416 @@
+//! A model of one host and the targets of a query's shards, on virtual time:
+//! callers' queries arrive, targets with slots work, pause, slow down or fall
+//! silent, and the pure decisions drive it all.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{DomainName, HashMap, RegionName, ServiceName, TargetName, Time};
+use forward::{
+    Gather, Lifecycle, Placement, Service, TargetReport, Targets, Verdict,
+    budget::RetryLimits,
+    gather::{PartState, Schedule},
+    placement::{Ask, ClassKey, Limits, Send, ServiceKey, TargetKey, Waiting},
+    route::Configuration,
+    target::SendResult,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+/// What the model plays.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub seed: u64,
+    pub shards: usize,
+    pub queries_per_s: f64,
+    pub run_for: Duration,
+    pub work: Duration,
+    pub slots: usize,
+    pub objective: Duration,
+    pub timeout: Duration,
+    pub min_shards: usize,
+    /// Each target pauses this long in each period.
+    pub pause: Duration,
+    pub pause_period: Duration,
+    /// Targets that are slower, by a factor, in a span of time.
+    pub slow: Vec<Slow>,
+    pub retry_ratio: f64,
+    /// Queries come more often by a factor in a span of time.
+    pub burst: Option<(Duration, Duration, f64)>,
+}
+
+/// A target of a shard works slower, or not at all.
+#[derive(Clone, Debug)]
+pub struct Slow {
+    pub shard: usize,
+    pub replica: usize,
+    pub from: Duration,
+    pub until: Duration,
+    /// Infinite: it answers nothing.
+    pub factor: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    pub queries: usize,
+    pub in_time: usize,
+    pub late: usize,
+    pub unserved: usize,
+    pub missing_parts: usize,
+    pub parts: usize,
+    pub sends: usize,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Load {
+            seed: 1,
+            shards: 20,
+            queries_per_s: 15.0,
+            run_for: Duration::from_secs(30),
+            work: Duration::from_millis(15),
+            slots: 2,
+            objective: Duration::from_millis(120),
+            timeout: Duration::from_millis(800),
+            min_shards: 18,
+            pause: Duration::ZERO,
+            pause_period: Duration::from_secs(4),
+            slow: Vec::new(),
+            retry_ratio: 0.2,
+            burst: None,
+        }
+    }
+}
+
+impl Report {
+    pub fn in_time_share(&self) -> f64 {
+        self.in_time as f64 / self.queries as f64
+    }
+
+    /// Sends beyond one a part.
+    pub fn extra_share(&self) -> f64 {
+        self.sends as f64 / self.parts as f64 - 1.0
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Look { query: usize },
+    TargetWorks { target: usize },
+    Done { target: usize, query: usize, index: usize, send: u64 },
+    Overdue { query: usize, index: usize, send: u64 },
+}
+
+struct ModelTarget {
+    key: TargetKey,
+    shard: usize,
+    replica: usize,
+    phase: Duration,
+    busy: usize,
+    queue: VecDeque<(usize, usize, Send)>,
+}
+
+struct Query {
+    gather: Gather,
+    until: Time,
+    tried: Vec<Vec<TargetKey>>,
+    sends: HashMap<u64, (usize, Send)>,
+    is_ended: bool,
+    received: Time,
+}
+
+struct Model {
+    load: Load,
+    rng: SmallRng,
+    now: Time,
+    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    next_event: u64,
+    core: Targets<(usize, usize)>,
+    services: Vec<ServiceKey>,
+    class: ClassKey,
+    targets: Vec<ModelTarget>,
+    queries: Vec<Query>,
+    report: Report,
+}
+
+/// Plays a load to its end.
+pub fn play(load: &Load) -> Report {
+    let mut model = Model::new(load.clone());
+    model.at(Time::ZERO, Event::Arrive);
+    while let Some(Reverse((at, _, event))) = model.events.pop() {
+        model.now = at;
+        model.handle(event);
+    }
+    model.report
+}
+
+impl Model {
+    fn new(load: Load) -> Model {
+        let limits = Limits {
+            retry: RetryLimits {
+                ratio: load.retry_ratio,
+                window: Duration::from_secs(10),
+                slack: load.retry_ratio * 50.0,
+            },
+            cold_ratio: 1.0,
+            cold_slack: 0.0,
+            cross_domain: Duration::ZERO,
+            leaving_for: Duration::from_secs(1),
+        };
+        let region = RegionName::new("r");
+        let domain = DomainName::new("a");
+        let regions = [(domain.clone(), region)].into_iter().collect();
+        let mut core = Targets::new(limits, domain, regions);
+        core.set_hosts(1);
+        let mut rng = SmallRng::seed_from_u64(load.seed);
+        let names: Vec<ServiceName> =
+            (0..load.shards).map(|it| ServiceName::new(&format!("s{it}"))).collect();
+        core.configure(&configuration(&names));
+        let services = names.iter().map(|it| core.service(it)).collect();
+        let class = core.class(&Arc::from("route"));
+        let mut targets = Vec::new();
+        for (shard, name) in names.iter().enumerate() {
+            for replica in 0..2 {
+                let key = core.reported(report(name, shard, replica, load.slots), Time::ZERO);
+                let phase = load.pause_period.mul_f64(rng.random());
+                let (busy, queue) = (0, VecDeque::new());
+                targets.push(ModelTarget { key, shard, replica, phase, busy, queue });
+            }
+        }
+        Model {
+            load,
+            rng,
+            now: Time::ZERO,
+            events: BinaryHeap::new(),
+            next_event: 0,
+            core,
+            services,
+            class,
+            targets,
+            queries: Vec::new(),
+            report: Report::default(),
+        }
+    }
+
+    fn at(&mut self, time: Time, event: Event) {
+        self.next_event += 1;
+        self.events.push(Reverse((time, self.next_event, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Look { query } => self.look(query),
+            Event::TargetWorks { target } => self.work(target),
+            Event::Done { target, query, index, send } => {
+                self.targets[target].busy -= 1;
+                self.ended(query, index, send, SendResult::Answered);
+                self.work(target);
+            }
+            Event::Overdue { query, index, send } => {
+                self.ended(query, index, send, SendResult::Silent);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let elapsed = self.now.since(Time::ZERO);
+        if elapsed > self.load.run_for {
+            return;
+        }
+        let query = self.queries.len();
+        let schedule = Schedule {
+            received: self.now,
+            objective: self.load.objective,
+            until: self.now + self.load.timeout,
+        };
+        self.queries.push(Query {
+            gather: Gather::new(self.load.shards, self.load.min_shards, schedule),
+            until: schedule.until,
+            tried: vec![Vec::new(); self.load.shards],
+            sends: HashMap::default(),
+            is_ended: false,
+            received: self.now,
+        });
+        self.report.queries += 1;
+        self.report.parts += self.load.shards;
+        for index in 0..self.load.shards {
+            self.core.note_request(self.services[index], self.now);
+        }
+        for index in 0..self.load.shards {
+            self.place(query, index);
+        }
+        self.look(query);
+        let is_burst = self.load.burst.filter(|(from, to, _)| elapsed >= *from && elapsed < *to);
+        let rate = self.load.queries_per_s * is_burst.map_or(1.0, |(_, _, factor)| factor);
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+        self.at(self.now + Duration::from_secs_f64(gap), Event::Arrive);
+    }
+
+    fn place(&mut self, query: usize, index: usize) {
+        let tried = self.queries[query].tried[index].clone();
+        let service = self.services[index];
+        let ask = Ask { service, class: self.class, tried: &tried, regions: &[] };
+        let placement = self.core.place(&ask, self.now);
+        let state = &mut self.queries[query];
+        match placement {
+            Placement::Send(send) => {
+                state.gather.sent(index, self.now);
+                state.tried[index].push(send.target);
+                state.sends.insert(send.id, (index, send));
+                let until = state.until;
+                self.report.sends += 1;
+                let target = self.targets.iter().position(|it| it.key == send.target);
+                let target = target.expect("placed on a target of the model");
+                self.targets[target].queue.push_back((query, index, send));
+                self.at(until, Event::Overdue { query, index, send: send.id });
+                self.work(target);
+            }
+            Placement::Busy | Placement::Silent => {
+                state.gather.waits(index, placement == Placement::Silent);
+                let waiting = Waiting { priority: 1, until: state.until, who: (query, index) };
+                self.core.wait(service, waiting);
+            }
+            Placement::Nowhere => state.gather.failed(index),
+        }
+    }
+
+    fn work(&mut self, target: usize) {
+        let elapsed = self.now.since(Time::ZERO);
+        let it = &self.targets[target];
+        let factor = self.load.slow.iter().find(|slow| {
+            slow.shard == it.shard
+                && slow.replica == it.replica
+                && (slow.from..slow.until).contains(&elapsed)
+        });
+        let factor = factor.map_or(1.0, |it| it.factor);
+        if factor.is_infinite() {
+            return;
+        }
+        if let Some(wake) = self.pause_end(target) {
+            self.at(wake, Event::TargetWorks { target });
+            return;
+        }
+        while self.targets[target].busy < self.load.slots
+            && let Some((query, index, send)) = self.targets[target].queue.pop_front()
+        {
+            if self.queries[query].is_ended && !self.queries[query].sends.contains_key(&send.id) {
+                continue;
+            }
+            self.targets[target].busy += 1;
+            let spread = 0.65 + 0.7 * self.rng.random::<f64>();
+            let work = self.load.work.mul_f64(spread * factor);
+            let done = Event::Done { target, query, index, send: send.id };
+            self.at(self.now + work, done);
+        }
+    }
+
+    /// When the target's pause ends, if it is in one.
+    fn pause_end(&self, target: usize) -> Option<Time> {
+        if self.load.pause.is_zero() {
+            return None;
+        }
+        let period = self.load.pause_period.as_micros() as u64;
+        let shifted = self.now.as_micros() + self.targets[target].phase.as_micros() as u64;
+        let within = shifted % period;
+        let pause = self.load.pause.as_micros() as u64;
+        (within < pause).then(|| self.now + Duration::from_micros(pause - within))
+    }
+
+    fn ended(&mut self, query: usize, index: usize, send: u64, result: SendResult) {
+        let Some((_, sent)) = self.queries[query].sends.remove(&send) else { return };
+        self.core.finished(&sent, self.now, result);
+        for key in self.core.due_trials(self.now) {
+            self.core.reached(key, self.now);
+        }
+        let service = self.services[index];
+        if let Some((waiting, part)) = self.core.next_waiting(service, self.now) {
+            let state = self.queries[waiting].gather.part(part);
+            if matches!(state, PartState::Waiting | PartState::Silent) {
+                self.place(waiting, part);
+                self.look(waiting);
+            }
+        }
+        let gather = &mut self.queries[query].gather;
+        if result == SendResult::Answered {
+            gather.arrived(index);
+        } else {
+            gather.lost(index);
+        }
+        self.look(query);
+    }
+
+    fn look(&mut self, query: usize) {
+        if self.queries[query].is_ended {
+            return;
+        }
+        let mut next = self.queries[query].until;
+        if let Some(delay) = self.core.hedge_delay(self.class) {
+            for index in self.queries[query].gather.due_hedges(self.now, delay) {
+                let tried = self.queries[query].tried[index].clone();
+                let service = self.services[index];
+                let ask = Ask { service, class: self.class, tried: &tried, regions: &[] };
+                if self.core.can_place(&ask, self.now) && self.core.take_retry(service, self.now) {
+                    self.place(query, index);
+                }
+            }
+            let due = self.queries[query].gather.next_hedge(delay);
+            next = due.map_or(next, |it| it.min(next));
+        }
+        match self.queries[query].gather.verdict(self.now) {
+            Verdict::Wait(until) => {
+                let next = next.min(until).max(self.now + Duration::from_micros(100));
+                self.at(next, Event::Look { query });
+            }
+            verdict => self.end(query, verdict),
+        }
+    }
+
+    fn end(&mut self, query: usize, verdict: Verdict) {
+        let state = &mut self.queries[query];
+        state.is_ended = true;
+        let took = self.now.since(state.received);
+        if verdict != Verdict::Answer {
+            self.report.unserved += 1;
+            return;
+        }
+        let done = state.gather.done();
+        assert!(done >= self.load.min_shards, "answered with {done} shards");
+        self.report.missing_parts += state.gather.missing();
+        if took <= self.load.objective {
+            self.report.in_time += 1;
+        } else {
+            self.report.late += 1;
+        }
+    }
+}
+
+fn configuration(services: &[ServiceName]) -> Configuration {
+    let service = Service {
+        health_path: Arc::from("/health"),
+        max_connections: 8,
+        warmup: Duration::ZERO,
+        warmup_rate: None,
+    };
+    let services = services.iter().map(|it| (it.clone(), service.clone())).collect();
+    Configuration { version: 1, services, ..Configuration::default() }
+}
+
+fn report(service: &ServiceName, shard: usize, replica: usize, slots: usize) -> TargetReport {
+    let port = (shard * 2 + replica) as u16 + 1_000;
+    TargetReport {
+        name: TargetName::new(&format!("t{shard}-{replica}")),
+        born: Some(1),
+        sequence: 1,
+        service: service.clone(),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: DomainName::new("a"),
+        slots: slots as u32,
+        lifecycle: Lifecycle::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
--- a/crates/front/src/callers/answer.rs
+++ b/crates/front/src/callers/answer.rs
@@ -1,10 +1,8 @@
-//! Answers to callers.
-
-use std::time::Duration;
+//! Answers made of what targets answered.
 
 use bytes::Bytes;
-use forward::{merge::merge_top, retry_after::retry_after};
-use http::{HeaderValue, Response, StatusCode, header};
+use forward::merge::merge_top;
+use http::{HeaderValue, Response};
 use http_body_util::Full;
 
 use super::read::strip_hop_headers;
@@ -12,33 +10,6 @@
 
 pub(super) type Answer = Response<Full<Bytes>>;
 
-/// A failure of this tier's own.
-pub(super) fn failure(status: StatusCode, message: &'static str) -> Answer {
-    let body = format!("{{\"error\":\"{message}\"}}");
-    let mut answer = Response::new(Full::new(Bytes::from(body)));
-    *answer.status_mut() = status;
-    let json = HeaderValue::from_static("application/json");
-    answer.headers_mut().insert(header::CONTENT_TYPE, json);
-    answer
-}
-
-/// The request did not run and will not; come back after `expected`.
-pub(super) fn not_run(message: &'static str, expected: Duration, left: Duration) -> Answer {
-    let mut answer = failure(StatusCode::SERVICE_UNAVAILABLE, message);
-    let wait = format!("{:.3}", retry_after(expected, left).as_secs_f64());
-    if let Ok(wait) = HeaderValue::from_str(&wait) {
-        answer.headers_mut().insert(header::RETRY_AFTER, wait);
-    }
-    answer
-}
-
-/// A failure after which the connection is closed.
-pub(super) fn closing(status: StatusCode, message: &'static str) -> Answer {
-    let mut answer = failure(status, message);
-    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    answer
-}
-
 /// A target's answer as it came.
 pub(super) fn pass_on(answer: TargetAnswer) -> Answer {
     let mut headers = answer.headers;
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -1,19 +1,30 @@
 //! One request from a caller, from its head to its answer.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    hash::{Hash, Hasher},
+    rc::Rc,
+    time::Duration,
+};
 
 use base::Time;
+use bytes::Bytes;
 use forward::{
-    Destination, Repeat, Verdict, gather::Schedule, placement::ServiceKey, route::RouteEntry,
+    Destination, Repeat, Route, Verdict, gather::Schedule, placement::ServiceKey,
+    route::RouteEntry, suspects::Fingerprint,
+};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header, request::Parts,
 };
-use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, header, request::Parts};
 use hyper::body::Incoming;
+use rustc_hash::FxHasher;
 
 use super::{
     answer::{self, Answer},
     connection::{ConnectionState, Phase},
-    log_line::{self, Line},
-    read::{BodyError, read_body, strip_hop_headers},
+    log_line::{self, Line, request_id},
+    read::{read_body, strip_hop_headers},
+    refusal::Refusal,
 };
 use crate::{
     SharedCx,
@@ -30,6 +41,9 @@
 /// answers fit into its memory.
 const MAX_IN_PROGRESS: usize = 1_000;
 
+/// Wait told to callers whose request crashed targets.
+const BARRED_WAIT: Duration = Duration::from_secs(60);
+
 /// Longest deadline that is taken from a caller.
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 
@@ -43,66 +57,83 @@
         Phase::Idle(_) | Phase::Serving => cx.clock.now(),
     };
     state.phase.set(Phase::Serving);
-    if state.is_ambiguous.get() {
-        return answer::closing(StatusCode::BAD_REQUEST, "two lengths of the body are stated");
-    }
     let _counted = cx.in_progress.enter();
-    let mut answer = respond(cx, received, req).await.unwrap_or_else(|refusal| refusal);
+    let id = request_id(cx, req.headers());
+    let answered = if state.is_ambiguous.get() {
+        let reason = "two lengths of the body are stated";
+        Err(Refusal::closing(StatusCode::BAD_REQUEST, reason))
+    } else {
+        respond(cx, received, req).await
+    };
+    let mut answer = answered.unwrap_or_else(|refusal| {
+        log_line::refused(cx, &id, &refusal);
+        refusal.into()
+    });
     if cx.sends_callers_away() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     answer
 }
 
-async fn respond(cx: &SharedCx, received: Time, req: Request<Incoming>) -> Result<Answer, Answer> {
+async fn respond(cx: &SharedCx, received: Time, req: Request<Incoming>) -> Result<Answer, Refusal> {
     let (head, body) = req.into_parts();
     let names = &cx.cfg.names;
     if !head.headers.contains_key(&names.request_id) {
-        return Err(answer::failure(StatusCode::BAD_REQUEST, "the request has no id"));
+        return Err(Refusal::bad("the request has no id"));
     }
     let deadline = deadline(&head.headers, &names.deadline_ms)?;
     let entry = find_route(cx, &head, deadline)?;
+    let left = deadline.map_or(entry.route.timeout, |it| it.min(entry.route.timeout));
     if cx.in_progress.count() > MAX_IN_PROGRESS {
-        let left = deadline.unwrap_or(entry.route.timeout);
-        return Err(answer::not_run("too many requests are in progress", UNSERVED_WAIT, left));
+        let reason = "too many requests are in progress";
+        return Err(Refusal::not_run(reason, UNSERVED_WAIT, left));
     }
-    let timeout = entry.route.timeout;
-    let left = deadline.map_or(timeout, |it| it.min(timeout));
+    let body = read_body(body, cx.limits.get().body_bytes, left).await?;
     let until = received + left;
-    let max_bytes = cx.limits.get().body_bytes;
-    let body = read_body(body, max_bytes, left).await.map_err(|err| match err {
-        BodyError::TooLarge => {
-            answer::closing(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
-        }
-        BodyError::Incomplete => {
-            answer::closing(StatusCode::REQUEST_TIMEOUT, "the body did not come in")
-        }
-    })?;
+    let request = Rc::new(outgoing(cx, &entry.route, head, body, until));
+    if cx.suspects.borrow().is_barred(request.fingerprint) {
+        let reason = "the request crashed several targets";
+        return Err(Refusal::not_run(reason, BARRED_WAIT, left));
+    }
+    let schedule = Schedule { received, objective: entry.route.objective, until };
+    run(cx, &entry, request, schedule).await
+}
+
+/// What goes to targets: the request less what concerns the caller's
+/// connection.
+fn outgoing(cx: &SharedCx, route: &Route, head: Parts, body: Bytes, until: Time) -> Outgoing {
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
     // The body is in hand, so nobody has to be asked for it.
     headers.remove(header::EXPECT);
-    let request = Rc::new(Outgoing {
+    Outgoing {
+        fingerprint: fingerprint(&head.method, &headers, &head.uri, &body),
         method: head.method,
         uri: head.uri,
         headers,
         body,
         until: cx.clock.instant(until),
-        is_idempotent: entry.route.repeat == Repeat::Idempotent,
+        is_idempotent: route.repeat == Repeat::Idempotent,
         is_answered: Cell::new(false),
-    });
-    let schedule = Schedule { received, objective: entry.route.objective, until };
-    Ok(run(cx, &entry, request, schedule).await)
+    }
+}
+
+/// The same for each attempt of any caller with the same request.
+fn fingerprint(method: &Method, headers: &HeaderMap, uri: &Uri, body: &[u8]) -> Fingerprint {
+    let mut hasher = FxHasher::default();
+    method.hash(&mut hasher);
+    headers.get(header::HOST).hash(&mut hasher);
+    uri.hash(&mut hasher);
+    body.hash(&mut hasher);
+    hasher.finish()
 }
 
 /// The time that the caller waits, if it says so.
-fn deadline(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Duration>, Answer> {
+fn deadline(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Duration>, Refusal> {
     let Some(value) = headers.get(name) else { return Ok(None) };
     let parsed = value.to_str().ok().and_then(|it| it.trim().parse::<u64>().ok());
-    let Some(ms) = parsed else {
-        let message = "the deadline is not a whole number of milliseconds";
-        return Err(answer::failure(StatusCode::BAD_REQUEST, message));
-    };
+    let ms =
+        parsed.ok_or_else(|| Refusal::bad("the deadline is not a whole number of milliseconds"))?;
     Ok(Some(Duration::from_millis(ms).min(MAX_DEADLINE)))
 }
 
@@ -110,24 +141,21 @@
     cx: &SharedCx,
     head: &Parts,
     deadline: Option<Duration>,
-) -> Result<Rc<RouteEntry>, Answer> {
+) -> Result<Rc<RouteEntry>, Refusal> {
     let table = cx.table.borrow().clone();
-    let Some(table) = table else {
+    let table = table.ok_or_else(|| {
         let left = deadline.unwrap_or(UNSERVED_WAIT * 3);
-        return Err(answer::not_run("no configuration is known yet", UNSERVED_WAIT, left));
-    };
+        Refusal::not_run("no configuration is known yet", UNSERVED_WAIT, left)
+    })?;
     let path = head.uri.path();
     if head.uri.authority().is_some() || !path.starts_with('/') {
-        let message = "the request target is not a path";
-        return Err(answer::failure(StatusCode::BAD_REQUEST, message));
+        return Err(Refusal::bad("the request target is not a path"));
     }
     let host = head.headers.get(header::HOST).and_then(|it| it.to_str().ok());
-    let Some(host) = host else {
-        return Err(answer::failure(StatusCode::BAD_REQUEST, "no host is named"));
-    };
+    let host = host.ok_or_else(|| Refusal::bad("no host is named"))?;
     let host = without_port(host).to_ascii_lowercase();
     let entry = table.find(&host, path).cloned();
-    entry.ok_or_else(|| answer::failure(StatusCode::NOT_FOUND, "no route matches"))
+    entry.ok_or_else(|| Refusal::new(StatusCode::NOT_FOUND, "no route matches"))
 }
 
 fn without_port(host: &str) -> &str {
@@ -142,17 +170,16 @@
     entry: &RouteEntry,
     request: Rc<Outgoing>,
     schedule: Schedule,
-) -> Answer {
+) -> Result<Answer, Refusal> {
     let route = &entry.route;
-    let (shards, min_shards) = shards(cx, entry);
-    let class = cx.targets.borrow_mut().class(&route.name);
     let now = cx.clock.now();
     entry.note_request(now);
     if !is_servable(cx, entry, now) {
         let left = schedule.until.until(now);
-        log_line::refused(cx, entry, &request, "too few targets can be reached");
-        return answer::not_run("too few targets can be reached", UNSERVED_WAIT, left);
+        return Err(Refusal::not_run("too few targets can be reached", UNSERVED_WAIT, left));
     }
+    let (shards, min_shards) = shards(cx, entry);
+    let class = cx.targets.borrow_mut().class(&route.name);
     let plan = Plan {
         shards,
         min_shards,
@@ -161,15 +188,14 @@
         attempts: if request.is_idempotent { route.attempts } else { 1 },
         priority: route.priority,
         schedule,
-        request,
+        request: request.clone(),
     };
-    let request = plan.request.clone();
     let collected = scatter(cx, plan).await;
-    let left = schedule.until.until(cx.clock.now());
     let line = Line::new(cx, entry, &request, schedule, &collected);
-    let answer = finish(cx, entry, collected, left);
-    line.write(cx, answer.status());
-    answer
+    let left = schedule.until.until(cx.clock.now());
+    let answered = finish(cx, entry, collected, left);
+    line.write(cx, answered.as_ref().map_or_else(|it| it.status, |it| it.status()));
+    answered
 }
 
 /// The services to send to, and how many of them must answer.
@@ -184,31 +210,30 @@
     (shards, 1)
 }
 
-fn finish(cx: &SharedCx, entry: &RouteEntry, mut collected: Collected, left: Duration) -> Answer {
-    if collected.verdict == Verdict::Answer {
-        if let Destination::Gather(spec) = &entry.route.destination {
-            return answer::merged(&cx.cfg.names, &collected.parts, collected.missing, spec.top);
-        }
-        if let Some(part) = collected.parts.pop() {
-            return answer::pass_on(part);
+fn finish(
+    cx: &SharedCx,
+    entry: &RouteEntry,
+    mut collected: Collected,
+    left: Duration,
+) -> Result<Answer, Refusal> {
+    let is_answered = collected.verdict == Verdict::Answer;
+    if let Destination::Gather(spec) = &entry.route.destination {
+        if is_answered {
+            let (parts, missing) = (&collected.parts, collected.missing);
+            return Ok(answer::merged(&cx.cfg.names, parts, missing, spec.top));
         }
-    }
-    let is_gather = matches!(entry.route.destination, Destination::Gather(_));
-    if let Some(failure) = collected.failure
-        && !is_gather
-        && !promises_not_run(failure.status)
-    {
-        return answer::pass_on(failure);
+    } else if let Some(part) = collected.parts.pop() {
+        return Ok(answer::pass_on(part));
+    } else if let Some(failure) = collected.failure.filter(|it| !promises_not_run(it.status)) {
+        return Ok(answer::pass_on(failure));
     }
     if !collected.may_have_run {
-        return answer::not_run("no target could take the request", UNSERVED_WAIT, left);
+        return Err(Refusal::not_run("no target could take the request", UNSERVED_WAIT, left));
     }
-    match collected.verdict {
-        Verdict::TimedOut => answer::failure(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-        Verdict::GiveUp | Verdict::Answer | Verdict::Wait(_) => {
-            answer::failure(StatusCode::BAD_GATEWAY, "too few targets answered")
-        }
+    if collected.verdict == Verdict::TimedOut {
+        return Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
     }
+    Err(Refusal::new(StatusCode::BAD_GATEWAY, "too few targets answered"))
 }
 
 /// Whether callers take the status as a promise that nothing ran; a target
--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/callers/log_line.rs
@@ -5,9 +5,10 @@
 
 use base::Time;
 use forward::{gather::Schedule, route::RouteEntry};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use slog::info;
 
+use super::refusal::Refusal;
 use crate::{
     SharedCx,
     scatter::{Collected, Note},
@@ -36,7 +37,7 @@
         collected: &Collected,
     ) -> Line {
         Line {
-            id: request_id(cx, request),
+            id: request_id(cx, &request.headers),
             route: entry.route.name.clone(),
             version: entry.version,
             verdict: collected.verdict.as_str(),
@@ -66,18 +67,19 @@
     notes: &[Note],
 ) {
     let after = cx.clock.now().since(received);
-    info!(cx.log, "request: the caller left"; "id" => request_id(cx, request),
+    info!(cx.log, "request: the caller left"; "id" => request_id(cx, &request.headers),
         "after_ms" => after.as_millis() as u64, "parts" => done, "notes" => compact(notes));
 }
 
-/// Logs that a request was turned away before anything was sent.
-pub(super) fn refused(cx: &SharedCx, entry: &RouteEntry, request: &Outgoing, reason: &'static str) {
-    info!(cx.log, "request: refused"; "id" => request_id(cx, request),
-        "route" => &*entry.route.name, "version" => entry.version, "reason" => reason);
+/// Logs that this tier ended a request by itself.
+pub(super) fn refused(cx: &SharedCx, id: &str, refusal: &Refusal) {
+    info!(cx.log, "request: refused"; "id" => id, "status" => refusal.status.as_u16(),
+        "reason" => refusal.reason, "version" => cx.version(),
+        "retry_after_ms" => refusal.retry_after.map(|it| it.as_millis() as u64));
 }
 
-fn request_id(cx: &SharedCx, request: &Outgoing) -> String {
-    let id = request.headers.get(&cx.cfg.names.request_id);
+pub(super) fn request_id(cx: &SharedCx, headers: &HeaderMap) -> String {
+    let id = headers.get(&cx.cfg.names.request_id);
     id.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned()
 }
 
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod log_line;
 mod read;
 mod readiness;
+mod refusal;
 mod stop;
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
--- a/crates/front/src/callers/read.rs
+++ b/crates/front/src/callers/read.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
+use super::refusal::Refusal;
+
 /// A head states the length of its body in both ways.
 pub(super) const BOTH_FRAMINGS: usize = LENGTH | CHUNKED;
 
@@ -25,13 +27,6 @@
     header::UPGRADE,
 ];
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BodyError {
-    TooLarge,
-    /// It broke off or took too long.
-    Incomplete,
-}
-
 /// Which of the two ways of stating a body's length are in a piece of a head.
 pub(super) fn framing_fields(bytes: &[u8]) -> usize {
     let mut found = 0;
@@ -53,21 +48,27 @@
     body: Incoming,
     max_bytes: usize,
     within: Duration,
-) -> Result<Bytes, BodyError> {
+) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
     if body.size_hint().lower() > max_bytes as u64 {
-        return Err(BodyError::TooLarge);
+        return Err(too_large());
     }
     let reading = Limited::new(body, max_bytes).collect();
     match tokio::time::timeout(within, reading).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(BodyError::Incomplete),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) | Err(_) => {
+            Err(Refusal::closing(StatusCode::REQUEST_TIMEOUT, "the body did not come in"))
+        }
     }
 }
 
+fn too_large() -> Refusal {
+    Refusal::closing(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+}
+
 /// Removes what concerns the connection that the message came on.
 pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
     if headers.contains_key(header::CONNECTION) {
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -10,6 +10,7 @@
     CallerLimits, Configuration, RouteTable, TargetReport, Targets,
     peers::Peers,
     placement::{Limits, ServiceKey},
+    suspects::Suspects,
 };
 use slog::{Logger, info, warn};
 
@@ -38,6 +39,7 @@
     pub(crate) is_isolated: Cell<bool>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) in_progress: InProgress,
+    pub(crate) suspects: RefCell<Suspects>,
 }
 
 /// Counts requests in progress.
@@ -73,6 +75,7 @@
             is_isolated: Cell::new(false),
             peers: RefCell::new(peers),
             in_progress: InProgress::default(),
+            suspects: RefCell::new(Suspects::default()),
         })
     }
 
@@ -158,6 +161,7 @@
     /// Wakes one waiting request of each service, and forgets what left.
     pub(crate) fn sweep(&self) {
         self.targets.borrow_mut().forget_unlisted(self.clock.now());
+        self.suspects.borrow_mut().forget_old(self.clock.now());
         let services = self.targets.borrow().services_with_waiting();
         for service in services {
             self.wake_waiting(service);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use base::Time;
-use forward::peers::{DIGEST_INTERVAL, Digest};
+use forward::{
+    peers::{DIGEST_INTERVAL, Digest},
+    suspects::Strike,
+};
 use serde::{Deserialize, Serialize};
 use slog::{debug, info, warn};
 use tokio::{
@@ -25,16 +28,20 @@
     version: u64,
     /// Hosts and the milliseconds since the last word of them.
     hosts: Vec<(SocketAddr, u64)>,
+    /// Fingerprints of requests that crashed a target, and milliseconds since.
+    strikes: Vec<(u64, u64)>,
 }
 
 impl From<&Digest> for WireDigest {
     fn from(digest: &Digest) -> Self {
         let hosts = digest.hosts.iter().map(|(host, age)| (*host, age.as_millis() as u64));
+        let strikes = digest.strikes.iter().map(|it| (it.request, it.age.as_millis() as u64));
         WireDigest {
             from: digest.from,
             domain: digest.domain.as_str().to_owned(),
             version: digest.version,
             hosts: hosts.collect(),
+            strikes: strikes.collect(),
         }
     }
 }
@@ -42,11 +49,15 @@
 impl From<WireDigest> for Digest {
     fn from(wire: WireDigest) -> Self {
         let hosts = wire.hosts.into_iter().map(|(host, ms)| (host, Duration::from_millis(ms)));
+        let strikes = wire.strikes.into_iter();
+        let strikes =
+            strikes.map(|(request, ms)| Strike { request, age: Duration::from_millis(ms) });
         Digest {
             from: wire.from,
             domain: wire.domain.into(),
             version: wire.version,
             hosts: hosts.collect(),
+            strikes: strikes.collect(),
         }
     }
 }
@@ -83,7 +94,9 @@
 }
 
 async fn send(cx: &SharedCx, socket: &UdpSocket) {
-    let (digest, to) = cx.peers.borrow_mut().tick(cx.clock.now(), cx.version());
+    let now = cx.clock.now();
+    let strikes = cx.suspects.borrow().recent(now);
+    let (digest, to) = cx.peers.borrow_mut().tick(now, cx.version(), strikes);
     let bytes = match serde_json::to_vec(&WireDigest::from(&digest)) {
         Ok(bytes) => bytes,
         Err(err) => {
@@ -100,7 +113,11 @@
 
 fn receive(cx: &SharedCx, bytes: &[u8]) {
     match serde_json::from_slice::<WireDigest>(bytes) {
-        Ok(wire) => cx.peers.borrow_mut().receive(&wire.into(), cx.clock.now()),
+        Ok(wire) => {
+            let (digest, now) = (Digest::from(wire), cx.clock.now());
+            cx.suspects.borrow_mut().merge(&digest.strikes, now);
+            cx.peers.borrow_mut().receive(&digest, now);
+        }
         Err(err) => debug!(cx.log, "front: a datagram was not a digest"; "error" => %err),
     }
 }
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -1,14 +1,14 @@
 //! One connection to a target, from its opening to its end.
 
-use std::{net::SocketAddr, pin::pin};
+use std::{io, net::SocketAddr, pin::pin};
 
 use base::TargetName;
 use bytes::Bytes;
-use forward::{placement::TargetKey, target::SendResult};
+use forward::{placement::TargetKey, suspects::Fingerprint, target::SendResult};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use slog::info;
+use slog::{info, warn};
 use tokio::{net::TcpStream, sync::mpsc};
 
 use super::{Job, Outcome, exchange::exchange, finish};
@@ -45,6 +45,27 @@
     });
 }
 
+/// A connection broke with a request on it: if the target takes no other, it
+/// crashed, and the request may be why.
+pub(super) fn look_after_break(cx: &SharedCx, target: TargetKey, request: Fingerprint) {
+    let Some(peer) = peer(cx, target) else { return };
+    let cx = cx.clone();
+    tokio::task::spawn_local(async move {
+        match socket::connect(peer.address).await {
+            Ok(stream) => run(&cx, &peer, stream, None).await,
+            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
+                let is_counted = cx.suspects.borrow_mut().strike(request, cx.clock.now());
+                if is_counted {
+                    warn!(cx.log, "targets: crashed with a request in flight";
+                        "target" => %peer.name, "fingerprint" => request);
+                }
+            }
+            // Out of reach, which tells nothing of the request.
+            Err(_) => {}
+        }
+    });
+}
+
 fn peer(cx: &SharedCx, target: TargetKey) -> Option<Peer> {
     let targets = cx.targets.borrow();
     let report = &targets.target(target)?.report;
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use forward::{
     placement::{Send, TargetKey},
+    suspects::Fingerprint,
     target::SendResult,
 };
 use http::{HeaderMap, Method, StatusCode, Uri};
@@ -35,6 +36,7 @@
     /// The caller waits until then.
     pub until: Instant,
     pub is_idempotent: bool,
+    pub fingerprint: Fingerprint,
     /// The caller has its answer; sends in flight may end by themselves.
     pub is_answered: Cell<bool>,
 }
@@ -119,6 +121,15 @@
 pub(crate) fn finish(cx: &SharedCx, job: &Job, outcome: Outcome) {
     let now = cx.clock.now();
     cx.targets.borrow_mut().finished(&job.send, now, outcome.result);
+    match outcome.result {
+        SendResult::Answered => {
+            cx.suspects.borrow_mut().answered(job.request.fingerprint, now);
+        }
+        SendResult::Broken => {
+            connection::look_after_break(cx, job.send.target, job.request.fingerprint);
+        }
+        _ => {}
+    }
     // An error means that the request is over; the outcome has been counted.
     let _ = job.tx.send(Event::Ended { index: job.index, send: job.send, outcome });
     cx.wake_waiting(job.send.service);
--- /dev/null
+++ b/crates/front/tests/stage/mod.rs
@@ -0,0 +1,296 @@
+//! One host's front on loopback, with targets that follow a script, and a
+//! caller that writes bytes.
+
+use std::{
+    cell::RefCell,
+    future::Future,
+    net::{SocketAddr, TcpListener as StdListener},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{DomainName, HashSet, ServiceName, TargetName};
+use forward::{
+    CallerLimits, Configuration, Destination, Lifecycle, Repeat, Route, Service, TargetReport,
+    route::GatherSpec,
+};
+use front::{Cx, FrontSettingsBuilder, HeaderNames, SharedCx};
+use http::HeaderName;
+use slog::{Discard, Logger, o};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::{LocalSet, spawn_local},
+    time::{sleep, timeout},
+};
+
+/// Longest that anything in a test takes.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a scripted target does with a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Writes these bytes; `{id}` stands for the request's id.
+    Bytes(String),
+    /// Writes these bytes and closes.
+    BytesThenClose(String),
+    /// Closes with nothing said.
+    Close,
+    /// Says nothing until the connection ends.
+    Silence,
+    /// Answers after a while.
+    Later(Duration, String),
+}
+
+/// A target on loopback and what reached it.
+pub struct Target {
+    pub address: SocketAddr,
+    pub heads: Rc<RefCell<Vec<String>>>,
+    /// Connections that ended while a request was unanswered.
+    pub left: Rc<RefCell<usize>>,
+}
+
+impl Target {
+    pub fn requests(&self) -> usize {
+        self.heads.borrow().len()
+    }
+}
+
+/// A whole answer of a target.
+pub fn ok(stamp: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-stamp: {stamp}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+pub fn shed() -> String {
+    "HTTP/1.1 503 Service Unavailable\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+        .to_owned()
+}
+
+/// Starts a target that gives its replies in order, the last one forever.
+pub async fn target(replies: Vec<Reply>) -> Target {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let heads = Rc::new(RefCell::new(Vec::new()));
+    let left = Rc::new(RefCell::new(0));
+    let it = Target { address, heads: heads.clone(), left: left.clone() };
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (replies, heads, left) = (replies.clone(), heads.clone(), left.clone());
+            spawn_local(serve_target(stream, replies, heads, left));
+        }
+    });
+    it
+}
+
+async fn serve_target(
+    mut stream: TcpStream,
+    replies: Vec<Reply>,
+    heads: Rc<RefCell<Vec<String>>>,
+    left: Rc<RefCell<usize>>,
+) {
+    loop {
+        let Some(request) = read_message(&mut stream).await else { return };
+        let id = header(&request, "x-id").unwrap_or_default();
+        let count = {
+            let mut heads = heads.borrow_mut();
+            heads.push(request);
+            heads.len()
+        };
+        let reply = replies[(count - 1).min(replies.len() - 1)].clone();
+        let sent = match reply {
+            Reply::Bytes(text) => stream.write_all(text.replace("{id}", &id).as_bytes()).await,
+            Reply::BytesThenClose(text) => {
+                let _ = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                return;
+            }
+            Reply::Close => return,
+            Reply::Silence => {
+                let mut buf = [0; 1];
+                let _ = stream.read(&mut buf).await;
+                *left.borrow_mut() += 1;
+                return;
+            }
+            Reply::Later(pause, text) => {
+                let mut buf = [0; 1];
+                tokio::select! {
+                    _ = stream.read(&mut buf) => {
+                        *left.borrow_mut() += 1;
+                        return;
+                    }
+                    () = sleep(pause) => {}
+                }
+                stream.write_all(text.replace("{id}", &id).as_bytes()).await
+            }
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads one message with a length, head and body; `None` at the end.
+pub async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buf = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length: usize =
+                header(&text, "content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+            if bytes.len() >= end + 4 + length {
+                return Some(text);
+            }
+        }
+        match stream.read(&mut buf).await {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => bytes.extend_from_slice(&buf[..count]),
+        }
+    }
+}
+
+pub fn header(message: &str, name: &str) -> Option<String> {
+    let head = message.split("\r\n\r\n").next()?;
+    head.lines().skip(1).find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+    })
+}
+
+pub fn status(message: &str) -> u16 {
+    message.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0)
+}
+
+pub fn body(message: &str) -> &str {
+    message.split_once("\r\n\r\n").map_or("", |(_, body)| body)
+}
+
+pub struct Stage {
+    pub cx: SharedCx,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    routes: Vec<Route>,
+    version: u64,
+}
+
+impl Stage {
+    pub fn start() -> Stage {
+        let (callers, readiness) = (free_port(), free_port());
+        let name = HeaderName::from_static;
+        let names = HeaderNames {
+            request_id: name("x-id"),
+            deadline_ms: name("x-deadline"),
+            stamp: name("x-stamp"),
+            expected_target: name("x-target"),
+            load: name("x-load"),
+            not_run: name("x-not-run"),
+            cold_ms: name("x-cold"),
+            part_stamps: name("x-stamps"),
+            missing_parts: name("x-missing"),
+        };
+        let cfg = FrontSettingsBuilder::new(callers, readiness, names).build();
+        let cx = Cx::new(cfg, Logger::root(Discard, o!()));
+        spawn_local(front::serve(cx.clone()));
+        Stage { cx, callers, readiness, routes: Vec::new(), version: 0 }
+    }
+
+    /// A target of `service` at an address.
+    pub fn list(&self, service: &str, name: &str, target: &Target) {
+        self.cx.report(TargetReport {
+            name: TargetName::new(name),
+            born: None,
+            sequence: 1,
+            service: ServiceName::new(service),
+            address: target.address,
+            domain: DomainName::new("local"),
+            slots: 4,
+            lifecycle: Lifecycle::Ready,
+            cold_for: Duration::ZERO,
+        });
+    }
+
+    pub fn route(&mut self, prefix: &str, repeat: Repeat, destination: Destination) {
+        self.routes.push(Route {
+            name: Arc::from(prefix),
+            host: Arc::from("h"),
+            prefix: Arc::from(prefix),
+            repeat,
+            timeout: Duration::from_millis(900),
+            objective: Duration::from_millis(300),
+            attempts: 2,
+            priority: 1,
+            destination,
+            regions: Vec::new(),
+        });
+        self.version += 1;
+        let names = ["s", "s0", "s1", "s2"];
+        let service = Service {
+            health_path: Arc::from("/health"),
+            max_connections: 16,
+            warmup: Duration::ZERO,
+            warmup_rate: None,
+        };
+        let services = names.iter().map(|it| (ServiceName::new(it), service.clone())).collect();
+        let limits = CallerLimits {
+            header_bytes: 8_192,
+            body_bytes: 1_000,
+            header_timeout: Duration::from_millis(300),
+            idle_timeout: Duration::from_millis(800),
+        };
+        let (version, routes) = (self.version, self.routes.clone());
+        self.cx.apply(&Configuration { version, routes, services, limits });
+    }
+
+    pub fn single(&mut self, repeat: Repeat) {
+        self.route("/one/", repeat, Destination::Service(ServiceName::new("s")));
+    }
+
+    pub fn gather(&mut self, min_share: f64) {
+        let shards = ["s0", "s1", "s2"].map(ServiceName::new).to_vec();
+        let spec = GatherSpec { shards, top: 2, min_share };
+        self.route("/all/", Repeat::Idempotent, Destination::Gather(spec));
+    }
+
+    pub async fn connect(&self) -> TcpStream {
+        for _ in 0..200 {
+            if let Ok(stream) = TcpStream::connect(self.callers).await {
+                return stream;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the front does not listen");
+    }
+
+    /// Sends a request on a connection of its own and reads the answer.
+    pub async fn get(&self, path: &str) -> String {
+        self.exchange(&format!("GET {path} HTTP/1.1\r\nhost: h\r\nx-id: q1\r\n\r\n")).await
+    }
+
+    pub async fn exchange(&self, bytes: &str) -> String {
+        let mut stream = self.connect().await;
+        stream.write_all(bytes.as_bytes()).await.expect("written");
+        read_message(&mut stream).await.unwrap_or_default()
+    }
+
+    pub fn targets_are_listed(&self, names: &[&str]) {
+        let names: HashSet<TargetName> = names.iter().map(|it| TargetName::new(it)).collect();
+        self.cx.retain_listed(&names);
+    }
+}
+
+fn free_port() -> SocketAddr {
+    let listener = StdListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+/// Runs a test on one thread, within the time that all tests get.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        timeout(PATIENCE, test).await.expect("the test ends in time");
+    });
+}
