--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -52,7 +52,8 @@
     /// The last digest that came from a host of each other domain.
     domains: HashMap<DomainName, Time>,
     home: DomainName,
-    newest_version: u64,
+    /// Version in force at each peer that was heard itself, and when.
+    versions: HashMap<SocketAddr, (u64, Time)>,
     turn: usize,
 }
 
@@ -65,7 +66,7 @@
             heard: HashMap::default(),
             domains: HashMap::default(),
             home,
-            newest_version: 0,
+            versions: HashMap::default(),
             turn: 0,
         }
     }
@@ -91,13 +92,14 @@
         (self.domains.len(), unheard.map(|(domain, _)| domain.clone()).collect())
     }
 
-    /// Highest version of the configuration that a peer has in force.
-    pub fn newest_version(&self) -> u64 {
-        self.newest_version
+    /// The peer in touch that has the highest version in force.
+    pub fn best_informed(&self, now: Time) -> Option<(SocketAddr, u64)> {
+        let in_touch = self.versions.iter().filter(|(_, (_, at))| now.since(*at) < UNHEARD_AFTER);
+        in_touch.map(|(peer, (version, _))| (*peer, *version)).max_by_key(|(_, version)| *version)
     }
 
     pub fn receive(&mut self, digest: &Digest, now: Time) {
-        self.newest_version = self.newest_version.max(digest.version);
+        self.versions.insert(digest.from, (digest.version, now));
         self.hear(digest.from, now);
         if digest.domain != self.home {
             self.domains.insert(digest.domain.clone(), now);
@@ -118,6 +120,7 @@
         strikes: Vec<Strike>,
     ) -> (Digest, Vec<SocketAddr>) {
         self.heard.retain(|_, at| now.since(*at) < COUNTED_FOR);
+        self.versions.retain(|_, (_, at)| now.since(*at) < COUNTED_FOR);
         let mut known: Vec<SocketAddr> = self.heard.keys().copied().collect();
         known.extend(self.seeds.iter().filter(|it| !self.heard.contains_key(*it)));
         known.sort_unstable();
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -84,6 +84,16 @@
         &self.evacuated
     }
 
+    /// Reports of the targets that are listed, as of now.
+    pub fn listed(&self, now: Time) -> impl Iterator<Item = TargetReport> {
+        let known = self.targets.values().filter(|it| !it.is_gone());
+        let listed = known.filter(|it| !it.is_unlisted());
+        listed.map(move |it| {
+            let cold_for = it.cold_until.until(now);
+            TargetReport { cold_for, ..it.report.clone() }
+        })
+    }
+
     pub fn target_count(&self) -> usize {
         self.target_keys.len()
     }
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -195,6 +195,11 @@
         self.is_replaced || self.is_forgotten
     }
 
+    /// Left without a report that says so.
+    pub fn is_unlisted(&self) -> bool {
+        self.leaving_since.is_some() && self.report.lifecycle == Lifecycle::Ready
+    }
+
     pub fn leaving_since(&self) -> Option<Time> {
         self.leaving_since
     }
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use self::connection::Connections;
-use crate::{SharedCx, isolation, peers, targets};
+use crate::{SharedCx, isolation, peers, state, targets};
 
 /// New connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -34,6 +34,8 @@
     let connections = Rc::new(Connections::default());
     tokio::task::spawn_local(readiness::serve(cx.clone(), listen(cx.cfg.readiness)?));
     tokio::task::spawn_local(peers::run(cx.clone()));
+    tokio::task::spawn_local(state::serve(cx.clone(), listen(cx.cfg.peers)?));
+    tokio::task::spawn_local(state::learn(cx.clone()));
     tokio::task::spawn_local(sweep(cx.clone(), connections.clone()));
     info!(cx.log, "front: serving"; "callers" => %cx.cfg.callers);
     accept_until_stopped(&cx, &callers, &connections, &mut terminate).await;
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -28,11 +28,15 @@
     pub clock: Clock,
     pub log: Logger,
     pub(crate) targets: RefCell<Targets<Waiter>>,
+    pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) limits: Cell<CallerLimits>,
     pub(crate) pools: RefCell<Pools>,
     pub(crate) is_stopping: Cell<bool>,
     has_targets: Cell<bool>,
+    /// Whether the source itself tells of targets, and of the rest.
+    pub(crate) follows_targets: Cell<bool>,
+    pub(crate) follows_operations: Cell<bool>,
     /// Domains beyond a cut on whose smaller side this host is.
     pub(crate) cut_off: RefCell<HashSet<DomainName>>,
     /// Callers are better served elsewhere.
@@ -66,11 +70,14 @@
             clock: Clock::start(),
             log,
             targets: RefCell::new(targets),
+            configuration: RefCell::new(None),
             table: RefCell::new(None),
             limits: Cell::new(CallerLimits::default()),
             pools: RefCell::new(Pools::default()),
             is_stopping: Cell::new(false),
             has_targets: Cell::new(false),
+            follows_targets: Cell::new(false),
+            follows_operations: Cell::new(false),
             cut_off: RefCell::new(HashSet::default()),
             is_isolated: Cell::new(false),
             peers: RefCell::new(peers),
@@ -94,6 +101,7 @@
         }
         self.targets.borrow_mut().configure(cfg);
         self.limits.set(cfg.limits);
+        *self.configuration.borrow_mut() = Some(Rc::new(cfg.clone()));
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(cfg)));
         info!(self.log, "front: configuration in force";
             "version" => cfg.version, "routes" => cfg.routes.len());
@@ -111,6 +119,11 @@
     /// The platform lists these targets and no others.
     pub fn retain_listed(&self, listed: &HashSet<TargetName>) {
         self.targets.borrow_mut().retain_listed(listed, self.clock.now());
+        self.targets_known();
+    }
+
+    /// Targets were told of, though perhaps not all.
+    pub(crate) fn targets_known(&self) {
         self.has_targets.set(true);
     }
 
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -8,7 +8,7 @@
 //! Load pattern answered: a source that is away, slow, forgets its history or
 //! turns some hosts away, and many hosts that return to it at once.
 
-use std::{future::Future, time::Duration};
+use std::{cell::Cell, future::Future, time::Duration};
 
 use base::{DomainName, HashSet, TargetName};
 use forward::{Configuration, TargetReport};
@@ -44,6 +44,13 @@
 }
 
 impl Feed {
+    fn is_followed(self, cx: &SharedCx) -> &Cell<bool> {
+        match self {
+            Feed::Targets => &cx.follows_targets,
+            Feed::Operations => &cx.follows_operations,
+        }
+    }
+
     fn pause(self) -> Duration {
         match self {
             Feed::Targets => TARGETS_PAUSE,
@@ -107,6 +114,7 @@
                 pause = MIN_PAUSE;
                 let revision = whole.revision;
                 apply_whole(&cx, feed, whole);
+                feed.is_followed(&cx).set(true);
                 follow_changes(&cx, &source, feed, revision).await
             }
             Err(err) => err,
@@ -115,6 +123,7 @@
             info!(cx.log, "follow: reading the feed anew"; "feed" => ?feed, "error" => %err);
             continue;
         }
+        feed.is_followed(&cx).set(false);
         if lost_since.is_none() {
             lost_since = Some(Instant::now());
             warn!(cx.log, "follow: the source is lost, what is known stays in force";
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 mod scatter;
 mod settings;
 mod socket;
+mod state;
 mod targets;
 
 pub use crate::{
--- /dev/null
+++ b/crates/front/src/state/learn.rs
@@ -0,0 +1,125 @@
+//! Learns from a peer what the source does not tell.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{DomainName, HashSet, TargetName, Time};
+use bytes::Bytes;
+use forward::TargetReport;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use slog::{info, warn};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::wire::WireState;
+use crate::{SharedCx, socket};
+
+/// Time between two looks at what peers know.
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time that the source has to tell the first configuration.
+const SOURCE_FIRST: Duration = Duration::from_millis(600);
+
+/// While the source is lost, a peer is asked about targets this often.
+const TARGETS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Longest time for a peer's answer, and its largest size.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+enum LearnError {
+    #[error("connection: {0}")]
+    Connection(#[from] std::io::Error),
+    #[error("protocol: {0}")]
+    Protocol(#[from] hyper::Error),
+    #[error("the peer knows nothing: {0}")]
+    Status(StatusCode),
+    #[error("body: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("unreadable: {0}")]
+    Unreadable(#[from] serde_json::Error),
+    #[error("no answer in time")]
+    Late(#[from] tokio::time::error::Elapsed),
+}
+
+pub(crate) async fn learn(cx: SharedCx) {
+    let mut looks = interval(LOOK_INTERVAL);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut learned = Time::ZERO;
+    loop {
+        looks.tick().await;
+        let Some(peer) = peer_to_ask(&cx, learned) else { continue };
+        match timeout(ANSWER_TIMEOUT, ask(peer)).await.map_err(LearnError::from).flatten() {
+            Ok(state) => {
+                learned = cx.clock.now();
+                apply(&cx, peer, state);
+            }
+            Err(err) => warn!(cx.log, "state: a peer was asked in vain";
+                "peer" => %peer, "error" => %err),
+        }
+    }
+}
+
+/// A peer that knows more than this host.
+fn peer_to_ask(cx: &SharedCx, learned: Time) -> Option<SocketAddr> {
+    let now = cx.clock.now();
+    let is_early = now.since(Time::ZERO) < SOURCE_FIRST;
+    if is_early || (cx.follows_operations.get() && cx.follows_targets.get()) {
+        return None;
+    }
+    let (peer, version) = cx.peers.borrow().best_informed(now)?;
+    let lacks_targets = !cx.follows_targets.get() && now.since(learned) >= TARGETS_INTERVAL;
+    (version > cx.version() || lacks_targets && version > 0).then_some(peer)
+}
+
+async fn ask(peer: SocketAddr) -> Result<WireState, LearnError> {
+    let stream = socket::connect(peer).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let exchange = async {
+        let mut request = Request::new(Empty::<Bytes>::new());
+        let host = header::HeaderValue::from_static("peer");
+        request.headers_mut().insert(header::HOST, host);
+        let answer = sender.send_request(request).await?;
+        if answer.status() != StatusCode::OK {
+            return Err(LearnError::Status(answer.status()));
+        }
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+        let body = body.collect().await.map_err(LearnError::Body)?.to_bytes();
+        Ok(serde_json::from_slice(&body)?)
+    };
+    let mut exchange = std::pin::pin!(exchange);
+    tokio::select! {
+        biased;
+        state = exchange.as_mut() => state,
+        // The connection ended; what was read before may still be whole.
+        _ = connection => exchange.await,
+    }
+}
+
+fn apply(cx: &SharedCx, peer: SocketAddr, state: WireState) {
+    let cfg = forward::Configuration::from(state.configuration);
+    info!(cx.log, "state: learned from a peer"; "peer" => %peer, "version" => cfg.version,
+        "targets" => state.targets.len(), "from_source" => state.follows_source);
+    if cfg.version > cx.version() {
+        cx.apply(&cfg);
+    }
+    if !cx.follows_operations.get() {
+        let evacuated: HashSet<DomainName> =
+            state.evacuated.into_iter().map(DomainName::from).collect();
+        cx.set_evacuated(evacuated);
+    }
+    if cx.follows_targets.get() {
+        return;
+    }
+    let reports: Vec<TargetReport> = state.targets.into_iter().map(TargetReport::from).collect();
+    let names: HashSet<TargetName> = reports.iter().map(|it| it.name.clone()).collect();
+    reports.into_iter().for_each(|it| cx.report(it));
+    if state.follows_source {
+        cx.retain_listed(&names);
+    } else if !names.is_empty() {
+        cx.targets_known();
+    }
+}
--- /dev/null
+++ b/crates/front/src/state/serve.rs
@@ -0,0 +1,63 @@
+//! Tells this host's state to peers that ask.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use slog::warn;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::wire::{WireConfiguration, WireState, WireTarget};
+use crate::{SharedCx, socket};
+
+pub(crate) async fn serve(cx: SharedCx, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(answer(cx.clone(), stream));
+            }
+            Err(err) => warn!(cx.log, "state: a peer was not accepted"; "error" => %err),
+        }
+    }
+}
+
+async fn answer(cx: SharedCx, stream: TcpStream) {
+    if socket::watch_silence(&stream).is_err() {
+        return;
+    }
+    let service = service_fn(|_| {
+        let answer = state(&cx);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    // The peer went away; it asks again.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+fn state(cx: &SharedCx) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::new()));
+    let encoded = {
+        let cfg = cx.configuration.borrow();
+        let Some(cfg) = cfg.as_ref() else {
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            return answer;
+        };
+        let targets = cx.targets.borrow();
+        serde_json::to_vec(&WireState {
+            configuration: WireConfiguration::from(&**cfg),
+            follows_source: cx.follows_targets.get(),
+            targets: targets.listed(cx.clock.now()).map(|it| WireTarget::from(&it)).collect(),
+            evacuated: targets.evacuated().iter().map(ToString::to_string).collect(),
+        })
+    };
+    match encoded {
+        Ok(bytes) => *answer.body_mut() = Full::new(Bytes::from(bytes)),
+        Err(err) => {
+            warn!(cx.log, "state: not encoded"; "error" => %err);
+            *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        }
+    }
+    answer
+}
--- /dev/null
+++ b/crates/front/src/state/wire.rs
@@ -0,0 +1,239 @@
+//! The state of a host on the wire.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use base::{DomainName, HashMap, RegionName, ServiceName, TargetName};
+use forward::{
+    CallerLimits, Configuration, Destination, Lifecycle, Repeat, Route, Service, TargetReport,
+    route::GatherSpec,
+};
+use serde::{Deserialize, Serialize};
+
+/// All that one host tells another.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireState {
+    pub configuration: WireConfiguration,
+    /// Whether the sender hears of targets from the source itself.
+    pub follows_source: bool,
+    pub targets: Vec<WireTarget>,
+    pub evacuated: Vec<String>,
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireConfiguration {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    header_bytes: usize,
+    body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct WireRoute {
+    name: String,
+    host: String,
+    prefix: String,
+    is_idempotent: bool,
+    timeout_ms: u64,
+    objective_ms: u64,
+    attempts: u32,
+    priority: u32,
+    destination: WireDestination,
+    regions: Vec<String>,
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+enum WireDestination {
+    Service(String),
+    Weighted(Vec<(String, f64)>),
+    Gather { shards: Vec<String>, top: usize, min_share: f64 },
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct WireService {
+    name: String,
+    health_path: String,
+    max_connections: u32,
+    warmup_ms: u64,
+    warmup_rate: Option<f64>,
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireTarget {
+    name: String,
+    born: Option<u64>,
+    sequence: u64,
+    service: String,
+    address: SocketAddr,
+    domain: String,
+    slots: u32,
+    is_draining: bool,
+    cold_ms: u64,
+}
+
+fn ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl From<&Configuration> for WireConfiguration {
+    fn from(cfg: &Configuration) -> Self {
+        WireConfiguration {
+            version: cfg.version,
+            routes: cfg.routes.iter().map(WireRoute::from).collect(),
+            services: cfg.services.iter().map(WireService::from).collect(),
+            header_bytes: cfg.limits.header_bytes,
+            body_bytes: cfg.limits.body_bytes,
+            header_timeout_ms: ms(cfg.limits.header_timeout),
+            idle_timeout_ms: ms(cfg.limits.idle_timeout),
+        }
+    }
+}
+
+impl From<WireConfiguration> for Configuration {
+    fn from(wire: WireConfiguration) -> Self {
+        let services: HashMap<ServiceName, Service> =
+            wire.services.into_iter().map(<(ServiceName, Service)>::from).collect();
+        Configuration {
+            version: wire.version,
+            routes: wire.routes.into_iter().map(Route::from).collect(),
+            services,
+            limits: CallerLimits {
+                header_bytes: wire.header_bytes,
+                body_bytes: wire.body_bytes,
+                header_timeout: Duration::from_millis(wire.header_timeout_ms),
+                idle_timeout: Duration::from_millis(wire.idle_timeout_ms),
+            },
+        }
+    }
+}
+
+impl From<&Route> for WireRoute {
+    fn from(route: &Route) -> Self {
+        WireRoute {
+            name: route.name.to_string(),
+            host: route.host.to_string(),
+            prefix: route.prefix.to_string(),
+            is_idempotent: route.repeat == Repeat::Idempotent,
+            timeout_ms: ms(route.timeout),
+            objective_ms: ms(route.objective),
+            attempts: route.attempts,
+            priority: route.priority,
+            destination: WireDestination::from(&route.destination),
+            regions: route.regions.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+impl From<WireRoute> for Route {
+    fn from(wire: WireRoute) -> Self {
+        Route {
+            name: Arc::from(wire.name),
+            host: Arc::from(wire.host),
+            prefix: Arc::from(wire.prefix),
+            repeat: if wire.is_idempotent { Repeat::Idempotent } else { Repeat::AtMostOnce },
+            timeout: Duration::from_millis(wire.timeout_ms),
+            objective: Duration::from_millis(wire.objective_ms),
+            attempts: wire.attempts,
+            priority: wire.priority,
+            destination: wire.destination.into(),
+            regions: wire.regions.into_iter().map(RegionName::from).collect(),
+        }
+    }
+}
+
+impl From<&Destination> for WireDestination {
+    fn from(destination: &Destination) -> Self {
+        match destination {
+            Destination::Service(name) => WireDestination::Service(name.to_string()),
+            Destination::Weighted(parts) => {
+                let parts = parts.iter().map(|(name, weight)| (name.to_string(), *weight));
+                WireDestination::Weighted(parts.collect())
+            }
+            Destination::Gather(spec) => WireDestination::Gather {
+                shards: spec.shards.iter().map(ToString::to_string).collect(),
+                top: spec.top,
+                min_share: spec.min_share,
+            },
+        }
+    }
+}
+
+impl From<WireDestination> for Destination {
+    fn from(wire: WireDestination) -> Self {
+        match wire {
+            WireDestination::Service(name) => Destination::Service(name.into()),
+            WireDestination::Weighted(parts) => {
+                let parts = parts.into_iter().map(|(name, weight)| (name.into(), weight));
+                Destination::Weighted(parts.collect())
+            }
+            WireDestination::Gather { shards, top, min_share } => {
+                let shards = shards.into_iter().map(ServiceName::from).collect();
+                Destination::Gather(GatherSpec { shards, top, min_share })
+            }
+        }
+    }
+}
+
+impl From<(&ServiceName, &Service)> for WireService {
+    fn from((name, service): (&ServiceName, &Service)) -> Self {
+        WireService {
+            name: name.to_string(),
+            health_path: service.health_path.to_string(),
+            max_connections: service.max_connections,
+            warmup_ms: ms(service.warmup),
+            warmup_rate: service.warmup_rate,
+        }
+    }
+}
+
+impl From<WireService> for (ServiceName, Service) {
+    fn from(wire: WireService) -> Self {
+        let service = Service {
+            health_path: Arc::from(wire.health_path),
+            max_connections: wire.max_connections,
+            warmup: Duration::from_millis(wire.warmup_ms),
+            warmup_rate: wire.warmup_rate,
+        };
+        (wire.name.into(), service)
+    }
+}
+
+impl From<&TargetReport> for WireTarget {
+    fn from(report: &TargetReport) -> Self {
+        WireTarget {
+            name: report.name.to_string(),
+            born: report.born,
+            sequence: report.sequence,
+            service: report.service.to_string(),
+            address: report.address,
+            domain: report.domain.to_string(),
+            slots: report.slots,
+            is_draining: report.lifecycle == Lifecycle::Draining,
+            cold_ms: ms(report.cold_for),
+        }
+    }
+}
+
+impl From<WireTarget> for TargetReport {
+    fn from(wire: WireTarget) -> Self {
+        TargetReport {
+            name: TargetName::from(wire.name),
+            born: wire.born,
+            sequence: wire.sequence,
+            service: wire.service.into(),
+            address: wire.address,
+            domain: DomainName::from(wire.domain),
+            slots: wire.slots,
+            lifecycle: if wire.is_draining { Lifecycle::Draining } else { Lifecycle::Ready },
+            cold_for: Duration::from_millis(wire.cold_ms),
+        }
+    }
+}
--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -1,3 +1,5 @@
+#![allow(dead_code, reason = "each test file uses a part of the stage")]
+
 //! One host's front on loopback, with targets that follow a script, and a
 //! caller that writes bytes.
 
@@ -178,6 +180,11 @@
 
 impl Stage {
     pub fn start() -> Stage {
+        Stage::start_among(free_port(), Vec::new())
+    }
+
+    /// A host that finds others through `seeds`.
+    pub fn start_among(peers: SocketAddr, seeds: Vec<SocketAddr>) -> Stage {
         let (callers, readiness) = (free_port(), free_port());
         let name = HeaderName::from_static;
         let names = HeaderNames {
@@ -191,7 +198,7 @@
             part_stamps: name("x-stamps"),
             missing_parts: name("x-missing"),
         };
-        let cfg = FrontSettingsBuilder::new(callers, readiness, names).build();
+        let cfg = FrontSettingsBuilder::new(callers, readiness, names).peers(peers, seeds).build();
         let cx = Cx::new(cfg, Logger::root(Discard, o!()));
         spawn_local(front::serve(cx.clone()));
         Stage { cx, callers, readiness, routes: Vec::new(), version: 0 }
@@ -281,7 +288,7 @@
     }
 }
 
-fn free_port() -> SocketAddr {
+pub fn free_port() -> SocketAddr {
     let listener = StdListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("bound")
 }
