--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -108,8 +108,13 @@
         self.services[service.0].queue.pop(now).map(|it| it.who)
     }
 
-    pub fn waiting(&self, service: ServiceKey) -> usize {
-        self.services[service.0].queue.len()
+    /// All that waits for connections.
+    pub fn waiting_count(&self) -> usize {
+        self.services.iter().map(|it| it.queue.len()).sum()
+    }
+
+    pub fn down_count(&self) -> usize {
+        self.targets.values().filter(|it| it.is_down()).count()
     }
 
     pub fn service_name(&self, service: ServiceKey) -> &ServiceName {
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -53,18 +53,21 @@
 }
 
 impl SendResult {
+    /// Names of all results, in the order of their declaration.
+    pub const NAMES: [&str; 8] = [
+        "answered",
+        "shed",
+        "failed",
+        "connection broke",
+        "silent",
+        "another target has the address",
+        "not sent",
+        "cancelled",
+    ];
+
     /// For the log.
     pub fn as_str(self) -> &'static str {
-        match self {
-            SendResult::Answered => "answered",
-            SendResult::Shed => "shed",
-            SendResult::Failed => "failed",
-            SendResult::Broken => "connection broke",
-            SendResult::Silent => "silent",
-            SendResult::Misdirected => "another target has the address",
-            SendResult::NotSent => "not sent",
-            SendResult::Cancelled => "cancelled",
-        }
+        SendResult::NAMES[self as usize]
     }
 }
 
--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/callers/log_line.rs
@@ -4,7 +4,7 @@
 use std::{fmt::Write, sync::Arc};
 
 use base::Time;
-use forward::{gather::Schedule, route::RouteEntry};
+use forward::{Destination, gather::Schedule, route::RouteEntry};
 use http::{HeaderMap, StatusCode};
 use slog::info;
 
@@ -21,7 +21,8 @@
     route: Arc<str>,
     version: u64,
     verdict: &'static str,
-    took_ms: u64,
+    took_ms: f64,
+    is_gather: bool,
     parts: usize,
     missing: usize,
     extra_sends: u32,
@@ -41,7 +42,8 @@
             route: entry.route.name.clone(),
             version: entry.version,
             verdict: collected.verdict.as_str(),
-            took_ms: cx.clock.now().since(schedule.received).as_millis() as u64,
+            took_ms: cx.clock.now().since(schedule.received).as_secs_f64() * 1_000.0,
+            is_gather: matches!(entry.route.destination, Destination::Gather(_)),
             parts: collected.parts.len(),
             missing: collected.missing,
             extra_sends: collected.extra_sends,
@@ -49,10 +51,26 @@
         }
     }
 
+    fn outcome(&self, status: StatusCode) -> &'static str {
+        match status.as_u16() {
+            200..=299 if self.missing > 0 => "answered in part",
+            200..=299 => "answered",
+            502 => "too few answered",
+            503 => "not run",
+            504 => "timed out",
+            _ => "a target's failure",
+        }
+    }
+
     pub(super) fn write(&self, cx: &SharedCx, status: StatusCode) {
+        let kind = if self.is_gather { "gather" } else { "single" };
+        cx.metrics.request_ended(kind, self.outcome(status), self.took_ms);
+        if status.is_success() && self.missing > 0 {
+            cx.metrics.parts_missing(self.missing);
+        }
         info!(cx.log, "request: ended";
             "id" => &self.id, "route" => &*self.route, "version" => self.version,
-            "status" => status.as_u16(), "verdict" => self.verdict, "took_ms" => self.took_ms,
+            "status" => status.as_u16(), "verdict" => self.verdict, "took_ms" => self.took_ms as u64,
             "parts" => self.parts, "missing" => self.missing, "extra_sends" => self.extra_sends,
             "notes" => &self.notes);
     }
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -4,8 +4,8 @@
 mod connection;
 mod forward;
 pub(crate) mod log_line;
+mod pages;
 mod read;
-mod readiness;
 mod refusal;
 mod stop;
 
@@ -32,7 +32,11 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let callers = listen(cx.cfg.callers)?;
     let connections = Rc::new(Connections::default());
-    tokio::task::spawn_local(readiness::serve(cx.clone(), listen(cx.cfg.readiness)?));
+    let readiness = listen(cx.cfg.readiness)?;
+    tokio::task::spawn_local(pages::serve(cx.clone(), readiness, pages::readiness));
+    if let Some(addr) = cx.cfg.metrics {
+        tokio::task::spawn_local(pages::serve(cx.clone(), listen(addr)?, pages::metrics));
+    }
     tokio::task::spawn_local(peers::run(cx.clone()));
     tokio::task::spawn_local(state::serve(cx.clone(), listen(cx.cfg.peers)?));
     tokio::task::spawn_local(state::learn(cx.clone()));
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -11,8 +11,10 @@
     peers::Peers,
     placement::{Limits, ServiceKey},
     suspects::Suspects,
+    target::SendResult,
 };
 use slog::{Logger, info, warn};
+use telemetry::{FrontMetrics, Level, metrics::MetricsError};
 
 use crate::{
     Clock, FrontSettings,
@@ -27,6 +29,7 @@
     pub cfg: FrontSettings,
     pub clock: Clock,
     pub log: Logger,
+    pub(crate) metrics: FrontMetrics,
     pub(crate) targets: RefCell<Targets<Waiter>>,
     pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
@@ -62,11 +65,13 @@
 }
 
 impl Cx {
-    pub fn new(cfg: FrontSettings, log: Logger) -> SharedCx {
+    pub fn new(cfg: FrontSettings, log: Logger) -> Result<SharedCx, MetricsError> {
+        let metrics = FrontMetrics::new(&SendResult::NAMES)?;
         let targets = Targets::new(cfg.limits.clone(), cfg.domain.clone(), cfg.regions.clone());
         let peers = Peers::new(cfg.peers, cfg.domain.clone(), cfg.seeds.clone());
-        Rc::new(Cx {
+        Ok(Rc::new(Cx {
             cfg,
+            metrics,
             clock: Clock::start(),
             log,
             targets: RefCell::new(targets),
@@ -83,7 +88,7 @@
             peers: RefCell::new(peers),
             in_progress: InProgress::default(),
             suspects: RefCell::new(Suspects::default()),
-        })
+        }))
     }
 
     /// Version of the configuration in force, 0 before the first.
@@ -160,6 +165,21 @@
         self.is_stopping.get() || self.is_isolated.get()
     }
 
+    /// The instruments as text.
+    pub(crate) fn encode_metrics(&self) -> Result<String, MetricsError> {
+        let targets = self.targets.borrow();
+        let follows = self.follows_targets.get() && self.follows_operations.get();
+        self.metrics.set(Level::ConfigurationVersion, self.version());
+        self.metrics.set(Level::Hosts, self.peers.borrow().count(self.clock.now()) as u64);
+        self.metrics.set(Level::Targets, targets.target_count() as u64);
+        self.metrics.set(Level::TargetsDown, targets.down_count() as u64);
+        self.metrics.set(Level::InProgress, self.in_progress.count() as u64);
+        self.metrics.set(Level::Waiting, targets.waiting_count() as u64);
+        self.metrics.set(Level::IsReady, u64::from(self.is_ready()));
+        self.metrics.set(Level::FollowsSource, u64::from(follows));
+        self.metrics.encode()
+    }
+
     /// Lets the next that waits for `service` try to be placed.
     pub(crate) fn wake_waiting(&self, service: ServiceKey) {
         loop {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -14,6 +14,8 @@
     /// Asked whether this host takes callers.
     pub readiness: SocketAddr,
     pub readiness_path: String,
+    /// Where instruments are read, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// Datagrams of other hosts.
     pub peers: SocketAddr,
     /// Hosts to find others through.
@@ -51,6 +53,7 @@
             callers,
             readiness,
             readiness_path: "/ready".to_owned(),
+            metrics: None,
             peers: SocketAddr::new(callers.ip(), 0),
             seeds: Vec::new(),
             domain: DomainName::new("local"),
@@ -67,6 +70,11 @@
         self
     }
 
+    pub fn metrics(mut self, address: Option<SocketAddr>) -> Self {
+        self.cfg.metrics = address;
+        self
+    }
+
     pub fn peers(mut self, address: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
         self.cfg.peers = address;
         self.cfg.seeds = seeds;
--- a/crates/front/src/socket.rs
+++ b/crates/front/src/socket.rs
@@ -15,6 +15,15 @@
 /// Longest time to wait for a connection to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Connects to a target. When the connection is closed, what the target has
+/// not received yet is dropped: a request that was given up must not arrive
+/// after all when a cut heals.
+pub(crate) async fn connect_target(addr: SocketAddr) -> io::Result<TcpStream> {
+    let stream = connect(addr).await?;
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+    Ok(stream)
+}
+
 /// Connects to `addr` within a second.
 pub async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(addr);
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -35,7 +35,7 @@
     let Some(peer) = peer(cx, target) else { return };
     let cx = cx.clone();
     tokio::task::spawn_local(async move {
-        let Ok(stream) = socket::connect(peer.address).await else { return };
+        let Ok(stream) = socket::connect_target(peer.address).await else { return };
         let service = cx.targets.borrow_mut().reached(target, cx.clock.now());
         info!(cx.log, "targets: reached again"; "target" => %peer.name);
         if let Some(service) = service {
@@ -51,7 +51,7 @@
     let Some(peer) = peer(cx, target) else { return };
     let cx = cx.clone();
     tokio::task::spawn_local(async move {
-        match socket::connect(peer.address).await {
+        match socket::connect_target(peer.address).await {
             Ok(stream) => run(&cx, &peer, stream, None).await,
             Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
                 let is_counted = cx.suspects.borrow_mut().strike(request, cx.clock.now());
@@ -127,7 +127,7 @@
 /// Connects unless the request's time ends first.
 async fn connect(address: SocketAddr, job: &Job) -> Result<TcpStream, SendResult> {
     tokio::select! {
-        made = socket::connect(address) => made.map_err(|_| SendResult::Silent),
+        made = socket::connect_target(address) => made.map_err(|_| SendResult::Silent),
         () = tokio::time::sleep_until(job.request.until) => Err(SendResult::Silent),
     }
 }
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -121,6 +121,7 @@
 pub(crate) fn finish(cx: &SharedCx, job: &Job, outcome: Outcome) {
     let now = cx.clock.now();
     cx.targets.borrow_mut().finished(&job.send, now, outcome.result);
+    cx.metrics.count_send(outcome.result as usize);
     match outcome.result {
         SendResult::Answered => {
             cx.suspects.borrow_mut().answered(job.request.fingerprint, now);
--- /dev/null
+++ b/crates/front/tests/metrics.rs
@@ -0,0 +1,30 @@
+//! Instruments as they are read, and the page that explains them.
+
+mod stage;
+
+use forward::Repeat;
+use stage::{Reply, Stage, body, ok, read_message, run, target};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+#[test]
+fn each_instrument_is_served_and_explained() {
+    run(async {
+        let one = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let mut stage = Stage::start();
+        stage.single(Repeat::Idempotent);
+        stage.list("s", "t1", &one);
+        stage.get("/one/x").await;
+        let mut asker = TcpStream::connect(stage.metrics).await.expect("connected");
+        asker.write_all(b"GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n").await.expect("written");
+        let answer = read_message(&mut asker).await.unwrap_or_default();
+        let text = body(&answer);
+        assert!(text.contains("result=\"answered\""), "{text}");
+        assert!(text.contains("kind=\"single\",outcome=\"answered\""), "{text}");
+        let page = include_str!("../../../docs/METRICS.md");
+        for line in text.lines().filter(|it| it.starts_with("# TYPE front_")) {
+            let name = line.split(' ').nth(2).unwrap_or_default();
+            let name = name.trim_end_matches("_total");
+            assert!(page.contains(&format!("`{name}`")), "{name} is not explained");
+        }
+    });
+}
--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -174,6 +174,7 @@
     pub cx: SharedCx,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
     routes: Vec<Route>,
     version: u64,
 }
@@ -185,7 +186,7 @@
 
     /// A host that finds others through `seeds`.
     pub fn start_among(peers: SocketAddr, seeds: Vec<SocketAddr>) -> Stage {
-        let (callers, readiness) = (free_port(), free_port());
+        let (callers, readiness, metrics) = (free_port(), free_port(), free_port());
         let name = HeaderName::from_static;
         let names = HeaderNames {
             request_id: name("x-id"),
@@ -198,10 +199,13 @@
             part_stamps: name("x-stamps"),
             missing_parts: name("x-missing"),
         };
-        let cfg = FrontSettingsBuilder::new(callers, readiness, names).peers(peers, seeds).build();
-        let cx = Cx::new(cfg, Logger::root(Discard, o!()));
+        let cfg = FrontSettingsBuilder::new(callers, readiness, names)
+            .peers(peers, seeds)
+            .metrics(Some(metrics))
+            .build();
+        let cx = Cx::new(cfg, Logger::root(Discard, o!())).expect("instruments");
         spawn_local(front::serve(cx.clone()));
-        Stage { cx, callers, readiness, routes: Vec::new(), version: 0 }
+        Stage { cx, callers, readiness, metrics, routes: Vec::new(), version: 0 }
     }
 
     /// A target of `service` at an address.
--- /dev/null
+++ b/crates/telemetry/src/front_metrics.rs
@@ -0,0 +1,136 @@
+//! Instruments of the forwarding tier.
+//!
+//! Sends are counted in plain atomics and read when somebody scrapes: there
+//! are dozens for each request.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering::Relaxed},
+};
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::metrics::{LATENCY_BOUNDS_MS, MetricsError};
+
+/// Every instrument of the forwarding tier.
+#[derive(Clone)]
+pub struct FrontMetrics {
+    registry: Registry,
+    // Instruments stop reporting once their provider is gone.
+    _provider: Arc<SdkMeterProvider>,
+    requests: Counter<u64>,
+    request_latency: Histogram<f64>,
+    missing_parts: Counter<u64>,
+    sends: Arc<[AtomicU64]>,
+    levels: Arc<[AtomicU64; LEVELS.len()]>,
+}
+
+/// A value that rises and falls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    ConfigurationVersion,
+    Hosts,
+    Targets,
+    TargetsDown,
+    InProgress,
+    Waiting,
+    IsReady,
+    FollowsSource,
+}
+
+const LEVELS: [(Level, &str, &str); 8] = [
+    (Level::ConfigurationVersion, "configuration_version", "Version in force"),
+    (Level::Hosts, "hosts", "Hosts that share the targets' limits"),
+    (Level::Targets, "targets", "Targets known"),
+    (Level::TargetsDown, "targets_down", "Targets that get no requests until a trial succeeds"),
+    (Level::InProgress, "requests_in_progress", "Requests in progress"),
+    (Level::Waiting, "parts_waiting", "Sends that wait for a connection"),
+    (Level::IsReady, "is_ready", "1 if this host takes callers"),
+    (Level::FollowsSource, "follows_source", "1 if the source itself is followed"),
+];
+
+impl FrontMetrics {
+    /// `results` are the names of the results of a send, in the order in which
+    /// [`FrontMetrics::count_send`] numbers them.
+    pub fn new(results: &'static [&'static str]) -> Result<FrontMetrics, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|err| MetricsError::Exporter(err.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("godwityard");
+        let sends: Arc<[AtomicU64]> = results.iter().map(|_| AtomicU64::new(0)).collect();
+        let levels = Arc::new(std::array::from_fn(|_| AtomicU64::new(0)));
+        observe_sends(&meter, results, &sends);
+        observe_levels(&meter, &levels);
+        let latency = meter.f64_histogram("front_request_latency_ms");
+        let latency = latency.with_description("Time from arrival to answer");
+        Ok(FrontMetrics {
+            requests: meter.u64_counter("front_requests").build(),
+            request_latency: latency.with_boundaries(LATENCY_BOUNDS_MS.to_vec()).build(),
+            missing_parts: meter.u64_counter("front_missing_parts").build(),
+            sends,
+            levels,
+            registry,
+            _provider: Arc::new(provider),
+        })
+    }
+
+    pub fn count_send(&self, result: usize) {
+        if let Some(count) = self.sends.get(result) {
+            count.fetch_add(1, Relaxed);
+        }
+    }
+
+    /// `kind` is `gather` or `single`; `outcome` why the request ended so.
+    pub fn request_ended(&self, kind: &'static str, outcome: &'static str, took_ms: f64) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.request_latency.record(took_ms, &labels);
+    }
+
+    pub fn parts_missing(&self, count: usize) {
+        self.missing_parts.add(count as u64, &[]);
+    }
+
+    pub fn set(&self, level: Level, value: u64) {
+        self.levels[level as usize].store(value, Relaxed);
+    }
+
+    /// The instruments in Prometheus text format.
+    pub fn encode(&self) -> Result<String, MetricsError> {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .map_err(|err| MetricsError::Encoding(err.to_string()))?;
+        String::from_utf8(buf).map_err(|err| MetricsError::Encoding(err.to_string()))
+    }
+}
+
+fn observe_sends(meter: &Meter, results: &'static [&'static str], sends: &Arc<[AtomicU64]>) {
+    let sends = sends.clone();
+    let counter = meter.u64_observable_counter("front_sends");
+    let counter = counter.with_description("Sends to targets by result");
+    let _ = counter
+        .with_callback(move |observer| {
+            for (result, count) in results.iter().zip(&*sends) {
+                observer.observe(count.load(Relaxed), &[KeyValue::new("result", *result)]);
+            }
+        })
+        .build();
+}
+
+fn observe_levels(meter: &Meter, levels: &Arc<[AtomicU64; LEVELS.len()]>) {
+    for (level, name, text) in LEVELS {
+        let levels = levels.clone();
+        let gauge = meter.u64_observable_gauge(format!("front_{name}")).with_description(text);
+        let read = move || levels[level as usize].load(Relaxed);
+        let _ = gauge.with_callback(move |observer| observer.observe(read(), &[])).build();
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,10 +4,12 @@
 //! lines and counts them.
 
 pub mod buffered;
+pub mod front_metrics;
 pub mod log;
 pub mod metrics;
 
 pub use crate::{
+    front_metrics::{FrontMetrics, Level},
     log::{LogGuard, Part, part_logger, report_broken_invariants, root_logger},
     metrics::Metrics,
 };
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -12,7 +12,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 /// Bounds of latency histograms, in milliseconds.
-const LATENCY_BOUNDS_MS: [f64; 14] =
+pub(crate) const LATENCY_BOUNDS_MS: [f64; 14] =
     [1.0, 2.0, 5.0, 10.0, 20.0, 35.0, 50.0, 75.0, 100.0, 150.0, 250.0, 500.0, 1_000.0, 5_000.0];
 
 /// Every instrument of the daemon.
