--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -99,8 +99,11 @@
     /// Puts a configuration in force unless a later one is.
     pub fn apply(&self, cfg: &Configuration) {
         let current = self.version();
+        if cfg.version == current && current > 0 {
+            return;
+        }
         if cfg.version <= current {
-            info!(self.log, "front: kept the configuration in force";
+            warn!(self.log, "front: kept the configuration in force";
                 "version" => current, "offered" => cfg.version);
             return;
         }
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -22,7 +22,7 @@
 const SOURCE_FIRST: Duration = Duration::from_millis(600);
 
 /// While the source is lost, a peer is asked about targets this often.
-const TARGETS_INTERVAL: Duration = Duration::from_secs(2);
+const TARGETS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Longest time for a peer's answer, and its largest size.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
