--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -90,7 +90,7 @@
     }
     let body = read_body(body, cx.limits.get().body_bytes, left).await?;
     let until = received + left;
-    let request = Rc::new(outgoing(cx, &entry.route, head, body, until));
+    let request = Rc::new(outgoing(&entry.route, head, body, until));
     if cx.suspects.borrow().is_barred(request.fingerprint) {
         let reason = "the request crashed several targets";
         return Err(Refusal::not_run(reason, BARRED_WAIT, left));
@@ -101,7 +101,7 @@
 
 /// What goes to targets: the request less what concerns the caller's
 /// connection.
-fn outgoing(cx: &SharedCx, route: &Route, head: Parts, body: Bytes, until: Time) -> Outgoing {
+fn outgoing(route: &Route, head: Parts, body: Bytes, until: Time) -> Outgoing {
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
     // The body is in hand, so nobody has to be asked for it.
@@ -112,7 +112,7 @@
         uri: head.uri,
         headers,
         body,
-        until: cx.clock.instant(until),
+        until,
         is_idempotent: route.repeat == Repeat::Idempotent,
         is_answered: Cell::new(false),
     }
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -73,7 +73,7 @@
 }
 
 async fn open_for(cx: SharedCx, peer: Peer, job: Job) {
-    match connect(peer.address, &job).await {
+    match connect(&cx, peer.address, &job).await {
         Ok(stream) => run(&cx, &peer, stream, Some(job)).await,
         Err(result) => finish(&cx, &job, Outcome { result, answer: None }),
     }
@@ -125,9 +125,9 @@
 }
 
 /// Connects unless the request's time ends first.
-async fn connect(address: SocketAddr, job: &Job) -> Result<TcpStream, SendResult> {
+async fn connect(cx: &SharedCx, address: SocketAddr, job: &Job) -> Result<TcpStream, SendResult> {
     tokio::select! {
         made = socket::connect_target(address) => made.map_err(|_| SendResult::Silent),
-        () = tokio::time::sleep_until(job.request.until) => Err(SendResult::Silent),
+        () = tokio::time::sleep_until(cx.clock.instant(job.request.until)) => Err(SendResult::Silent),
     }
 }
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
-    time::{Instant, sleep, sleep_until},
+    time::{sleep, sleep_until},
 };
 
 use super::{Job, Outcome, TargetAnswer};
@@ -51,7 +51,7 @@
         return ended(SendResult::Cancelled, true);
     };
     let mut call = std::pin::pin!(call(sender, request));
-    let mut give_up = std::pin::pin!(give_up(job));
+    let mut give_up = std::pin::pin!(give_up(cx, job));
     let mut is_open = true;
     let result = loop {
         tokio::select! {
@@ -75,7 +75,7 @@
 /// The request with this host's own headers; `None` if no time is left.
 fn request(cx: &SharedCx, name: &TargetName, job: &Job) -> Option<Request<Full<Bytes>>> {
     let names = &cx.cfg.names;
-    let left = job.request.until.saturating_duration_since(Instant::now()).as_millis();
+    let left = job.request.until.until(cx.clock.now()).as_millis();
     if left == 0 || job.tx.is_closed() {
         return None;
     }
@@ -106,8 +106,8 @@
 }
 
 /// Ends when the exchange should be given up, with how it counts.
-async fn give_up(job: &Job) -> SendResult {
-    let until = job.request.until + ANSWER_SLACK;
+async fn give_up(cx: &SharedCx, job: &Job) -> SendResult {
+    let until = cx.clock.instant(job.request.until + ANSWER_SLACK);
     tokio::select! {
         () = sleep_until(until) => SendResult::Silent,
         () = abandoned(job) => SendResult::Cancelled,
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use base::HashMap;
+use base::{HashMap, Time};
 use bytes::Bytes;
 use forward::{
     placement::{Send, TargetKey},
@@ -34,7 +34,7 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     /// The caller waits until then.
-    pub until: Instant,
+    pub until: Time,
     pub is_idempotent: bool,
     pub fingerprint: Fingerprint,
     /// The caller has its answer; sends in flight may end by themselves.
