Forward by a file as the product's own interface; test graceful shutdown

Cause: routes, gathers and targets could come from the platform only; a host that stopped left late connections waiting until its end.

--- a/crates/documents/src/lib.rs
+++ b/crates/documents/src/lib.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     tree::Node,
-    wire::{DocumentWire, SettingsWire},
+    wire::{DocumentWire, ForwardingWire, SettingsWire, kind},
 };
 
 mod cross;
@@ -26,8 +26,8 @@
 pub use crate::{
     cross::{cross_check, cross_check_settings},
     model::{
-        Configuration, Document, Domain, DomainState, Located, Places, Pool, Preference, Service,
-        Settings, Target,
+        Configuration, Document, Domain, DomainState, Forwarding, Located, Places, Pool,
+        Preference, Service, Settings, Target,
     },
 };
 
@@ -57,6 +57,12 @@
     Settings::try_from(SettingsWire::from(node))
 }
 
+/// Parses and checks a forwarding file; `source` names it in findings.
+pub fn parse_forwarding(source: &str, text: &str) -> Result<Forwarding, Findings> {
+    let node = tree::parse_one(source, text)?;
+    Forwarding::try_from(ForwardingWire::from(node))
+}
+
 /// Parses a file of documents, settings or both, as `godwityard check` takes
 /// it. A mapping without `kind` but with `host` holds settings.
 pub fn parse_file(source: &str, text: &str) -> (ParsedFile, Findings) {
@@ -75,12 +81,15 @@
 pub struct ParsedFile {
     pub documents: Vec<Located<Document>>,
     pub settings: Vec<Located<Settings>>,
+    pub forwarding: Vec<Located<Forwarding>>,
 }
 
 impl ParsedFile {
     fn add(&mut self, node: Node) -> Result<(), Findings> {
         if node.has_key("host") && !node.has_key("kind") {
             self.settings.push(locate::<_, SettingsWire>(node)?);
+        } else if kind(&node) == Some("forwarding") {
+            self.forwarding.push(locate::<_, ForwardingWire>(node)?);
         } else {
             self.documents.push(locate::<_, DocumentWire>(node)?);
         }
@@ -90,6 +99,7 @@
     pub fn extend(&mut self, other: ParsedFile) {
         self.documents.extend(other.documents);
         self.settings.extend(other.settings);
+        self.forwarding.extend(other.forwarding);
     }
 }
 
--- a/crates/documents/src/model/mod.rs
+++ b/crates/documents/src/model/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod document;
+mod forwarding;
 mod settings;
 
 pub use self::{
@@ -9,6 +10,7 @@
         Configuration, Domain, DomainState, Pool, Preference, Service, Target, TargetIndex,
     },
     document::{Document, Located, Places},
+    forwarding::{Forwarding, ForwardingListen},
     settings::{
         EarlyRefusal, FairTurns, Hedging, LogFormat, LogLevel, LogSettings, OwnerMode,
         PlatformSettings, PolicySettings, SeedHost, Settings, WarmUp,
--- a/crates/documents/src/wire/mod.rs
+++ b/crates/documents/src/wire/mod.rs
@@ -3,6 +3,7 @@
 //! reads itself from a [`Node`] and converts to its model by `TryFrom`.
 
 mod domain;
+mod forwarding;
 mod pool;
 mod service;
 mod settings;
@@ -17,7 +18,7 @@
     wire::{domain::DomainWire, pool::PoolWire, service::ServiceWire},
 };
 
-pub(crate) use self::settings::SettingsWire;
+pub(crate) use self::{forwarding::ForwardingWire, settings::SettingsWire};
 
 /// A document of any kind as written.
 pub(crate) enum DocumentWire {
@@ -52,7 +53,7 @@
     }
 }
 
-fn kind(node: &Node) -> Option<&str> {
+pub(crate) fn kind(node: &Node) -> Option<&str> {
     match &node.get("kind")?.value {
         Value::Text(it) => Some(it),
         _ => None,
@@ -71,7 +72,7 @@
     };
     let mut findings = Findings::default();
     let finding = Finding::new(place.clone(), message);
-    findings.push(finding.with_hint("use one of: service, pool, domain"));
+    findings.push(finding.with_hint("use one of: service, pool, domain, forwarding"));
     findings
 }
 
--- a/crates/forward/src/route/mod.rs
+++ b/crates/forward/src/route/mod.rs
@@ -12,7 +12,7 @@
 pub use self::table::{RouteEntry, RouteTable};
 
 /// A configuration as operators published it. Later versions replace it whole.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     pub version: u64,
     pub routes: Vec<Route>,
@@ -21,7 +21,7 @@
 }
 
 /// Where requests of one host and path prefix go, and under what promises.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Route {
     pub name: Arc<str>,
     pub host: Arc<str>,
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -9,12 +9,12 @@
 mod refusal;
 mod stop;
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{future::Future, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use slog::{info, warn};
 use tokio::{
     net::{TcpListener, TcpSocket},
-    signal::unix::{Signal, SignalKind, signal},
+    signal::unix::{SignalKind, signal},
     time::{MissedTickBehavior, interval},
 };
 
@@ -30,6 +30,19 @@
 /// Serves callers until a stop signal was obeyed.
 pub async fn serve(cx: SharedCx) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let stopped = async {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    serve_until(cx, stopped).await
+}
+
+/// Serves callers until `stopped`, and then as long as a graceful shutdown
+/// takes.
+pub async fn serve_until(cx: SharedCx, stopped: impl Future<Output = ()>) -> io::Result<()> {
     let callers = listen(cx.cfg.callers)?;
     let connections = Rc::new(Connections::default());
     let readiness = listen(cx.cfg.readiness)?;
@@ -42,24 +55,16 @@
     tokio::task::spawn_local(state::learn(cx.clone()));
     tokio::task::spawn_local(sweep(cx.clone(), connections.clone()));
     info!(cx.log, "front: serving"; "callers" => %cx.cfg.callers);
-    accept_until_stopped(&cx, &callers, &connections, &mut terminate).await;
-    stop::drain(&cx, &callers, &connections).await;
-    info!(cx.log, "front: stopped"; "open_connections" => connections.len());
-    Ok(())
-}
-
-async fn accept_until_stopped(
-    cx: &SharedCx,
-    callers: &TcpListener,
-    connections: &Rc<Connections>,
-    terminate: &mut Signal,
-) {
+    let mut stopped = pin!(stopped);
     loop {
         tokio::select! {
-            _ = terminate.recv() => return,
-            accepted = callers.accept() => take(cx, accepted, connections),
+            () = stopped.as_mut() => break,
+            accepted = callers.accept() => take(&cx, accepted, &connections),
         }
     }
+    stop::drain(&cx, callers, &connections).await;
+    info!(cx.log, "front: stopped"; "open_connections" => connections.len());
+    Ok(())
 }
 
 fn take(
--- a/crates/front/src/callers/stop.rs
+++ b/crates/front/src/callers/stop.rs
@@ -22,7 +22,7 @@
 /// Time between two looks at what is still open.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-pub(super) async fn drain(cx: &SharedCx, callers: &TcpListener, connections: &Rc<Connections>) {
+pub(super) async fn drain(cx: &SharedCx, callers: TcpListener, connections: &Rc<Connections>) {
     cx.is_stopping.set(true);
     info!(cx.log, "front: stopping"; "open_connections" => connections.len());
     let started = Instant::now();
@@ -32,6 +32,8 @@
             () = sleep(POLL_INTERVAL) => {}
         }
     }
+    // Who still comes is refused at once and goes to another host.
+    drop(callers);
     let end = started + cx.cfg.stop_within.saturating_sub(RESERVE);
     while connections.len() > 0 && Instant::now() < end {
         connections.end_gracefully();
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -8,7 +8,7 @@
 //! Load pattern answered: a source that is away, slow, forgets its history or
 //! turns some hosts away, and many hosts that return to it at once.
 
-use std::{cell::Cell, future::Future, time::Duration};
+use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
 
 use base::{DomainName, HashSet, TargetName};
 use forward::{Configuration, TargetReport};
@@ -101,11 +101,11 @@
 }
 
 /// Follows `feed` for as long as the process lives.
-pub async fn follow(cx: SharedCx, source: impl Source, feed: Feed) {
+pub(crate) async fn follow(cx: SharedCx, source: Rc<impl Source>, feed: Feed) {
     let mut pause = MIN_PAUSE;
     let mut lost_since: Option<Instant> = None;
     loop {
-        let err = match read(&source, feed).await {
+        let err = match read(&*source, feed).await {
             Ok(whole) => {
                 if let Some(since) = lost_since.take() {
                     info!(cx.log, "follow: the source is back"; "feed" => ?feed,
@@ -115,7 +115,7 @@
                 let revision = whole.revision;
                 apply_whole(&cx, feed, whole);
                 feed.is_followed(&cx).set(true);
-                follow_changes(&cx, &source, feed, revision).await
+                follow_changes(&cx, &*source, feed, revision).await
             }
             Err(err) => err,
         };
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 mod isolation;
 mod names;
 mod peers;
+mod run;
 mod scatter;
 mod settings;
 mod socket;
@@ -20,10 +21,11 @@
 mod targets;
 
 pub use crate::{
-    callers::serve,
+    callers::{serve, serve_until},
     clock::Clock,
     cx::{Cx, SharedCx},
     names::HeaderNames,
+    run::run,
     settings::{FrontSettings, FrontSettingsBuilder},
     socket::connect,
 };
--- /dev/null
+++ b/crates/front/src/run.rs
@@ -0,0 +1,28 @@
+//! Runs the forwarding tier of one host until it is told to stop.
+
+use std::{io, rc::Rc};
+
+use telemetry::buffered::{FLUSH_INTERVAL, LogBuffer};
+use tokio::task::spawn_local;
+
+use crate::{
+    SharedCx, callers,
+    follow::{Feed, Source, follow},
+};
+
+/// Follows `source` and serves callers until SIGTERM was obeyed.
+pub async fn run(cx: SharedCx, source: impl Source + 'static, log: LogBuffer) -> io::Result<()> {
+    let source = Rc::new(source);
+    spawn_local(flush(log.clone()));
+    spawn_local(follow(cx.clone(), source.clone(), Feed::Operations));
+    spawn_local(follow(cx.clone(), source, Feed::Targets));
+    callers::serve(cx).await
+}
+
+async fn flush(log: LogBuffer) {
+    let mut ticks = tokio::time::interval(FLUSH_INTERVAL);
+    loop {
+        ticks.tick().await;
+        log.flush();
+    }
+}
--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::RefCell,
     future::Future,
+    io,
     net::{SocketAddr, TcpListener as StdListener},
     rc::Rc,
     sync::Arc,
@@ -23,7 +24,8 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    task::{LocalSet, spawn_local},
+    sync::oneshot,
+    task::{JoinHandle, LocalSet, spawn_local},
     time::{sleep, timeout},
 };
 
@@ -177,6 +179,8 @@
     pub metrics: SocketAddr,
     routes: Vec<Route>,
     version: u64,
+    stop: Option<oneshot::Sender<()>>,
+    pub ended: JoinHandle<io::Result<()>>,
 }
 
 impl Stage {
@@ -204,8 +208,22 @@
             .metrics(Some(metrics))
             .build();
         let cx = Cx::new(cfg, Logger::root(Discard, o!())).expect("instruments");
-        spawn_local(front::serve(cx.clone()));
-        Stage { cx, callers, readiness, metrics, routes: Vec::new(), version: 0 }
+        let (stop, stopped) = oneshot::channel::<()>();
+        let serving = front::serve_until(cx.clone(), async {
+            // A stage that is dropped stops too.
+            let _ = stopped.await;
+        });
+        let ended = spawn_local(serving);
+        Stage {
+            cx,
+            callers,
+            readiness,
+            metrics,
+            routes: Vec::new(),
+            version: 0,
+            stop: Some(stop),
+            ended,
+        }
     }
 
     /// A target of `service` at an address.
@@ -275,6 +293,11 @@
         panic!("the front does not listen");
     }
 
+    /// Asks for a graceful shutdown.
+    pub fn stop(&mut self) {
+        self.stop = None;
+    }
+
     /// Sends a request on a connection of its own and reads the answer.
     pub async fn get(&self, path: &str) -> String {
         self.exchange(&format!("GET {path} HTTP/1.1\r\nhost: h\r\nx-id: q1\r\n\r\n")).await
--- a/crates/godwityard/src/commands/check.rs
+++ b/crates/godwityard/src/commands/check.rs
@@ -48,12 +48,19 @@
     pools: usize,
     domains: usize,
     settings: usize,
+    forwarding: usize,
 }
 
 impl Counts {
     fn new(files: usize, parsed: &ParsedFile) -> Self {
-        let mut counts =
-            Counts { files, services: 0, pools: 0, domains: 0, settings: parsed.settings.len() };
+        let mut counts = Counts {
+            files,
+            services: 0,
+            pools: 0,
+            domains: 0,
+            settings: parsed.settings.len(),
+            forwarding: parsed.forwarding.len(),
+        };
         for document in &parsed.documents {
             match document.value {
                 Document::Service(_) => counts.services += 1,
@@ -120,7 +127,14 @@
         0 => "no findings".to_owned(),
         n => count(n, "finding"),
     };
-    writeln!(out, "{found}; valid in {files}: {services}, {pools}, {domains}, {settings}")
+    let forwarding = match counts.forwarding {
+        0 => String::new(),
+        n => format!(", {}", count(n, "forwarding file")),
+    };
+    writeln!(
+        out,
+        "{found}; valid in {files}: {services}, {pools}, {domains}, {settings}{forwarding}"
+    )
 }
 
 fn count(n: usize, word: &str) -> String {
@@ -137,6 +151,7 @@
         "pools": counts.pools,
         "domains": counts.domains,
         "settings": counts.settings,
+        "forwarding": counts.forwarding,
     })
 }
 
--- /dev/null
+++ b/crates/godwityardd/src/forwarding.rs
@@ -0,0 +1,146 @@
+//! Forwards by a file of routes and targets: the forwarding tier without a
+//! fleet and without a platform.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    time::{Duration, SystemTime},
+};
+
+use documents::{Forwarding, parse_forwarding};
+use eyre::WrapErr;
+use forward::{budget::RetryLimits, placement::Limits};
+use front::{
+    Cx, FrontSettings, FrontSettingsBuilder, HeaderNames,
+    follow::{Feed, Item, Source, SourceError, Whole},
+};
+use http::HeaderName;
+use slog::{Logger, info};
+use telemetry::buffered::{LogBuffer, buffered_logger, unblock_stdout};
+use tokio::{
+    task::LocalSet,
+    time::{Instant, sleep},
+};
+
+/// Time between two looks at the file.
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time by which a target of another failure domain counts as slower.
+const CROSS_DOMAIN: Duration = Duration::from_millis(3);
+
+/// Window and fixed part of the budget of extra sends.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+const RETRY_SLACK: f64 = 10.0;
+
+/// Routes and targets as a file states them.
+#[derive(Debug)]
+struct FileSource {
+    path: PathBuf,
+}
+
+/// Serves until a signal asks to stop.
+pub(crate) fn run(path: &Path) -> eyre::Result<()> {
+    let file = read(path)?;
+    let (log, buffer) = buffered_logger(&file.listen.callers.to_string());
+    unblock_stdout().wrap_err("standard output")?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let serving = serve(path.to_owned(), settings(&file), log, buffer.clone());
+    let ended = LocalSet::new().block_on(&runtime, serving);
+    buffer.flush();
+    ended
+}
+
+async fn serve(
+    path: PathBuf,
+    cfg: FrontSettings,
+    log: Logger,
+    buffer: LogBuffer,
+) -> eyre::Result<()> {
+    info!(log, "daemon: forwarding"; "file" => %path.display());
+    let cx = Cx::new(cfg, log)?;
+    front::run(cx, FileSource { path }, buffer).await?;
+    Ok(())
+}
+
+fn read(path: &Path) -> eyre::Result<Forwarding> {
+    let source = path.display().to_string();
+    let text = fs::read_to_string(path).wrap_err_with(|| format!("cannot read {source}"))?;
+    Ok(parse_forwarding(&source, &text)?)
+}
+
+fn settings(file: &Forwarding) -> FrontSettings {
+    let limits = Limits {
+        retry: RetryLimits { ratio: file.retry_ratio, window: RETRY_WINDOW, slack: RETRY_SLACK },
+        cold_ratio: 1.0,
+        cold_slack: 0.0,
+        cross_domain: CROSS_DOMAIN,
+        leaving_for: file.leaving_for,
+    };
+    let listen = &file.listen;
+    FrontSettingsBuilder::new(listen.callers, listen.readiness, header_names())
+        .readiness_path("/readyz")
+        .metrics(listen.metrics)
+        .peers(listen.peers, listen.seeds.clone())
+        .place(file.domain.clone(), file.regions.clone())
+        .limits(limits)
+        .build()
+}
+
+fn header_names() -> HeaderNames {
+    HeaderNames {
+        request_id: HeaderName::from_static("godwityard-attempt"),
+        deadline_ms: HeaderName::from_static("godwityard-deadline-ms"),
+        stamp: HeaderName::from_static("godwityard-stamp"),
+        expected_target: HeaderName::from_static("godwityard-target"),
+        load: HeaderName::from_static("godwityard-load"),
+        not_run: HeaderName::from_static("godwityard-not-run"),
+        cold_ms: HeaderName::from_static("godwityard-cold-ms"),
+        part_stamps: HeaderName::from_static("godwityard-part-stamps"),
+        missing_parts: HeaderName::from_static("godwityard-missing-parts"),
+    }
+}
+
+impl FileSource {
+    fn modified(&self) -> Result<SystemTime, SourceError> {
+        let modified = fs::metadata(&self.path).and_then(|it| it.modified());
+        modified.map_err(|err| SourceError::Unavailable(err.to_string()))
+    }
+}
+
+impl Source for FileSource {
+    async fn read(&self, feed: Feed) -> Result<Whole, SourceError> {
+        let revision = revision(self.modified()?);
+        let file = read(&self.path).map_err(|err| SourceError::Unreadable(format!("{err:#}")))?;
+        let items = match feed {
+            Feed::Targets => file.targets.into_iter().map(Item::Target).collect(),
+            Feed::Operations => {
+                let out = file.out.into_iter().map(Item::Evacuated);
+                out.chain([Item::Configuration(file.configuration)]).collect()
+            }
+        };
+        Ok(Whole { items, revision })
+    }
+
+    /// A change of the file is a new history: it is read whole.
+    async fn changes(
+        &self,
+        _feed: Feed,
+        revision_read: u64,
+        wait: Duration,
+    ) -> Result<Whole, SourceError> {
+        let until = Instant::now() + wait;
+        while Instant::now() < until {
+            sleep(LOOK_INTERVAL).await;
+            if revision(self.modified()?) != revision_read {
+                return Err(SourceError::HistoryGone);
+            }
+        }
+        Ok(Whole { items: Vec::new(), revision: revision_read })
+    }
+}
+
+/// A number that differs whenever the file was written.
+fn revision(modified: SystemTime) -> u64 {
+    let since = modified.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_nanos()).unwrap_or(u64::MAX)
+}
--- a/crates/godwityardd/src/main.rs
+++ b/crates/godwityardd/src/main.rs
@@ -8,6 +8,7 @@
 mod daemon;
 mod direct;
 mod fleet_driver;
+mod forwarding;
 mod owners;
 mod servers;
 mod service;
@@ -15,7 +16,7 @@
 mod suspects;
 mod view;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use argh::FromArgs;
 
@@ -24,12 +25,25 @@
 struct Args {
     /// settings file, YAML
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+
+    /// forwarding file, YAML: forward HTTP requests by its routes, without a
+    /// fleet; changes of the file take effect by themselves
+    #[argh(option)]
+    forwarding: Option<PathBuf>,
 }
 
 fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
-    let start = start::Start::load(&args.settings)?;
+    match (args.settings, args.forwarding) {
+        (Some(settings), None) => serve_fleet(&settings),
+        (None, Some(file)) => forwarding::run(&file),
+        _ => eyre::bail!("give one of --settings and --forwarding"),
+    }
+}
+
+fn serve_fleet(settings: &Path) -> eyre::Result<()> {
+    let start = start::Start::load(settings)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(start.cfg.workers)
         .enable_all()
