Serve on during a stop while callers come

Cause: with too few other hosts ready the balancer goes on sending callers to a host that stops; after 3.2 s they were refused. Change: the listener stays open until nobody came for 0.3 s, or until 1.8 s before the limit; connections that idle end first.

--- a/crates/front/src/callers/connection.rs
+++ b/crates/front/src/callers/connection.rs
@@ -7,6 +7,7 @@
     pin::{Pin, pin},
     rc::Rc,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use base::Time;
@@ -25,6 +26,9 @@
 /// hyper reads heads up to this size at least.
 const MIN_HEAD_BUFFER: usize = 8 * 1024;
 
+/// During a stop, a connection may idle for this long.
+const IDLE_AT_STOP: Duration = Duration::from_millis(200);
+
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -86,6 +90,17 @@
         }
     }
 
+    /// Ends connections on which no request came for a while. A new one gets
+    /// the time to send its first.
+    pub(super) fn end_idle(&self, now: Time) {
+        for state in &*self.states.borrow() {
+            let is_idle = |since| now.since(since) > IDLE_AT_STOP;
+            if matches!(state.phase.get(), Phase::Idle(since) if is_idle(since)) {
+                state.end(Ending::Graceful);
+            }
+        }
+    }
+
     fn remove(&self, state: &Rc<ConnectionState>) {
         self.states.borrow_mut().retain(|it| !Rc::ptr_eq(it, state));
     }
--- a/crates/front/src/callers/stop.rs
+++ b/crates/front/src/callers/stop.rs
@@ -12,12 +12,16 @@
 use super::{connection::Connections, take};
 use crate::SharedCx;
 
-/// Callers still come until the balancer has noticed that this host is not
-/// ready.
-const ACCEPT_FOR: Duration = Duration::from_millis(3_200);
+/// Callers still come at least until the balancer has noticed that this host
+/// is not ready.
+const SERVE_FOR: Duration = Duration::from_millis(3_000);
+
+/// The balancer has noticed when nobody came for this long. It may send callers
+/// on, when too few other hosts are ready.
+const QUIET_FOR: Duration = Duration::from_millis(300);
 
 /// Kept before the limit for the last answers to go out.
-const RESERVE: Duration = Duration::from_millis(500);
+const RESERVE: Duration = Duration::from_millis(900);
 
 /// Time between two looks at what is still open.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -26,11 +30,24 @@
     cx.is_stopping.set(true);
     info!(cx.log, "front: stopping"; "open_connections" => connections.len());
     let started = Instant::now();
-    while started.elapsed() < ACCEPT_FOR.min(cx.cfg.stop_within / 2) {
+    let serve_for = SERVE_FOR.min(cx.cfg.stop_within / 2);
+    let last_call = started + cx.cfg.stop_within.saturating_sub(RESERVE * 2);
+    let mut last_came = started;
+    while Instant::now() < last_call {
         tokio::select! {
-            accepted = callers.accept() => take(cx, accepted, connections),
+            accepted = callers.accept() => {
+                last_came = Instant::now();
+                take(cx, accepted, connections);
+            }
             () = sleep(POLL_INTERVAL) => {}
         }
+        if started.elapsed() < serve_for {
+            continue;
+        }
+        connections.end_idle(cx.clock.now());
+        if connections.len() == 0 && last_came.elapsed() > QUIET_FOR {
+            return;
+        }
     }
     // Who still comes is refused at once and goes to another host.
     drop(callers);
