Open first connections ahead; treat returned targets as cold

Change: each new target gets one connection ahead where a share is more than one; twice the hosts heard of are assumed soon after a start; where cold targets are limited, those of a returning domain and those reached again count as cold.

--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -23,10 +23,12 @@
 /// Several datagrams in a row must be lost for it.
 const UNHEARD_AFTER: Duration = Duration::from_millis(900);
 
-/// Hosts find each other within this time of a start; until then a host does
-/// not know with how many it shares.
+/// Most hosts find each other within this time of a start.
 const SETTLES_WITHIN: Duration = Duration::from_millis(1_500);
 
+/// Hosts assumed for each one heard of until then.
+const UNSETTLED_FACTOR: usize = 2;
+
 /// Hosts named in one digest.
 const MAX_NAMED: usize = 64;
 
@@ -79,9 +81,11 @@
         1 + heard + unheard
     }
 
-    /// Whether the count can be relied on.
-    pub fn is_settled(&self, uptime: Duration) -> bool {
-        uptime >= SETTLES_WITHIN
+    /// Hosts to share limits with. Soon after a start there are likely more
+    /// than were heard of.
+    pub fn assumed_count(&self, now: Time, uptime: Duration) -> usize {
+        let count = self.count(now);
+        if uptime < SETTLES_WITHIN { count * UNSETTLED_FACTOR } else { count }
     }
 
     /// Other domains that were heard of once, and those of them that are out of
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -8,6 +8,9 @@
     target::{Target, TargetReport},
 };
 
+/// First connections opened at once.
+const FIRST_CONNECTIONS: usize = 4;
+
 impl<W> Targets<W> {
     /// Takes the services' settings of a configuration.
     pub fn configure(&mut self, cfg: &Configuration) {
@@ -76,8 +79,27 @@
         }
     }
 
-    pub fn set_evacuated(&mut self, domains: HashSet<DomainName>) {
-        self.evacuated = domains;
+    /// Sets the domains that get nothing. Targets of one that returns may have
+    /// turned cold meanwhile, so they count as cold.
+    pub fn set_evacuated(&mut self, domains: HashSet<DomainName>, now: Time) {
+        let before = std::mem::replace(&mut self.evacuated, domains);
+        let is_back = |domain: &DomainName| before.contains(domain);
+        let keys: Vec<TargetKey> = self.targets.keys().copied().collect();
+        for key in keys {
+            let domain = self.targets.get(&key).map(|it| it.report.domain.clone());
+            if domain.is_some_and(|it| is_back(&it) && !self.evacuated.contains(&it)) {
+                self.assume_cold(key, now);
+            }
+        }
+    }
+
+    /// Takes the target for cold if its service limits cold targets.
+    pub(super) fn assume_cold(&mut self, key: TargetKey, now: Time) {
+        let Some(service) = self.service_of(key) else { return };
+        let settings = self.services[service.0].settings.as_ref();
+        let limited = settings.filter(|it| it.warmup_rate.is_some());
+        let Some(warmup) = limited.map(|it| it.warmup) else { return };
+        self.note_cold(key, now, warmup);
     }
 
     pub fn evacuated(&self) -> &HashSet<DomainName> {
@@ -98,6 +120,29 @@
         self.target_keys.len()
     }
 
+    /// Targets to open a first connection to now, a few at a time, so that the
+    /// first requests after a start need not wait for that. Where a host's
+    /// share is a single connection, none is opened before it is needed.
+    pub fn due_first_connections(&mut self, now: Time) -> Vec<TargetKey> {
+        let mut due = Vec::new();
+        for service in (0..self.services.len()).map(ServiceKey) {
+            if self.connection_share(service) < 2 {
+                continue;
+            }
+            for key in &self.services[service.0].targets {
+                let Some(target) = self.targets.get_mut(key) else { continue };
+                let is_wanted = !target.is_gone() && !target.is_cold(now);
+                if is_wanted && target.take_first_connection() {
+                    due.push(*key);
+                }
+                if due.len() >= FIRST_CONNECTIONS {
+                    return due;
+                }
+            }
+        }
+        due
+    }
+
     /// Lets `who` wait for a free connection; false if too many wait.
     pub fn wait(&mut self, service: ServiceKey, waiting: Waiting<W>) -> bool {
         self.services[service.0].queue.push(waiting).is_ok()
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -240,7 +240,12 @@
 
     /// A trial reached the target; returns its service.
     pub fn reached(&mut self, target: TargetKey, now: Time) -> Option<ServiceKey> {
-        self.targets.get_mut(&target)?.reached(now);
+        let it = self.targets.get_mut(&target)?;
+        if it.is_down() {
+            it.reached(now);
+            // It may have started anew.
+            self.assume_cold(target, now);
+        }
         self.service_of(target)
     }
 
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -130,6 +130,7 @@
     slowdown_at: Time,
     failures: f64,
     failed_in_row: u32,
+    has_connected: bool,
     down: Option<Down>,
     /// Pause of the next time that it is down.
     trial_pause: Duration,
@@ -156,6 +157,7 @@
             slowdown_at: now,
             failures: 0.0,
             failed_in_row: 0,
+            has_connected: false,
             down: None,
             trial_pause: MIN_TRIAL_PAUSE,
             load: None,
@@ -211,7 +213,13 @@
         self.in_flight.len()
     }
 
+    /// Whether no connection was opened yet; one is now.
+    pub fn take_first_connection(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_connected, true)
+    }
+
     pub fn started(&mut self, send: u64, now: Time, expected: Duration) {
+        self.has_connected = true;
         self.in_flight.push(InFlight { send, at: now, expected });
         if now.since(self.cold_second.0) >= Duration::from_secs(1) {
             self.cold_second = (now, 0);
--- a/crates/forward/tests/peers.rs
+++ b/crates/forward/tests/peers.rs
@@ -78,3 +78,11 @@
     play(&mut peers, now, 4, |_, _| true);
     assert!(peers[0].domains(now + DIGEST_INTERVAL * 4).1.is_empty());
 }
+
+#[test]
+fn soon_after_a_start_more_hosts_are_assumed_than_were_heard() {
+    let peers = fleet(6);
+    let ms = Duration::from_millis;
+    assert!(peers[0].assumed_count(Time::from_millis(300), ms(300)) >= 6);
+    assert_eq!(peers[0].assumed_count(Time::from_millis(5_000), ms(5_000)), 3);
+}
--- a/crates/forward/tests/targets.rs
+++ b/crates/forward/tests/targets.rs
@@ -172,10 +172,10 @@
     let mut it = Fixture::new(None);
     it.core.reported(report("one", "a"), at(0));
     it.core.reported(report("two", "b"), at(0));
-    it.core.set_evacuated([DomainName::new("a")].into_iter().collect());
+    it.core.set_evacuated([DomainName::new("a")].into_iter().collect(), at(0));
     let send = it.send(at(1));
     assert_eq!(it.name(&send), "two");
-    it.core.set_evacuated(["a", "b"].into_iter().map(DomainName::new).collect());
+    it.core.set_evacuated(["a", "b"].into_iter().map(DomainName::new).collect(), at(1));
     assert_eq!(it.place(at(2)), Placement::Nowhere);
 }
 
@@ -289,3 +289,52 @@
     // Two domains: neither side is smaller.
     assert!(cut_off(&set(&["b"]), &set(&["b"]), 1).is_empty());
 }
+
+/// Targets may turn cold while nothing is sent to them.
+#[test]
+fn targets_of_a_domain_that_returns_count_as_cold() {
+    let mut it = Fixture::new(Some(4.0));
+    it.core.set_hosts(1);
+    it.core.reported(report("one", "a"), at(0));
+    it.core.set_evacuated([DomainName::new("a")].into_iter().collect(), at(0));
+    it.core.set_evacuated(HashSet::default(), at(10_000));
+    let mut placed = 0;
+    for ms in 10_000..11_000 {
+        if let Placement::Send(send) = it.place(at(ms)) {
+            it.core.finished(&send, at(ms), SendResult::Answered);
+            placed += 1;
+        }
+    }
+    // What it bears: 4 a second by 1.5, and 5 beside that.
+    assert!((1..=11).contains(&placed), "{placed}");
+}
+
+#[test]
+fn a_target_that_was_down_counts_as_cold_when_it_is_reached() {
+    let mut it = Fixture::new(Some(4.0));
+    let key = it.core.reported(report("one", "a"), at(0));
+    let send = it.send(at(0));
+    it.core.finished(&send, at(1_000), SendResult::Silent);
+    it.core.reached(key, at(2_000));
+    assert!(it.core.target(key).is_some_and(|it| it.is_cold(at(2_500))));
+}
+
+#[test]
+fn each_new_target_gets_one_connection_ahead_of_its_first_request() {
+    let mut it = Fixture::new(None);
+    for i in 0..10 {
+        it.core.reported(report(&format!("t{i}"), "a"), at(0));
+    }
+    let mut all = Vec::new();
+    for ms in 0..10 {
+        all.extend(it.core.due_first_connections(at(ms)));
+    }
+    all.sort();
+    all.dedup();
+    assert_eq!(all.len(), 10);
+    assert!(it.core.due_first_connections(at(20)).is_empty());
+    // Twenty hosts share twenty connections a target: none to spare.
+    it.core.set_hosts(20);
+    it.core.reported(report("late", "a"), at(30));
+    assert!(it.core.due_first_connections(at(30)).is_empty());
+}
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -85,7 +85,7 @@
         ticks.tick().await;
         connections.sweep(cx.clock.now(), &cx.limits.get());
         cx.sweep();
-        targets::try_down(&cx);
+        targets::connect_ahead(&cx);
         isolation::watch(&cx);
     }
 }
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -139,7 +139,7 @@
         if *self.targets.borrow().evacuated() != domains {
             warn!(self.log, "front: evacuated domains changed"; "domains" => ?domains);
         }
-        self.targets.borrow_mut().set_evacuated(domains);
+        self.targets.borrow_mut().set_evacuated(domains, self.clock.now());
     }
 
     /// Adds or removes one evacuated domain.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -83,9 +83,8 @@
             },
         }
         let now = cx.clock.now();
-        let count = cx.peers.borrow().count(now);
-        let is_settled = cx.peers.borrow().is_settled(now.since(Time::ZERO));
-        if count != known && is_settled {
+        let count = cx.peers.borrow().assumed_count(now, now.since(Time::ZERO));
+        if count != known {
             known = count;
             cx.targets.borrow_mut().set_hosts(count);
             info!(cx.log, "front: number of hosts changed"; "hosts" => count);
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -36,8 +36,11 @@
     let cx = cx.clone();
     tokio::task::spawn_local(async move {
         let Ok(stream) = socket::connect_target(peer.address).await else { return };
+        let was_down = cx.targets.borrow().target(target).is_some_and(|it| it.is_down());
         let service = cx.targets.borrow_mut().reached(target, cx.clock.now());
-        info!(cx.log, "targets: reached again"; "target" => %peer.name);
+        if was_down {
+            info!(cx.log, "targets: reached again"; "target" => %peer.name);
+        }
         if let Some(service) = service {
             cx.wake_waiting(service);
         }
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -109,10 +109,13 @@
     connection::open(cx, job);
 }
 
-/// Opens a connection to each target that is down and due for a trial.
-pub(crate) fn try_down(cx: &SharedCx) {
-    let due = cx.targets.borrow_mut().due_trials(cx.clock.now());
-    for target in due {
+/// Opens connections apart from requests: trials of targets that are down, and
+/// the first ones to targets that are new.
+pub(crate) fn connect_ahead(cx: &SharedCx) {
+    let now = cx.clock.now();
+    let trials = cx.targets.borrow_mut().due_trials(now);
+    let first = cx.targets.borrow_mut().due_first_connections(now);
+    for target in trials.into_iter().chain(first) {
         connection::try_target(cx, target);
     }
 }
