--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -31,6 +31,11 @@
 /// Weight of a target's share of failures against its speed.
 const FAILURE_WEIGHT: f64 = 4.0;
 
+/// Least requests a second of one host to a cold target, and the longest time
+/// between two, in seconds.
+const MIN_COLD_RATE: f64 = 0.01;
+const MAX_SPACING_S: f64 = 60.0;
+
 impl From<Candidate> for Placement {
     fn from(candidate: Candidate) -> Placement {
         match candidate {
@@ -88,7 +93,7 @@
 
     pub(super) fn is_allowed(&self, target: &Target, ask: &Ask<'_>, now: Time) -> bool {
         let domain = &target.report.domain;
-        if target.is_gone() || self.evacuated.contains(domain) {
+        if target.is_gone() || target.has_left() || self.evacuated.contains(domain) {
             return false;
         }
         let is_out = |since| now.since(since) > self.limits.leaving_for;
@@ -108,8 +113,13 @@
         let hosts = (self.hosts + self.hosts.div_ceil(3)) as f64;
         let all = rate * self.limits.cold_ratio + self.limits.cold_slack;
         // Two seconds of counting touch each second that is judged.
-        let own = (all / hosts / 2.0).floor();
-        f64::from(target.sends_this_second(now)) >= own
+        let own = all / hosts / 2.0;
+        if own >= 1.0 {
+            return f64::from(target.sends_this_second(now)) >= own.floor();
+        }
+        // Less than one a second: one in several.
+        let spacing = Duration::from_secs_f64((1.0 / own.max(MIN_COLD_RATE)).min(MAX_SPACING_S));
+        target.last_send().is_some_and(|at| now.since(at) < spacing)
     }
 
     /// Time until an answer is expected.
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -143,6 +143,32 @@
         due
     }
 
+    /// Targets to ask now whether they turned cold, while the source that would
+    /// tell is lost. Only services that limit cold targets are asked.
+    pub fn due_health_checks(&mut self, now: Time) -> Vec<TargetKey> {
+        let mut due = Vec::new();
+        for service in &self.services {
+            let is_limited = service.settings.as_ref().is_some_and(|it| it.warmup_rate.is_some());
+            if !is_limited {
+                continue;
+            }
+            for key in &service.targets {
+                let Some(target) = self.targets.get_mut(key) else { continue };
+                if !target.is_gone() && !target.is_down() && target.take_health_check(now) {
+                    due.push(*key);
+                }
+            }
+        }
+        due
+    }
+
+    /// Path that a target's health is asked at.
+    pub fn health_path(&self, target: TargetKey) -> Option<std::sync::Arc<str>> {
+        let service = self.service_of(target)?;
+        let settings = self.services[service.0].settings.as_ref()?;
+        Some(settings.health_path.clone())
+    }
+
     /// Lets `who` wait for a free connection; false if too many wait.
     pub fn wait(&mut self, service: ServiceKey, waiting: Waiting<W>) -> bool {
         self.services[service.0].queue.push(waiting).is_ok()
@@ -173,13 +199,32 @@
         indexes.filter(|(_, it)| has_waiting(&it.queue)).map(|(i, _)| ServiceKey(i)).collect()
     }
 
+    /// Takes a report that was read some time after it was made, at a start or
+    /// after a gap: when a draining target began to leave is not known then.
+    pub fn reported_late(&mut self, report: TargetReport, now: Time) -> TargetKey {
+        let was_leaving = self.is_leaving(&report.name);
+        let key = self.reported(report, now);
+        if let Some(target) = self.targets.get_mut(&key).filter(|_| !was_leaving) {
+            target.left_unseen();
+        }
+        key
+    }
+
+    fn is_leaving(&self, name: &TargetName) -> bool {
+        let target = self.target_keys.get(name).and_then(|key| self.targets.get(key));
+        target.is_some_and(|it| it.leaving_since().is_some())
+    }
+
     fn add(&mut self, report: TargetReport, now: Time) -> TargetKey {
         self.next_target += 1;
         let key = TargetKey(self.next_target);
         let service = self.service(&report.service);
         self.services[service.0].targets.push(key);
         self.target_keys.insert(report.name.clone(), key);
-        self.targets.insert(key, Target::new(report, now));
+        let mut target = Target::new(report, now);
+        // One that is new and leaves has been leaving for an unknown time.
+        target.left_unseen();
+        self.targets.insert(key, target);
         key
     }
 
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -91,6 +91,9 @@
 /// Weight of the newest answer in the share of failures.
 const FAILURE_GAIN: f64 = 0.15;
 
+/// Time between two questions for a target's health while only it can tell.
+const HEALTH_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Slowdown assumed of a target that was down and can be reached again.
 const REACHED_SLOWDOWN: f64 = 1.5;
 
@@ -124,6 +127,7 @@
 pub struct Target {
     pub report: TargetReport,
     in_flight: Vec<InFlight>,
+    last_send: Option<Time>,
     /// When anything came from it last.
     last_answer: Option<Time>,
     slowdown: f64,
@@ -131,6 +135,7 @@
     failures: f64,
     failed_in_row: u32,
     has_connected: bool,
+    checked_at: Option<Time>,
     down: Option<Down>,
     /// Pause of the next time that it is down.
     trial_pause: Duration,
@@ -140,6 +145,8 @@
     cold_second: (Time, u32),
     /// Leaves or is no longer listed since then.
     leaving_since: Option<Time>,
+    /// Leaves since a time that is not known.
+    has_left: bool,
     /// Another has its address, or another incarnation its name.
     is_replaced: bool,
     /// No longer listed long enough.
@@ -152,18 +159,21 @@
         Target {
             report,
             in_flight: Vec::new(),
+            last_send: None,
             last_answer: None,
             slowdown: 1.0,
             slowdown_at: now,
             failures: 0.0,
             failed_in_row: 0,
             has_connected: false,
+            checked_at: None,
             down: None,
             trial_pause: MIN_TRIAL_PAUSE,
             load: None,
             cold_until,
             cold_second: (now, 0),
             leaving_since: None,
+            has_left: false,
             is_replaced: false,
             is_forgotten: false,
         }
@@ -182,6 +192,17 @@
         }
     }
 
+    /// It is leaving, and nobody knows since when: nothing more is sent to it.
+    pub fn left_unseen(&mut self) {
+        if self.report.lifecycle == Lifecycle::Draining {
+            self.has_left = true;
+        }
+    }
+
+    pub fn has_left(&self) -> bool {
+        self.has_left
+    }
+
     /// The platform does not list it.
     pub fn unlisted(&mut self, now: Time) {
         self.leaving_since.get_or_insert(now);
@@ -218,8 +239,18 @@
         !std::mem::replace(&mut self.has_connected, true)
     }
 
+    /// Whether its health is to be asked; the next time is later then.
+    pub fn take_health_check(&mut self, now: Time) -> bool {
+        let is_due = self.checked_at.is_none_or(|at| now.since(at) >= HEALTH_INTERVAL);
+        if is_due {
+            self.checked_at = Some(now);
+        }
+        is_due
+    }
+
     pub fn started(&mut self, send: u64, now: Time, expected: Duration) {
         self.has_connected = true;
+        self.last_send = Some(now);
         self.in_flight.push(InFlight { send, at: now, expected });
         if now.since(self.cold_second.0) >= Duration::from_secs(1) {
             self.cold_second = (now, 0);
@@ -340,6 +371,10 @@
         now < self.cold_until
     }
 
+    pub fn last_send(&self) -> Option<Time> {
+        self.last_send
+    }
+
     /// Sends of the running second, for the limit of a cold target.
     pub fn sends_this_second(&self, now: Time) -> u32 {
         if now.since(self.cold_second.0) >= Duration::from_secs(1) { 0 } else { self.cold_second.1 }
--- a/crates/forward/tests/targets.rs
+++ b/crates/forward/tests/targets.rs
@@ -338,3 +338,41 @@
     it.core.reported(report("late", "a"), at(30));
     assert!(it.core.due_first_connections(at(30)).is_empty());
 }
+
+/// A host that starts cannot tell for how long a target has been leaving.
+#[test]
+fn a_target_first_heard_of_as_draining_gets_nothing() {
+    let mut it = Fixture::new(None);
+    let draining = TargetReport { lifecycle: Lifecycle::Draining, ..report("one", "a") };
+    it.core.reported(draining, at(0));
+    assert_eq!(it.place(at(1)), Placement::Nowhere);
+}
+
+#[test]
+fn a_target_that_began_to_drain_during_a_gap_gets_nothing() {
+    let mut it = Fixture::new(None);
+    it.core.reported(report("one", "a"), at(0));
+    let draining =
+        TargetReport { lifecycle: Lifecycle::Draining, sequence: 2, ..report("one", "a") };
+    it.core.reported_late(draining, at(5_000));
+    assert_eq!(it.place(at(5_001)), Placement::Nowhere);
+}
+
+/// Many hosts and a target that bears little: each host sends seldom, and none
+/// never.
+#[test]
+fn a_share_below_one_a_second_is_spread_over_several_seconds() {
+    let mut it = Fixture::new(Some(1.0));
+    it.core.set_hosts(30);
+    let cold = TargetReport { cold_for: Duration::from_secs(60), ..report("one", "a") };
+    it.core.reported(cold, at(0));
+    let mut placed = 0;
+    for ms in 0..60_000 {
+        if let Placement::Send(send) = it.place(at(ms)) {
+            it.core.finished(&send, at(ms), SendResult::Answered);
+            placed += 1;
+        }
+    }
+    // It bears 6.5 a second from all: 390 in a minute from 40 hosts.
+    assert!((3..=9).contains(&placed), "{placed}");
+}
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -86,6 +86,7 @@
         connections.sweep(cx.clock.now(), &cx.limits.get());
         cx.sweep();
         targets::connect_ahead(&cx);
+        targets::ask_health(&cx);
         isolation::watch(&cx);
     }
 }
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -119,6 +119,11 @@
         self.targets.borrow_mut().reported(report, self.clock.now());
     }
 
+    /// Takes a report that was read with all others, some time after it was made.
+    pub(crate) fn report_late(&self, report: TargetReport) {
+        self.targets.borrow_mut().reported_late(report, self.clock.now());
+    }
+
     /// The platform no longer lists the target.
     pub fn unlist(&self, name: &TargetName) {
         self.targets.borrow_mut().unlisted(name, self.clock.now());
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -168,7 +168,12 @@
                 _ => None,
             });
             let listed: HashSet<TargetName> = names.collect();
-            whole.items.into_iter().for_each(|it| apply(cx, it));
+            for item in whole.items {
+                match item {
+                    Item::Target(report) => cx.report_late(report),
+                    other => apply(cx, other),
+                }
+            }
             cx.retain_listed(&listed);
         }
         Feed::Operations => {
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -116,7 +116,7 @@
     }
     let reports: Vec<TargetReport> = state.targets.into_iter().map(TargetReport::from).collect();
     let names: HashSet<TargetName> = reports.iter().map(|it| it.name.clone()).collect();
-    reports.into_iter().for_each(|it| cx.report(it));
+    reports.into_iter().for_each(|it| cx.report_late(it));
     if state.follows_source {
         cx.retain_listed(&names);
     } else if !names.is_empty() {
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -128,7 +128,7 @@
     let names = &cx.cfg.names;
     let asked = job.request.headers.get(&names.request_id);
     let echoed = answer.headers.get(&names.request_id);
-    if echoed.is_some() && echoed != asked {
+    if asked.is_some() && echoed.is_some() && echoed != asked {
         // The answer of another request: the connection is out of step.
         return ended(SendResult::Broken, false);
     }
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -2,6 +2,9 @@
 
 mod connection;
 mod exchange;
+mod health;
+
+pub(crate) use self::health::ask_health;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
--- a/crates/front/tests/requests.rs
+++ b/crates/front/tests/requests.rs
@@ -399,3 +399,28 @@
         assert_eq!(one.requests(), 0);
     });
 }
+
+/// Without a source, only the targets themselves tell that they turned cold.
+#[test]
+fn targets_are_asked_for_their_health_while_the_source_is_lost() {
+    run(async {
+        let cold = "HTTP/1.1 200 OK\r\nx-cold: 60000\r\nx-id: {id}\r\nx-stamp: s\r\n\
+                    content-length: 0\r\n\r\n";
+        let one = target(always(cold.to_owned())).await;
+        let mut stage = Stage::start();
+        stage.warmup_rate = Some(4.0);
+        stage.single(Repeat::Idempotent);
+        stage.list("s", "t1", &one);
+        while !one.heads.borrow().iter().any(|it| it.starts_with("GET /health ")) {
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(Duration::from_millis(50)).await;
+        let before = one.requests();
+        let get = || stage.get("/one/x");
+        tokio::join!(get(), get(), get(), get(), get(), get());
+        let heads = one.heads.borrow();
+        let sent = heads[before..].iter().filter(|it| !it.starts_with("GET /health ")).count();
+        // Six within a second; it bears four, of which this host has a part.
+        assert!((1..=2).contains(&sent), "{sent} sent");
+    });
+}
--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -179,6 +179,7 @@
     pub metrics: SocketAddr,
     routes: Vec<Route>,
     version: u64,
+    pub warmup_rate: Option<f64>,
     stop: Option<oneshot::Sender<()>>,
     pub ended: JoinHandle<io::Result<()>>,
 }
@@ -221,6 +222,7 @@
             metrics,
             routes: Vec::new(),
             version: 0,
+            warmup_rate: None,
             stop: Some(stop),
             ended,
         }
@@ -260,7 +262,7 @@
             health_path: Arc::from("/health"),
             max_connections: 16,
             warmup: Duration::ZERO,
-            warmup_rate: None,
+            warmup_rate: self.warmup_rate,
         };
         let services = names.iter().map(|it| (ServiceName::new(it), service.clone())).collect();
         let limits = CallerLimits {
