Bound callers' connections; wait after a connection that was not accepted

Cause: when descriptors run out, accepting would have failed in a tight loop, with a log line each time; callers could take all descriptors. A host that stepped back tells callers to come back later.

--- a/crates/front/src/callers/connection.rs
+++ b/crates/front/src/callers/connection.rs
@@ -90,6 +90,21 @@
         }
     }
 
+    /// Ends the connection that idles longest if there are more than `limit`.
+    fn make_room(&self, limit: usize) {
+        let states = self.states.borrow();
+        if states.len() <= limit {
+            return;
+        }
+        let idle = states.iter().filter_map(|state| match state.phase.get() {
+            Phase::Idle(since) if state.ending.get().is_none() => Some((since, state)),
+            Phase::Idle(_) | Phase::Head(_) | Phase::Serving => None,
+        });
+        if let Some((_, state)) = idle.min_by_key(|(since, _)| *since) {
+            state.end(Ending::Graceful);
+        }
+    }
+
     /// Ends connections on which no request came for a while. A new one gets
     /// the time to send its first.
     pub(super) fn end_idle(&self, now: Time) {
@@ -127,6 +142,7 @@
         ending: Cell::new(None),
         wake: Notify::new(),
     });
+    connections.make_room(cx.cfg.max_caller_connections.saturating_sub(1));
     connections.states.borrow_mut().push(state.clone());
     let (cx, connections) = (cx.clone(), connections.clone());
     tokio::task::spawn_local(async move {
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -41,6 +41,10 @@
 /// answers fit into its memory.
 const MAX_IN_PROGRESS: usize = 1_000;
 
+/// The same on a host that has stepped back: the balancer needs two missed
+/// checks to send callers elsewhere.
+const STEP_BACK_WAIT: Duration = Duration::from_secs(2);
+
 /// Wait told to callers whose request crashed targets.
 const BARRED_WAIT: Duration = Duration::from_secs(60);
 
@@ -176,7 +180,8 @@
     entry.note_request(now);
     if !is_servable(cx, entry, now) {
         let left = schedule.until.until(now);
-        return Err(Refusal::not_run("too few targets can be reached", UNSERVED_WAIT, left));
+        let expected = if cx.is_isolated.get() { STEP_BACK_WAIT } else { UNSERVED_WAIT };
+        return Err(Refusal::not_run("too few targets can be reached", expected, left));
     }
     let (shards, min_shards) = shards(cx, entry);
     let class = cx.targets.borrow_mut().class(&route.name);
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -13,9 +13,9 @@
 
 use slog::{info, warn};
 use tokio::{
-    net::{TcpListener, TcpSocket},
+    net::{TcpListener, TcpSocket, TcpStream},
     signal::unix::{SignalKind, signal},
-    time::{MissedTickBehavior, interval},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 use self::connection::Connections;
@@ -24,6 +24,9 @@
 /// New connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Time between two looks at callers' timeouts and at what waits.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -59,7 +62,7 @@
     loop {
         tokio::select! {
             () = stopped.as_mut() => break,
-            accepted = callers.accept() => take(&cx, accepted, &connections),
+            stream = accept(&cx, &callers) => connection::spawn(&cx, stream, &connections),
         }
     }
     stop::drain(&cx, callers, &connections).await;
@@ -67,14 +70,15 @@
     Ok(())
 }
 
-fn take(
-    cx: &SharedCx,
-    accepted: io::Result<(tokio::net::TcpStream, SocketAddr)>,
-    connections: &Rc<Connections>,
-) {
-    match accepted {
-        Ok((stream, _)) => connection::spawn(cx, stream, connections),
-        Err(err) => warn!(cx.log, "front: a caller's connection was not accepted"; "error" => %err),
+/// The next connection. When none can be taken, as when descriptors ran out,
+/// it waits a little and tries again.
+pub(crate) async fn accept(cx: &SharedCx, listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(err) => warn!(cx.log, "front: a connection was not accepted"; "error" => %err),
+        }
+        sleep(ACCEPT_PAUSE).await;
     }
 }
 
--- a/crates/front/src/callers/pages.rs
+++ b/crates/front/src/callers/pages.rs
@@ -11,7 +11,7 @@
 use slog::warn;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::answer::Answer;
+use super::{accept, answer::Answer};
 use crate::{SharedCx, socket};
 
 /// Path of the instruments.
@@ -24,12 +24,8 @@
     page: fn(&SharedCx, &str) -> Answer,
 ) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(answer(cx.clone(), stream, page));
-            }
-            Err(err) => warn!(cx.log, "front: a page was not served"; "error" => %err),
-        }
+        let stream = accept(&cx, &listener).await;
+        tokio::task::spawn_local(answer(cx.clone(), stream, page));
     }
 }
 
--- a/crates/front/src/callers/stop.rs
+++ b/crates/front/src/callers/stop.rs
@@ -9,7 +9,10 @@
     time::{Instant, sleep},
 };
 
-use super::{connection::Connections, take};
+use super::{
+    accept,
+    connection::{self, Connections},
+};
 use crate::SharedCx;
 
 /// Callers still come at least until the balancer has noticed that this host
@@ -35,9 +38,9 @@
     let mut last_came = started;
     while Instant::now() < last_call {
         tokio::select! {
-            accepted = callers.accept() => {
+            stream = accept(cx, &callers) => {
                 last_came = Instant::now();
-                take(cx, accepted, connections);
+                connection::spawn(cx, stream, connections);
             }
             () = sleep(POLL_INTERVAL) => {}
         }
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -7,6 +7,9 @@
 
 use crate::HeaderNames;
 
+/// Fits into the usual limit of 1,024 descriptors beside targets' connections.
+const DEFAULT_CALLER_CONNECTIONS: usize = 600;
+
 #[derive(Clone, Debug)]
 pub struct FrontSettings {
     /// Callers connect here.
@@ -24,6 +27,8 @@
     pub regions: Regions,
     pub limits: Limits,
     pub names: HeaderNames,
+    /// Callers' connections; beyond that the one that idles longest ends.
+    pub max_caller_connections: usize,
     /// Longest time from the stop signal to the end of the process.
     pub stop_within: Duration,
 }
@@ -60,6 +65,7 @@
             regions: Regions::default(),
             limits,
             names,
+            max_caller_connections: DEFAULT_CALLER_CONNECTIONS,
             stop_within: Duration::from_secs(6),
         };
         FrontSettingsBuilder { cfg }
@@ -92,6 +98,11 @@
         self
     }
 
+    pub fn max_caller_connections(mut self, count: usize) -> Self {
+        self.cfg.max_caller_connections = count;
+        self
+    }
+
     pub fn stop_within(mut self, limit: Duration) -> Self {
         self.cfg.stop_within = limit;
         self
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -11,16 +11,12 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::wire::{WireConfiguration, WireState, WireTarget};
-use crate::{SharedCx, socket};
+use crate::{SharedCx, callers::accept, socket};
 
 pub(crate) async fn serve(cx: SharedCx, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(answer(cx.clone(), stream));
-            }
-            Err(err) => warn!(cx.log, "state: a peer was not accepted"; "error" => %err),
-        }
+        let stream = accept(&cx, &listener).await;
+        tokio::task::spawn_local(answer(cx.clone(), stream));
     }
 }
 
--- a/crates/front/tests/requests.rs
+++ b/crates/front/tests/requests.rs
@@ -424,3 +424,26 @@
         assert!((1..=2).contains(&sent), "{sent} sent");
     });
 }
+
+/// The stage takes forty connections: the one that idles longest makes room.
+#[test]
+fn more_callers_than_fit_end_the_connection_that_idles_longest() {
+    run(async {
+        let one = target(always(ok("s", "yes"))).await;
+        let mut stage = Stage::start();
+        stage.single(Repeat::Idempotent);
+        stage.list("s", "t1", &one);
+        let mut first = stage.connect().await;
+        sleep(Duration::from_millis(20)).await;
+        let mut rest = Vec::new();
+        for _ in 0..40 {
+            rest.push(stage.connect().await);
+        }
+        let mut buf = [0; 8];
+        assert_eq!(first.read(&mut buf).await.unwrap_or(0), 0);
+        let mut last = rest.pop().expect("a connection");
+        let request = b"GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q1\r\n\r\n";
+        last.write_all(request).await.expect("written");
+        assert_eq!(status(&read_message(&mut last).await.unwrap_or_default()), 200);
+    });
+}
--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -207,6 +207,7 @@
         let cfg = FrontSettingsBuilder::new(callers, readiness, names)
             .peers(peers, seeds)
             .metrics(Some(metrics))
+            .max_caller_connections(40)
             .build();
         let cx = Cx::new(cfg, Logger::root(Discard, o!())).expect("instruments");
         let (stop, stopped) = oneshot::channel::<()>();
