Split a target's standing and a request's run into modules

Change: target/{report,speed,trials}, scatter/{plan,notes}; no behaviour. Measured: tests of forward and front pass.

--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target/mod.rs
@@ -1,112 +1,29 @@
 //! What is known of one target: its reports, the sends in flight, how fast it
 //! answers and whether it can be trusted with more.
 
-use std::{net::SocketAddr, time::Duration};
-
-use base::{DomainName, ServiceName, TargetName, Time};
-
-/// A target's own report, as the platform publishes it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct TargetReport {
-    pub name: TargetName,
-    /// Start of this incarnation, if stated. Only compared with other reports
-    /// of the same target, never with a clock of ours.
-    pub born: Option<u64>,
-    /// Counts the reports of one incarnation.
-    pub sequence: u64,
-    pub service: ServiceName,
-    pub address: SocketAddr,
-    pub domain: DomainName,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    pub lifecycle: Lifecycle,
-    /// How much longer it is cold.
-    pub cold_for: Duration,
-}
+mod report;
+mod speed;
+mod trials;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lifecycle {
-    Ready,
-    /// Leaves soon and gets no new work.
-    Draining,
-}
+use std::time::Duration;
 
-/// How a send ended, for the target's standing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendResult {
-    /// A usable answer.
-    Answered,
-    /// The target said that it did not run the request.
-    Shed,
-    /// An answer that reports a failure, or one that cannot be used.
-    Failed,
-    /// The connection broke before the answer was whole.
-    Broken,
-    /// No connection could be made, or no answer came in time.
-    Silent,
-    /// Another target has the address now.
-    Misdirected,
-    /// Nothing was written.
-    NotSent,
-    /// Given up because the caller left or another answer was first.
-    Cancelled,
-}
+use base::Time;
 
-impl SendResult {
-    /// Names of all results, in the order of their declaration.
-    pub const NAMES: [&str; 8] = [
-        "answered",
-        "shed",
-        "failed",
-        "connection broke",
-        "silent",
-        "another target has the address",
-        "not sent",
-        "cancelled",
-    ];
-
-    /// For the log.
-    pub fn as_str(self) -> &'static str {
-        SendResult::NAMES[self as usize]
-    }
-}
-
-/// Load as the target itself told it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ReportedLoad {
-    pub running: u32,
-    pub waiting: u32,
-    pub at: Time,
-}
+pub use self::report::{Lifecycle, ReportedLoad, SendResult, TargetReport};
+use self::{speed::Speed, trials::Trials};
 
 /// A reported load counts for this long.
 const LOAD_LIFE: Duration = Duration::from_millis(250);
 
-/// An old slowdown is halved in this time without news.
-const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(3);
-
-/// Weight of the newest answer in the slowdown.
-const SLOWDOWN_GAIN: f64 = 0.25;
-
 /// Weight of the newest answer in the share of failures.
 const FAILURE_GAIN: f64 = 0.15;
 
 /// Time between two questions for a target's health while only it can tell.
 const HEALTH_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Slowdown assumed of a target that was down and can be reached again.
-const REACHED_SLOWDOWN: f64 = 1.5;
-
-/// Longest slowdown that is believed.
-const MAX_SLOWDOWN: f64 = 50.0;
-
 /// Failures in a row after which a target is taken for down.
 const DOWN_AFTER: u32 = 3;
 
-/// Pause before the first trial of a target that is down, and the longest.
-const MIN_TRIAL_PAUSE: Duration = Duration::from_millis(100);
-const MAX_TRIAL_PAUSE: Duration = Duration::from_millis(1_600);
-
 /// A send in flight.
 #[derive(Clone, Copy, Debug)]
 struct InFlight {
@@ -115,13 +32,6 @@
     expected: Duration,
 }
 
-/// A target that gets no requests until a trial shows that it can be reached.
-#[derive(Clone, Copy, Debug)]
-struct Down {
-    next_trial: Time,
-    pause: Duration,
-}
-
 /// One target's state.
 #[derive(Debug)]
 pub struct Target {
@@ -130,15 +40,12 @@
     last_send: Option<Time>,
     /// When anything came from it last.
     last_answer: Option<Time>,
-    slowdown: f64,
-    slowdown_at: Time,
+    speed: Speed,
     failures: f64,
     failed_in_row: u32,
     has_connected: bool,
     checked_at: Option<Time>,
-    down: Option<Down>,
-    /// Pause of the next time that it is down.
-    trial_pause: Duration,
+    trials: Trials,
     pub load: Option<ReportedLoad>,
     /// Cold until then, and how many sends the current second saw.
     pub cold_until: Time,
@@ -161,14 +68,12 @@
             in_flight: Vec::new(),
             last_send: None,
             last_answer: None,
-            slowdown: 1.0,
-            slowdown_at: now,
+            speed: Speed::new(now),
             failures: 0.0,
             failed_in_row: 0,
             has_connected: false,
             checked_at: None,
-            down: None,
-            trial_pause: MIN_TRIAL_PAUSE,
+            trials: Trials::new(),
             load: None,
             cold_until,
             cold_second: (now, 0),
@@ -270,34 +175,33 @@
         }
         match result {
             SendResult::Answered => {
-                self.note_speed(ratio, now);
+                self.speed.note(ratio, now);
                 self.note_outcome(0.0);
                 self.failed_in_row = 0;
-                self.down = None;
-                self.trial_pause = MIN_TRIAL_PAUSE;
+                self.trials.forgive();
             }
             SendResult::Shed => {
                 self.note_outcome(1.0);
                 self.failed_in_row = 0;
-                self.down = None;
+                self.trials.end();
             }
             SendResult::Failed | SendResult::Broken => {
                 self.note_outcome(1.0);
                 self.failed_in_row += 1;
                 if self.failed_in_row >= DOWN_AFTER {
-                    self.take_down(now);
+                    self.trials.take_down(now);
                 }
             }
             // A long request at a target that answers others.
             SendResult::Silent if showed_life => self.note_outcome(1.0),
             SendResult::Silent => {
                 self.note_outcome(1.0);
-                self.note_speed(ratio.max(2.0), now);
+                self.speed.note(ratio.max(2.0), now);
                 self.failed_in_row += 1;
-                self.take_down(now);
+                self.trials.take_down(now);
             }
             SendResult::Misdirected => self.is_replaced = true,
-            SendResult::Cancelled if ratio > 1.0 => self.note_speed(ratio, now),
+            SendResult::Cancelled if ratio > 1.0 => self.speed.note(ratio, now),
             SendResult::NotSent | SendResult::Cancelled => {}
         }
         Some(took)
@@ -306,9 +210,7 @@
     /// How many times longer than usual it takes to answer, at least 1 for
     /// a target of which nothing is known.
     pub fn slowdown(&self, now: Time) -> f64 {
-        let age = now.since(self.slowdown_at).as_secs_f64();
-        let weight = 0.5_f64.powf(age / SLOWDOWN_HALF_LIFE.as_secs_f64());
-        let known = 1.0 + (self.slowdown - 1.0) * weight;
+        let known = self.speed.slowdown(now);
         known.max(self.silence_ratio(now))
     }
 
@@ -336,37 +238,22 @@
 
     /// Whether it gets no requests until a trial succeeds.
     pub fn is_down(&self) -> bool {
-        self.down.is_some()
+        self.trials.is_down()
     }
 
     /// Whether a trial is due; the next one is later then.
     pub fn take_trial(&mut self, now: Time) -> bool {
-        let Some(down) = &mut self.down else { return false };
-        if now < down.next_trial {
-            return false;
-        }
-        down.pause = (down.pause * 2).min(MAX_TRIAL_PAUSE);
-        down.next_trial = now + down.pause;
-        true
+        self.trials.take(now)
     }
 
     /// A trial reached it. How it answers is not known yet.
     pub fn reached(&mut self, now: Time) {
-        if self.down.take().is_some() {
-            self.slowdown = self.slowdown.min(REACHED_SLOWDOWN);
-            self.slowdown_at = now;
+        if self.trials.end() {
+            self.speed.note_reached(now);
             self.failed_in_row = 0;
         }
     }
 
-    fn take_down(&mut self, now: Time) {
-        if self.down.is_none() {
-            let pause = self.trial_pause;
-            self.down = Some(Down { next_trial: now + pause, pause });
-            self.trial_pause = (pause * 2).min(MAX_TRIAL_PAUSE);
-        }
-    }
-
     pub fn is_cold(&self, now: Time) -> bool {
         now < self.cold_until
     }
@@ -393,16 +280,6 @@
         own.max(told * freshness)
     }
 
-    fn note_speed(&mut self, ratio: f64, now: Time) {
-        let known = {
-            let age = now.since(self.slowdown_at).as_secs_f64();
-            let weight = 0.5_f64.powf(age / SLOWDOWN_HALF_LIFE.as_secs_f64());
-            1.0 + (self.slowdown - 1.0) * weight
-        };
-        self.slowdown = (known + (ratio.min(MAX_SLOWDOWN) - known) * SLOWDOWN_GAIN).max(0.3);
-        self.slowdown_at = now;
-    }
-
     fn note_outcome(&mut self, failed: f64) {
         self.failures += (failed - self.failures) * FAILURE_GAIN;
     }
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -1,13 +1,16 @@
 //! Drives one request over its shards; a request to one target is a query
 //! over a single shard.
 
-use std::{rc::Rc, time::Duration};
+mod notes;
+mod plan;
 
-use base::{RegionName, ServiceName, TargetName, Time};
+use std::time::Duration;
+
+use base::Time;
 use forward::{
     Gather, Placement, Verdict,
-    gather::{PartState, Schedule},
-    placement::{Ask, ClassKey, Send, ServiceKey, TargetKey, Waiting},
+    gather::PartState,
+    placement::{Ask, Send, TargetKey, Waiting},
     target::SendResult,
 };
 use tokio::{sync::mpsc, time::sleep_until};
@@ -15,68 +18,17 @@
 use crate::{
     SharedCx,
     callers::log_line::caller_left,
-    targets::{Job, Outcome, Outgoing, TargetAnswer, submit},
+    targets::{Job, Outcome, TargetAnswer, submit},
 };
 
-/// What a request in flight is told.
-#[derive(Debug)]
-pub(crate) enum Event {
-    /// A send ended.
-    Ended { index: usize, send: Send, outcome: Outcome },
-    /// A connection may be free for the part.
-    Place { index: usize },
-}
-
-/// A part that waits for a connection.
-#[derive(Debug)]
-pub(crate) struct Waiter {
-    pub tx: mpsc::UnboundedSender<Event>,
-    pub index: usize,
-}
-
-/// What to run, where, and how often.
-pub(crate) struct Plan<'a> {
-    pub shards: Vec<ServiceKey>,
-    pub min_shards: usize,
-    pub class: ClassKey,
-    pub regions: &'a [RegionName],
-    pub attempts: u32,
-    pub priority: u32,
-    pub schedule: Schedule,
-    pub request: Rc<Outgoing>,
-}
-
-/// What came of it.
-pub(crate) struct Collected {
-    pub verdict: Verdict,
-    pub parts: Vec<TargetAnswer>,
-    pub missing: usize,
-    /// A failure that a target reported, to be passed on.
-    pub failure: Option<TargetAnswer>,
-    /// Whether any target may have run the request.
-    pub may_have_run: bool,
-    /// Sends beyond the first of each part.
-    pub extra_sends: u32,
-    /// What went otherwise than planned, for the log.
-    pub notes: Vec<Note>,
-}
-
-/// A send that did not bring a part, or a part that is missing.
-#[derive(Clone, Debug)]
-pub(crate) struct Note {
-    pub service: ServiceName,
-    pub target: Option<TargetName>,
-    pub what: &'static str,
-    /// Since the request came.
-    pub after: Duration,
-}
+pub(crate) use self::{
+    notes::Note,
+    plan::{Collected, Event, Plan, Waiter},
+};
 
 /// Time between two looks at targets that a late request waits for.
 const DOUBT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Notes kept of one request.
-const MAX_NOTES: usize = 12;
-
 struct Scatter<'a> {
     cx: &'a SharedCx,
     plan: Plan<'a>,
@@ -322,33 +274,6 @@
         }
     }
 
-    fn note(&mut self, index: usize, target: Option<TargetKey>, what: &'static str) {
-        if self.notes.len() >= MAX_NOTES {
-            return;
-        }
-        let targets = self.cx.targets.borrow();
-        let target = target.and_then(|it| targets.target(it)).map(|it| it.report.name.clone());
-        let service = targets.service_name(self.plan.shards[index]).clone();
-        let after = self.cx.clock.now().since(self.plan.schedule.received);
-        self.notes.push(Note { service, target, what, after });
-    }
-
-    /// Notes the parts that the answer lacks, and why.
-    fn note_missing(&mut self) {
-        for index in 0..self.plan.shards.len() {
-            let what = match self.gather.part(index) {
-                PartState::Done => continue,
-                PartState::Waiting => "no connection was free",
-                PartState::Silent => "all targets silent",
-                PartState::Sent { .. } => "not answered yet",
-                PartState::Hopeless { .. } => "its targets answer nothing",
-                PartState::Failed => "failed",
-            };
-            let target = self.tried[index].last().copied();
-            self.note(index, target, what);
-        }
-    }
-
     /// Sends late parts once more; returns when the next is due.
     fn hedge(&mut self) -> Option<Time> {
         if !self.plan.request.is_idempotent || self.plan.attempts < 2 {
--- /dev/null
+++ b/crates/front/src/scatter/notes.rs
@@ -0,0 +1,50 @@
+//! What went otherwise than planned with a request, for its log line.
+
+use std::time::Duration;
+
+use base::{ServiceName, TargetName};
+use forward::{gather::PartState, placement::TargetKey};
+
+use super::Scatter;
+
+/// Notes kept of one request.
+const MAX_NOTES: usize = 12;
+
+/// A send that did not bring a part, or a part that is missing.
+#[derive(Clone, Debug)]
+pub(crate) struct Note {
+    pub service: ServiceName,
+    pub target: Option<TargetName>,
+    pub what: &'static str,
+    /// Since the request came.
+    pub after: Duration,
+}
+
+impl Scatter<'_> {
+    pub(super) fn note(&mut self, index: usize, target: Option<TargetKey>, what: &'static str) {
+        if self.notes.len() >= MAX_NOTES {
+            return;
+        }
+        let targets = self.cx.targets.borrow();
+        let target = target.and_then(|it| targets.target(it)).map(|it| it.report.name.clone());
+        let service = targets.service_name(self.plan.shards[index]).clone();
+        let after = self.cx.clock.now().since(self.plan.schedule.received);
+        self.notes.push(Note { service, target, what, after });
+    }
+
+    /// Notes the parts that the answer lacks, and why.
+    pub(super) fn note_missing(&mut self) {
+        for index in 0..self.plan.shards.len() {
+            let what = match self.gather.part(index) {
+                PartState::Done => continue,
+                PartState::Waiting => "no connection was free",
+                PartState::Silent => "all targets silent",
+                PartState::Sent { .. } => "not answered yet",
+                PartState::Hopeless { .. } => "its targets answer nothing",
+                PartState::Failed => "failed",
+            };
+            let target = self.tried[index].last().copied();
+            self.note(index, target, what);
+        }
+    }
+}
