--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -31,6 +31,9 @@
 /// Weight of a target's share of failures against its speed.
 const FAILURE_WEIGHT: f64 = 4.0;
 
+/// How much slower a target is whose slots are all in use.
+const CROWDING_WEIGHT: f64 = 0.3;
+
 /// Least requests a second of one host to a cold target, and the longest time
 /// between two, in seconds.
 const MIN_COLD_RATE: f64 = 0.01;
@@ -84,13 +87,6 @@
         matches!(self.choose(ask, now), Candidate::Usable(_))
     }
 
-    /// Whether some target of the service may take work at all.
-    pub fn is_served(&self, ask: &Ask<'_>, now: Time) -> bool {
-        let targets = &self.services[ask.service.0].targets;
-        let mut known = targets.iter().filter_map(|key| self.targets.get(key));
-        known.any(|it| self.is_allowed(it, ask, now))
-    }
-
     pub(super) fn is_allowed(&self, target: &Target, ask: &Ask<'_>, now: Time) -> bool {
         let domain = &target.report.domain;
         if target.is_gone() || target.has_left() || self.evacuated.contains(domain) {
@@ -127,7 +123,7 @@
         let slots = f64::from(target.report.slots.max(1));
         let work = target.work(now);
         let queue = ((work + 1.0 - slots) / slots).max(0.0);
-        let crowding = 0.3 * (work / slots).min(1.0);
+        let crowding = CROWDING_WEIGHT * (work / slots).min(1.0);
         let failures = 1.0 + FAILURE_WEIGHT * target.failure_share();
         let factor = target.slowdown(now) * (1.0 + queue + crowding) * failures;
         let local = target.report.domain == self.home;
--- a/crates/forward/src/route/mod.rs
+++ b/crates/forward/src/route/mod.rs
@@ -99,13 +99,6 @@
     }
 }
 
-impl Configuration {
-    /// The services that some route may send to.
-    pub fn routed_services(&self) -> impl Iterator<Item = &ServiceName> {
-        self.routes.iter().flat_map(|it| it.destination.services())
-    }
-}
-
 impl Destination {
     pub fn services(&self) -> Vec<&ServiceName> {
         match self {
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -37,14 +37,14 @@
 /// service's targets.
 const UNSERVED_WAIT: Duration = Duration::from_millis(300);
 
-/// Requests in progress on this host; more are turned away, so that bodies and
-/// answers fit into its memory.
-const MAX_IN_PROGRESS: usize = 1_000;
-
 /// The same on a host that has stepped back: the balancer needs two missed
 /// checks to send callers elsewhere.
 const STEP_BACK_WAIT: Duration = Duration::from_secs(2);
 
+/// Requests in progress on this host; more are turned away, so that bodies and
+/// answers fit into its memory.
+const MAX_IN_PROGRESS: usize = 1_000;
+
 /// Wait told to callers whose request crashed targets.
 const BARRED_WAIT: Duration = Duration::from_secs(60);
 
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -8,10 +8,17 @@
 //! Load pattern answered: a source that is away, slow, forgets its history or
 //! turns some hosts away, and many hosts that return to it at once.
 
-use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    future::Future,
+    hash::{Hash, Hasher},
+    rc::Rc,
+    time::Duration,
+};
 
 use base::{DomainName, HashSet, TargetName};
 use forward::{Configuration, TargetReport};
+use rustc_hash::FxHasher;
 use slog::{info, warn};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -30,6 +37,10 @@
 const MIN_PAUSE: Duration = Duration::from_millis(200);
 const MAX_PAUSE: Duration = Duration::from_millis(1_600);
 
+/// Least and largest factor of a host's pauses.
+const MIN_SPREAD: f64 = 0.7;
+const MAX_SPREAD: f64 = 1.3;
+
 /// Pause between two calls for changes, so that changes that come close
 /// together cost one call.
 const TARGETS_PAUSE: Duration = Duration::from_millis(250);
@@ -102,6 +113,7 @@
 
 /// Follows `feed` for as long as the process lives.
 pub(crate) async fn follow(cx: SharedCx, source: Rc<impl Source>, feed: Feed) {
+    let spread = spread(&cx);
     let mut pause = MIN_PAUSE;
     let mut lost_since: Option<Instant> = None;
     loop {
@@ -121,6 +133,7 @@
         };
         if matches!(err, SourceError::HistoryGone) {
             info!(cx.log, "follow: reading the feed anew"; "feed" => ?feed, "error" => %err);
+            sleep(MIN_PAUSE.mul_f64(spread)).await;
             continue;
         }
         feed.is_followed(&cx).set(false);
@@ -129,11 +142,20 @@
             warn!(cx.log, "follow: the source is lost, what is known stays in force";
                 "feed" => ?feed, "error" => %err);
         }
-        sleep(pause).await;
+        sleep(pause.mul_f64(spread)).await;
         pause = (pause * 2).min(MAX_PAUSE);
     }
 }
 
+/// A factor for pauses that differs between hosts, so that they do not return
+/// to the source all at once.
+fn spread(cx: &SharedCx) -> f64 {
+    let mut hasher = FxHasher::default();
+    cx.cfg.peers.hash(&mut hasher);
+    let part = (hasher.finish() >> 32) as f64 / f64::from(u32::MAX);
+    MIN_SPREAD + part * (MAX_SPREAD - MIN_SPREAD)
+}
+
 async fn read(source: &impl Source, feed: Feed) -> Result<Whole, SourceError> {
     let late = |_| SourceError::Unavailable("no answer in time".to_owned());
     timeout(READ_TIMEOUT, source.read(feed)).await.map_err(late)?
