--- /dev/null
+++ b/crates/front/tests/clock.rs
@@ -0,0 +1,30 @@
+//! The clock that deadlines are counted by.
+
+use std::time::Duration;
+
+use front::Clock;
+use tokio::time::Instant;
+
+/// Timers are set from the clock; both run at the same pace while the machine
+/// is awake, and the time of day plays no part.
+#[test]
+fn timers_agree_with_the_clock() {
+    let clock = Clock::start();
+    let mut last = clock.now();
+    for ms in [0, 1, 50, 60_000] {
+        let wait = Duration::from_millis(ms);
+        let before = Instant::now();
+        let at = clock.instant(clock.now() + wait);
+        assert!(at >= before && at <= Instant::now() + wait);
+        assert!(clock.now() >= last);
+        last = clock.now();
+    }
+}
+
+#[test]
+fn a_time_that_has_passed_is_due_now() {
+    let clock = Clock::start();
+    let past = clock.now();
+    std::thread::sleep(Duration::from_millis(2));
+    assert!(clock.instant(past) <= Instant::now());
+}
