--- a/crates/forward/tests/load_patterns.rs
+++ b/crates/forward/tests/load_patterns.rs
@@ -71,7 +71,9 @@
     let slow = (0..4).flat_map(|shard| [silent(shard, 0), silent(shard, 1)]).collect();
     let report = play(&Load { slow, ..pauses() });
     assert!(report.unserved > 0, "{report:?}");
-    assert!(report.in_time + report.late + report.unserved == report.queries, "{report:?}");
+    assert_eq!(report.in_time + report.late + report.unserved, report.queries, "{report:?}");
+    // Only those whose sends were on the way when the targets fell silent wait.
+    assert!(report.timed_out * 10 < report.unserved, "{report:?}");
 }
 
 #[test]
--- a/crates/forward/tests/model/mod.rs
+++ b/crates/forward/tests/model/mod.rs
@@ -59,6 +59,8 @@
     pub in_time: usize,
     pub late: usize,
     pub unserved: usize,
+    /// Of these, held until their timeout.
+    pub timed_out: usize,
     pub missing_parts: usize,
     pub parts: usize,
     pub sends: usize,
@@ -376,6 +378,7 @@
         let took = self.now.since(state.received);
         if verdict != Verdict::Answer {
             self.report.unserved += 1;
+            self.report.timed_out += usize::from(verdict == Verdict::TimedOut);
             return;
         }
         let done = state.gather.done();
