Close a connection to a target that is not used again

Cause: a connection that idled longer than a second is passed over for a request that may run once only, and was meant to close when its handle was dropped. Its task held a second handle, so it stayed open and unused until the target's idle timeout, and counted against the target's limit. Change: the handle travels with the work and back into the pool; when it is dropped the task ends. Pools have a module of their own.

--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 use tokio::{net::TcpStream, sync::mpsc};
 
-use super::{Job, Outcome, exchange::exchange, finish};
+use super::{Job, Outcome, exchange::exchange, finish, pool::Assignment};
 use crate::{SharedCx, socket};
 
 /// What a connection is for.
@@ -92,37 +92,39 @@
         return;
     };
     let mut connection = pin!(connection);
-    let (tx, mut jobs) = mpsc::unbounded_channel();
-    let mut next = first;
-    if next.is_none() {
-        cx.pools.borrow_mut().put(peer.target, tx.clone());
+    let (handle, mut jobs) = mpsc::unbounded_channel();
+    let mut next = None;
+    match first {
+        Some(job) => next = Some(Assignment { job, handle }),
+        None => cx.pools.borrow_mut().put(peer.target, handle),
     }
     loop {
-        let job = match next.take() {
-            Some(job) => job,
+        let assignment = match next.take() {
+            Some(assignment) => assignment,
             None => {
                 tokio::select! {
                     biased;
                     _ = connection.as_mut() => break,
-                    job = jobs.recv() => match job {
-                        Some(job) => job,
+                    assignment = jobs.recv() => match assignment {
+                        Some(assignment) => assignment,
                         None => break,
                     },
                 }
             }
         };
+        let Assignment { job, handle } = assignment;
         let ended = exchange(cx, &peer.name, &mut sender, connection.as_mut(), &job).await;
         if ended.is_reusable {
-            cx.pools.borrow_mut().put(peer.target, tx.clone());
+            cx.pools.borrow_mut().put(peer.target, handle);
         }
         finish(cx, &job, ended.outcome);
         if !ended.is_reusable {
             break;
         }
     }
-    cx.pools.borrow_mut().forget(peer.target, &tx);
     jobs.close();
-    while let Ok(job) = jobs.try_recv() {
+    cx.pools.borrow_mut().forget_ended(peer.target);
+    while let Ok(Assignment { job, .. }) = jobs.try_recv() {
         finish(cx, &job, Outcome { result: SendResult::NotSent, answer: None });
     }
 }
--- a/crates/front/src/targets/health.rs
+++ b/crates/front/src/targets/health.rs
@@ -26,9 +26,7 @@
     let due = cx.targets.borrow_mut().due_health_checks(cx.clock.now());
     for target in due {
         if let Some(job) = job(cx, target) {
-            let idle = cx.pools.borrow_mut().take(target);
-            let sent = idle.map(|it| it.jobs.send(job));
-            if !matches!(sent, Some(Ok(()))) {
+            if cx.pools.borrow_mut().assign(job).is_err() {
                 slog::debug!(cx.log, "targets: no idle connection to ask health on");
             }
         }
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -3,20 +3,21 @@
 mod connection;
 mod exchange;
 mod health;
+mod pool;
 
-pub(crate) use self::health::ask_health;
+pub(crate) use self::{health::ask_health, pool::Pools};
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc};
 
-use base::{HashMap, Time};
+use base::Time;
 use bytes::Bytes;
 use forward::{
-    placement::{Send, TargetKey},
+    placement::Send,
     suspects::Fingerprint,
     target::SendResult,
 };
 use http::{HeaderMap, Method, StatusCode, Uri};
-use tokio::{sync::mpsc, time::Instant};
+use tokio::sync::mpsc;
 
 use crate::{SharedCx, scatter::Event};
 
@@ -59,57 +60,12 @@
     pub body: Bytes,
 }
 
-/// Idle connections, by target.
-#[derive(Default)]
-pub(crate) struct Pools {
-    idle: HashMap<TargetKey, Vec<IdleConnection>>,
-}
-
-struct IdleConnection {
-    jobs: mpsc::UnboundedSender<Job>,
-    since: Instant,
-}
-
-impl Pools {
-    fn put(&mut self, target: TargetKey, jobs: mpsc::UnboundedSender<Job>) {
-        let connection = IdleConnection { jobs, since: Instant::now() };
-        self.idle.entry(target).or_default().push(connection);
-    }
-
-    /// The connection that was used last.
-    fn take(&mut self, target: TargetKey) -> Option<IdleConnection> {
-        self.idle.get_mut(&target)?.pop()
-    }
-
-    fn forget(&mut self, target: TargetKey, jobs: &mpsc::UnboundedSender<Job>) {
-        let Some(idle) = self.idle.get_mut(&target) else { return };
-        idle.retain(|it| !it.jobs.same_channel(jobs));
-        if idle.is_empty() {
-            self.idle.remove(&target);
-        }
-    }
-}
-
-/// A request that must not be repeated uses no connection that was idle for
-/// longer: a target may have forgotten it, and what is sent then may be lost.
-const FRESH_FOR: Duration = Duration::from_millis(1_000);
-
 /// Sends `job` on an idle connection of its target, or on a new one.
-pub(crate) fn submit(cx: &SharedCx, mut job: Job) {
-    let target = job.send.target;
-    loop {
-        let idle = cx.pools.borrow_mut().take(target);
-        let Some(connection) = idle else { break };
-        if !job.request.is_idempotent && connection.since.elapsed() > FRESH_FOR {
-            // Dropped: it closes.
-            continue;
-        }
-        match connection.jobs.send(job) {
-            Ok(()) => return,
-            Err(mpsc::error::SendError(returned)) => job = returned,
-        }
+pub(crate) fn submit(cx: &SharedCx, job: Job) {
+    let assigned = cx.pools.borrow_mut().assign(job);
+    if let Err(job) = assigned {
+        connection::open(cx, job);
     }
-    connection::open(cx, job);
 }
 
 /// Opens connections apart from requests: trials of targets that are down, and
--- a/crates/front/tests/requests.rs
+++ b/crates/front/tests/requests.rs
@@ -447,3 +447,20 @@
         assert_eq!(status(&read_message(&mut last).await.unwrap_or_default()), 200);
     });
 }
+
+/// A connection that idled too long for a request that may run once only is
+/// closed: it would count against the target's limit for nothing.
+#[test]
+fn a_connection_that_is_not_used_again_is_closed() {
+    run(async {
+        let one = target(always(ok("sig", "yes"))).await;
+        let mut stage = Stage::start();
+        stage.single(Repeat::AtMostOnce);
+        stage.list("s", "t1", &one);
+        assert_eq!(status(&stage.get("/one/x").await), 200);
+        sleep(Duration::from_millis(1_200)).await;
+        assert_eq!(status(&stage.get("/one/x").await), 200);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(one.open.get(), 1);
+    });
+}
--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -4,7 +4,7 @@
 //! caller that writes bytes.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     future::Future,
     io,
     net::{SocketAddr, TcpListener as StdListener},
@@ -53,6 +53,8 @@
     pub heads: Rc<RefCell<Vec<String>>>,
     /// Connections that ended while a request was unanswered.
     pub left: Rc<RefCell<usize>>,
+    /// Connections that are open now.
+    pub open: Rc<Cell<usize>>,
 }
 
 impl Target {
@@ -80,11 +82,17 @@
     let address = listener.local_addr().expect("bound");
     let heads = Rc::new(RefCell::new(Vec::new()));
     let left = Rc::new(RefCell::new(0));
-    let it = Target { address, heads: heads.clone(), left: left.clone() };
+    let open = Rc::new(Cell::new(0));
+    let it = Target { address, heads: heads.clone(), left: left.clone(), open: open.clone() };
     spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let (replies, heads, left) = (replies.clone(), heads.clone(), left.clone());
-            spawn_local(serve_target(stream, replies, heads, left));
+            let open = open.clone();
+            open.set(open.get() + 1);
+            spawn_local(async move {
+                serve_target(stream, replies, heads, left).await;
+                open.set(open.get() - 1);
+            });
         }
     });
     it
