Bound what waits at targets, let late work yield, refuse what would be late

Cause: with one target of each shard left (zone cuts, evacuations) more work comes than targets bear for seconds. Ruled out: too few connections. Change: a target that says that a round of work waits there gets nothing more; what waits here is ordered by whether it can be in time, and leaves the queue when its query is over; a query is refused at its arrival, with the measured drain as Retry-After, if enough of its parts would only be sent too late. Hosts divide 0.85 of a target's connections instead of three quarters; connections beyond the share close.

--- a/crates/forward/src/gather/mod.rs
+++ b/crates/forward/src/gather/mod.rs
@@ -25,6 +25,14 @@
     pub until: Time,
 }
 
+impl Schedule {
+    /// The moment from which an incomplete answer is better than a late one.
+    pub fn settle_at(&self) -> Time {
+        let margin = self.objective.mul_f64(MARGIN_SHARE).max(MIN_MARGIN);
+        self.received + self.objective.saturating_sub(margin)
+    }
+}
+
 /// One shard's standing within a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartState {
@@ -193,11 +201,8 @@
         open.map(|index| self.sent_at[index] + delay).min()
     }
 
-    /// The moment from which an incomplete answer is better than a late one.
     pub fn settle_at(&self) -> Time {
-        let objective = self.schedule.objective;
-        let margin = objective.mul_f64(MARGIN_SHARE).max(MIN_MARGIN);
-        self.schedule.received + objective.saturating_sub(margin)
+        self.schedule.settle_at()
     }
 
     pub fn verdict(&self, now: Time) -> Verdict {
--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -69,7 +69,10 @@
                 }
                 continue;
             }
-            if target.sends_in_flight() >= share || self.is_cold_limit_used(ask, target, now) {
+            if target.sends_in_flight() >= share
+                || target.is_full(now)
+                || self.is_cold_limit_used(ask, target, now)
+            {
                 worst = Candidate::Busy;
                 continue;
             }
@@ -106,6 +109,7 @@
         }
         let settings = self.services[ask.service.0].settings.as_ref();
         let Some(rate) = settings.and_then(|it| it.warmup_rate) else { return false };
+        // Hosts that start while others stop count for a while beside them.
         let hosts = (self.hosts + self.hosts.div_ceil(3)) as f64;
         let all = rate * self.limits.cold_ratio + self.limits.cold_slack;
         // Two seconds of counting touch each second that is judged.
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -174,6 +174,11 @@
         self.services[service.0].queue.push(waiting).is_ok()
     }
 
+    /// Takes back what waits for `service` and need not any more.
+    pub fn withdraw(&mut self, service: ServiceKey, is_over: impl Fn(&W) -> bool) {
+        self.services[service.0].queue.withdraw(is_over);
+    }
+
     /// The next that waits for `service`, to be placed now.
     pub fn next_waiting(&mut self, service: ServiceKey, now: Time) -> Option<W> {
         self.services[service.0].queue.pop(now).map(|it| it.who)
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -10,6 +10,7 @@
 //! - more work than connections: a bounded queue for each service, most
 //!   urgent first.
 
+mod admission;
 mod choice;
 mod directory;
 mod queue;
@@ -19,8 +20,12 @@
 
 use base::{DomainName, HashMap, HashSet, RegionName, ServiceName, TargetName, Time};
 
-use self::{choice::Candidate, queue::Queue};
-pub use self::{choice::Placement, queue::Waiting};
+use self::{admission::Drain, choice::Candidate, queue::Queue};
+pub use self::{
+    admission::{Admission, Arrival},
+    choice::Placement,
+    queue::Waiting,
+};
 use crate::{
     budget::{RetryBudget, RetryLimits},
     latency::LatencyQuantile,
@@ -34,6 +39,10 @@
 /// Time an answer is expected to take before anything was measured.
 const DEFAULT_EXPECTED: Duration = Duration::from_millis(20);
 
+/// Share of a target's connections that hosts use. The rest is for hosts that
+/// are not known yet and for connections that a lost host left behind.
+const GIVEN_SHARE: f64 = 0.85;
+
 /// Index of a service, stable while the process lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceKey(usize);
@@ -90,6 +99,7 @@
     targets: Vec<TargetKey>,
     budget: RetryBudget,
     queue: Queue<W>,
+    drain: Drain,
 }
 
 /// A send that was placed.
@@ -157,6 +167,7 @@
             targets: Vec::new(),
             budget: RetryBudget::default(),
             queue: Queue::default(),
+            drain: Drain::default(),
         });
         key
     }
@@ -223,6 +234,8 @@
         {
             self.classes[send.class.0].record(took);
         }
+        let service = &mut self.services[send.service.0];
+        service.drain.note(now, service.queue.len() > 0);
         let is_finished = target.is_gone() && target.sends_in_flight() == 0;
         if is_finished {
             self.remove(send.target);
@@ -266,10 +279,16 @@
     pub fn connection_share(&self, service: ServiceKey) -> usize {
         let settings = &self.services[service.0].settings;
         let Some(settings) = settings.as_ref().filter(|_| self.knows_hosts) else { return 1 };
-        // Hosts that start while others stop count for a while beside them.
-        let spare_hosts = self.hosts.div_ceil(3);
-        let hosts = self.hosts + spare_hosts;
-        (settings.max_connections as usize / hosts).max(1)
+        let given = f64::from(settings.max_connections) * GIVEN_SHARE;
+        ((given / self.hosts as f64) as usize).max(1)
+    }
+
+    /// Whether this host has more than its share of connections to the target,
+    /// with `idle` of them idle.
+    pub fn has_surplus(&self, target: TargetKey, idle: usize) -> bool {
+        let Some(service) = self.service_of(target) else { return true };
+        let used = self.targets.get(&target).map_or(0, Target::sends_in_flight);
+        used + idle > self.connection_share(service)
     }
 
     fn is_silent(&self, target: &Target, now: Time) -> bool {
--- a/crates/forward/src/placement/queue.rs
+++ b/crates/forward/src/placement/queue.rs
@@ -1,11 +1,10 @@
 //! What waits for a connection to a service's targets.
 //!
-//! Load pattern answered: bursts and slow targets, when more work comes than
-//! connections are free. The most urgent goes first, then the oldest; what
+//! Load pattern answered: bursts, slow targets and cuts, when more work comes
+//! than targets take. What can still be answered in time goes before what is
+//! late already; among these the most urgent goes first, then the oldest. What
 //! can no longer be of use leaves the queue unsent.
 
-use std::collections::VecDeque;
-
 use base::Time;
 
 /// Most that wait for one service at one host.
@@ -15,6 +14,8 @@
 #[derive(Clone, Debug)]
 pub struct Waiting<W> {
     pub priority: u32,
+    /// Late after this.
+    pub in_time_until: Time,
     /// Of no use after this.
     pub until: Time,
     pub who: W,
@@ -22,12 +23,13 @@
 
 #[derive(Debug)]
 pub(super) struct Queue<W> {
-    waiting: VecDeque<Waiting<W>>,
+    /// Most urgent first, then oldest first.
+    waiting: Vec<Waiting<W>>,
 }
 
 impl<W> Default for Queue<W> {
     fn default() -> Self {
-        Queue { waiting: VecDeque::new() }
+        Queue { waiting: Vec::new() }
     }
 }
 
@@ -44,12 +46,15 @@
     }
 
     pub(super) fn pop(&mut self, now: Time) -> Option<Waiting<W>> {
-        while let Some(first) = self.waiting.pop_front() {
-            if first.until > now {
-                return Some(first);
-            }
-        }
-        None
+        self.waiting.retain(|it| it.until > now);
+        let in_time = self.waiting.iter().position(|it| it.in_time_until > now);
+        let index = in_time.unwrap_or(0);
+        (index < self.waiting.len()).then(|| self.waiting.remove(index))
+    }
+
+    /// Removes what need not wait any more.
+    pub(super) fn withdraw(&mut self, is_over: impl Fn(&W) -> bool) {
+        self.waiting.retain(|it| !is_over(&it.who));
     }
 
     pub(super) fn len(&self) -> usize {
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -280,6 +280,13 @@
         own.max(told * freshness)
     }
 
+    /// Whether as many requests as it works on at once wait there, by its own
+    /// fresh word.
+    pub fn is_full(&self, now: Time) -> bool {
+        let Some(load) = self.load.filter(|it| now.since(it.at) < LOAD_LIFE) else { return false };
+        load.waiting >= self.report.slots && !self.in_flight.is_empty()
+    }
+
     fn note_outcome(&mut self, failed: f64) {
         self.failures += (failed - self.failures) * FAILURE_GAIN;
     }
--- a/crates/forward/tests/load_patterns.rs
+++ b/crates/forward/tests/load_patterns.rs
@@ -93,3 +93,40 @@
         assert!(missing < 0.02, "seed {seed}: {report:?}");
     }
 }
+
+/// A cut leaves one target of each shard, which bears less than all hosts ask
+/// of it.
+#[test]
+fn under_more_work_than_targets_bear_what_is_taken_on_is_in_time() {
+    for seed in 1..=SEEDS {
+        let load = Load {
+            seed,
+            replicas: 1,
+            slots: 3,
+            work: Duration::from_millis(28),
+            objective: Duration::from_millis(200),
+            timeout: Duration::from_millis(1_200),
+            queries_per_s: 40.0,
+            others_per_s: 75.0,
+            pause: Duration::from_millis(250),
+            pause_period: Duration::from_secs(6),
+            max_connections: 30,
+            hosts: 6,
+            ..Load::default()
+        };
+        let admitting = play(&load);
+        let bare = play(&Load { admits: false, ..load });
+        assert!(admitting.refused > 0, "seed {seed}: {admitting:?}");
+        assert!(admitting.in_time > bare.in_time, "seed {seed}: {admitting:?} {bare:?}");
+        assert_eq!(admitting.timed_out, 0, "seed {seed}: {admitting:?}");
+    }
+}
+
+/// Nobody is turned away while targets have room.
+#[test]
+fn nothing_is_refused_in_calm() {
+    for seed in 1..=SEEDS {
+        let report = play(&Load { seed, ..pauses() });
+        assert_eq!(report.refused, 0, "seed {seed}: {report:?}");
+    }
+}
--- a/crates/forward/tests/model/mod.rs
+++ b/crates/forward/tests/model/mod.rs
@@ -14,7 +14,7 @@
     Gather, Lifecycle, Placement, Service, TargetReport, Targets, Verdict,
     budget::RetryLimits,
     gather::{PartState, Schedule},
-    placement::{Ask, ClassKey, Limits, Send, ServiceKey, TargetKey, Waiting},
+    placement::{Admission, Arrival, Ask, ClassKey, Limits, Send, ServiceKey, TargetKey, Waiting},
     route::Configuration,
     target::SendResult,
 };
@@ -38,6 +38,15 @@
     /// Targets that are slower, by a factor, in a span of time.
     pub slow: Vec<Slow>,
     pub retry_ratio: f64,
+    /// Targets of each shard.
+    pub replicas: usize,
+    /// Connections that a target takes, and the hosts that share them.
+    pub max_connections: u32,
+    pub hosts: usize,
+    /// Requests of other hosts to each target.
+    pub others_per_s: f64,
+    /// Whether queries that would be late are refused.
+    pub admits: bool,
     /// Queries come more often by a factor in a span of time.
     pub burst: Option<(Duration, Duration, f64)>,
 }
@@ -59,6 +68,8 @@
     pub in_time: usize,
     pub late: usize,
     pub unserved: usize,
+    /// Of these, refused at their arrival.
+    pub refused: usize,
     /// Of these, held until their timeout.
     pub timed_out: usize,
     pub missing_parts: usize,
@@ -82,6 +93,11 @@
             pause_period: Duration::from_secs(4),
             slow: Vec::new(),
             retry_ratio: 0.2,
+            replicas: 2,
+            max_connections: 5,
+            hosts: 1,
+            others_per_s: 0.0,
+            admits: true,
             burst: None,
         }
     }
@@ -104,6 +120,8 @@
     Look { query: usize },
     TargetWorks { target: usize },
     Done { target: usize, query: usize, index: usize, send: u64 },
+    OtherArrives { target: usize },
+    OtherDone { target: usize },
     Overdue { query: usize, index: usize, send: u64 },
 }
 
@@ -113,7 +131,13 @@
     replica: usize,
     phase: Duration,
     busy: usize,
-    queue: VecDeque<(usize, usize, Send)>,
+    queue: VecDeque<Work>,
+}
+
+/// What waits at a target.
+enum Work {
+    Own { query: usize, index: usize, send: Send },
+    OfOtherHosts,
 }
 
 struct Query {
@@ -143,6 +167,11 @@
 pub fn play(load: &Load) -> Report {
     let mut model = Model::new(load.clone());
     model.at(Time::ZERO, Event::Arrive);
+    if load.others_per_s > 0.0 {
+        for target in 0..model.targets.len() {
+            model.at(Time::ZERO, Event::OtherArrives { target });
+        }
+    }
     while let Some(Reverse((at, _, event))) = model.events.pop() {
         model.now = at;
         model.handle(event);
@@ -167,16 +196,16 @@
         let domain = DomainName::new("a");
         let regions = [(domain.clone(), region)].into_iter().collect();
         let mut core = Targets::new(limits, domain, regions);
-        core.set_hosts(1);
+        core.set_hosts(load.hosts);
         let mut rng = SmallRng::seed_from_u64(load.seed);
         let names: Vec<ServiceName> =
             (0..load.shards).map(|it| ServiceName::new(&format!("s{it}"))).collect();
-        core.configure(&configuration(&names));
+        core.configure(&configuration(&names, load.max_connections));
         let services = names.iter().map(|it| core.service(it)).collect();
         let class = core.class(&Arc::from("route"));
         let mut targets = Vec::new();
         for (shard, name) in names.iter().enumerate() {
-            for replica in 0..2 {
+            for replica in 0..load.replicas {
                 let key = core.reported(report(name, shard, replica, load.slots), Time::ZERO);
                 let phase = load.pause_period.mul_f64(rng.random());
                 let (busy, queue) = (0, VecDeque::new());
@@ -213,6 +242,11 @@
                 self.ended(query, index, send, SendResult::Answered);
                 self.work(target);
             }
+            Event::OtherArrives { target } => self.other_arrives(target),
+            Event::OtherDone { target } => {
+                self.targets[target].busy -= 1;
+                self.work(target);
+            }
             Event::Overdue { query, index, send } => {
                 self.ended(query, index, send, SendResult::Silent);
             }
@@ -239,6 +273,13 @@
             received: self.now,
         });
         self.report.queries += 1;
+        self.next_arrival(elapsed);
+        if self.load.admits && !self.is_admitted(schedule) {
+            self.report.refused += 1;
+            self.report.unserved += 1;
+            self.queries[query].is_ended = true;
+            return;
+        }
         self.report.parts += self.load.shards;
         for index in 0..self.load.shards {
             self.core.note_request(self.services[index], self.now);
@@ -247,6 +288,19 @@
             self.place(query, index);
         }
         self.look(query);
+    }
+
+    fn is_admitted(&self, schedule: Schedule) -> bool {
+        let arrival = Arrival {
+            services: &self.services,
+            enough: self.load.min_shards,
+            class: self.class,
+            until: schedule.settle_at(),
+        };
+        self.core.admit(&arrival, self.now) == Admission::Accept
+    }
+
+    fn next_arrival(&mut self, elapsed: Duration) {
         let is_burst = self.load.burst.filter(|(from, to, _)| elapsed >= *from && elapsed < *to);
         let rate = self.load.queries_per_s * is_burst.map_or(1.0, |(_, _, factor)| factor);
         let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
@@ -268,13 +322,18 @@
                 self.report.sends += 1;
                 let target = self.targets.iter().position(|it| it.key == send.target);
                 let target = target.expect("placed on a target of the model");
-                self.targets[target].queue.push_back((query, index, send));
+                self.targets[target].queue.push_back(Work::Own { query, index, send });
                 self.at(until, Event::Overdue { query, index, send: send.id });
                 self.work(target);
             }
             Placement::Busy | Placement::Silent => {
                 state.gather.waits(index, placement == Placement::Silent);
-                let waiting = Waiting { priority: 1, until: state.until, who: (query, index) };
+                let waiting = Waiting {
+                    priority: 1,
+                    in_time_until: state.gather.settle_at(),
+                    until: state.until,
+                    who: (query, index),
+                };
                 self.core.wait(service, waiting);
             }
             Placement::Nowhere => state.gather.failed(index),
@@ -298,17 +357,32 @@
             return;
         }
         while self.targets[target].busy < self.load.slots
-            && let Some((query, index, send)) = self.targets[target].queue.pop_front()
+            && let Some(next) = self.targets[target].queue.pop_front()
         {
+            let spread = 0.65 + 0.7 * self.rng.random::<f64>();
+            let done_at = self.now + self.load.work.mul_f64(spread * factor);
+            let Work::Own { query, index, send } = next else {
+                self.targets[target].busy += 1;
+                self.at(done_at, Event::OtherDone { target });
+                continue;
+            };
             if self.queries[query].is_ended && !self.queries[query].sends.contains_key(&send.id) {
                 continue;
             }
             self.targets[target].busy += 1;
-            let spread = 0.65 + 0.7 * self.rng.random::<f64>();
-            let work = self.load.work.mul_f64(spread * factor);
             let done = Event::Done { target, query, index, send: send.id };
-            self.at(self.now + work, done);
+            self.at(done_at, done);
+        }
+    }
+
+    fn other_arrives(&mut self, target: usize) {
+        if self.now.since(Time::ZERO) > self.load.run_for {
+            return;
         }
+        self.targets[target].queue.push_back(Work::OfOtherHosts);
+        self.work(target);
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.load.others_per_s;
+        self.at(self.now + Duration::from_secs_f64(gap), Event::OtherArrives { target });
     }
 
     /// When the target's pause ends, if it is in one.
@@ -392,10 +466,10 @@
     }
 }
 
-fn configuration(services: &[ServiceName]) -> Configuration {
+fn configuration(services: &[ServiceName], max_connections: u32) -> Configuration {
     let service = Service {
         health_path: Arc::from("/health"),
-        max_connections: 8,
+        max_connections,
         warmup: Duration::ZERO,
         warmup_rate: None,
     };
@@ -404,7 +478,7 @@
 }
 
 fn report(service: &ServiceName, shard: usize, replica: usize, slots: usize) -> TargetReport {
-    let port = (shard * 2 + replica) as u16 + 1_000;
+    let port = (shard * 8 + replica) as u16 + 1_000;
     TargetReport {
         name: TargetName::new(&format!("t{shard}-{replica}")),
         born: Some(1),
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -10,8 +10,11 @@
 use base::Time;
 use bytes::Bytes;
 use forward::{
-    Destination, Repeat, Route, Verdict, gather::Schedule, placement::ServiceKey,
-    route::RouteEntry, suspects::Fingerprint,
+    Destination, Repeat, Route, Verdict,
+    gather::Schedule,
+    placement::{Admission, Arrival, ServiceKey},
+    route::RouteEntry,
+    suspects::Fingerprint,
 };
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header, request::Parts,
@@ -195,6 +198,7 @@
         schedule,
         request: request.clone(),
     };
+    admit(cx, route, &plan)?;
     let collected = scatter(cx, plan).await;
     let line = Line::new(cx, entry, &request, schedule, &collected);
     let left = schedule.until.until(cx.clock.now());
@@ -203,6 +207,24 @@
     answered
 }
 
+/// Turns a request away that could not be answered in time; one to a single
+/// target, which has no incomplete answer, that could not be answered at all.
+fn admit(cx: &SharedCx, route: &Route, plan: &Plan<'_>) -> Result<(), Refusal> {
+    let until = match route.destination {
+        Destination::Gather(_) => plan.schedule.settle_at(),
+        Destination::Service(_) | Destination::Weighted(_) => plan.schedule.until,
+    };
+    let (services, enough, class) = (&*plan.shards, plan.min_shards, plan.class);
+    let now = cx.clock.now();
+    match cx.targets.borrow().admit(&Arrival { services, enough, class, until }, now) {
+        Admission::Accept => Ok(()),
+        Admission::Refuse { wait } => {
+            let left = plan.schedule.until.until(now);
+            Err(Refusal::not_run("too much is waiting", wait, left))
+        }
+    }
+}
+
 /// The services to send to, and how many of them must answer.
 fn shards(cx: &SharedCx, entry: &RouteEntry) -> (Vec<ServiceKey>, usize) {
     let mut targets = cx.targets.borrow_mut();
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -86,6 +86,7 @@
 
 impl Drop for Scatter<'_> {
     fn drop(&mut self) {
+        self.withdraw();
         if !self.is_ended {
             self.note_missing();
             let received = self.plan.schedule.received;
@@ -229,6 +230,7 @@
         self.gather.waits(index, is_silent);
         let waiting = Waiting {
             priority: self.plan.priority,
+            in_time_until: self.gather.settle_at(),
             until: self.plan.schedule.until,
             who: Waiter { tx: self.tx.clone(), index },
         };
@@ -238,6 +240,16 @@
         }
     }
 
+    /// Takes back what still waits for a connection.
+    fn withdraw(&self) {
+        let mut targets = self.cx.targets.borrow_mut();
+        for (index, service) in self.plan.shards.iter().enumerate() {
+            if matches!(self.gather.part(index), PartState::Waiting | PartState::Silent) {
+                targets.withdraw(*service, |it| it.tx.same_channel(&self.tx));
+            }
+        }
+    }
+
     /// Marks parts whose targets have not answered anything for long.
     fn doubt_silent(&mut self) {
         let now = self.cx.clock.now();
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -11,7 +11,12 @@
 use slog::{info, warn};
 use tokio::{net::TcpStream, sync::mpsc};
 
-use super::{Job, Outcome, exchange::exchange, finish, pool::Assignment};
+use super::{
+    Job, Outcome,
+    exchange::exchange,
+    finish,
+    pool::{Assignment, Handle},
+};
 use crate::{SharedCx, socket};
 
 /// What a connection is for.
@@ -115,7 +120,7 @@
         let Assignment { job, handle } = assignment;
         let ended = exchange(cx, &peer.name, &mut sender, connection.as_mut(), &job).await;
         if ended.is_reusable {
-            cx.pools.borrow_mut().put(peer.target, handle);
+            put_back(cx, peer.target, handle);
         }
         finish(cx, &job, ended.outcome);
         if !ended.is_reusable {
@@ -129,6 +134,15 @@
     }
 }
 
+/// Lets a connection whose send just ended idle, unless this host has more
+/// than its share of them; it closes then.
+fn put_back(cx: &SharedCx, target: TargetKey, handle: Handle) {
+    let idle = cx.pools.borrow().idle_count(target);
+    if !cx.targets.borrow().has_surplus(target, idle) {
+        cx.pools.borrow_mut().put(target, handle);
+    }
+}
+
 /// Connects unless the request's time ends first.
 async fn connect(cx: &SharedCx, address: SocketAddr, job: &Job) -> Result<TcpStream, SendResult> {
     tokio::select! {
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -11,11 +11,7 @@
 
 use base::Time;
 use bytes::Bytes;
-use forward::{
-    placement::Send,
-    suspects::Fingerprint,
-    target::SendResult,
-};
+use forward::{placement::Send, suspects::Fingerprint, target::SendResult};
 use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::mpsc;
 
--- a/crates/front/src/targets/pool.rs
+++ b/crates/front/src/targets/pool.rs
@@ -34,6 +34,10 @@
 }
 
 impl Pools {
+    pub(super) fn idle_count(&self, target: TargetKey) -> usize {
+        self.idle.get(&target).map_or(0, Vec::len)
+    }
+
     pub(super) fn put(&mut self, target: TargetKey, handle: Handle) {
         let connection = IdleConnection { handle, since: Instant::now() };
         self.idle.entry(target).or_default().push(connection);
--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -2,11 +2,11 @@
 
 mod stage;
 
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 
 use forward::Repeat;
-use stage::{Reply, Stage, body, free_port, ok, run, status, target};
-use tokio::time::sleep;
+use stage::{Reply, Stage, body, free_port, ok, read_message, run, status, target};
+use tokio::{io::AsyncWriteExt, net::UdpSocket, task::JoinSet, time::sleep};
 
 #[test]
 fn a_host_without_a_source_learns_the_configuration_and_targets_from_a_peer() {
@@ -31,3 +31,46 @@
         }
     });
 }
+
+/// When other hosts come, connections beyond this host's share are closed as
+/// they become idle.
+#[test]
+fn connections_beyond_the_share_are_closed() {
+    const REQUESTS: usize = 10;
+    run(async {
+        let later = Reply::Later(Duration::from_millis(100), ok("sig", "yes"));
+        let one = target(vec![later]).await;
+        let mut stage = Stage::start();
+        stage.single(Repeat::Idempotent);
+        stage.list("s", "t1", &one);
+        // The number of hosts is taken for settled after a while.
+        sleep(Duration::from_millis(1_600)).await;
+        requests(&stage, REQUESTS).await;
+        assert_eq!(one.open.get(), REQUESTS);
+        let digest = r#"{"from":"127.0.0.1:9","domain":"x","version":0,"hosts":[],"strikes":[]}"#;
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        socket.send_to(digest.as_bytes(), stage.peers).await.expect("sent");
+        sleep(Duration::from_millis(50)).await;
+        requests(&stage, REQUESTS).await;
+        sleep(Duration::from_millis(50)).await;
+        // Half of the target's sixteen.
+        assert!(one.open.get() <= 8, "{} connections", one.open.get());
+        assert!(one.open.get() >= 1);
+    });
+}
+
+/// Sends requests at once and awaits their answers.
+async fn requests(stage: &Stage, count: usize) {
+    let mut all = JoinSet::new();
+    for _ in 0..count {
+        let mut stream = stage.connect().await;
+        all.spawn_local(async move {
+            stream.write_all(b"GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q\r\n\r\n").await?;
+            read_message(&mut stream).await.ok_or(ErrorKind::UnexpectedEof.into())
+        });
+    }
+    while let Some(answer) = all.join_next().await {
+        let answer: std::io::Result<String> = answer.expect("the task ends");
+        assert_eq!(status(&answer.expect("an answer")), 200);
+    }
+}
--- a/crates/front/tests/requests.rs
+++ b/crates/front/tests/requests.rs
@@ -2,12 +2,13 @@
 
 mod stage;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use forward::Repeat;
 use stage::{Reply, Stage, body, header, ok, read_message, run, shed, status, target};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
+    task::JoinSet,
     time::{Instant, sleep},
 };
 
@@ -464,3 +465,44 @@
         assert_eq!(one.open.get(), 1);
     });
 }
+
+/// More comes than the targets take in time: some callers are told at once
+/// when to come back, and the others are answered in time.
+#[test]
+fn under_more_work_than_targets_take_some_callers_are_refused_at_once() {
+    const CALLERS: usize = 120;
+    run(async {
+        let later = Reply::Later(Duration::from_millis(60), ok("sig", RECORD_A));
+        let one = target(vec![later]).await;
+        let mut stage = Stage::start();
+        stage.gather(1.0);
+        for i in 0..3 {
+            stage.list(&format!("s{i}"), &format!("t{i}"), &one);
+        }
+        let stage = Rc::new(stage);
+        let mut callers = JoinSet::new();
+        for _ in 0..CALLERS {
+            let stage = stage.clone();
+            callers.spawn_local(async move {
+                let started = Instant::now();
+                (stage.get("/all/q").await, started.elapsed())
+            });
+            sleep(Duration::from_millis(2)).await;
+        }
+        let mut refused = 0;
+        while let Some(answer) = callers.join_next().await {
+            let (answer, took) = answer.expect("the caller ends");
+            if status(&answer) == 200 {
+                continue;
+            }
+            refused += 1;
+            assert_eq!(status(&answer), 503, "{answer}");
+            let wait: f64 = header(&answer, "retry-after")
+                .and_then(|it| it.parse().ok())
+                .expect("when to come back");
+            assert!(wait > 0.0 && wait <= 0.3, "{wait}");
+            assert!(took < Duration::from_millis(300), "{took:?}");
+        }
+        assert!(refused > 0);
+    });
+}
