--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/callers/log_line.rs
@@ -108,10 +108,11 @@
         // Writing to a string does not fail.
         let _ = write!(
             text,
-            "{}/{target} {} at {} ms; ",
+            "{}/{target} {} at {} ms, sent {}; ",
             note.service,
             note.what,
-            note.after.as_millis()
+            note.after.as_millis(),
+            note.sends
         );
     }
     text
--- a/crates/front/src/scatter/notes.rs
+++ b/crates/front/src/scatter/notes.rs
@@ -16,6 +16,8 @@
     pub service: ServiceName,
     pub target: Option<TargetName>,
     pub what: &'static str,
+    /// Targets that the part was sent to.
+    pub sends: usize,
     /// Since the request came.
     pub after: Duration,
 }
@@ -29,7 +31,8 @@
         let target = target.and_then(|it| targets.target(it)).map(|it| it.report.name.clone());
         let service = targets.service_name(self.plan.shards[index]).clone();
         let after = self.cx.clock.now().since(self.plan.schedule.received);
-        self.notes.push(Note { service, target, what, after });
+        let sends = self.tried[index].len();
+        self.notes.push(Note { service, target, what, sends, after });
     }
 
     /// Notes the parts that the answer lacks, and why.
--- a/crates/front/src/targets/health.rs
+++ b/crates/front/src/targets/health.rs
@@ -25,10 +25,9 @@
     }
     let due = cx.targets.borrow_mut().due_health_checks(cx.clock.now());
     for target in due {
-        if let Some(job) = job(cx, target) {
-            if cx.pools.borrow_mut().assign(job).is_err() {
-                slog::debug!(cx.log, "targets: no idle connection to ask health on");
-            }
+        let Some(job) = job(cx, target) else { continue };
+        if cx.pools.borrow_mut().assign(job).is_err() {
+            slog::debug!(cx.log, "targets: no idle connection to ask health on");
         }
     }
 }
