--- a/crates/forward/src/gather/mod.rs
+++ b/crates/forward/src/gather/mod.rs
@@ -16,6 +16,10 @@
 const MARGIN_SHARE: f64 = 0.08;
 const MIN_MARGIN: Duration = Duration::from_millis(14);
 
+/// A hedge that no target could take is tried again after this. Siblings come
+/// back from their pauses while a part is still late.
+const HEDGE_PAUSE: Duration = Duration::from_millis(10);
+
 /// Times that bound a query, on the host's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Schedule {
@@ -77,12 +81,20 @@
     }
 }
 
+/// Whether a part may be sent once more because it is late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Hedge {
+    Open,
+    NotBefore(Time),
+    Done,
+}
+
 /// The state of one query.
 #[derive(Clone, Debug)]
 pub struct Gather {
     parts: Vec<PartState>,
     sent_at: Vec<Time>,
-    hedged: Vec<bool>,
+    hedges: Vec<Hedge>,
     was_sent: Vec<bool>,
     min_shards: usize,
     schedule: Schedule,
@@ -93,7 +105,7 @@
         Gather {
             parts: vec![PartState::Waiting; shards],
             sent_at: vec![schedule.received; shards],
-            hedged: vec![false; shards],
+            hedges: vec![Hedge::Open; shards],
             was_sent: vec![false; shards],
             min_shards,
             schedule,
@@ -178,27 +190,37 @@
         }
     }
 
-    /// Parts whose only send is older than `delay`, each named once.
+    /// Parts whose only send is older than `delay`, each named once unless its
+    /// hedge is put off.
     pub fn due_hedges(&mut self, now: Time, delay: Duration) -> Vec<usize> {
-        let mut due = Vec::new();
-        for index in 0..self.parts.len() {
-            let is_due = self.parts[index] == PartState::Sent { in_flight: 1 }
-                && !self.hedged[index]
-                && now.since(self.sent_at[index]) >= delay;
-            if is_due {
-                self.hedged[index] = true;
-                due.push(index);
-            }
+        let is_due = |index: &usize| self.hedge_at(*index, delay).is_some_and(|at| at <= now);
+        let due: Vec<usize> = (0..self.parts.len()).filter(is_due).collect();
+        for index in &due {
+            self.hedges[*index] = Hedge::Done;
         }
         due
     }
 
+    /// No target could take the hedge now; it may be due again soon.
+    pub fn put_hedge_off(&mut self, index: usize, now: Time) {
+        self.hedges[index] = Hedge::NotBefore(now + HEDGE_PAUSE);
+    }
+
     /// When the next part is due for a hedge.
     pub fn next_hedge(&self, delay: Duration) -> Option<Time> {
-        let open = (0..self.parts.len()).filter(|&index| {
-            self.parts[index] == PartState::Sent { in_flight: 1 } && !self.hedged[index]
-        });
-        open.map(|index| self.sent_at[index] + delay).min()
+        (0..self.parts.len()).filter_map(|index| self.hedge_at(index, delay)).min()
+    }
+
+    fn hedge_at(&self, index: usize, delay: Duration) -> Option<Time> {
+        if self.parts[index] != (PartState::Sent { in_flight: 1 }) {
+            return None;
+        }
+        let late_at = self.sent_at[index] + delay;
+        match self.hedges[index] {
+            Hedge::Open => Some(late_at),
+            Hedge::NotBefore(at) => Some(late_at.max(at)),
+            Hedge::Done => None,
+        }
     }
 
     pub fn settle_at(&self) -> Time {
--- a/crates/forward/tests/model/mod.rs
+++ b/crates/forward/tests/model/mod.rs
@@ -47,6 +47,8 @@
     pub others_per_s: f64,
     /// Whether queries that would be late are refused.
     pub admits: bool,
+    /// Whether hedges that no target can take are tried again.
+    pub puts_hedges_off: bool,
     /// Queries come more often by a factor in a span of time.
     pub burst: Option<(Duration, Duration, f64)>,
 }
@@ -98,6 +100,7 @@
             hosts: 1,
             others_per_s: 0.0,
             admits: true,
+            puts_hedges_off: true,
             burst: None,
         }
     }
@@ -147,6 +150,8 @@
     sends: HashMap<u64, (usize, Send)>,
     is_ended: bool,
     received: Time,
+    /// The next look that is scheduled.
+    look_at: Time,
 }
 
 struct Model {
@@ -271,6 +276,7 @@
             sends: HashMap::default(),
             is_ended: false,
             received: self.now,
+            look_at: Time::ZERO,
         });
         self.report.queries += 1;
         self.next_arrival(elapsed);
@@ -432,6 +438,8 @@
                 let ask = Ask { service, class: self.class, tried: &tried, regions: &[] };
                 if self.core.can_place(&ask, self.now) && self.core.take_retry(service, self.now) {
                     self.place(query, index);
+                } else if self.load.puts_hedges_off {
+                    self.queries[query].gather.put_hedge_off(index, self.now);
                 }
             }
             let due = self.queries[query].gather.next_hedge(delay);
@@ -440,7 +448,11 @@
         match self.queries[query].gather.verdict(self.now) {
             Verdict::Wait(until) => {
                 let next = next.min(until).max(self.now + Duration::from_micros(100));
-                self.at(next, Event::Look { query });
+                let state = &mut self.queries[query];
+                if state.look_at <= self.now || next < state.look_at {
+                    state.look_at = next;
+                    self.at(next, Event::Look { query });
+                }
             }
             verdict => self.end(query, verdict),
         }
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -294,8 +294,13 @@
         let now = self.cx.clock.now();
         let delay = self.cx.targets.borrow().hedge_delay(self.plan.class)?;
         for index in self.gather.due_hedges(now, delay) {
-            if self.runs[index] < self.plan.attempts && self.take_hedge(index, now) {
+            if self.runs[index] >= self.plan.attempts {
+                continue;
+            }
+            if self.take_hedge(index, now) {
                 self.try_place(index);
+            } else {
+                self.gather.put_hedge_off(index, now);
             }
         }
         self.gather.next_hedge(delay)
