Drive queries by a pure state machine; let the fleet model play whole queries

Cause: where parts go, when they are sent again and when a query ends was decided in front::scatter, beside sockets, and written a second time in the load model; the fleet model had single sends only, no queries over shards, callers that leave, spoilt or lost answers, restarts under one name or reused addresses. Change: forward::query decides, front::scatter carries out, both models drive the same machine. The fleet model judges what callers are told (in time, enough parts, not run) and what targets run (attempts, at most once, nothing for a query that is over), and is split into modules.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod merge;
 pub mod peers;
 pub mod placement;
+pub mod query;
 pub mod retry_after;
 pub mod route;
 pub mod suspects;
@@ -22,6 +23,7 @@
     gather::{Gather, Verdict},
     latency::LatencyQuantile,
     placement::{Placement, Targets},
+    query::{Query, QueryPlan},
     route::{CallerLimits, Configuration, Destination, Repeat, Route, RouteTable, Service},
     target::{Lifecycle, TargetReport},
 };
--- /dev/null
+++ b/crates/forward/tests/fleet/judge.rs
@@ -0,0 +1,174 @@
+//! What callers and targets see, and whether it is what they may see.
+
+use std::time::Duration;
+
+use base::Time;
+use forward::{Verdict, placement::Send, target::SendResult};
+use rand::Rng;
+
+use super::{
+    COLD_RATIO, COLD_SLACK, DRAIN, NEWS_WITHIN, RETRY, SERVICES, WARMUP, WARMUP_RATE, World,
+    hosts::domain_of,
+    queries::{ATTEMPTS, Running},
+};
+
+/// A host that runs ends a query this much after its time at the latest.
+const END_SLACK: Duration = Duration::from_millis(2);
+
+/// Time after which a send without an answer is given up.
+const SILENCE: Duration = Duration::from_millis(800);
+
+impl World {
+    /// A send goes out; returns when and how it ends.
+    pub fn arrive(
+        &mut self,
+        host: usize,
+        id: usize,
+        index: usize,
+        send: &Send,
+    ) -> (Duration, SendResult) {
+        let (seed, now) = (self.seed, self.now);
+        assert!(!self.records[id].is_over, "seed {seed} at {now:?}: sent for a query that is over");
+        let report = &self.hosts[host].core.target(send.target).expect("placed").report;
+        let (name, address, meant) = (report.name.clone(), report.address, report.service.clone());
+        let at_address =
+            self.targets.iter().position(|it| it.report.address == address && !it.is_over);
+        let reached = at_address.filter(|it| {
+            let target = &self.targets[*it];
+            target.is_up && self.reaches(domain_of(host), &target.report.domain)
+        });
+        let Some(target) = reached else { return (SILENCE, SendResult::Silent) };
+        if self.targets[target].report.name != name {
+            return (Duration::from_millis(1), SendResult::Misdirected);
+        }
+        assert_eq!(self.targets[target].report.service, meant, "seed {seed} at {now:?}");
+        let service = self.targets[target].service();
+        self.note_arrival(id, index, service);
+        self.judge_target(host, target);
+        self.run(id, index, target)
+    }
+
+    fn note_arrival(&mut self, id: usize, index: usize, service: usize) {
+        let record = &mut self.records[id];
+        record.arrivals[index] += 1;
+        if record.arrivals[index] > 1 {
+            self.extra[service].push(self.now);
+        }
+    }
+
+    /// The target answers, sheds, fails or breaks off.
+    fn run(&mut self, id: usize, index: usize, target: usize) -> (Duration, SendResult) {
+        let ms = Duration::from_millis;
+        let kind = self.rng.random_range(0..100);
+        if kind == 0 {
+            return (ms(2), SendResult::Shed);
+        }
+        self.note_run(id, index);
+        let work = ms(self.rng.random_range(5..20));
+        match kind {
+            1 => return (ms(5), SendResult::Broken),
+            2 => return (ms(5), SendResult::Failed),
+            // The answer is lost.
+            3 => return (SILENCE, SendResult::Silent),
+            4..8 => return (work * 12, SendResult::Answered),
+            _ => {}
+        }
+        let pause = self.targets[target].pauses_until.until(self.now);
+        let took = pause + work;
+        if took > SILENCE { (SILENCE, SendResult::Silent) } else { (took, SendResult::Answered) }
+    }
+
+    fn note_run(&mut self, id: usize, index: usize) {
+        let (seed, now) = (self.seed, self.now);
+        let record = &mut self.records[id];
+        record.runs[index] += 1;
+        let allowed = if record.is_idempotent { ATTEMPTS } else { 1 };
+        assert!(record.runs[index] <= allowed, "seed {seed} at {now:?}: query {id} ran too often");
+        assert!(!record.is_said_not_run, "seed {seed} at {now:?}: query {id} runs after all");
+    }
+
+    /// Whether the target may get anything now.
+    fn judge_target(&mut self, host: usize, index: usize) {
+        let (seed, now) = (self.seed, self.now);
+        let in_touch = self.is_in_touch(host);
+        let target = &mut self.targets[index];
+        target.arrivals.push(now);
+        if in_touch {
+            let left = target.leaves_at.map(|at| now.since(at));
+            assert!(
+                left.is_none_or(|it| it <= DRAIN),
+                "seed {seed} at {now:?}: sent to a target that left {left:?} ago"
+            );
+            let out = self.evacuated.get(&target.report.domain).map(|at| now.since(*at));
+            assert!(
+                out.is_none_or(|it| it <= NEWS_WITHIN),
+                "seed {seed} at {now:?}: sent to a domain that is out since {out:?}"
+            );
+        }
+        if now < target.cold_until {
+            let second = target.arrivals.iter().rev();
+            let count = second.take_while(|at| now.since(**at) < Duration::from_secs(1)).count();
+            // Only arrivals while it is cold and known to be count.
+            let bound = WARMUP_RATE * COLD_RATIO + COLD_SLACK;
+            let is_known = target.cold_until.until(now) + Duration::from_millis(1_500) < WARMUP;
+            assert!(
+                !is_known || !in_touch || count as f64 <= bound,
+                "seed {seed} at {now:?}: {count} in a second to a cold target"
+            );
+        }
+    }
+
+    /// Whether the caller was told the truth, in time.
+    pub fn judge_end(
+        &mut self,
+        host: usize,
+        id: usize,
+        running: &Running,
+        verdict: Option<Verdict>,
+    ) {
+        let (seed, now) = (self.seed, self.now);
+        let query = &running.query;
+        let schedule = query.plan().schedule;
+        let woke = self.hosts[host].frozen_until;
+        let until = schedule.until.max(woke) + END_SLACK;
+        assert!(now <= until, "seed {seed} at {now:?}: query {id} ended too late");
+        if verdict == Some(Verdict::Answer) {
+            let done = query.done();
+            assert!(done >= query.plan().min_shards, "seed {seed} at {now:?}: {done} parts");
+            assert_eq!(done + query.missing(), running.services.len());
+            let ran = self.records[id].runs.iter().filter(|it| **it > 0).count();
+            assert!(done <= ran, "seed {seed} at {now:?}: {done} parts of {ran} that ran");
+            return;
+        }
+        let is_said_not_run = verdict.is_some() && !query.may_have_run();
+        let record = &mut self.records[id];
+        record.is_said_not_run = is_said_not_run;
+        let runs: u32 = record.runs.iter().sum();
+        assert!(!is_said_not_run || runs == 0, "seed {seed} at {now:?}: query {id} did run");
+    }
+
+    /// Extra arrivals of every service in every window.
+    pub fn check(&self) {
+        let end_ms = self.now.as_micros() / 1_000;
+        for service in 0..SERVICES {
+            for start in (0..end_ms).step_by(500) {
+                self.check_window(service, Time::from_millis(start));
+            }
+        }
+    }
+
+    fn check_window(&self, service: usize, from: Time) {
+        let count = |of: &[Time]| {
+            let before = |end: Time| of.partition_point(|at| *at < end);
+            before(from + RETRY.window) - before(from)
+        };
+        let requests = count(&self.requests[service]);
+        let allowed = RETRY.ratio * requests as f64 + RETRY.slack;
+        let extra = count(&self.extra[service]) as f64;
+        assert!(
+            extra <= allowed,
+            "seed {} service {service} from {from:?}: {extra} of {allowed}",
+            self.seed
+        );
+    }
+}
--- /dev/null
+++ b/crates/forward/tests/fleet/mod.rs
@@ -0,0 +1,181 @@
+//! The model: what there is, how time passes, which faults come.
+
+mod hosts;
+mod judge;
+mod queries;
+mod source;
+mod targets;
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{DomainName, HashMap, HashSet, TargetName, Time};
+use forward::{TargetReport, budget::RetryLimits};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use self::{
+    hosts::{Host, new_host},
+    queries::Record,
+    source::Change,
+    targets::Target,
+};
+
+pub const HOSTS: usize = 6;
+pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
+pub const SERVICES: usize = 4;
+pub const TARGETS_PER_SERVICE: usize = 3;
+pub const MAX_CONNECTIONS: u32 = 24;
+pub const WARMUP: Duration = Duration::from_secs(3);
+pub const WARMUP_RATE: f64 = 12.0;
+pub const COLD_RATIO: f64 = 1.5;
+pub const COLD_SLACK: f64 = 5.0;
+pub const RETRY: RetryLimits =
+    RetryLimits { ratio: 0.2, window: Duration::from_secs(10), slack: 30.0 };
+pub const DRAIN: Duration = Duration::from_secs(3);
+pub const LEAVING_FOR: Duration = Duration::from_millis(2_400);
+/// A host in touch with the source hears of a change within this time.
+pub const NEWS_WITHIN: Duration = Duration::from_millis(400);
+/// A change reaches hosts this long after it was made.
+pub const NEWS_DELAY: Duration = Duration::from_millis(100);
+/// The address of a target that ended is given to another after this.
+pub const REUSE_AFTER: Duration = Duration::from_secs(2);
+
+/// Chances in a millisecond: of a fault, and of a request at each host.
+const FAULT_CHANCE: f64 = 0.002;
+const REQUEST_CHANCE: f64 = 0.02;
+
+pub struct World {
+    pub seed: u64,
+    pub rng: SmallRng,
+    pub now: Time,
+    pub hosts: Vec<Host>,
+    pub targets: Vec<Target>,
+    pub changes: Vec<(Time, Change)>,
+    /// Changes to come.
+    pub later: Vec<(Time, Change)>,
+    pub evacuated: HashMap<DomainName, Time>,
+    pub cut: Option<(DomainName, Time)>,
+    /// Addresses whose targets ended, to be used again.
+    pub free_addresses: Vec<(Time, SocketAddr)>,
+    /// What became of each query, by its number.
+    pub records: Vec<Record>,
+    pub requests: Vec<Vec<Time>>,
+    pub extra: Vec<Vec<Time>>,
+    pub events: u64,
+    pub queries_ended: u64,
+    pub answered: u64,
+    pub next_born: u64,
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let mut world = World {
+            seed,
+            rng: SmallRng::seed_from_u64(seed),
+            now: Time::ZERO,
+            hosts: Vec::new(),
+            targets: Vec::new(),
+            changes: Vec::new(),
+            later: Vec::new(),
+            evacuated: HashMap::default(),
+            cut: None,
+            free_addresses: Vec::new(),
+            records: Vec::new(),
+            requests: vec![Vec::new(); SERVICES],
+            extra: vec![Vec::new(); SERVICES],
+            events: 0,
+            queries_ended: 0,
+            answered: 0,
+            next_born: 1,
+        };
+        for service in 0..SERVICES {
+            for replica in 0..TARGETS_PER_SERVICE {
+                world.add_target(service, DOMAINS[replica % DOMAINS.len()]);
+            }
+        }
+        for host in 0..HOSTS {
+            world.hosts.push(new_host(host, Time::ZERO));
+        }
+        world
+    }
+
+    pub fn step(&mut self) {
+        self.now += Duration::from_millis(1);
+        if self.rng.random_bool(FAULT_CHANCE) {
+            self.fault();
+        }
+        if self.cut.as_ref().is_some_and(|(_, until)| *until <= self.now) {
+            self.cut = None;
+        }
+        self.publish_later();
+        for host in 0..HOSTS {
+            self.step_host(host);
+        }
+    }
+
+    fn fault(&mut self) {
+        self.events += 1;
+        let host = self.rng.random_range(0..HOSTS);
+        let target = self.rng.random_range(0..self.targets.len());
+        match self.rng.random_range(0..13) {
+            0 => self.kill_host(host),
+            1 => self.hosts[host].frozen_until = self.after(4_000),
+            2 => self.hosts[host].lost_until = self.after(8_000),
+            3 => {
+                let domain = self.any_domain();
+                self.cut = Some((domain, self.after(6_000)));
+            }
+            4 => self.targets[target].is_up ^= true,
+            5 => self.release(target),
+            6 => self.lapse(target),
+            7 => self.evacuate(),
+            8 => self.restart(target),
+            9 => self.crash_for_good(target),
+            10 => self.targets[target].pauses_until = self.after(1_500),
+            11 => self.hosts[host].late_until = self.after(5_000),
+            _ => {
+                let until = self.now + Duration::from_millis(3_000);
+                self.hosts.iter_mut().for_each(|it| it.lost_until = until);
+            }
+        }
+    }
+
+    /// A moment up to `ms` from now.
+    fn after(&mut self, ms: u64) -> Time {
+        self.now + Duration::from_millis(self.rng.random_range(200..ms))
+    }
+
+    pub fn any_domain(&mut self) -> DomainName {
+        DomainName::new(DOMAINS[self.rng.random_range(0..DOMAINS.len())])
+    }
+
+    fn step_host(&mut self, host: usize) {
+        if self.hosts[host].frozen_until > self.now {
+            return;
+        }
+        self.take_news(host);
+        self.tell_peers(host);
+        self.end_sends(host);
+        if self.rng.random_bool(REQUEST_CHANCE) {
+            self.begin_query(host);
+        }
+        self.look_at_queries(host);
+        self.sweep(host);
+    }
+
+    pub fn reaches(&self, from: &str, to: &str) -> bool {
+        let Some((domain, _)) = &self.cut else { return true };
+        (from == domain.as_str()) == (to == domain.as_str())
+    }
+
+    pub fn target_named(&self, name: &TargetName) -> Option<usize> {
+        self.targets.iter().position(|it| it.report.name == *name && !it.is_over)
+    }
+
+    pub fn publish(&mut self, report: TargetReport) {
+        self.changes.push((self.now, Change::Listed(report)));
+    }
+
+    pub fn evacuated_domains(&self) -> HashSet<DomainName> {
+        self.evacuated.keys().cloned().collect()
+    }
+}
--- a/crates/forward/tests/load_patterns.rs
+++ b/crates/forward/tests/load_patterns.rs
@@ -130,17 +130,3 @@
         assert_eq!(report.refused, 0, "seed {seed}: {report:?}");
     }
 }
-
-/// Targets pause so often that a hedge meets a pause, too; its target is back
-/// before the query is due.
-#[test]
-fn a_hedge_that_finds_no_target_is_tried_again() {
-    let (mut with, mut without) = (0, 0);
-    for seed in 1..=SEEDS {
-        let pause = Duration::from_millis(80);
-        let load = Load { seed, pause, pause_period: Duration::from_millis(500), ..pauses() };
-        with += play(&load).missing_parts;
-        without += play(&Load { puts_hedges_off: false, ..load }).missing_parts;
-    }
-    assert!(with < without, "{with} {without}");
-}
--- a/crates/forward/tests/model/mod.rs
+++ b/crates/forward/tests/model/mod.rs
@@ -11,15 +11,19 @@
 
 use base::{DomainName, HashMap, RegionName, ServiceName, TargetName, Time};
 use forward::{
-    Gather, Lifecycle, Placement, Service, TargetReport, Targets, Verdict,
+    Lifecycle, Query, QueryPlan, Service, TargetReport, Targets, Verdict,
     budget::RetryLimits,
-    gather::{PartState, Schedule},
-    placement::{Admission, Arrival, Ask, ClassKey, Limits, Send, ServiceKey, TargetKey, Waiting},
+    gather::Schedule,
+    placement::{Admission, ClassKey, Limits, Send, ServiceKey, TargetKey},
+    query::Step,
     route::Configuration,
     target::SendResult,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+/// Targets of a shard that may run a query.
+const ATTEMPTS: u32 = 2;
+
 /// What the model plays.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -47,8 +51,6 @@
     pub others_per_s: f64,
     /// Whether queries that would be late are refused.
     pub admits: bool,
-    /// Whether hedges that no target can take are tried again.
-    pub puts_hedges_off: bool,
     /// Queries come more often by a factor in a span of time.
     pub burst: Option<(Duration, Duration, f64)>,
 }
@@ -100,7 +102,6 @@
             hosts: 1,
             others_per_s: 0.0,
             admits: true,
-            puts_hedges_off: true,
             burst: None,
         }
     }
@@ -143,13 +144,11 @@
     OfOtherHosts,
 }
 
-struct Query {
-    gather: Gather,
-    until: Time,
-    tried: Vec<Vec<TargetKey>>,
+struct ModelQuery {
+    query: Query,
+    /// Sends in flight, with their parts.
     sends: HashMap<u64, (usize, Send)>,
     is_ended: bool,
-    received: Time,
     /// The next look that is scheduled.
     look_at: Time,
 }
@@ -164,7 +163,7 @@
     services: Vec<ServiceKey>,
     class: ClassKey,
     targets: Vec<ModelTarget>,
-    queries: Vec<Query>,
+    queries: Vec<ModelQuery>,
     report: Report,
 }
 
@@ -263,47 +262,43 @@
         if elapsed > self.load.run_for {
             return;
         }
-        let query = self.queries.len();
-        let schedule = Schedule {
-            received: self.now,
-            objective: self.load.objective,
-            until: self.now + self.load.timeout,
-        };
-        self.queries.push(Query {
-            gather: Gather::new(self.load.shards, self.load.min_shards, schedule),
-            until: schedule.until,
-            tried: vec![Vec::new(); self.load.shards],
-            sends: HashMap::default(),
-            is_ended: false,
-            received: self.now,
-            look_at: Time::ZERO,
-        });
         self.report.queries += 1;
         self.next_arrival(elapsed);
-        if self.load.admits && !self.is_admitted(schedule) {
+        let plan = self.plan();
+        if self.load.admits && plan.admit(&self.core, self.now) != Admission::Accept {
             self.report.refused += 1;
             self.report.unserved += 1;
-            self.queries[query].is_ended = true;
             return;
         }
         self.report.parts += self.load.shards;
-        for index in 0..self.load.shards {
-            self.core.note_request(self.services[index], self.now);
-        }
+        let query = self.queries.len();
+        self.queries.push(ModelQuery {
+            query: Query::new(plan, &mut self.core, self.now),
+            sends: HashMap::default(),
+            is_ended: false,
+            look_at: Time::ZERO,
+        });
         for index in 0..self.load.shards {
             self.place(query, index);
         }
         self.look(query);
     }
 
-    fn is_admitted(&self, schedule: Schedule) -> bool {
-        let arrival = Arrival {
-            services: &self.services,
-            enough: self.load.min_shards,
+    fn plan(&self) -> QueryPlan {
+        QueryPlan {
+            shards: self.services.clone(),
+            min_shards: self.load.min_shards,
             class: self.class,
-            until: schedule.settle_at(),
-        };
-        self.core.admit(&arrival, self.now) == Admission::Accept
+            regions: Vec::new(),
+            attempts: ATTEMPTS,
+            priority: 1,
+            is_idempotent: true,
+            schedule: Schedule {
+                received: self.now,
+                objective: self.load.objective,
+                until: self.now + self.load.timeout,
+            },
+        }
     }
 
     fn next_arrival(&mut self, elapsed: Duration) {
@@ -314,17 +309,18 @@
     }
 
     fn place(&mut self, query: usize, index: usize) {
-        let tried = self.queries[query].tried[index].clone();
-        let service = self.services[index];
-        let ask = Ask { service, class: self.class, tried: &tried, regions: &[] };
-        let placement = self.core.place(&ask, self.now);
+        let step = self.queries[query].query.place(&mut self.core, index, self.now);
+        if let Some(step) = step {
+            self.carry_out(query, step);
+        }
+    }
+
+    fn carry_out(&mut self, query: usize, step: Step) {
         let state = &mut self.queries[query];
-        match placement {
-            Placement::Send(send) => {
-                state.gather.sent(index, self.now);
-                state.tried[index].push(send.target);
+        match step {
+            Step::Send { index, send } => {
                 state.sends.insert(send.id, (index, send));
-                let until = state.until;
+                let until = state.query.plan().schedule.until;
                 self.report.sends += 1;
                 let target = self.targets.iter().position(|it| it.key == send.target);
                 let target = target.expect("placed on a target of the model");
@@ -332,17 +328,12 @@
                 self.at(until, Event::Overdue { query, index, send: send.id });
                 self.work(target);
             }
-            Placement::Busy | Placement::Silent => {
-                state.gather.waits(index, placement == Placement::Silent);
-                let waiting = Waiting {
-                    priority: 1,
-                    in_time_until: state.gather.settle_at(),
-                    until: state.until,
-                    who: (query, index),
-                };
-                self.core.wait(service, waiting);
+            Step::Wait { index } => {
+                let waiting = state.query.waiting((query, index));
+                if !self.core.wait(self.services[index], waiting) {
+                    self.queries[query].query.turned_away(index);
+                }
             }
-            Placement::Nowhere => state.gather.failed(index),
         }
     }
 
@@ -410,18 +401,19 @@
             self.core.reached(key, self.now);
         }
         let service = self.services[index];
-        if let Some((waiting, part)) = self.core.next_waiting(service, self.now) {
-            let state = self.queries[waiting].gather.part(part);
-            if matches!(state, PartState::Waiting | PartState::Silent) {
-                self.place(waiting, part);
-                self.look(waiting);
-            }
+        if let Some((waiting, part)) = self.core.next_waiting(service, self.now)
+            && self.queries[waiting].query.is_waiting(part)
+        {
+            self.place(waiting, part);
+            self.look(waiting);
         }
-        let gather = &mut self.queries[query].gather;
-        if result == SendResult::Answered {
-            gather.arrived(index);
-        } else {
-            gather.lost(index);
+        if self.queries[query].is_ended {
+            return;
+        }
+        let state = &mut self.queries[query].query;
+        let ended = state.ended(&mut self.core, index, &sent, result, self.now);
+        if let Some(step) = ended.step {
+            self.carry_out(query, step);
         }
         self.look(query);
     }
@@ -430,46 +422,38 @@
         if self.queries[query].is_ended {
             return;
         }
-        let mut next = self.queries[query].until;
-        if let Some(delay) = self.core.hedge_delay(self.class) {
-            for index in self.queries[query].gather.due_hedges(self.now, delay) {
-                let tried = self.queries[query].tried[index].clone();
-                let service = self.services[index];
-                let ask = Ask { service, class: self.class, tried: &tried, regions: &[] };
-                if self.core.can_place(&ask, self.now) && self.core.take_retry(service, self.now) {
-                    self.place(query, index);
-                } else if self.load.puts_hedges_off {
-                    self.queries[query].gather.put_hedge_off(index, self.now);
-                }
-            }
-            let due = self.queries[query].gather.next_hedge(delay);
-            next = due.map_or(next, |it| it.min(next));
+        let (steps, verdict) = self.queries[query].query.look(&mut self.core, self.now);
+        for step in steps {
+            self.carry_out(query, step);
         }
-        match self.queries[query].gather.verdict(self.now) {
-            Verdict::Wait(until) => {
-                let next = next.min(until).max(self.now + Duration::from_micros(100));
-                let state = &mut self.queries[query];
-                if state.look_at <= self.now || next < state.look_at {
-                    state.look_at = next;
-                    self.at(next, Event::Look { query });
-                }
-            }
-            verdict => self.end(query, verdict),
+        let Verdict::Wait(until) = verdict else {
+            self.end(query, verdict);
+            return;
+        };
+        let next = until.max(self.now + Duration::from_micros(100));
+        let state = &mut self.queries[query];
+        if state.look_at <= self.now || next < state.look_at {
+            state.look_at = next;
+            self.at(next, Event::Look { query });
         }
     }
 
     fn end(&mut self, query: usize, verdict: Verdict) {
         let state = &mut self.queries[query];
         state.is_ended = true;
-        let took = self.now.since(state.received);
+        for service in &self.services {
+            self.core.withdraw(*service, |(waiting, _)| *waiting == query);
+        }
+        let plan = state.query.plan();
+        let took = self.now.since(plan.schedule.received);
         if verdict != Verdict::Answer {
             self.report.unserved += 1;
             self.report.timed_out += usize::from(verdict == Verdict::TimedOut);
             return;
         }
-        let done = state.gather.done();
+        let done = state.query.done();
         assert!(done >= self.load.min_shards, "answered with {done} shards");
-        self.report.missing_parts += state.gather.missing();
+        self.report.missing_parts += state.query.missing();
         if took <= self.load.objective {
             self.report.in_time += 1;
         } else {
--- /dev/null
+++ b/crates/forward/tests/place/mod.rs
@@ -0,0 +1,133 @@
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+//! One host's view of services that have the same number of targets each.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{DomainName, ServiceName, TargetName, Time};
+use forward::{
+    Lifecycle, Placement, Query, QueryPlan, Service, TargetReport, Targets,
+    budget::RetryLimits,
+    gather::Schedule,
+    placement::{Ask, ClassKey, Limits, Send, ServiceKey, TargetKey},
+    route::Configuration,
+    target::SendResult,
+};
+
+pub const SLOTS: u32 = 3;
+pub const ATTEMPTS: u32 = 2;
+
+const OBJECTIVE: Duration = Duration::from_millis(200);
+
+pub struct Place {
+    pub core: Targets<&'static str>,
+    pub services: Vec<ServiceKey>,
+    pub class: ClassKey,
+    targets: Vec<TargetKey>,
+}
+
+pub fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+impl Place {
+    pub fn new(services: usize, targets: usize) -> Place {
+        let limits = Limits {
+            retry: RetryLimits { ratio: 0.2, window: Duration::from_secs(10), slack: 10.0 },
+            cold_ratio: 1.0,
+            cold_slack: 0.0,
+            cross_domain: Duration::ZERO,
+            leaving_for: Duration::from_secs(1),
+        };
+        let mut core = Targets::new(limits, DomainName::new("a"), Default::default());
+        core.set_hosts(1);
+        let names: Vec<ServiceName> =
+            (0..services).map(|it| ServiceName::new(&format!("s{it}"))).collect();
+        let settings = Service {
+            health_path: Arc::from("/health"),
+            max_connections: 20,
+            warmup: Duration::ZERO,
+            warmup_rate: None,
+        };
+        let settings = names.iter().map(|it| (it.clone(), settings.clone())).collect();
+        core.configure(&Configuration { version: 1, services: settings, ..Default::default() });
+        let reports =
+            names.iter().flat_map(|name| (0..targets).map(move |target| report(name, target)));
+        let targets = reports.map(|it| core.reported(it, at(0))).collect();
+        let services = names.iter().map(|it| core.service(it)).collect();
+        let class = core.class(&Arc::from("route"));
+        Place { core, services, class, targets }
+    }
+
+    pub fn query(
+        &mut self,
+        min_shards: usize,
+        is_idempotent: bool,
+        timeout_ms: u64,
+        now: Time,
+    ) -> Query {
+        let until = now + Duration::from_millis(timeout_ms);
+        let plan = QueryPlan {
+            shards: self.services.clone(),
+            min_shards,
+            class: self.class,
+            regions: Vec::new(),
+            attempts: ATTEMPTS,
+            priority: 1,
+            is_idempotent,
+            schedule: Schedule { received: now, objective: OBJECTIVE, until },
+        };
+        Query::new(plan, &mut self.core, now)
+    }
+
+    pub fn place(&mut self, service: usize, now: Time) -> Placement {
+        let service = self.services[service];
+        let ask = Ask { service, class: self.class, tried: &[], regions: &[] };
+        self.core.place(&ask, now)
+    }
+
+    pub fn send(&mut self, service: usize, now: Time) -> Send {
+        match self.place(service, now) {
+            Placement::Send(send) => send,
+            other => panic!("not sent: {other:?}"),
+        }
+    }
+
+    /// A send of the first service to `target`.
+    pub fn send_to(&mut self, target: TargetKey, now: Time) -> Send {
+        let others: Vec<TargetKey> =
+            self.targets.iter().copied().filter(|it| *it != target).collect();
+        let ask =
+            Ask { service: self.services[0], class: self.class, tried: &others, regions: &[] };
+        match self.core.place(&ask, now) {
+            Placement::Send(send) => send,
+            other => panic!("not sent: {other:?}"),
+        }
+    }
+
+    pub fn other_target(&self, target: TargetKey) -> TargetKey {
+        *self.targets.iter().find(|it| **it != target).expect("two targets")
+    }
+
+    /// Answers that took `latency`, so that late ones are known.
+    pub fn teach(&mut self, latency: Duration) {
+        for i in 0..40 {
+            let send = self.send(0, at(i * 20));
+            self.core.finished(&send, at(i * 20) + latency, SendResult::Answered);
+        }
+    }
+}
+
+fn report(service: &ServiceName, target: usize) -> TargetReport {
+    TargetReport {
+        name: TargetName::new(&format!("t-{service}-{target}")),
+        born: Some(1),
+        sequence: 1,
+        service: service.clone(),
+        address: ([127, 0, 0, 1], 1_000).into(),
+        domain: DomainName::new("a"),
+        slots: SLOTS,
+        lifecycle: Lifecycle::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -10,9 +10,9 @@
 use base::Time;
 use bytes::Bytes;
 use forward::{
-    Destination, Repeat, Route, Verdict,
+    Destination, QueryPlan, Repeat, Route, Verdict,
     gather::Schedule,
-    placement::{Admission, Arrival, ServiceKey},
+    placement::{Admission, ServiceKey},
     route::RouteEntry,
     suspects::Fingerprint,
 };
@@ -32,7 +32,7 @@
 use crate::{
     SharedCx,
     isolation::is_servable,
-    scatter::{Collected, Plan, scatter},
+    scatter::{Collected, scatter},
     targets::Outgoing,
 };
 
@@ -188,18 +188,18 @@
     }
     let (shards, min_shards) = shards(cx, entry);
     let class = cx.targets.borrow_mut().class(&route.name);
-    let plan = Plan {
+    let plan = QueryPlan {
         shards,
         min_shards,
         class,
-        regions: &route.regions,
+        regions: route.regions.clone(),
         attempts: if request.is_idempotent { route.attempts } else { 1 },
         priority: route.priority,
+        is_idempotent: request.is_idempotent,
         schedule,
-        request: request.clone(),
     };
-    admit(cx, route, &plan)?;
-    let collected = scatter(cx, plan).await;
+    admit(cx, &plan)?;
+    let collected = scatter(cx, plan, &request).await;
     let line = Line::new(cx, entry, &request, schedule, &collected);
     let left = schedule.until.until(cx.clock.now());
     let answered = finish(cx, entry, collected, left);
@@ -207,16 +207,10 @@
     answered
 }
 
-/// Turns a request away that could not be answered in time; one to a single
-/// target, which has no incomplete answer, that could not be answered at all.
-fn admit(cx: &SharedCx, route: &Route, plan: &Plan<'_>) -> Result<(), Refusal> {
-    let until = match route.destination {
-        Destination::Gather(_) => plan.schedule.settle_at(),
-        Destination::Service(_) | Destination::Weighted(_) => plan.schedule.until,
-    };
-    let (services, enough, class) = (&*plan.shards, plan.min_shards, plan.class);
+/// Turns a request away that could not be answered in time.
+fn admit(cx: &SharedCx, plan: &QueryPlan) -> Result<(), Refusal> {
     let now = cx.clock.now();
-    match cx.targets.borrow().admit(&Arrival { services, enough, class, until }, now) {
+    match plan.admit(&cx.targets.borrow(), now) {
         Admission::Accept => Ok(()),
         Admission::Refuse { wait } => {
             let left = plan.schedule.until.until(now);
--- a/crates/front/src/scatter/notes.rs
+++ b/crates/front/src/scatter/notes.rs
@@ -29,16 +29,17 @@
         }
         let targets = self.cx.targets.borrow();
         let target = target.and_then(|it| targets.target(it)).map(|it| it.report.name.clone());
-        let service = targets.service_name(self.plan.shards[index]).clone();
-        let after = self.cx.clock.now().since(self.plan.schedule.received);
-        let sends = self.tried[index].len();
+        let plan = self.query.plan();
+        let service = targets.service_name(plan.shards[index]).clone();
+        let after = self.cx.clock.now().since(plan.schedule.received);
+        let sends = self.query.tried(index).len();
         self.notes.push(Note { service, target, what, sends, after });
     }
 
     /// Notes the parts that the answer lacks, and why.
     pub(super) fn note_missing(&mut self) {
-        for index in 0..self.plan.shards.len() {
-            let what = match self.gather.part(index) {
+        for index in 0..self.query.plan().shards.len() {
+            let what = match self.query.part(index) {
                 PartState::Done => continue,
                 PartState::Waiting => "no connection was free",
                 PartState::Silent => "all targets silent",
@@ -46,7 +47,7 @@
                 PartState::Hopeless { .. } => "its targets answer nothing",
                 PartState::Failed => "failed",
             };
-            let target = self.tried[index].last().copied();
+            let target = self.query.tried(index).last().copied();
             self.note(index, target, what);
         }
     }
--- a/crates/front/src/scatter/plan.rs
+++ b/crates/front/src/scatter/plan.rs
@@ -1,17 +1,10 @@
-//! What goes into a request's run over its shards, and what comes out.
+//! What a query in progress is told, and what comes of it.
 
-use std::rc::Rc;
-
-use base::RegionName;
-use forward::{
-    Verdict,
-    gather::Schedule,
-    placement::{ClassKey, Send, ServiceKey},
-};
+use forward::{Verdict, placement::Send};
 use tokio::sync::mpsc;
 
 use super::Note;
-use crate::targets::{Outcome, Outgoing, TargetAnswer};
+use crate::targets::{Outcome, TargetAnswer};
 
 /// What a request in flight is told.
 #[derive(Debug)]
@@ -29,18 +22,6 @@
     pub index: usize,
 }
 
-/// What to run, where, and how often.
-pub(crate) struct Plan<'a> {
-    pub shards: Vec<ServiceKey>,
-    pub min_shards: usize,
-    pub class: ClassKey,
-    pub regions: &'a [RegionName],
-    pub attempts: u32,
-    pub priority: u32,
-    pub schedule: Schedule,
-    pub request: Rc<Outgoing>,
-}
-
 /// What came of it.
 pub(crate) struct Collected {
     pub verdict: Verdict,
