--- a/crates/godwityard/src/args/mod.rs
+++ b/crates/godwityard/src/args/mod.rs
@@ -136,13 +136,18 @@
     pub(crate) json: bool,
 }
 
-/// Shows why a recent request was routed, refused or left partial.
+/// Shows why a recent request was routed, refused or left partial, as the host
+/// that took it tells, or as hosts' logs do.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub(crate) struct Explain {
     /// id of the request, as its answer or refusal gives it
     #[argh(positional)]
     pub(crate) request: String,
+    /// file with logs of hosts, in place of a host's own word; `-` reads
+    /// standard input; may be given several times
+    #[argh(option)]
+    pub(crate) log: Vec<PathBuf>,
     /// admin address of the host that took the request; else GODWITYARD_ADMIN
     #[argh(option)]
     pub(crate) admin: Option<String>,
--- a/crates/godwityard/src/commands/mod.rs
+++ b/crates/godwityard/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod check;
+mod explain;
 mod request;
 
 use std::io::Write;
@@ -21,6 +22,7 @@
         Command::Ticket(args) => block_on(request::ticket(&args, out)),
         Command::Execute(args) => block_on(request::execute(args, out)),
         Command::Status(args) => block_on(admin::status(&args, out)),
+        Command::Explain(args) if !args.log.is_empty() => explain::from_logs(&args, out),
         Command::Explain(args) => block_on(admin::explain(&args, out)),
     }
 }
--- a/crates/godwityard/tests/support/mod.rs
+++ b/crates/godwityard/tests/support/mod.rs
@@ -1,3 +1,5 @@
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 //! Runs the tool, against a host that gives one prepared answer.
 
 use std::{
