--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -16,6 +16,7 @@
         let steps = [("GODWITYARD_STEPS", LONG_STEPS)];
         cargo(&["test", "--release", "--locked", "-p", "godwityard-policy"], &steps)?;
         cargo(&["test", "--release", "--locked", "-p", "godwityard-fleet"], &steps)?;
+        cargo(&["test", "--release", "--locked", "-p", "godwityard-forward"], &steps)?;
     }
     Ok(ExitCode::SUCCESS)
 }
