Await changes of targets with a pause of a second; count from when they were made

Targets' changes come close together (releases, starts), and each cost a call. Change: a second between two calls for targets (a quarter where a service limits cold targets), a quarter of a second for the configuration, waits of 28 s. So a change counts as made when the call before it was answered, if a call brings it at once.

--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -31,6 +31,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// The moment `age` ago, the process's start at the earliest.
+    pub fn ago(self, age: Duration) -> Time {
+        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(micros))
+    }
+
     /// Time left until `self`, zero if past.
     pub fn until(self, now: Time) -> Duration {
         self.since(now)
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -109,9 +109,8 @@
             self.domains.insert(digest.domain.clone(), now);
         }
         for (host, age) in &digest.hosts {
-            let heard = Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
             if *age < COUNTED_FOR {
-                self.hear(*host, heard);
+                self.hear(*host, now.ago(*age));
             }
         }
     }
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -1,5 +1,7 @@
 //! Changes of what is known: reports of targets, services, evacuations.
 
+use std::time::Duration;
+
 use base::{DomainName, HashSet, ServiceName, TargetName, Time};
 
 use super::{Queue, ServiceKey, TargetKey, Targets, Waiting};
@@ -46,6 +48,21 @@
         self.add(report, now)
     }
 
+    /// Takes a report of a change that was made up to `age` ago.
+    pub fn changed(&mut self, report: TargetReport, age: Duration, now: Time) -> TargetKey {
+        let was_leaving = self.is_leaving(&report.name);
+        let key = self.reported(report, now);
+        if let Some(target) = self.targets.get_mut(&key).filter(|_| !was_leaving) {
+            target.left_before(now.ago(age));
+        }
+        key
+    }
+
+    /// The platform no longer lists the target since `age` ago at most.
+    pub fn removed(&mut self, name: &TargetName, age: Duration, now: Time) {
+        self.unlisted(name, now.ago(age));
+    }
+
     /// The platform no longer lists the target. It may come back: an entry
     /// that lapsed while the platform was away does, so the target stays for
     /// a while as a last resort.
@@ -162,6 +179,12 @@
         due
     }
 
+    /// Whether any service limits requests to cold targets.
+    pub fn limits_cold_targets(&self) -> bool {
+        let mut settings = self.services.iter().filter_map(|it| it.settings.as_ref());
+        settings.any(|it| it.warmup_rate.is_some())
+    }
+
     /// Path that a target's health is asked at.
     pub fn health_path(&self, target: TargetKey) -> Option<std::sync::Arc<str>> {
         let service = self.service_of(target)?;
--- a/crates/forward/src/suspects.rs
+++ b/crates/forward/src/suspects.rs
@@ -84,9 +84,7 @@
     /// Takes what another host told.
     pub fn merge(&mut self, strikes: &[Strike], now: Time) {
         for strike in strikes.iter().filter(|it| it.age < LIFE) {
-            let age_us = strike.age.as_micros() as u64;
-            let at = Time::from_micros(now.as_micros().saturating_sub(age_us));
-            self.strike(strike.request, at);
+            self.strike(strike.request, now.ago(strike.age));
         }
     }
 
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// It leaves since `at`, if it leaves.
+    pub fn left_before(&mut self, at: Time) {
+        self.leaving_since = self.leaving_since.map(|since| since.min(at));
+    }
+
     pub fn has_left(&self) -> bool {
         self.has_left
     }
--- a/crates/forward/tests/fleet/source.rs
+++ b/crates/forward/tests/fleet/source.rs
@@ -59,9 +59,10 @@
         for (at, change) in news {
             match change {
                 Change::Listed(report) => {
-                    it.core.reported(aged(report, now.since(at)), now);
+                    let age = now.since(at);
+                    it.core.changed(aged(report, age), age, now);
                 }
-                Change::Unlisted(name) => it.core.unlisted(&name, now),
+                Change::Unlisted(name) => it.core.removed(&name, now.since(at), now),
                 Change::Evacuated(domains) => it.core.set_evacuated(domains, now),
             }
         }
--- a/crates/forward/tests/targets.rs
+++ b/crates/forward/tests/targets.rs
@@ -93,6 +93,27 @@
     assert_eq!(it.name(&send), "near");
 }
 
+/// Changes are awaited with pauses between the calls, so one may be heard of
+/// some time after it was made. What counts is when it was made.
+#[test]
+fn a_target_heard_to_leave_late_is_no_resort_for_longer() {
+    let age = Duration::from_millis(1_000);
+    let mut it = Fixture::new(None);
+    it.core.reported(report("one", "a"), at(0));
+    let draining =
+        TargetReport { lifecycle: Lifecycle::Draining, sequence: 2, ..report("one", "a") };
+    it.core.changed(draining, age, at(5_000));
+    let left = LEAVING_FOR.saturating_sub(age);
+    assert!(matches!(it.place(at(5_000) + left), Placement::Send(_)));
+    assert_eq!(it.place(at(5_001) + left), Placement::Nowhere);
+
+    let mut it = Fixture::new(None);
+    it.core.reported(report("one", "a"), at(0));
+    it.core.removed(&TargetName::new("one"), age, at(5_000));
+    assert!(matches!(it.place(at(5_000) + left), Placement::Send(_)));
+    assert_eq!(it.place(at(5_001) + left), Placement::Nowhere);
+}
+
 /// Targets differ in speed; callers notice a difference of a third less than
 /// operators notice the bytes between domains.
 #[test]
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    time::Duration,
 };
 
 use base::{DomainName, HashSet, TargetName};
@@ -124,9 +125,14 @@
         self.targets.borrow_mut().reported_late(report, self.clock.now());
     }
 
-    /// The platform no longer lists the target.
-    pub fn unlist(&self, name: &TargetName) {
-        self.targets.borrow_mut().unlisted(name, self.clock.now());
+    /// Takes a report of a change that was made up to `age` ago.
+    pub(crate) fn report_change(&self, report: TargetReport, age: Duration) {
+        self.targets.borrow_mut().changed(report, age, self.clock.now());
+    }
+
+    /// The platform no longer lists the target since `age` ago at most.
+    pub(crate) fn unlist(&self, name: &TargetName, age: Duration) {
+        self.targets.borrow_mut().removed(name, age, self.clock.now());
     }
 
     /// The platform lists these targets and no others.
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-use base::{DomainName, HashSet, TargetName};
+use base::{DomainName, HashSet, TargetName, Time};
 use forward::{Configuration, TargetReport};
 use rustc_hash::FxHasher;
 use slog::{info, warn};
@@ -25,7 +25,7 @@
 use crate::SharedCx;
 
 /// Longest wait of one call for changes.
-const CHANGES_WAIT: Duration = Duration::from_secs(20);
+const CHANGES_WAIT: Duration = Duration::from_secs(28);
 
 /// A call for changes that is this much later than its wait has failed.
 const CHANGES_SLACK: Duration = Duration::from_secs(2);
@@ -42,9 +42,17 @@
 const MAX_SPREAD: f64 = 1.3;
 
 /// Pause between two calls for changes, so that changes that come close
-/// together cost one call.
-const TARGETS_PAUSE: Duration = Duration::from_millis(250);
-const OPERATIONS_PAUSE: Duration = Duration::from_millis(50);
+/// together cost one call. Targets that leave may be used for longer than this,
+/// and one that crashed shows by its connections.
+const TARGETS_PAUSE: Duration = Duration::from_millis(1_000);
+const OPERATIONS_PAUSE: Duration = Duration::from_millis(250);
+
+/// The same for targets where some turn cold and bear little then.
+const COLD_TARGETS_PAUSE: Duration = Duration::from_millis(250);
+
+/// A call that brings changes sooner than this was answered at once: they may
+/// have been made before it, since the last one was answered.
+const AT_ONCE: Duration = Duration::from_millis(400);
 
 /// One of the two things that are followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,8 +70,9 @@
         }
     }
 
-    fn pause(self) -> Duration {
+    fn pause(self, cx: &SharedCx) -> Duration {
         match self {
+            Feed::Targets if cx.targets.borrow().limits_cold_targets() => COLD_TARGETS_PAUSE,
             Feed::Targets => TARGETS_PAUSE,
             Feed::Operations => OPERATIONS_PAUSE,
         }
@@ -168,13 +177,18 @@
     feed: Feed,
     mut revision: u64,
 ) -> SourceError {
+    let mut last_answer = cx.clock.now();
     loop {
+        let asked = cx.clock.now();
         let call = source.changes(feed, revision, CHANGES_WAIT);
         match timeout(CHANGES_WAIT + CHANGES_SLACK, call).await {
             Ok(Ok(changes)) => {
                 revision = revision.max(changes.revision);
-                changes.items.into_iter().for_each(|it| apply(cx, it));
-                sleep(feed.pause()).await;
+                let now = cx.clock.now();
+                let age = age_of_changes(last_answer, asked, now);
+                last_answer = now;
+                changes.items.into_iter().for_each(|it| apply(cx, it, age));
+                sleep(feed.pause(cx)).await;
             }
             Ok(Err(err)) => return err,
             Err(_) => return SourceError::Unavailable("no answer in time".to_owned()),
@@ -182,6 +196,11 @@
     }
 }
 
+/// How long ago changes may have been made that a call brought.
+fn age_of_changes(last_answer: Time, asked: Time, now: Time) -> Duration {
+    if now.since(asked) < AT_ONCE { now.since(last_answer) } else { Duration::ZERO }
+}
+
 fn apply_whole(cx: &SharedCx, feed: Feed, whole: Whole) {
     match feed {
         Feed::Targets => {
@@ -193,7 +212,7 @@
             for item in whole.items {
                 match item {
                     Item::Target(report) => cx.report_late(report),
-                    other => apply(cx, other),
+                    other => apply(cx, other, Duration::ZERO),
                 }
             }
             cx.retain_listed(&listed);
@@ -205,15 +224,16 @@
             });
             cx.set_evacuated(domains.collect());
             let is_configuration = |it: &Item| matches!(it, Item::Configuration(_));
-            whole.items.into_iter().filter(is_configuration).for_each(|it| apply(cx, it));
+            let changes = whole.items.into_iter().filter(is_configuration);
+            changes.for_each(|it| apply(cx, it, Duration::ZERO));
         }
     }
 }
 
-fn apply(cx: &SharedCx, item: Item) {
+fn apply(cx: &SharedCx, item: Item, age: Duration) {
     match item {
-        Item::Target(report) => cx.report(report),
-        Item::TargetGone(name) => cx.unlist(&name),
+        Item::Target(report) => cx.report_change(report, age),
+        Item::TargetGone(name) => cx.unlist(&name, age),
         Item::Configuration(cfg) => cx.apply(&cfg),
         Item::Evacuated(domain) => cx.set_evacuation(domain, true),
         Item::EvacuationOver(domain) => cx.set_evacuation(domain, false),
