--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/callers/log_line.rs
@@ -91,6 +91,7 @@
 
 /// Logs that this tier ended a request by itself.
 pub(super) fn refused(cx: &SharedCx, id: &str, refusal: &Refusal) {
+    cx.metrics.refused(refusal.reason);
     info!(cx.log, "request: refused"; "id" => id, "status" => refusal.status.as_u16(),
         "reason" => refusal.reason, "version" => cx.version(),
         "retry_after_ms" => refusal.retry_after.map(|it| it.as_millis() as u64));
--- a/crates/front/tests/metrics.rs
+++ b/crates/front/tests/metrics.rs
@@ -14,12 +14,17 @@
         stage.single(Repeat::Idempotent);
         stage.list("s", "t1", &one);
         stage.get("/one/x").await;
+        // No target of this service is known.
+        stage.gather(1.0);
+        stage.get("/all/x").await;
         let mut asker = TcpStream::connect(stage.metrics).await.expect("connected");
         asker.write_all(b"GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n").await.expect("written");
         let answer = read_message(&mut asker).await.unwrap_or_default();
         let text = body(&answer);
         assert!(text.contains("result=\"answered\""), "{text}");
         assert!(text.contains("kind=\"single\",outcome=\"answered\""), "{text}");
+        let reason = "front_refusals_total{reason=\"too few targets can be reached\"";
+        assert!(text.contains(reason), "{text}");
         let page = include_str!("../../../docs/METRICS.md");
         for line in text.lines().filter(|it| it.starts_with("# TYPE front_")) {
             let name = line.split(' ').nth(2).unwrap_or_default();
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -26,6 +26,7 @@
     requests: Counter<u64>,
     request_latency: Histogram<f64>,
     missing_parts: Counter<u64>,
+    refusals: Counter<u64>,
     sends: Arc<[AtomicU64]>,
     levels: Arc<[AtomicU64; LEVELS.len()]>,
 }
@@ -75,6 +76,7 @@
             requests: meter.u64_counter("front_requests").build(),
             request_latency: latency.with_boundaries(LATENCY_BOUNDS_MS.to_vec()).build(),
             missing_parts: meter.u64_counter("front_missing_parts").build(),
+            refusals: meter.u64_counter("front_refusals").build(),
             sends,
             levels,
             registry,
@@ -95,6 +97,11 @@
         self.request_latency.record(took_ms, &labels);
     }
 
+    /// This tier ended a request by itself.
+    pub fn refused(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     pub fn parts_missing(&self, count: usize) {
         self.missing_parts.add(count as u64, &[]);
     }
