--- a/crates/forward/tests/load_patterns.rs
+++ b/crates/forward/tests/load_patterns.rs
@@ -130,3 +130,27 @@
         assert_eq!(report.refused, 0, "seed {seed}: {report:?}");
     }
 }
+
+/// One target of each of eight shards works eleven times as long, under a load
+/// that the other target nearly fills.
+#[test]
+fn slow_targets_under_load_do_not_hold_parts_up() {
+    for seed in 1..=SEEDS {
+        let slow = |shard| Slow {
+            shard,
+            replica: 0,
+            from: Duration::from_secs(5),
+            until: Duration::from_secs(60),
+            factor: 11.0,
+        };
+        let load = Load {
+            seed,
+            slow: (0..8).map(slow).collect(),
+            queries_per_s: 55.0,
+            max_connections: 12,
+            ..pauses()
+        };
+        let report = play(&load);
+        assert!(report.in_time_share() >= 0.95, "seed {seed}: {report:?}");
+    }
+}
