Log what decided a refusal; show what a host came to believe soon after

Change: refusals log their inputs (services that can be reached and are needed, some of those without; the wait and the time left), and explain shows beliefs that change soon after.

--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -31,7 +31,7 @@
 };
 use crate::{
     SharedCx,
-    isolation::is_servable,
+    isolation::check_servable,
     scatter::{Collected, scatter},
     targets::Outgoing,
 };
@@ -181,10 +181,11 @@
     let route = &entry.route;
     let now = cx.clock.now();
     entry.note_request(now);
-    if !is_servable(cx, entry, now) {
+    if let Err(unservable) = check_servable(cx, entry, now) {
         let left = schedule.until.until(now);
         let expected = if cx.is_isolated.get() { STEP_BACK_WAIT } else { UNSERVED_WAIT };
-        return Err(Refusal::not_run("too few targets can be reached", expected, left));
+        let refusal = Refusal::not_run("too few targets can be reached", expected, left);
+        return Err(refusal.with_inputs(unservable.to_string()));
     }
     let (shards, min_shards) = shards(cx, entry);
     let class = cx.targets.borrow_mut().class(&route.name);
@@ -214,7 +215,9 @@
         Admission::Accept => Ok(()),
         Admission::Refuse { wait } => {
             let left = plan.schedule.until.until(now);
-            Err(Refusal::not_run("too much is waiting", wait, left))
+            let inputs =
+                format!("sent in {} ms, {} ms are left", wait.as_millis(), left.as_millis());
+            Err(Refusal::not_run("too much is waiting", wait, left).with_inputs(inputs))
         }
     }
 }
--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/callers/log_line.rs
@@ -93,7 +93,7 @@
 pub(super) fn refused(cx: &SharedCx, id: &str, refusal: &Refusal) {
     cx.metrics.refused(refusal.reason);
     info!(cx.log, "request: refused"; "id" => id, "status" => refusal.status.as_u16(),
-        "reason" => refusal.reason, "version" => cx.version(),
+        "reason" => refusal.reason, "inputs" => refusal.inputs.as_deref(), "version" => cx.version(),
         "retry_after_ms" => refusal.retry_after.map(|it| it.as_millis() as u64));
 }
 
--- a/crates/front/src/callers/refusal.rs
+++ b/crates/front/src/callers/refusal.rs
@@ -10,10 +10,12 @@
 use super::answer::Answer;
 
 /// A failure of this tier's own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Refusal {
     pub status: StatusCode,
     pub reason: &'static str,
+    /// What decided it, for the log.
+    pub inputs: Option<String>,
     /// When the caller should come back.
     pub retry_after: Option<Duration>,
     /// The connection cannot be used further.
@@ -22,7 +24,7 @@
 
 impl Refusal {
     pub(super) fn new(status: StatusCode, reason: &'static str) -> Refusal {
-        Refusal { status, reason, retry_after: None, closes: false }
+        Refusal { status, reason, inputs: None, retry_after: None, closes: false }
     }
 
     /// The request is not proper.
@@ -35,6 +37,10 @@
         Refusal { closes: true, ..Refusal::new(status, reason) }
     }
 
+    pub(super) fn with_inputs(self, inputs: String) -> Refusal {
+        Refusal { inputs: Some(inputs), ..self }
+    }
+
     /// The request did not run and will not; room is expected in `expected`,
     /// and the caller has `left` until its deadline.
     pub(super) fn not_run(reason: &'static str, expected: Duration, left: Duration) -> Refusal {
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -1,6 +1,8 @@
 //! Watches whether this host is cut off from targets that callers need.
 
-use base::Time;
+use std::fmt;
+
+use base::{ServiceName, Time};
 use forward::{
     Destination,
     isolation::cut_off,
@@ -11,6 +13,9 @@
 
 use crate::SharedCx;
 
+/// Services named where a route cannot be served.
+const MAX_NAMED: usize = 5;
+
 /// Looks at what can be reached, and steps back or returns.
 pub(crate) fn watch(cx: &SharedCx) {
     let now = cx.clock.now();
@@ -27,27 +32,57 @@
 fn has_unservable_route(cx: &SharedCx, now: Time) -> bool {
     let table = cx.table.borrow().clone();
     let Some(table) = table else { return false };
-    table.routes().any(|it| it.is_in_use(now) && !is_servable(cx, it, now))
+    table.routes().any(|it| it.is_in_use(now) && check_servable(cx, it, now).is_err())
+}
+
+/// Why a route cannot be served now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Unservable {
+    /// Services with a target that can be reached, and how many are needed.
+    reachable: usize,
+    needed: usize,
+    /// Some of the services without.
+    lacking: Vec<ServiceName>,
+}
+
+impl fmt::Display for Unservable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names: Vec<&str> = self.lacking.iter().map(ServiceName::as_str).collect();
+        let (reachable, needed) = (self.reachable, self.needed);
+        write!(f, "{reachable} of {needed} services needed; without a target: {}", names.join(" "))
+    }
 }
 
 /// Whether enough targets can be reached for an answer.
-pub(crate) fn is_servable(cx: &SharedCx, entry: &RouteEntry, now: Time) -> bool {
+pub(crate) fn check_servable(
+    cx: &SharedCx,
+    entry: &RouteEntry,
+    now: Time,
+) -> Result<(), Unservable> {
     let route: &Route = &entry.route;
     let mut targets = cx.targets.borrow_mut();
     let class = targets.class(&route.name);
     let cut_off = cx.cut_off.borrow();
-    let mut ask = |name| {
-        let service = targets.service(name);
-        Ask { service, class, tried: &[], regions: &route.regions }
+    let services = route.destination.services();
+    let (needed, is_gather) = match &route.destination {
+        Destination::Gather(spec) => (spec.min_shards(), true),
+        Destination::Service(_) | Destination::Weighted(_) => (1, false),
     };
-    let asks: Vec<Ask<'_>> = route.destination.services().into_iter().map(&mut ask).collect();
-    match &route.destination {
-        Destination::Gather(spec) => {
-            let is_hopeful = |it: &&Ask<'_>| targets.is_hopeful(it, &cut_off, now);
-            asks.iter().filter(is_hopeful).count() >= spec.min_shards()
-        }
-        Destination::Service(_) | Destination::Weighted(_) => {
-            asks.iter().any(|it| targets.is_reachable(it, &cut_off, now))
+    let mut is_reachable = |name: &ServiceName| {
+        let service = targets.service(name);
+        let ask = Ask { service, class, tried: &[], regions: &route.regions };
+        if is_gather {
+            targets.is_hopeful(&ask, &cut_off, now)
+        } else {
+            targets.is_reachable(&ask, &cut_off, now)
         }
+    };
+    let lacking: Vec<&ServiceName> =
+        services.iter().copied().filter(|it| !is_reachable(it)).collect();
+    let reachable = services.len() - lacking.len();
+    if reachable >= needed {
+        return Ok(());
     }
+    let lacking = lacking.into_iter().take(MAX_NAMED).cloned().collect();
+    Err(Unservable { reachable, needed, lacking })
 }
--- a/crates/godwityard/src/commands/explain/story.rs
+++ b/crates/godwityard/src/commands/explain/story.rs
@@ -9,6 +9,9 @@
 /// Lines of a host around a request in which its targets are looked for.
 const NEIGHBOURS: usize = 400;
 
+/// Lines of a host after a request in which changes of its beliefs are shown.
+const SOON: usize = 150;
+
 /// Messages by which a host says what it believes from then on. Of each kind
 /// the last one before the request counts.
 const BELIEFS: [&[&str]; 7] = [
@@ -42,6 +45,8 @@
     lines: Vec<Event>,
     parts: Vec<PartStory>,
     believed: Vec<Event>,
+    /// What it came to believe soon after; what is cut off shows late.
+    soon_after: Vec<Event>,
 }
 
 #[derive(Clone, Debug)]
@@ -110,6 +115,7 @@
             lines: own.iter().map(|it| Event::from(*it)).collect(),
             parts: parts.collect(),
             believed: beliefs(&of_host[..first]),
+            soon_after: changes(&of_host[first..], SOON),
         }
     }
 
@@ -127,6 +133,10 @@
             writeln!(out, "  the host believed then:")?;
             print_events(out, &self.believed, false)?;
         }
+        if !self.soon_after.is_empty() {
+            writeln!(out, "  and soon after:")?;
+            print_events(out, &self.soon_after, false)?;
+        }
         Ok(())
     }
 }
@@ -138,6 +148,7 @@
         for (name, value) in line.fields.iter().filter(|(name, _)| !skipped.contains(&&***name)) {
             match value.as_str() {
                 Some(text) => what.push_str(&format!(", {name} {text}")),
+                None if value.is_null() => {}
                 None => what.push_str(&format!(", {name} {value}")),
             }
         }
@@ -159,6 +170,14 @@
     found.into_iter().map(|index| Event::from(before[index])).collect()
 }
 
+/// What the host says of its beliefs in the next `count` lines.
+fn changes(after: &[&LogLine], count: usize) -> Vec<Event> {
+    let is_belief = |it: &&&LogLine| {
+        BELIEFS.iter().flat_map(|it| it.iter()).any(|kind| it.msg.starts_with(kind))
+    };
+    after.iter().take(count).filter(is_belief).map(|it| Event::from(*it)).collect()
+}
+
 fn unplanned_starts(lines: &[LogLine]) -> Vec<Event> {
     let mut starts = Vec::new();
     for (index, line) in lines.iter().enumerate() {
--- a/crates/godwityard/tests/explain_logs.rs
+++ b/crates/godwityard/tests/explain_logs.rs
@@ -53,6 +53,8 @@
     assert_eq!(ran.code, 0, "{}", ran.err);
     assert!(ran.out.contains("reason too few targets can be reached"), "{}", ran.out);
     assert!(ran.out.contains("T06 front: reach changed, is_isolated true"), "{}", ran.out);
+    let soon_after = ran.out.split("  and soon after:\n").nth(1).unwrap_or_default();
+    assert!(soon_after.contains("T08 host: starting"), "{}", ran.out);
 }
 
 #[test]
