--- a/crates/telemetry/examples/log_cost.rs
+++ b/crates/telemetry/examples/log_cost.rs
@@ -1,6 +1,8 @@
 //! Prints the processor time of one request's log line, of the usual kind and
 //! with notes of twelve parts.
 
+#![allow(clippy::print_stderr, reason = "standard output carries the log")]
+
 use std::{hint::black_box, time::Instant};
 
 use slog::info;
