Forget the drain of a queue that ran empty; send no hedge with the answer

Cause: read as a newcomer: the drain measured in one outage was kept, so that a single part that waited minutes later could count as seconds of wait and turn callers away; and a query that ended while a hedge was due sent it all the same. Change: the drain is forgotten when nothing waits; hedges come after the verdict.

--- a/crates/forward/src/placement/admission.rs
+++ b/crates/forward/src/placement/admission.rs
@@ -28,7 +28,8 @@
     /// A send ended; `is_waited_for` tells whether anything waits.
     pub(super) fn note(&mut self, now: Time, is_waited_for: bool) {
         if !is_waited_for {
-            self.last = None;
+            // The next queue may come of something else.
+            *self = Drain::default();
             return;
         }
         if let Some(last) = self.last.replace(now) {
--- a/crates/forward/src/query/mod.rs
+++ b/crates/forward/src/query/mod.rs
@@ -202,16 +202,14 @@
 
     /// What is due now, and how the query stands.
     pub fn look<W>(&mut self, targets: &mut Targets<W>, now: Time) -> (Vec<Step>, Verdict) {
-        let (steps, next_hedge) = self.hedge(targets, now);
         self.doubt_silent(targets, now);
-        let verdict = match self.gather.verdict(now) {
-            Verdict::Wait(until) => {
-                let next = next_hedge.map_or(until, |it| it.min(until));
-                Verdict::Wait(next.min(self.next_doubt(now)))
-            }
-            verdict => verdict,
+        let until = match self.gather.verdict(now) {
+            Verdict::Wait(until) => until,
+            verdict => return (Vec::new(), verdict),
         };
-        (steps, verdict)
+        let (steps, next_hedge) = self.hedge(targets, now);
+        let next = next_hedge.map_or(until, |it| it.min(until));
+        (steps, Verdict::Wait(next.min(self.next_doubt(now))))
     }
 
     fn sent(&mut self, index: usize, send: Send, now: Time) -> Step {
--- a/crates/forward/tests/queries.rs
+++ b/crates/forward/tests/queries.rs
@@ -123,3 +123,18 @@
     assert_eq!(query.look(&mut it.core, at(0)).1, Verdict::GiveUp);
     assert!(!query.may_have_run());
 }
+
+/// A query that ends now sends nothing more, even if a hedge is due as well.
+#[test]
+fn no_hedge_goes_out_with_the_answer() {
+    let mut it = Place::new(2, 2);
+    it.teach(Duration::from_millis(10));
+    let mut query = it.query(1, true, UNTIL, at(2_000));
+    let first = place(&mut query, &mut it, at(2_000));
+    sent(query.place(&mut it.core, 1, at(2_000)));
+    it.core.finished(&first, at(2_010), SendResult::Answered);
+    query.ended(&mut it.core, 0, &first, SendResult::Answered, at(2_010));
+    let settled = query.plan().schedule.settle_at();
+    assert_eq!(query.look(&mut it.core, settled), (Vec::new(), Verdict::Answer));
+    assert_eq!(query.extra_sends(), 0);
+}
--- a/crates/forward/tests/waiting.rs
+++ b/crates/forward/tests/waiting.rs
@@ -125,3 +125,19 @@
     drain(&mut it, 0, 3);
     assert_eq!(admit(&it, 1, at(60), at(60)), Admission::Accept);
 }
+
+/// A service was silent for long while something waited. Once its queue was
+/// empty that tells nothing of the next queue.
+#[test]
+fn an_old_outage_turns_nobody_away() {
+    let mut it = Place::new(1, 1);
+    wait(&mut it, 0, "one", 1, 20_000);
+    let (first, second) = (it.send(0, at(0)), it.send(0, at(0)));
+    it.core.finished(&first, at(10), SendResult::Answered);
+    it.core.finished(&second, at(5_000), SendResult::Answered);
+    assert_eq!(next(&mut it, at(5_000)), Some("one"));
+    let last = it.send(0, at(5_000));
+    it.core.finished(&last, at(5_020), SendResult::Answered);
+    wait(&mut it, 0, "two", 1, 20_000);
+    assert_eq!(admit(&it, 1, at(8_100), at(8_000)), Admission::Accept);
+}
