--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -5,14 +5,14 @@
 use std::{io::ErrorKind, time::Duration};
 
 use forward::Repeat;
-use stage::{Reply, Stage, body, free_port, ok, read_message, run, status, target};
+use stage::{Reply, Stage, body, ok, own_address, read_message, run, status, target};
 use tokio::{io::AsyncWriteExt, net::UdpSocket, task::JoinSet, time::sleep};
 
 #[test]
 fn a_host_without_a_source_learns_the_configuration_and_targets_from_a_peer() {
     run(async {
         let one = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
-        let (first, second) = (free_port(), free_port());
+        let (first, second) = (own_address(), own_address());
         let mut knowing = Stage::start_among(first, vec![second]);
         knowing.single(Repeat::Idempotent);
         knowing.list("s", "t1", &one);
--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -7,9 +7,12 @@
     cell::{Cell, RefCell},
     future::Future,
     io,
-    net::{SocketAddr, TcpListener as StdListener},
+    net::{IpAddr, SocketAddr},
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering::Relaxed},
+    },
     time::Duration,
 };
 
@@ -29,6 +32,9 @@
     time::{sleep, timeout},
 };
 
+/// Port of all addresses that belong to one stage alone.
+const PORT: u16 = 8_100;
+
 /// Longest that anything in a test takes.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -195,12 +201,12 @@
 
 impl Stage {
     pub fn start() -> Stage {
-        Stage::start_among(free_port(), Vec::new())
+        Stage::start_among(own_address(), Vec::new())
     }
 
     /// A host that finds others through `seeds`.
     pub fn start_among(peers: SocketAddr, seeds: Vec<SocketAddr>) -> Stage {
-        let (callers, readiness, metrics) = (free_port(), free_port(), free_port());
+        let (callers, readiness, metrics) = (own_address(), own_address(), own_address());
         let name = HeaderName::from_static;
         let names = HeaderNames {
             request_id: name("x-id"),
@@ -328,9 +334,12 @@
     }
 }
 
-pub fn free_port() -> SocketAddr {
-    let listener = StdListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+/// An address on loopback that nothing else of any test uses: a port that was
+/// merely found free may be taken before it is bound.
+pub fn own_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    (IpAddr::from([127, high.max(1), low, NEXT.fetch_add(1, Relaxed)]), PORT).into()
 }
 
 /// Runs a test on one thread, within the time that all tests get.
