--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -245,14 +245,17 @@
         }
     }
 
-    /// A target of `service` at an address.
     pub fn list(&self, service: &str, name: &str, target: &Target) {
+        self.list_at(service, name, target.address);
+    }
+
+    pub fn list_at(&self, service: &str, name: &str, address: SocketAddr) {
         self.cx.report(TargetReport {
             name: TargetName::new(name),
             born: None,
             sequence: 1,
             service: ServiceName::new(service),
-            address: target.address,
+            address,
             domain: DomainName::new("local"),
             slots: 4,
             lifecycle: Lifecycle::Ready,
@@ -274,14 +277,14 @@
             regions: Vec::new(),
         });
         self.version += 1;
-        let names = ["s", "s0", "s1", "s2"];
         let service = Service {
             health_path: Arc::from("/health"),
             max_connections: 16,
             warmup: Duration::ZERO,
             warmup_rate: self.warmup_rate,
         };
-        let services = names.iter().map(|it| (ServiceName::new(it), service.clone())).collect();
+        let services = self.routes.iter().flat_map(|it| it.destination.services());
+        let services = services.map(|it| (it.clone(), service.clone())).collect();
         let limits = CallerLimits {
             header_bytes: 8_192,
             body_bytes: 1_000,
@@ -296,8 +299,14 @@
         self.route("/one/", repeat, Destination::Service(ServiceName::new("s")));
     }
 
+    /// A route over the shards `s0` to `s2`.
     pub fn gather(&mut self, min_share: f64) {
-        let shards = ["s0", "s1", "s2"].map(ServiceName::new).to_vec();
+        self.gather_over(3, min_share);
+    }
+
+    /// A route over the shards `s0`, `s1` and so on.
+    pub fn gather_over(&mut self, shards: usize, min_share: f64) {
+        let shards = (0..shards).map(|it| ServiceName::new(&format!("s{it}"))).collect();
         let spec = GatherSpec { shards, top: 2, min_share };
         self.route("/all/", Repeat::Idempotent, Destination::Gather(spec));
     }
