Look up a route's services once; hold a query's parts in one list

Cause: read as a stranger: each request looked up the name of each shard twice and of its route twice, in two functions that both worked out what to send to; a query held its parts in four lists of equal length, and one over no shards would have been answered with nothing in it. Change: a route's entry holds the keys of its services and of its class; Gather has a list of parts; too few parts end a query before its completeness does.

--- a/crates/forward/src/gather/mod.rs
+++ b/crates/forward/src/gather/mod.rs
@@ -89,31 +89,31 @@
     Done,
 }
 
+/// One shard within a query.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    state: PartState,
+    /// When it was sent last.
+    sent_at: Option<Time>,
+    hedge: Hedge,
+}
+
 /// The state of one query.
 #[derive(Clone, Debug)]
 pub struct Gather {
-    parts: Vec<PartState>,
-    sent_at: Vec<Time>,
-    hedges: Vec<Hedge>,
-    was_sent: Vec<bool>,
+    parts: Vec<Part>,
     min_shards: usize,
     schedule: Schedule,
 }
 
 impl Gather {
     pub fn new(shards: usize, min_shards: usize, schedule: Schedule) -> Gather {
-        Gather {
-            parts: vec![PartState::Waiting; shards],
-            sent_at: vec![schedule.received; shards],
-            hedges: vec![Hedge::Open; shards],
-            was_sent: vec![false; shards],
-            min_shards,
-            schedule,
-        }
+        let part = Part { state: PartState::Waiting, sent_at: None, hedge: Hedge::Open };
+        Gather { parts: vec![part; shards], min_shards, schedule }
     }
 
     pub fn part(&self, index: usize) -> PartState {
-        self.parts[index]
+        self.parts[index].state
     }
 
     pub fn done(&self) -> usize {
@@ -122,7 +122,7 @@
 
     /// Parts that were sent at least once.
     pub fn started(&self) -> usize {
-        self.was_sent.iter().filter(|it| **it).count()
+        self.parts.iter().filter(|it| it.sent_at.is_some()).count()
     }
 
     pub fn missing(&self) -> usize {
@@ -130,11 +130,12 @@
     }
 
     pub fn sent(&mut self, index: usize, now: Time) {
-        self.sent_at[index] = now;
-        self.was_sent[index] = true;
-        self.parts[index] = match self.parts[index] {
-            PartState::Sent { in_flight } => PartState::Sent { in_flight: in_flight + 1 },
-            PartState::Hopeless { in_flight } => PartState::Sent { in_flight: in_flight + 1 },
+        let part = &mut self.parts[index];
+        part.sent_at = Some(now);
+        part.state = match part.state {
+            PartState::Sent { in_flight } | PartState::Hopeless { in_flight } => {
+                PartState::Sent { in_flight: in_flight + 1 }
+            }
             PartState::Waiting | PartState::Silent | PartState::Failed => {
                 PartState::Sent { in_flight: 1 }
             }
@@ -143,33 +144,31 @@
     }
 
     pub fn waits(&mut self, index: usize, is_silent: bool) {
-        let is_open =
-            matches!(self.parts[index], PartState::Waiting | PartState::Silent | PartState::Failed);
-        if !is_open {
-            return;
+        let state = &mut self.parts[index].state;
+        let is_open = matches!(state, PartState::Waiting | PartState::Silent | PartState::Failed);
+        if is_open {
+            *state = if is_silent { PartState::Silent } else { PartState::Waiting };
         }
-        self.parts[index] = if is_silent { PartState::Silent } else { PartState::Waiting };
     }
 
     /// A part came in; false if one was there already.
     pub fn arrived(&mut self, index: usize) -> bool {
-        let is_first = self.parts[index] != PartState::Done;
-        self.parts[index] = PartState::Done;
-        is_first
+        let before = std::mem::replace(&mut self.parts[index].state, PartState::Done);
+        before != PartState::Done
     }
 
     /// A send of the part ended without an answer. True if no other is in
     /// flight, so that the part should be tried elsewhere.
     pub fn lost(&mut self, index: usize) -> bool {
-        let (PartState::Sent { in_flight } | PartState::Hopeless { in_flight }) = self.parts[index]
-        else {
+        let state = &mut self.parts[index].state;
+        let (PartState::Sent { in_flight } | PartState::Hopeless { in_flight }) = *state else {
             return false;
         };
         if in_flight > 1 {
-            self.parts[index] = PartState::Sent { in_flight: in_flight - 1 };
+            *state = PartState::Sent { in_flight: in_flight - 1 };
             return false;
         }
-        self.parts[index] = PartState::Failed;
+        *state = PartState::Failed;
         true
     }
 
@@ -178,49 +177,40 @@
     /// A request to a single target waits on: the target may be at work.
     pub fn doubt(&mut self, index: usize) {
         if self.parts.len() > 1
-            && let PartState::Sent { in_flight } = self.parts[index]
+            && let PartState::Sent { in_flight } = self.parts[index].state
         {
-            self.parts[index] = PartState::Hopeless { in_flight };
+            self.parts[index].state = PartState::Hopeless { in_flight };
         }
     }
 
     pub fn failed(&mut self, index: usize) {
-        if self.parts[index] != PartState::Done {
-            self.parts[index] = PartState::Failed;
+        let state = &mut self.parts[index].state;
+        if *state != PartState::Done {
+            *state = PartState::Failed;
         }
     }
 
     /// Parts whose only send is older than `delay`, each named once unless its
     /// hedge is put off.
     pub fn due_hedges(&mut self, now: Time, delay: Duration) -> Vec<usize> {
-        let is_due = |index: &usize| self.hedge_at(*index, delay).is_some_and(|at| at <= now);
-        let due: Vec<usize> = (0..self.parts.len()).filter(is_due).collect();
-        for index in &due {
-            self.hedges[*index] = Hedge::Done;
+        let mut due = Vec::new();
+        for (index, part) in self.parts.iter_mut().enumerate() {
+            if part.hedge_at(delay).is_some_and(|at| at <= now) {
+                part.hedge = Hedge::Done;
+                due.push(index);
+            }
         }
         due
     }
 
     /// No target could take the hedge now; it may be due again soon.
     pub fn put_hedge_off(&mut self, index: usize, now: Time) {
-        self.hedges[index] = Hedge::NotBefore(now + HEDGE_PAUSE);
+        self.parts[index].hedge = Hedge::NotBefore(now + HEDGE_PAUSE);
     }
 
     /// When the next part is due for a hedge.
     pub fn next_hedge(&self, delay: Duration) -> Option<Time> {
-        (0..self.parts.len()).filter_map(|index| self.hedge_at(index, delay)).min()
-    }
-
-    fn hedge_at(&self, index: usize, delay: Duration) -> Option<Time> {
-        if self.parts[index] != (PartState::Sent { in_flight: 1 }) {
-            return None;
-        }
-        let late_at = self.sent_at[index] + delay;
-        match self.hedges[index] {
-            Hedge::Open => Some(late_at),
-            Hedge::NotBefore(at) => Some(late_at.max(at)),
-            Hedge::Done => None,
-        }
+        self.parts.iter().filter_map(|it| it.hedge_at(delay)).min()
     }
 
     pub fn settle_at(&self) -> Time {
@@ -229,14 +219,14 @@
 
     pub fn verdict(&self, now: Time) -> Verdict {
         let done = self.done();
-        if done == self.parts.len() {
-            return Verdict::Answer;
-        }
-        let is_enough = done >= self.min_shards;
         let failed = self.count(|it| it == PartState::Failed);
         if self.parts.len() - failed < self.min_shards {
             return Verdict::GiveUp;
         }
+        if done == self.parts.len() {
+            return Verdict::Answer;
+        }
+        let is_enough = done >= self.min_shards;
         if now >= self.schedule.until {
             return if is_enough { Verdict::Answer } else { Verdict::TimedOut };
         }
@@ -253,6 +243,20 @@
     }
 
     fn count(&self, is_counted: impl Fn(PartState) -> bool) -> usize {
-        self.parts.iter().filter(|it| is_counted(**it)).count()
+        self.parts.iter().filter(|it| is_counted(it.state)).count()
+    }
+}
+
+impl Part {
+    fn hedge_at(&self, delay: Duration) -> Option<Time> {
+        if self.state != (PartState::Sent { in_flight: 1 }) {
+            return None;
+        }
+        let late_at = self.sent_at? + delay;
+        match self.hedge {
+            Hedge::Open => Some(late_at),
+            Hedge::NotBefore(at) => Some(late_at.max(at)),
+            Hedge::Done => None,
+        }
     }
 }
--- a/crates/forward/src/route/table.rs
+++ b/crates/forward/src/route/table.rs
@@ -7,9 +7,10 @@
     time::Duration,
 };
 
-use base::{HashMap, ServiceName, Time};
+use base::{HashMap, Time};
 
 use super::{Configuration, Destination, Route};
+use crate::placement::{ClassKey, ServiceKey, Targets};
 
 /// A route counts as in use for this long after a request.
 const IN_USE_FOR: Duration = Duration::from_secs(2);
@@ -21,10 +22,13 @@
     by_host: HashMap<Arc<str>, Vec<Rc<RouteEntry>>>,
 }
 
-/// A route with the state of its weighted choice.
+/// A route with its services looked up, and the state of its weighted choice.
 #[derive(Debug)]
 pub struct RouteEntry {
     pub route: Route,
+    /// In the order of the destination.
+    pub services: Vec<ServiceKey>,
+    pub class: ClassKey,
     /// Version of the configuration that the route belongs to.
     pub version: u64,
     credits: RefCell<Vec<f64>>,
@@ -32,10 +36,10 @@
 }
 
 impl RouteTable {
-    pub fn new(cfg: &Configuration) -> RouteTable {
+    pub fn new<W>(cfg: &Configuration, targets: &mut Targets<W>) -> RouteTable {
         let mut by_host: HashMap<Arc<str>, Vec<Rc<RouteEntry>>> = HashMap::default();
         for route in &cfg.routes {
-            let entry = Rc::new(RouteEntry::new(route.clone(), cfg.version));
+            let entry = Rc::new(RouteEntry::new(route.clone(), cfg.version, targets));
             by_host.entry(route.host.clone()).or_default().push(entry);
         }
         for routes in by_host.values_mut() {
@@ -56,15 +60,15 @@
 }
 
 impl RouteEntry {
-    fn new(route: Route, version: u64) -> RouteEntry {
-        let parts = match &route.destination {
-            Destination::Weighted(parts) => parts.len(),
-            Destination::Service(_) | Destination::Gather(_) => 0,
-        };
+    fn new<W>(route: Route, version: u64, targets: &mut Targets<W>) -> RouteEntry {
+        let names = route.destination.services();
+        let services: Vec<ServiceKey> = names.into_iter().map(|it| targets.service(it)).collect();
         RouteEntry {
+            class: targets.class(&route.name),
+            credits: RefCell::new(vec![0.0; services.len()]),
+            services,
             route,
             version,
-            credits: RefCell::new(vec![0.0; parts]),
             last_request: Cell::new(None),
         }
     }
@@ -78,27 +82,37 @@
         self.last_request.get().is_some_and(|at| now.since(at) < IN_USE_FOR)
     }
 
-    /// The service whose turn it is: each gets its weight's share in any run
-    /// of requests, evenly spread.
-    pub fn next_service(&self) -> Option<ServiceName> {
+    /// Services that must answer a request.
+    pub fn min_services(&self) -> usize {
         match &self.route.destination {
-            Destination::Service(name) => Some(name.clone()),
-            Destination::Gather(_) => None,
-            Destination::Weighted(parts) => self.next_weighted(parts),
+            Destination::Gather(spec) => spec.min_shards(),
+            Destination::Service(_) | Destination::Weighted(_) => 1,
         }
     }
 
-    fn next_weighted(&self, parts: &[(ServiceName, f64)]) -> Option<ServiceName> {
-        let total: f64 = parts.iter().map(|(_, weight)| weight).sum();
+    /// Services that the next request goes to. Of weighted ones each gets its
+    /// share in any run of requests, evenly spread.
+    pub fn next_services(&self) -> Vec<ServiceKey> {
+        match &self.route.destination {
+            Destination::Gather(_) | Destination::Service(_) => self.services.clone(),
+            Destination::Weighted(parts) => {
+                let weights: Vec<f64> = parts.iter().map(|(_, weight)| *weight).collect();
+                self.next_weighted(&weights).into_iter().collect()
+            }
+        }
+    }
+
+    fn next_weighted(&self, weights: &[f64]) -> Option<ServiceKey> {
+        let total: f64 = weights.iter().sum();
         if total <= 0.0 {
             return None;
         }
         let mut credits = self.credits.borrow_mut();
-        for (credit, (_, weight)) in credits.iter_mut().zip(parts) {
+        for (credit, weight) in credits.iter_mut().zip(weights) {
             *credit += weight / total;
         }
-        let best = (0..parts.len()).max_by(|&a, &b| credits[a].total_cmp(&credits[b]))?;
+        let best = (0..weights.len()).max_by(|&a, &b| credits[a].total_cmp(&credits[b]))?;
         credits[best] -= 1.0;
-        Some(parts[best].0.clone())
+        Some(self.services[best])
     }
 }
--- a/crates/forward/tests/queries.rs
+++ b/crates/forward/tests/queries.rs
@@ -138,3 +138,11 @@
     assert_eq!(query.look(&mut it.core, settled), (Vec::new(), Verdict::Answer));
     assert_eq!(query.extra_sends(), 0);
 }
+
+/// An answer names one part at least.
+#[test]
+fn a_query_over_no_shards_is_no_answer() {
+    let mut it = Place::new(0, 0);
+    let mut query = it.query(1, true, UNTIL, at(0));
+    assert_eq!(query.look(&mut it.core, at(0)).1, Verdict::GiveUp);
+}
--- a/crates/forward/tests/routes.rs
+++ b/crates/forward/tests/routes.rs
@@ -1,5 +1,7 @@
 //! Choice of routes, weighted services, merging of parts.
 
+mod place;
+
 use std::{sync::Arc, time::Duration};
 
 use base::ServiceName;
@@ -7,6 +9,7 @@
     Configuration, Destination, Repeat, Route, RouteTable, merge::merge_top,
     retry_after::retry_after, route::GatherSpec,
 };
+use place::Place;
 
 fn route(host: &str, prefix: &str, destination: Destination) -> Route {
     Route {
@@ -23,6 +26,11 @@
     }
 }
 
+fn table(routes: Vec<Route>, place: &mut Place) -> RouteTable {
+    let cfg = Configuration { version: 1, routes, ..Default::default() };
+    RouteTable::new(&cfg, &mut place.core)
+}
+
 fn to(service: &str) -> Destination {
     Destination::Service(ServiceName::new(service))
 }
@@ -35,7 +43,7 @@
         route("h", "/a/b/", to("ab")),
         route("other", "/a/b/c/", to("other")),
     ];
-    let table = RouteTable::new(&Configuration { version: 1, routes, ..Default::default() });
+    let table = table(routes, &mut Place::new(0, 0));
     let found = |host, path| table.find(host, path).map(|it| it.route.prefix.to_string());
     assert_eq!(found("h", "/a/b/c/d").as_deref(), Some("/a/b/"));
     assert_eq!(found("h", "/a/bc").as_deref(), Some("/a/"));
@@ -51,9 +59,12 @@
         (ServiceName::new("z"), 0.0),
     ];
     let routes = vec![route("h", "/", Destination::Weighted(parts))];
-    let table = RouteTable::new(&Configuration { version: 1, routes, ..Default::default() });
+    let mut place = Place::new(0, 0);
+    let table = table(routes, &mut place);
     let entry = table.find("h", "/").expect("the route");
-    let chosen: Vec<ServiceName> = (0..400).filter_map(|_| entry.next_service()).collect();
+    let chosen = (0..400).flat_map(|_| entry.next_services());
+    let chosen: Vec<ServiceName> = chosen.map(|it| place.core.service_name(it).clone()).collect();
+    assert_eq!(chosen.len(), 400);
     for window in chosen.windows(40) {
         let share = window.iter().filter(|it| it.as_str() == "x").count() as f64 / 40.0;
         assert!((share - 0.75).abs() <= 0.05, "{share}");
@@ -65,8 +76,9 @@
 fn weights_of_zero_choose_nothing() {
     let parts = vec![(ServiceName::new("x"), 0.0)];
     let routes = vec![route("h", "/", Destination::Weighted(parts))];
-    let table = RouteTable::new(&Configuration { version: 1, routes, ..Default::default() });
-    assert_eq!(table.find("h", "/").and_then(|it| it.next_service()), None);
+    let table = table(routes, &mut Place::new(0, 0));
+    let entry = table.find("h", "/").expect("the route");
+    assert_eq!(entry.next_services(), []);
 }
 
 #[test]
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -10,11 +10,8 @@
 use base::Time;
 use bytes::Bytes;
 use forward::{
-    Destination, QueryPlan, Repeat, Route, Verdict,
-    gather::Schedule,
-    placement::{Admission, ServiceKey},
-    route::RouteEntry,
-    suspects::Fingerprint,
+    Destination, QueryPlan, Repeat, Route, Verdict, gather::Schedule, placement::Admission,
+    route::RouteEntry, suspects::Fingerprint,
 };
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header, request::Parts,
@@ -187,12 +184,10 @@
         let refusal = Refusal::not_run("too few targets can be reached", expected, left);
         return Err(refusal.with_inputs(unservable.to_string()));
     }
-    let (shards, min_shards) = shards(cx, entry);
-    let class = cx.targets.borrow_mut().class(&route.name);
     let plan = QueryPlan {
-        shards,
-        min_shards,
-        class,
+        shards: entry.next_services(),
+        min_shards: entry.min_services(),
+        class: entry.class,
         regions: route.regions.clone(),
         attempts: if request.is_idempotent { route.attempts } else { 1 },
         priority: route.priority,
@@ -222,18 +217,6 @@
     }
 }
 
-/// The services to send to, and how many of them must answer.
-fn shards(cx: &SharedCx, entry: &RouteEntry) -> (Vec<ServiceKey>, usize) {
-    let mut targets = cx.targets.borrow_mut();
-    if let Destination::Gather(spec) = &entry.route.destination {
-        let shards = spec.shards.iter().map(|it| targets.service(it)).collect();
-        return (shards, spec.min_shards());
-    }
-    let service = entry.next_service();
-    let shards: Vec<ServiceKey> = service.iter().map(|it| targets.service(it)).collect();
-    (shards, 1)
-}
-
 fn finish(
     cx: &SharedCx,
     entry: &RouteEntry,
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -111,7 +111,8 @@
         self.targets.borrow_mut().configure(cfg);
         self.limits.set(cfg.limits);
         *self.configuration.borrow_mut() = Some(Rc::new(cfg.clone()));
-        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(cfg)));
+        let table = RouteTable::new(cfg, &mut self.targets.borrow_mut());
+        *self.table.borrow_mut() = Some(Rc::new(table));
         info!(self.log, "front: configuration in force";
             "version" => cfg.version, "routes" => cfg.routes.len());
     }
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -6,8 +6,8 @@
 use forward::{
     Destination,
     isolation::cut_off,
-    placement::Ask,
-    route::{Route, RouteEntry},
+    placement::{Ask, ServiceKey},
+    route::RouteEntry,
 };
 use slog::warn;
 
@@ -59,30 +59,26 @@
     entry: &RouteEntry,
     now: Time,
 ) -> Result<(), Unservable> {
-    let route: &Route = &entry.route;
-    let mut targets = cx.targets.borrow_mut();
-    let class = targets.class(&route.name);
+    let targets = cx.targets.borrow();
     let cut_off = cx.cut_off.borrow();
-    let services = route.destination.services();
-    let (needed, is_gather) = match &route.destination {
-        Destination::Gather(spec) => (spec.min_shards(), true),
-        Destination::Service(_) | Destination::Weighted(_) => (1, false),
-    };
-    let mut is_reachable = |name: &ServiceName| {
-        let service = targets.service(name);
-        let ask = Ask { service, class, tried: &[], regions: &route.regions };
+    let is_gather = matches!(entry.route.destination, Destination::Gather(_));
+    let is_reachable = |service: ServiceKey| {
+        let regions = &entry.route.regions;
+        let ask = Ask { service, class: entry.class, tried: &[], regions };
         if is_gather {
             targets.is_hopeful(&ask, &cut_off, now)
         } else {
             targets.is_reachable(&ask, &cut_off, now)
         }
     };
-    let lacking: Vec<&ServiceName> =
-        services.iter().copied().filter(|it| !is_reachable(it)).collect();
-    let reachable = services.len() - lacking.len();
+    let services = entry.services.iter().copied();
+    let lacking: Vec<ServiceKey> = services.filter(|it| !is_reachable(*it)).collect();
+    let needed = entry.min_services();
+    let reachable = entry.services.len() - lacking.len();
     if reachable >= needed {
         return Ok(());
     }
-    let lacking = lacking.into_iter().take(MAX_NAMED).cloned().collect();
+    let names = lacking.into_iter().take(MAX_NAMED).map(|it| targets.service_name(it).clone());
+    let lacking = names.collect();
     Err(Unservable { reachable, needed, lacking })
 }
