--- a/crates/forward/tests/fleet/judge.rs
+++ b/crates/forward/tests/fleet/judge.rs
@@ -135,9 +135,12 @@
         if verdict == Some(Verdict::Answer) {
             let done = query.done();
             assert!(done >= query.plan().min_shards, "seed {seed} at {now:?}: {done} parts");
-            assert_eq!(done + query.missing(), running.services.len());
-            let ran = self.records[id].runs.iter().filter(|it| **it > 0).count();
-            assert!(done <= ran, "seed {seed} at {now:?}: {done} parts of {ran} that ran");
+            let record = &self.records[id];
+            let answered = record.answers.iter().filter(|it| **it > 0).count();
+            assert_eq!(done, answered, "seed {seed} at {now:?}: parts of query {id}");
+            let is_run = |(answers, runs): (&u32, &u32)| answers <= runs;
+            let all_ran = record.answers.iter().zip(&record.runs).all(is_run);
+            assert!(all_ran, "seed {seed} at {now:?}: query {id} has an answer of no run");
             return;
         }
         let is_said_not_run = verdict.is_some() && !query.may_have_run();
@@ -147,8 +150,18 @@
         assert!(!is_said_not_run || runs == 0, "seed {seed} at {now:?}: query {id} did run");
     }
 
-    /// Extra arrivals of every service in every window.
+    /// Queries that should have ended, and extra arrivals of every service in
+    /// every window.
     pub fn check(&self) {
+        for host in &self.hosts {
+            let woke = host.frozen_until;
+            let is_late = |it: &&Running| {
+                let until = it.query.plan().schedule.until.max(woke);
+                self.now > until + END_SLACK
+            };
+            let late = host.queries.values().filter(is_late).count();
+            assert_eq!(late, 0, "seed {}: queries that never ended", self.seed);
+        }
         let end_ms = self.now.as_micros() / 1_000;
         for service in 0..SERVICES {
             for start in (0..end_ms).step_by(500) {
--- a/crates/forward/tests/fleet/queries.rs
+++ b/crates/forward/tests/fleet/queries.rs
@@ -49,6 +49,8 @@
     pub runs: Vec<u32>,
     /// Arrivals, by part.
     pub arrivals: Vec<u32>,
+    /// Answers that came back in time to count, by part.
+    pub answers: Vec<u32>,
     /// Answered, refused or left: nothing may be sent any more.
     pub is_over: bool,
     /// The caller was told that it did not run.
@@ -92,6 +94,7 @@
             is_idempotent,
             runs: vec![0; parts],
             arrivals: vec![0; parts],
+            answers: vec![0; parts],
             is_over: false,
             is_said_not_run: false,
         });
@@ -145,6 +148,7 @@
             if let Some(running) = it.queries.get_mut(&id) {
                 let ended = running.query.ended(&mut it.core, index, &send, result, now);
                 running.look_at = now;
+                self.records[id].answers[index] += u32::from(result == SendResult::Answered);
                 if let Some(step) = ended.step {
                     self.carry_out(host, id, step);
                 }
