Say one thing once: the exporter of instruments, reports of changes, slow targets of load patterns

Cause: duplicates: two kinds of instruments set their exporter up alike; a report could be taken in four ways and an entry be gone in two, one of them for tests only; three tests described slow targets by closures of their own. Change: telemetry::exporter; Cx::report takes the age of the change, unlisted the time since when; one function for slow targets. The pair in policy's send.rs and trial.rs stays: a method would borrow the generator of random numbers that one of them passes on.

--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -58,18 +58,13 @@
         key
     }
 
-    /// The platform no longer lists the target since `age` ago at most.
-    pub fn removed(&mut self, name: &TargetName, age: Duration, now: Time) {
-        self.unlisted(name, now.ago(age));
-    }
-
-    /// The platform no longer lists the target. It may come back: an entry
-    /// that lapsed while the platform was away does, so the target stays for
-    /// a while as a last resort.
-    pub fn unlisted(&mut self, name: &TargetName, now: Time) {
+    /// The platform does not list the target since `since`, at the latest. It
+    /// may come back: an entry that lapsed while the platform was away does, so
+    /// the target stays for a while as a last resort.
+    pub fn unlisted(&mut self, name: &TargetName, since: Time) {
         let key = self.target_keys.get(name);
         if let Some(target) = key.and_then(|it| self.targets.get_mut(it)) {
-            target.unlisted(now);
+            target.unlisted(since);
         }
     }
 
--- a/crates/forward/tests/fleet/source.rs
+++ b/crates/forward/tests/fleet/source.rs
@@ -62,7 +62,7 @@
                     let age = now.since(at);
                     it.core.changed(aged(report, age), age, now);
                 }
-                Change::Unlisted(name) => it.core.removed(&name, now.since(at), now),
+                Change::Unlisted(name) => it.core.unlisted(&name, at),
                 Change::Evacuated(domains) => it.core.set_evacuated(domains, now),
             }
         }
--- a/crates/forward/tests/load_patterns.rs
+++ b/crates/forward/tests/load_patterns.rs
@@ -12,6 +12,15 @@
 /// Extra sends that the users' deployments allow.
 const MAX_EXTRA: f64 = 0.2;
 
+/// A target that answers nothing.
+const SILENT: f64 = f64::INFINITY;
+
+/// A target that turns slower by `factor` and stays so.
+fn slow(shard: usize, replica: usize, factor: f64) -> Slow {
+    let (from, until) = (Duration::from_secs(5), Duration::from_secs(60));
+    Slow { shard, replica, from, until, factor }
+}
+
 fn pauses() -> Load {
     Load {
         pause: Duration::from_millis(150),
@@ -46,14 +55,7 @@
 #[test]
 fn a_shard_whose_targets_are_all_silent_is_left_out_in_time() {
     for seed in 1..=SEEDS {
-        let silent = |replica| Slow {
-            shard: 3,
-            replica,
-            from: Duration::from_secs(5),
-            until: Duration::from_secs(60),
-            factor: f64::INFINITY,
-        };
-        let load = Load { seed, slow: vec![silent(0), silent(1)], ..pauses() };
+        let load = Load { seed, slow: vec![slow(3, 0, SILENT), slow(3, 1, SILENT)], ..pauses() };
         let report = play(&load);
         assert!(report.in_time_share() >= 0.95, "seed {seed}: {report:?}");
     }
@@ -61,14 +63,7 @@
 
 #[test]
 fn more_silent_shards_than_may_be_missing_end_queries_before_their_timeout() {
-    let silent = |shard, replica| Slow {
-        shard,
-        replica,
-        from: Duration::from_secs(5),
-        until: Duration::from_secs(60),
-        factor: f64::INFINITY,
-    };
-    let slow = (0..4).flat_map(|shard| [silent(shard, 0), silent(shard, 1)]).collect();
+    let slow = (0..4).flat_map(|shard| [slow(shard, 0, SILENT), slow(shard, 1, SILENT)]).collect();
     let report = play(&Load { slow, ..pauses() });
     assert!(report.unserved > 0, "{report:?}");
     assert_eq!(report.in_time + report.late + report.unserved, report.queries, "{report:?}");
@@ -79,14 +74,11 @@
 #[test]
 fn work_moves_away_from_targets_that_turn_slow() {
     for seed in 1..=SEEDS {
-        let slow = |shard| Slow {
-            shard,
-            replica: 0,
-            from: Duration::from_secs(5),
-            until: Duration::from_secs(60),
-            factor: 8.0,
+        let load = Load {
+            seed,
+            slow: (0..8).map(|shard| slow(shard, 0, 8.0)).collect(),
+            ..Load::default()
         };
-        let load = Load { seed, slow: (0..8).map(slow).collect(), ..Load::default() };
         let report = play(&load);
         assert!(report.in_time_share() >= 0.95, "seed {seed}: {report:?}");
         let missing = report.missing_parts as f64 / report.parts as f64;
@@ -136,16 +128,9 @@
 #[test]
 fn slow_targets_under_load_do_not_hold_parts_up() {
     for seed in 1..=SEEDS {
-        let slow = |shard| Slow {
-            shard,
-            replica: 0,
-            from: Duration::from_secs(5),
-            until: Duration::from_secs(60),
-            factor: 11.0,
-        };
         let load = Load {
             seed,
-            slow: (0..8).map(slow).collect(),
+            slow: (0..8).map(|shard| slow(shard, 0, 11.0)).collect(),
             queries_per_s: 55.0,
             max_connections: 12,
             ..pauses()
--- a/crates/forward/tests/targets.rs
+++ b/crates/forward/tests/targets.rs
@@ -36,7 +36,7 @@
 
     let mut it = Fixture::new(None);
     it.core.reported(report("one", "a"), at(0));
-    it.core.removed(&TargetName::new("one"), age, at(5_000));
+    it.core.unlisted(&TargetName::new("one"), at(5_000).ago(age));
     assert!(matches!(it.place(at(5_000) + left), Placement::Send(_)));
     assert_eq!(it.place(at(5_001) + left), Placement::Nowhere);
 }
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -117,23 +117,19 @@
             "version" => cfg.version, "routes" => cfg.routes.len());
     }
 
-    pub fn report(&self, report: TargetReport) {
-        self.targets.borrow_mut().reported(report, self.clock.now());
-    }
-
     /// Takes a report that was read with all others, some time after it was made.
     pub(crate) fn report_late(&self, report: TargetReport) {
         self.targets.borrow_mut().reported_late(report, self.clock.now());
     }
 
     /// Takes a report of a change that was made up to `age` ago.
-    pub(crate) fn report_change(&self, report: TargetReport, age: Duration) {
+    pub fn report(&self, report: TargetReport, age: Duration) {
         self.targets.borrow_mut().changed(report, age, self.clock.now());
     }
 
-    /// The platform no longer lists the target since `age` ago at most.
+    /// The platform does not list the target since `age` ago, at the latest.
     pub(crate) fn unlist(&self, name: &TargetName, age: Duration) {
-        self.targets.borrow_mut().removed(name, age, self.clock.now());
+        self.targets.borrow_mut().unlisted(name, self.clock.now().ago(age));
     }
 
     /// The platform lists these targets and no others.
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -232,7 +232,7 @@
 
 fn apply(cx: &SharedCx, item: Item, age: Duration) {
     match item {
-        Item::Target(report) => cx.report_change(report, age),
+        Item::Target(report) => cx.report(report, age),
         Item::TargetGone(name) => cx.unlist(&name, age),
         Item::Configuration(cfg) => cx.apply(&cfg),
         Item::Evacuated(domain) => cx.set_evacuation(domain, true),
--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -250,7 +250,7 @@
     }
 
     pub fn list_at(&self, service: &str, name: &str, address: SocketAddr) {
-        self.cx.report(TargetReport {
+        let report = TargetReport {
             name: TargetName::new(name),
             born: None,
             sequence: 1,
@@ -260,7 +260,8 @@
             slots: 4,
             lifecycle: Lifecycle::Ready,
             cold_for: Duration::ZERO,
-        });
+        };
+        self.cx.report(report, Duration::ZERO);
     }
 
     pub fn route(&mut self, prefix: &str, repeat: Repeat, destination: Destination) {
--- /dev/null
+++ b/crates/telemetry/src/exporter.rs
@@ -0,0 +1,44 @@
+//! The meter that instruments are made of, and their text for scrapers.
+
+use std::sync::Arc;
+
+use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::metrics::MetricsError;
+
+/// Scope of all instruments.
+const SCOPE: &str = "godwityard";
+
+#[derive(Clone)]
+pub(crate) struct Exporter {
+    registry: Registry,
+    // Instruments stop reporting once their provider is gone.
+    provider: Arc<SdkMeterProvider>,
+}
+
+impl Exporter {
+    pub(crate) fn new() -> Result<Exporter, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|err| MetricsError::Exporter(err.to_string()))?;
+        let provider = Arc::new(SdkMeterProvider::builder().with_reader(exporter).build());
+        Ok(Exporter { registry, provider })
+    }
+
+    pub(crate) fn meter(&self) -> Meter {
+        self.provider.meter(SCOPE)
+    }
+
+    /// All instruments in Prometheus text format.
+    pub(crate) fn encode(&self) -> Result<String, MetricsError> {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .map_err(|err| MetricsError::Encoding(err.to_string()))?;
+        String::from_utf8(buf).map_err(|err| MetricsError::Encoding(err.to_string()))
+    }
+}
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -10,19 +10,18 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Histogram, Meter},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::metrics::{LATENCY_BOUNDS_MS, MetricsError};
+use crate::{
+    exporter::Exporter,
+    metrics::{LATENCY_BOUNDS_MS, MetricsError},
+};
 
 /// Every instrument of the forwarding tier.
 #[derive(Clone)]
 pub struct FrontMetrics {
-    registry: Registry,
-    // Instruments stop reporting once their provider is gone.
-    _provider: Arc<SdkMeterProvider>,
+    exporter: Exporter,
     requests: Counter<u64>,
     request_latency: Histogram<f64>,
     missing_parts: Counter<u64>,
@@ -59,13 +58,8 @@
     /// `results` are the names of the results of a send, in the order in which
     /// [`FrontMetrics::count_send`] numbers them.
     pub fn new(results: &'static [&'static str]) -> Result<FrontMetrics, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|err| MetricsError::Exporter(err.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("godwityard");
+        let exporter = Exporter::new()?;
+        let meter = exporter.meter();
         let sends: Arc<[AtomicU64]> = results.iter().map(|_| AtomicU64::new(0)).collect();
         let levels = Arc::new(std::array::from_fn(|_| AtomicU64::new(0)));
         observe_sends(&meter, results, &sends);
@@ -79,8 +73,7 @@
             refusals: meter.u64_counter("front_refusals").build(),
             sends,
             levels,
-            registry,
-            _provider: Arc::new(provider),
+            exporter,
         })
     }
 
@@ -112,11 +105,7 @@
 
     /// The instruments in Prometheus text format.
     pub fn encode(&self) -> Result<String, MetricsError> {
-        let mut buf = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut buf)
-            .map_err(|err| MetricsError::Encoding(err.to_string()))?;
-        String::from_utf8(buf).map_err(|err| MetricsError::Encoding(err.to_string()))
+        self.exporter.encode()
     }
 }
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 //! lines and counts them.
 
 pub mod buffered;
+mod exporter;
 pub mod front_metrics;
 pub mod log;
 pub mod metrics;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -2,14 +2,12 @@
 //!
 //! Labels come from bounded sets only: never a request, caller or ticket.
 
-use std::sync::Arc;
-
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::exporter::Exporter;
 
 /// Bounds of latency histograms, in milliseconds.
 pub(crate) const LATENCY_BOUNDS_MS: [f64; 14] =
@@ -18,9 +16,7 @@
 /// Every instrument of the daemon.
 #[derive(Clone)]
 pub struct Metrics {
-    registry: Registry,
-    // Instruments stop reporting once their provider is gone.
-    _provider: Arc<SdkMeterProvider>,
+    exporter: Exporter,
     pub requests: Counter<u64>,
     pub request_latency: Histogram<f64>,
     pub subqueries: Counter<u64>,
@@ -53,13 +49,8 @@
 
 impl Metrics {
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|err| MetricsError::Exporter(err.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("godwityard");
+        let exporter = Exporter::new()?;
+        let meter = exporter.meter();
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
@@ -90,19 +81,14 @@
             shares_held: gauge("shares_held", "Targets that this host may use"),
             lease_left: gauge("lease_left_ms", "Time until the first lease held ends"),
             invariants_broken: gauge("invariants_broken", "Invariants broken so far"),
-            registry,
-            _provider: Arc::new(provider),
+            exporter,
         })
     }
 
     /// The instruments in Prometheus text format.
     pub fn encode(&self) -> Result<String, MetricsError> {
         self.invariants_broken.record(base::invariant::broken_count(), &[]);
-        let mut buf = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut buf)
-            .map_err(|err| MetricsError::Encoding(err.to_string()))?;
-        String::from_utf8(buf).map_err(|err| MetricsError::Encoding(err.to_string()))
+        self.exporter.encode()
     }
 }
 
