--- a/crates/policy/tests/owner_world/mod.rs
+++ b/crates/policy/tests/owner_world/mod.rs
@@ -4,6 +4,7 @@
 // Each test binary and the bench use a part of it.
 #![allow(dead_code)]
 
+pub mod fixture;
 pub mod load;
 pub mod target;
 
