Check the forwarding tier's invariants in release builds, and report them

Change: sends of a part within its attempts, each ended send was in flight, parts and missing parts of an answer make up the shards; front_invariants_broken; tests and models panic at a broken one.

--- a/crates/forward/src/query/mod.rs
+++ b/crates/forward/src/query/mod.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use base::{RegionName, Time};
+use base::{RegionName, Time, always};
 
 use crate::{
     gather::{Gather, PartState, Schedule, Verdict},
@@ -181,7 +181,8 @@
         result: SendResult,
         now: Time,
     ) -> Ended {
-        self.in_flight -= 1;
+        always!(self.in_flight > 0, "ended-send-was-in-flight", "part {index}");
+        self.in_flight = self.in_flight.saturating_sub(1);
         if result == SendResult::Answered {
             self.has_run = true;
             return Ended { is_part: self.gather.arrived(index), step: None };
@@ -215,6 +216,8 @@
     fn sent(&mut self, index: usize, send: Send, now: Time) -> Step {
         self.tried[index].push(send.target);
         self.runs[index] += 1;
+        let runs = self.runs[index];
+        always!(runs <= self.plan.attempts, "attempts-of-a-part", "{runs} sends of part {index}");
         self.in_flight += 1;
         self.sends += 1;
         self.gather.sent(index, now);
--- a/crates/forward/tests/fleet/mod.rs
+++ b/crates/forward/tests/fleet/mod.rs
@@ -68,6 +68,7 @@
 
 impl World {
     pub fn new(seed: u64) -> World {
+        base::invariant::panic_when_broken();
         let mut world = World {
             seed,
             rng: SmallRng::seed_from_u64(seed),
--- a/crates/forward/tests/model/mod.rs
+++ b/crates/forward/tests/model/mod.rs
@@ -95,6 +95,7 @@
 
 impl Model {
     fn new(load: Load) -> Model {
+        base::invariant::panic_when_broken();
         let limits = Limits {
             retry: RetryLimits {
                 ratio: load.retry_ratio,
--- a/crates/forward/tests/place/mod.rs
+++ b/crates/forward/tests/place/mod.rs
@@ -32,6 +32,7 @@
 
 impl Place {
     pub fn new(services: usize, targets: usize) -> Place {
+        base::invariant::panic_when_broken();
         let limits = Limits {
             retry: RetryLimits { ratio: 0.2, window: Duration::from_secs(10), slack: 10.0 },
             cold_ratio: 1.0,
--- a/crates/front/src/callers/forward.rs
+++ b/crates/front/src/callers/forward.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use base::Time;
+use base::{Time, always};
 use bytes::Bytes;
 use forward::{
     Destination, QueryPlan, Repeat, Route, Verdict, gather::Schedule, placement::Admission,
@@ -227,6 +227,9 @@
     if let Destination::Gather(spec) = &entry.route.destination {
         if is_answered {
             let (parts, missing) = (&collected.parts, collected.missing);
+            let named = parts.len() + missing;
+            let all = entry.services.len();
+            always!(named == all, "parts-and-missing", "{named} of {all} shards");
             return Ok(answer::merged(&cx.cfg.names, parts, missing, spec.top));
         }
     } else if let Some(part) = collected.parts.pop() {
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -188,6 +188,7 @@
         self.metrics.set(Level::Waiting, targets.waiting_count() as u64);
         self.metrics.set(Level::IsReady, u64::from(self.is_ready()));
         self.metrics.set(Level::FollowsSource, u64::from(follows));
+        self.metrics.set(Level::InvariantsBroken, base::invariant::broken_count());
         self.metrics.encode()
     }
 
--- a/crates/front/tests/stage/mod.rs
+++ b/crates/front/tests/stage/mod.rs
@@ -206,6 +206,7 @@
 
     /// A host that finds others through `seeds`.
     pub fn start_among(peers: SocketAddr, seeds: Vec<SocketAddr>) -> Stage {
+        base::invariant::panic_when_broken();
         let (callers, readiness, metrics) = (own_address(), own_address(), own_address());
         let name = HeaderName::from_static;
         let names = HeaderNames {
--- a/crates/godwityardd/src/forwarding.rs
+++ b/crates/godwityardd/src/forwarding.rs
@@ -42,6 +42,7 @@
 pub(crate) fn run(path: &Path) -> eyre::Result<()> {
     let file = read(path)?;
     let (log, buffer) = buffered_logger(&file.listen.callers.to_string());
+    telemetry::report_broken_invariants(&log);
     unblock_stdout().wrap_err("standard output")?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let serving = serve(path.to_owned(), settings(&file), log, buffer.clone());
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -41,9 +41,10 @@
     Waiting,
     IsReady,
     FollowsSource,
+    InvariantsBroken,
 }
 
-const LEVELS: [(Level, &str, &str); 8] = [
+const LEVELS: [(Level, &str, &str); 9] = [
     (Level::ConfigurationVersion, "configuration_version", "Version in force"),
     (Level::Hosts, "hosts", "Hosts that share the targets' limits"),
     (Level::Targets, "targets", "Targets known"),
@@ -52,6 +53,7 @@
     (Level::Waiting, "parts_waiting", "Sends that wait for a connection"),
     (Level::IsReady, "is_ready", "1 if this host takes callers"),
     (Level::FollowsSource, "follows_source", "1 if the source itself is followed"),
+    (Level::InvariantsBroken, "invariants_broken", "Must be 0"),
 ];
 
 impl FrontMetrics {
