--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -54,10 +54,10 @@
     }
 
     /// Takes one extra send from the budget and returns whether there was one left.
-    /// The slack is divided by `hosts`.
-    pub fn try_take(&mut self, now: Time, limits: &RetryLimits, hosts: usize) -> bool {
+    /// `slack_share` is this host's part of the slack.
+    pub fn try_take(&mut self, now: Time, limits: &RetryLimits, slack_share: f64) -> bool {
         self.current_bucket(now, limits);
-        let slack = limits.slack / hosts.max(1) as f64;
+        let slack = limits.slack * slack_share;
         let allowed = (limits.ratio * f64::from(self.requests) + slack) * USABLE_SHARE;
         if f64::from(self.extra + 1) > allowed {
             return false;
--- a/crates/forward/src/isolation.rs
+++ b/crates/forward/src/isolation.rs
@@ -10,21 +10,27 @@
 
 use base::{DomainName, HashSet};
 
-/// Returns the domains on the other side of a partition if this host is on the
-/// smaller side, else none.
+/// Returns the domains whose hosts are on the other side of a partition if this
+/// host is on the smaller side, else none.
 ///
-/// `silent_targets` are the domains whose targets do not answer, `silent_hosts`
-/// those whose hosts do not; `other_domains` is the number of domains besides
-/// this host's own.
-pub fn partitioned_domains(
-    silent_targets: &HashSet<DomainName>,
+/// `silent_hosts` are the domains whose hosts do not answer; `other_domains` is
+/// the number of domains besides this host's own.
+pub fn separated_domains(
     silent_hosts: &HashSet<DomainName>,
     other_domains: usize,
 ) -> HashSet<DomainName> {
     let domains = other_domains + 1;
     let is_smaller_side = silent_hosts.len() * 2 > domains;
-    if !is_smaller_side {
-        return HashSet::default();
-    }
-    silent_targets.intersection(silent_hosts).cloned().collect()
+    if is_smaller_side { silent_hosts.clone() } else { HashSet::default() }
+}
+
+/// Returns the domains that are separated from this host and whose targets, in
+/// `silent_targets`, do not answer either.
+pub fn partitioned_domains(
+    silent_targets: &HashSet<DomainName>,
+    silent_hosts: &HashSet<DomainName>,
+    other_domains: usize,
+) -> HashSet<DomainName> {
+    let separated = separated_domains(silent_hosts, other_domains);
+    silent_targets.intersection(&separated).cloned().collect()
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod query;
 pub mod retry_after;
 pub mod route;
+pub mod senders;
 pub mod suspects;
 pub mod target;
 
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -1,14 +1,27 @@
 //! Membership of hosts, learned by gossip.
 //!
-//! Load pattern answered: starts, kills and partitions of many hosts at once.
-//! Each target's limits are divided by the number of hosts, so the number must
-//! not fall while an unreachable host may still be sending.
+//! Load patterns answered:
+//! - starts, kills and partitions of many hosts at once. Each target's limits are
+//!   divided by the number of hosts, so the number must not fall while an
+//!   unreachable host may still be sending;
+//! - a fleet that grows: each host sends the same number of digests of bounded
+//!   size, whatever the number of hosts. A digest lists some hosts, in turn.
 
-use std::{net::SocketAddr, time::Duration};
+mod digest;
+
+use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use base::{DomainName, HashMap, HashSet, Time};
 
-use crate::suspects::Strike;
+pub use self::digest::{Digest, Host, ListedHost, SeenDomain};
+use crate::{
+    senders::{MAX_SENDER_AGE, candidates, rank},
+    suspects::Strike,
+};
+
+/// Limit of hosts listed in one digest, and in a reply to a host that asks.
+pub const MAX_LISTED_HOSTS: usize = 16;
+pub const MAX_HOSTS_IN_REPLY: usize = 64;
 
 /// Time between two rounds of gossip.
 pub const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
@@ -16,6 +29,19 @@
 /// Peers that each digest is sent to.
 const FANOUT: usize = 4;
 
+/// Of these, peers in this host's own domain. Traffic between domains is
+/// expensive, and hosts of a domain tell each other what they heard.
+const LOCAL_FANOUT: usize = 2;
+
+/// Rounds after a start in which each digest asks for a reply, so that a host
+/// learns of the others though few know of it.
+const ASKING_ROUNDS: u32 = 16;
+
+/// Hosts listed in a digest because they are likely senders, whose loss should be
+/// known soon, and those listed because they were seen last.
+const MAX_CANDIDATES: usize = 6;
+const MAX_NEWS: usize = 6;
+
 /// Time after which a silent peer is no longer counted.
 const HOST_RETENTION: Duration = Duration::from_secs(60);
 
@@ -29,59 +55,62 @@
 /// Factor applied to the number of known hosts during discovery.
 const DISCOVERY_FACTOR: usize = 2;
 
-/// Limit of hosts listed in one digest.
-const MAX_DIGEST_HOSTS: usize = 64;
-
-/// One gossip message.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Digest {
-    pub from: SocketAddr,
-    pub domain: DomainName,
-    /// Version of the configuration in force at the sender.
-    pub version: u64,
-    /// Hosts known to the sender, with the time since each was last seen.
-    pub hosts: Vec<(SocketAddr, Duration)>,
-    /// Recent strikes against requests that crashed targets.
-    pub strikes: Vec<Strike>,
-}
-
 /// The hosts that this host knows of.
 #[derive(Debug)]
 pub struct Peers {
-    own_address: SocketAddr,
+    own: Host,
     seeds: Vec<SocketAddr>,
-    /// Time at which each host was last seen, by its own digest or as reported by
-    /// another host.
-    last_seen: HashMap<SocketAddr, Time>,
-    /// Time of the last digest from each other domain.
+    known: HashMap<SocketAddr, KnownHost>,
+    /// Time of the last digest from each other domain to a host of this domain.
     domains_last_seen: HashMap<DomainName, Time>,
-    home: DomainName,
     /// Configuration version in each peer's last digest, and when that came.
     versions: HashMap<SocketAddr, (u64, Time)>,
-    /// Index of the next peer to gossip to, before wrapping.
-    next_peer: usize,
+    /// Indexes of the next peer to gossip to, before wrapping.
+    next_local: usize,
+    next_remote: usize,
+    /// Indexes of the next hosts to list in a digest, before wrapping.
+    next_candidate: usize,
+    next_listed: usize,
+    /// Number of digests sent.
+    rounds: u32,
+}
+
+#[derive(Debug)]
+struct KnownHost {
+    host: Host,
+    /// Time at which the host was last seen, by its own digest or as reported by
+    /// another host.
+    last_seen: Time,
 }
 
 impl Peers {
-    pub fn new(own_address: SocketAddr, home: DomainName, seeds: Vec<SocketAddr>) -> Peers {
-        let seeds = seeds.into_iter().filter(|it| *it != own_address).collect();
+    pub fn new(own: Host, seeds: Vec<SocketAddr>) -> Peers {
+        let seeds = seeds.into_iter().filter(|it| *it != own.address).collect();
+        // Hosts begin their turns at different peers.
+        let first_turn = rank(own.address) as usize;
         Peers {
-            own_address,
+            own,
             seeds,
-            last_seen: HashMap::default(),
+            known: HashMap::default(),
             domains_last_seen: HashMap::default(),
-            home,
             versions: HashMap::default(),
-            next_peer: 0,
+            next_local: first_turn,
+            next_remote: first_turn,
+            next_candidate: first_turn,
+            next_listed: first_turn,
+            rounds: 0,
         }
     }
 
+    pub fn own(&self) -> &Host {
+        &self.own
+    }
+
     /// Returns the number of hosts that may be running, including this one.
     pub fn count(&self, now: Time) -> usize {
-        let is_counted = |at: &Time| now.since(*at) < HOST_RETENTION;
-        let seen = self.last_seen.values().filter(|at| is_counted(at)).count();
-        let unseen_seeds = self.seeds.iter().filter(|it| !self.last_seen.contains_key(*it)).count();
-        1 + seen + unseen_seeds
+        let is_counted = |it: &KnownHost| now.since(it.last_seen) < HOST_RETENTION;
+        let seen = self.known.values().filter(|it| is_counted(it)).count();
+        1 + seen + self.unseen_seeds().count()
     }
 
     /// Returns the number of hosts to share limits with. Soon after a start there
@@ -91,10 +120,18 @@
         if uptime < DISCOVERY_TIME { count * DISCOVERY_FACTOR } else { count }
     }
 
+    /// Returns the hosts seen within `max_age`, including this one.
+    pub fn live_hosts(&self, now: Time, max_age: Duration) -> Vec<Host> {
+        let live = self.known.values().filter(|it| now.since(it.last_seen) <= max_age);
+        let others = live.map(|it| it.host.clone());
+        std::iter::once(self.own.clone()).chain(others).collect()
+    }
+
     /// Returns the number of other domains that ever sent a digest, and those of
     /// them that are unreachable now.
     pub fn other_domains(&self, now: Time) -> (usize, HashSet<DomainName>) {
-        let is_silent = |at: &Time| now.since(*at) > UNREACHABLE_AFTER;
+        let limit = self.unreachable_after();
+        let is_silent = |at: &Time| now.since(*at) > limit;
         let silent = self.domains_last_seen.iter().filter(|(_, at)| is_silent(at));
         (self.domains_last_seen.len(), silent.map(|(domain, _)| domain.clone()).collect())
     }
@@ -107,17 +144,17 @@
         reachable.map(|(peer, (version, _))| (*peer, *version)).max_by_key(|(_, version)| *version)
     }
 
-    /// Learns from a peer's digest.
+    /// Learns from a peer's digest. If it asks for a reply, a digest is to be sent to
+    /// its sender.
     pub fn receive(&mut self, digest: &Digest, now: Time) {
-        self.versions.insert(digest.from, (digest.version, now));
-        self.record_seen(digest.from, now);
-        if digest.domain != self.home {
-            self.domains_last_seen.insert(digest.domain.clone(), now);
+        self.versions.insert(digest.from.address, (digest.version, now));
+        self.record_seen(&digest.from, now);
+        self.record_domain(&digest.from.domain, now);
+        if digest.from.domain == self.own.domain {
+            digest.domains.iter().for_each(|it| self.record_domain(&it.domain, now.ago(it.age)));
         }
-        for (host, age) in &digest.hosts {
-            if *age < HOST_RETENTION {
-                self.record_seen(*host, now.ago(*age));
-            }
+        for it in digest.hosts.iter().filter(|it| it.age < HOST_RETENTION) {
+            self.record_seen(&it.host, now.ago(it.age));
         }
     }
 
@@ -128,30 +165,117 @@
         version: u64,
         strikes: Vec<Strike>,
     ) -> (Digest, Vec<SocketAddr>) {
-        self.last_seen.retain(|_, at| now.since(*at) < HOST_RETENTION);
+        self.known.retain(|_, it| now.since(it.last_seen) < HOST_RETENTION);
         self.versions.retain(|_, (_, at)| now.since(*at) < HOST_RETENTION);
-        let mut known: Vec<SocketAddr> = self.last_seen.keys().copied().collect();
-        known.extend(self.seeds.iter().filter(|it| !self.last_seen.contains_key(*it)));
-        known.sort_unstable();
-        let count = known.len().min(FANOUT);
-        let to = (0..count).map(|i| known[(self.next_peer + i) % known.len()]).collect();
-        self.next_peer = self.next_peer.wrapping_add(count);
-        let hosts = self.last_seen.iter().map(|(host, at)| (*host, now.since(*at)));
-        let digest = Digest {
-            from: self.own_address,
-            domain: self.home.clone(),
-            version,
-            hosts: hosts.take(MAX_DIGEST_HOSTS).collect(),
-            strikes,
-        };
+        let to = self.next_receivers();
+        self.rounds = self.rounds.saturating_add(1);
+        let mut digest = self.digest(now, version, MAX_LISTED_HOSTS);
+        digest.strikes = strikes;
+        digest.asks_for_reply = self.rounds <= ASKING_ROUNDS;
         (digest, to)
     }
 
-    fn record_seen(&mut self, host: SocketAddr, at: Time) {
-        if host == self.own_address {
+    /// Returns the reply to a digest that asks for one.
+    pub fn reply(&mut self, now: Time, version: u64) -> Digest {
+        self.digest(now, version, MAX_HOSTS_IN_REPLY)
+    }
+
+    fn digest(&mut self, now: Time, version: u64, max_hosts: usize) -> Digest {
+        let domains = self.domains_last_seen.iter();
+        let domains = domains
+            .map(|(domain, at)| SeenDomain { domain: domain.clone(), age: now.since(*at) })
+            .collect();
+        Digest {
+            from: self.own.clone(),
+            version,
+            hosts: self.next_listed_hosts(now, max_hosts),
+            domains,
+            strikes: Vec::new(),
+            asks_for_reply: false,
+        }
+    }
+
+    /// Returns the time after which a domain counts as unreachable. In a large
+    /// domain, a digest from another one reaches a few hosts, and their word takes
+    /// some rounds to reach the others.
+    fn unreachable_after(&self) -> Duration {
+        let is_local = |it: &&KnownHost| it.host.domain == self.own.domain;
+        let locals = self.known.values().filter(is_local).count();
+        let rounds = (locals / FANOUT).checked_ilog2().map_or(0, |it| it + 1);
+        UNREACHABLE_AFTER + DIGEST_INTERVAL * rounds
+    }
+
+    fn next_receivers(&mut self) -> Vec<SocketAddr> {
+        let (local, mut remote): (Vec<&KnownHost>, Vec<&KnownHost>) =
+            self.known.values().partition(|it| it.host.domain == self.own.domain);
+        let address = |it: &KnownHost| it.host.address;
+        let mut local: Vec<SocketAddr> = local.into_iter().map(address).collect();
+        let mut remote: Vec<SocketAddr> = remote.drain(..).map(address).collect();
+        remote.extend(self.unseen_seeds());
+        local.sort_unstable();
+        remote.sort_unstable();
+        let from_remote = remote.len().min(FANOUT - LOCAL_FANOUT.min(local.len()));
+        let from_local = local.len().min(FANOUT - from_remote);
+        let mut to = take_turns(&local, &mut self.next_local, from_local);
+        to.extend(take_turns(&remote, &mut self.next_remote, from_remote));
+        to
+    }
+
+    fn next_listed_hosts(&mut self, now: Time, max: usize) -> Vec<ListedHost> {
+        let mut known: Vec<&KnownHost> = self.known.values().collect();
+        known.sort_unstable_by_key(|it| (Reverse(it.last_seen), it.host.address));
+        let live = known.iter().filter(|it| now.since(it.last_seen) <= MAX_SENDER_AGE);
+        let candidates = candidates(live.map(|it| &it.host));
+        let count = candidates.len().min(MAX_CANDIDATES);
+        let mut listed = take_turns(&candidates, &mut self.next_candidate, count);
+        let mut others: Vec<SocketAddr> = known.iter().map(|it| it.host.address).collect();
+        others.retain(|it| !listed.contains(it));
+        let mut in_turn = others.split_off(others.len().min(MAX_NEWS));
+        listed.extend(others);
+        // So that a host that was seen only once is listed too.
+        in_turn.sort_unstable();
+        let count = in_turn.len().min(max.saturating_sub(listed.len()));
+        listed.extend(take_turns(&in_turn, &mut self.next_listed, count));
+        let listed = listed.iter().filter_map(|it| self.known.get(it));
+        listed
+            .map(|it| ListedHost { host: it.host.clone(), age: now.since(it.last_seen) })
+            .collect()
+    }
+
+    fn unseen_seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        self.seeds.iter().copied().filter(|it| !self.known.contains_key(it))
+    }
+
+    fn record_seen(&mut self, host: &Host, at: Time) {
+        if host.address == self.own.address {
+            return;
+        }
+        let known = self
+            .known
+            .entry(host.address)
+            .or_insert_with(|| KnownHost { host: host.clone(), last_seen: at });
+        if at >= known.last_seen {
+            known.last_seen = at;
+            known.host = host.clone();
+        }
+    }
+
+    fn record_domain(&mut self, domain: &DomainName, at: Time) {
+        if *domain == self.own.domain {
             return;
         }
-        let last_seen = self.last_seen.entry(host).or_insert(at);
-        *last_seen = (*last_seen).max(at);
+        match self.domains_last_seen.get_mut(domain) {
+            Some(last) => *last = (*last).max(at),
+            None => {
+                self.domains_last_seen.insert(domain.clone(), at);
+            }
+        }
     }
 }
+
+/// Returns the next `count` of `all`, which take turns.
+fn take_turns<T: Copy>(all: &[T], next: &mut usize, count: usize) -> Vec<T> {
+    let taken = (0..count).map(|i| all[next.wrapping_add(i) % all.len()]).collect();
+    *next = next.wrapping_add(count);
+    taken
+}
--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -126,10 +126,15 @@
         let Some(rate) = settings.and_then(|it| it.warmup_rate) else { return false };
         // Allows for hosts that start while those that they replace still count.
         let hosts = (self.hosts + self.hosts.div_ceil(3)) as f64;
+        let share = if self.needs_senders(req.service) {
+            self.limit_share(req.service)
+        } else {
+            1.0 / hosts
+        };
         let total = rate * self.limits.cold_ratio + self.limits.cold_slack;
         // Any second over which the limit is checked can overlap two seconds of
         // this host's counter.
-        let own = total / hosts / 2.0;
+        let own = total * share / 2.0;
         if own >= 1.0 {
             return f64::from(target.sends_this_second(now)) >= own.floor();
         }
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -4,7 +4,7 @@
 
 use base::{DomainName, HashSet, ServiceName, TargetName, Time};
 
-use super::{Queue, ServiceKey, TargetKey, Targets, Waiting};
+use super::{Queue, ServiceKey, ServiceKind, TargetKey, Targets, Waiting};
 use crate::{
     route::{Configuration, Service},
     target::{Target, TargetReport},
@@ -87,8 +87,13 @@
 
     /// Marks all targets whose names are not in `listed` as unlisted.
     pub fn retain_listed(&mut self, listed: &HashSet<TargetName>, now: Time) {
-        let missing: Vec<TargetName> =
-            self.target_keys.keys().filter(|name| !listed.contains(*name)).cloned().collect();
+        let is_missing = |name: &TargetName, key| !listed.contains(name) && !self.is_host(key);
+        let missing: Vec<TargetName> = self
+            .target_keys
+            .iter()
+            .filter(|(name, key)| is_missing(name, **key))
+            .map(|(name, _)| name.clone())
+            .collect();
         for name in missing {
             self.mark_unlisted(&name, now);
         }
@@ -123,7 +128,8 @@
 
     /// Returns the reports of listed targets, with the remaining cold time.
     pub fn listed_reports(&self, now: Time) -> impl Iterator<Item = TargetReport> {
-        let known = self.targets.values().filter(|it| !it.is_gone());
+        let targets = self.targets.iter().filter(|(key, _)| !self.is_host(**key));
+        let known = targets.map(|(_, it)| it).filter(|it| !it.is_gone());
         let listed = known.filter(|it| !it.is_unlisted());
         listed.map(move |it| {
             let cold_for = it.cold_until.until(now);
@@ -141,7 +147,7 @@
     pub fn due_first_connections(&mut self, now: Time) -> Vec<TargetKey> {
         let mut due = Vec::new();
         for service in (0..self.services.len()).map(ServiceKey) {
-            if self.connection_share(service) < 2 {
+            if self.are_hosts(service) || self.connection_share(service) < 2 {
                 continue;
             }
             for key in &self.services[service.0].targets {
@@ -238,6 +244,16 @@
         key
     }
 
+    /// Returns whether the target is a host of this tier.
+    pub fn is_host(&self, key: TargetKey) -> bool {
+        self.service_of(key).is_some_and(|it| self.are_hosts(it))
+    }
+
+    /// Returns whether the service's targets are hosts of this tier.
+    pub fn are_hosts(&self, service: ServiceKey) -> bool {
+        self.services[service.0].kind == ServiceKind::Hosts
+    }
+
     fn is_leaving(&self, name: &TargetName) -> bool {
         let target = self.target_keys.get(name).and_then(|key| self.targets.get(key));
         target.is_some_and(|it| it.leaving_since().is_some())
@@ -259,7 +275,7 @@
 
     /// Stops the use of a target that was replaced, and removes it once no send is in
     /// flight.
-    fn retire(&mut self, key: TargetKey) {
+    pub(super) fn retire(&mut self, key: TargetKey) {
         let Some(target) = self.targets.get_mut(&key) else { return };
         target.mark_replaced();
         if self.target_keys.get(&target.report.name) == Some(&key) {
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -15,6 +15,7 @@
 mod directory;
 mod queue;
 mod reachability;
+mod senders;
 
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
     admission::{Admission, Arrival},
     choice::Placement,
     queue::Waiting,
+    senders::SenderRole,
 };
 use crate::{
     budget::{RetryBudget, RetryLimits},
@@ -78,6 +80,7 @@
     regions: Regions,
     hosts: usize,
     is_host_count_known: bool,
+    sender_role: SenderRole,
     service_keys: HashMap<ServiceName, ServiceKey>,
     services: Vec<ServiceState<W>>,
     target_keys: HashMap<TargetName, TargetKey>,
@@ -95,6 +98,7 @@
 #[derive(Debug)]
 struct ServiceState<W> {
     name: ServiceName,
+    kind: ServiceKind,
     settings: Option<Service>,
     targets: Vec<TargetKey>,
     budget: RetryBudget,
@@ -102,6 +106,14 @@
     drain_rate: DrainRate,
 }
 
+/// What a service's requests are sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServiceKind {
+    Targets,
+    /// Hosts of this tier, which send to targets themselves.
+    Hosts,
+}
+
 /// A send that was placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Send {
@@ -130,6 +142,7 @@
             regions,
             hosts: 1,
             is_host_count_known: false,
+            sender_role: SenderRole::default(),
             service_keys: HashMap::default(),
             services: Vec::new(),
             target_keys: HashMap::default(),
@@ -164,6 +177,7 @@
         self.service_keys.insert(name.clone(), key);
         self.services.push(ServiceState {
             name: name.clone(),
+            kind: ServiceKind::Targets,
             settings: None,
             targets: Vec::new(),
             budget: RetryBudget::default(),
@@ -197,8 +211,8 @@
     /// Takes one extra send to `service` from its budget; returns false if there is
     /// none left.
     pub fn take_retry(&mut self, service: ServiceKey, now: Time) -> bool {
-        let (limits, hosts) = (self.limits.retry, self.hosts);
-        self.services[service.0].budget.try_take(now, &limits, hosts)
+        let (limits, share) = (self.limits.retry, self.limit_share(service));
+        self.services[service.0].budget.try_take(now, &limits, share)
     }
 
     /// Returns the age at which a send of `class` is hedged.
@@ -285,7 +299,7 @@
             return 1;
         };
         let usable = f64::from(settings.max_connections) * USABLE_CONNECTION_SHARE;
-        ((usable / self.hosts as f64) as usize).max(1)
+        ((usable * self.limit_share(service)) as usize).max(1)
     }
 
     /// Returns whether this host has more than its share of connections to the
--- a/crates/forward/src/placement/reachability.rs
+++ b/crates/forward/src/placement/reachability.rs
@@ -76,6 +76,17 @@
         self.has_target_where(req, partitioned, now, |it| !it.is_down())
     }
 
+    /// Returns whether `req` has an allowed target outside of the `partitioned`
+    /// domains, in whatever state.
+    pub fn has_allowed_target(
+        &self,
+        req: &PlacementRequest<'_>,
+        partitioned: &HashSet<DomainName>,
+        now: Time,
+    ) -> bool {
+        self.has_target_where(req, partitioned, now, |_| true)
+    }
+
     fn has_target_where(
         &self,
         req: &PlacementRequest<'_>,
--- a/crates/forward/src/query/mod.rs
+++ b/crates/forward/src/query/mod.rs
@@ -26,6 +26,10 @@
 /// Time between two checks for unresponsive targets of a late query.
 const UNRESPONSIVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum number of hosts that a request is passed on to. More refusals than this
+/// mean that it cannot be served.
+const MAX_HOSTS_TRIED: usize = 3;
+
 /// How a request is to be carried out.
 #[derive(Clone, Debug)]
 pub struct QueryPlan {
@@ -251,9 +255,14 @@
         if !may_run_again || self.runs[index] >= self.plan.attempts {
             return false;
         }
+        let service = self.plan.shards[index];
+        if targets.are_hosts(service) {
+            // A request that another host refused was sent to no target.
+            return self.tried[index].len() < MAX_HOSTS_TRIED;
+        }
         // The target received nothing, so the next send is not an extra one.
-        let is_free = result == SendResult::NotSent;
-        is_free || targets.take_retry(self.plan.shards[index], now)
+        let is_free = matches!(result, SendResult::NotSent | SendResult::Unreachable);
+        is_free || targets.take_retry(service, now)
     }
 
     /// Hedges late parts. Also returns the time at which the next hedge is due.
@@ -311,6 +320,7 @@
     match result {
         SendResult::Shed
         | SendResult::Misdirected
+        | SendResult::Unreachable
         | SendResult::NotSent
         | SendResult::Cancelled => true,
         SendResult::Answered | SendResult::Failed | SendResult::Broken | SendResult::Silent => {
--- a/crates/forward/src/route/table.rs
+++ b/crates/forward/src/route/table.rs
@@ -29,12 +29,16 @@
     /// Keys of the destination's services, in the same order.
     pub services: Vec<ServiceKey>,
     pub class: ClassKey,
+    /// Class of requests that are passed on to a sender.
+    pub relay_class: ClassKey,
     /// Version of the configuration that the route belongs to.
     pub version: u64,
     /// For each weighted service, its accumulated share of the requests minus the
     /// number of requests that it got.
     credits: RefCell<Vec<f64>>,
     last_request: Cell<Option<Time>>,
+    /// Senders that requests are passed on to; `None` if this host serves them.
+    senders: Cell<Option<ServiceKey>>,
 }
 
 impl RouteTable {
@@ -67,14 +71,26 @@
         let services: Vec<ServiceKey> = names.into_iter().map(|it| targets.service(it)).collect();
         RouteEntry {
             class: targets.class(&route.name),
+            relay_class: targets.class(&format!("relay {}", route.name).into()),
             credits: RefCell::new(vec![0.0; services.len()]),
             services,
             route,
             version,
             last_request: Cell::new(None),
+            senders: Cell::new(None),
         }
     }
 
+    /// Returns the group of senders that requests are passed on to, or `None` if
+    /// this host serves them itself.
+    pub fn senders(&self) -> Option<ServiceKey> {
+        self.senders.get()
+    }
+
+    pub(crate) fn set_senders(&self, senders: Option<ServiceKey>) {
+        self.senders.set(senders);
+    }
+
     pub fn record_request(&self, now: Time) {
         self.last_request.set(Some(now));
     }
--- /dev/null
+++ b/crates/forward/src/senders.rs
@@ -0,0 +1,111 @@
+//! Senders: the hosts that send to the targets of a service, where its targets
+//! accept fewer connections than there are hosts. Other hosts pass their requests
+//! on to a sender.
+//!
+//! Load pattern answered: a large fleet with few requests a host. If each host
+//! kept a connection of its own, targets would reject many of them, and those that
+//! remain would be idle for so long that neither their targets' speed nor their
+//! failure is known. Wide queries would also be slow on hosts with little
+//! processing capacity.
+//!
+//! Hosts choose senders independently from what gossip tells them. Their views may
+//! differ for some seconds, so a host that gets a request from another one serves
+//! it in any case, and the limits of targets are divided with allowance for
+//! senders of an older view.
+
+use std::{
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use base::{DomainName, HashMap};
+use rustc_hash::FxHasher;
+
+use crate::peers::Host;
+
+/// A host last seen longer ago than this is not chosen. Gossip reports each live
+/// host of a large fleet more often.
+pub const MAX_SENDER_AGE: Duration = Duration::from_secs(5);
+
+/// Likely senders of a domain.
+const CANDIDATES: usize = 4;
+
+/// Senders of a domain with as many hosts, so that the loss of one leaves another.
+const MIN_SENDERS: usize = 2;
+
+/// Connections to each target that a sender should have at least: fewer would make
+/// the parts of concurrent queries wait for each other.
+const CONNECTIONS_PER_SENDER: f64 = 4.0;
+
+/// Part of the targets' limits that senders share. The rest is for hosts that send
+/// themselves as they reach no sender.
+pub const SENDERS_PART: f64 = 0.8;
+
+/// Factor by which senders may outnumber those of one view, while a new view
+/// replaces an old one.
+pub const OVERLAP: f64 = 4.0 / 3.0;
+
+/// The senders of one view of the fleet, by domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Senders {
+    by_domain: HashMap<DomainName, Vec<Host>>,
+}
+
+impl Senders {
+    /// Chooses senders in each of `domains`. `connections` are those that all hosts
+    /// together may open to one target.
+    pub fn choose(hosts: &[Host], domains: &[DomainName], connections: f64) -> Senders {
+        let usable = connections * SENDERS_PART / (CONNECTIONS_PER_SENDER * OVERLAP);
+        let limit = (usable as usize / domains.len().max(1)).max(MIN_SENDERS);
+        let of_domain = |domain: &DomainName| {
+            let local = hosts.iter().filter(|it| it.domain == *domain).cloned().collect();
+            (domain.clone(), choose_in_domain(local, limit))
+        };
+        Senders { by_domain: domains.iter().map(of_domain).collect() }
+    }
+
+    pub fn count(&self) -> usize {
+        self.by_domain.values().map(Vec::len).sum()
+    }
+
+    /// Returns the senders of a domain, the preferred ones first.
+    pub fn of_domain(&self, domain: &DomainName) -> &[Host] {
+        self.by_domain.get(domain).map_or(&[], Vec::as_slice)
+    }
+
+    pub fn contains(&self, host: &Host) -> bool {
+        self.of_domain(&host.domain).iter().any(|it| it.address == host.address)
+    }
+}
+
+/// Chooses among the hosts with at least half of the greatest capacity, and among
+/// all if these are too few.
+fn choose_in_domain(mut hosts: Vec<Host>, limit: usize) -> Vec<Host> {
+    let greatest = hosts.iter().map(|it| it.capacity).max().unwrap_or(0);
+    let is_strong = |it: &Host| it.capacity.saturating_mul(2) > greatest;
+    hosts.sort_by_key(|it| (!is_strong(it), rank(it.address)));
+    let strong = hosts.iter().filter(|it| is_strong(it)).count();
+    hosts.truncate(strong.max(MIN_SENDERS).min(limit));
+    hosts
+}
+
+/// Returns the addresses of the hosts that are likely to be senders: the first few
+/// of each domain.
+pub fn candidates<'a>(hosts: impl IntoIterator<Item = &'a Host>) -> Vec<SocketAddr> {
+    let mut by_domain: HashMap<&DomainName, Vec<Host>> = HashMap::default();
+    for host in hosts {
+        by_domain.entry(&host.domain).or_default().push(host.clone());
+    }
+    let chosen = by_domain.into_values().flat_map(|it| choose_in_domain(it, CANDIDATES));
+    let mut addresses: Vec<SocketAddr> = chosen.map(|it| it.address).collect();
+    addresses.sort_unstable();
+    addresses
+}
+
+/// Returns the rank of a host among equal ones, which is the same in every view.
+pub(crate) fn rank(address: SocketAddr) -> u64 {
+    let mut hasher = FxHasher::default();
+    address.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -206,7 +206,7 @@
             }
             // One long request at a target that answers others.
             SendResult::Silent if has_answered_since => self.record_outcome(1.0),
-            SendResult::Silent => {
+            SendResult::Silent | SendResult::Unreachable => {
                 self.record_outcome(1.0);
                 self.speed.record(ratio.max(2.0), now);
                 self.consecutive_failures += 1;
--- a/crates/forward/src/target/report.rs
+++ b/crates/forward/src/target/report.rs
@@ -41,8 +41,10 @@
     Failed,
     /// The connection broke before the answer was complete.
     Broken,
-    /// No connection could be made, or no answer came in time.
+    /// No answer came in time.
     Silent,
+    /// No connection could be made.
+    Unreachable,
     /// Another target has the address.
     Misdirected,
     /// Nothing was written to the connection.
@@ -54,12 +56,13 @@
 
 impl SendResult {
     /// Names of all results, in the order of their declaration.
-    pub const NAMES: [&str; 8] = [
+    pub const NAMES: [&str; 9] = [
         "answered",
         "shed",
         "failed",
         "connection broke",
         "silent",
+        "unreachable",
         "another target has the address",
         "not sent",
         "cancelled",
--- a/crates/forward/tests/budgets.rs
+++ b/crates/forward/tests/budgets.rs
@@ -29,7 +29,7 @@
                     budget.record_request(now, &LIMITS);
                     requests.push(ms);
                 }
-                if rng.random_bool(0.05) && budget.try_take(now, &LIMITS, hosts) {
+                if rng.random_bool(0.05) && budget.try_take(now, &LIMITS, 1.0 / hosts as f64) {
                     extra.push(ms);
                 }
             }
@@ -46,7 +46,7 @@
 #[test]
 fn an_idle_service_has_its_share_of_the_slack() {
     let mut budget = RetryBudget::default();
-    let taken = (0..100).filter(|_| budget.try_take(Time::ZERO, &LIMITS, 4)).count();
+    let taken = (0..100).filter(|_| budget.try_take(Time::ZERO, &LIMITS, 0.25)).count();
     assert!((10..=13).contains(&taken), "{taken}");
 }
 
--- a/crates/forward/tests/fleet/hosts.rs
+++ b/crates/forward/tests/fleet/hosts.rs
@@ -5,7 +5,7 @@
 use base::{DomainName, HashMap, ServiceName, Time};
 use forward::{
     Service, Targets,
-    peers::{DIGEST_INTERVAL, Peers},
+    peers::{DIGEST_INTERVAL, Host as PeerHost, Peers},
     placement::{ClassKey, Limits, ServiceKey},
     route::Configuration,
 };
@@ -62,6 +62,10 @@
             {
                 let now = self.now;
                 self.hosts[peer].peers.receive(&digest, now);
+                if digest.asks_for_reply {
+                    let reply = self.hosts[peer].peers.reply(now, 1);
+                    self.hosts[host].peers.receive(&reply, now);
+                }
             }
         }
         let it = &mut self.hosts[host];
@@ -123,9 +127,11 @@
     let services = names.iter().map(|it| targets.service(it)).collect();
     let class = targets.class(&Arc::from("route"));
     let seeds = (0..3).map(address_of).collect();
+    let domain = DomainName::new(domain_of(index));
+    let own = PeerHost { address: address_of(index), domain, capacity: 1_000 };
     Host {
         targets,
-        peers: Peers::new(address_of(index), DomainName::new(domain_of(index)), seeds),
+        peers: Peers::new(own, seeds),
         services,
         class,
         started: now,
--- a/crates/forward/tests/peers.rs
+++ b/crates/forward/tests/peers.rs
@@ -3,17 +3,30 @@
 use std::{net::SocketAddr, time::Duration};
 
 use base::{DomainName, Time};
-use forward::peers::{DIGEST_INTERVAL, Peers};
+use forward::{
+    peers::{DIGEST_INTERVAL, Host, MAX_LISTED_HOSTS, Peers},
+    senders::{MAX_SENDER_AGE, Senders},
+};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 fn addr(index: usize) -> SocketAddr {
     ([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7_000).into()
 }
 
+fn index_of(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else { panic!("an address of a test host") };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(high) * 200 + usize::from(low) - 1
+}
+
 fn domain(index: usize) -> DomainName {
     DomainName::new(["a", "b", "c"][index % 3])
 }
 
+fn host(index: usize) -> Host {
+    Host { address: addr(index), domain: domain(index), capacity: 1_000 }
+}
+
 /// Runs rounds of gossip; `reaches` decides whether a digest arrives.
 fn gossip(peers: &mut [Peers], from: Time, rounds: u32, reaches: impl Fn(usize, usize) -> bool) {
     let mut rng = SmallRng::seed_from_u64(7);
@@ -22,11 +35,13 @@
         for sender in 0..peers.len() {
             let (digest, to) = peers[sender].next_digest(now, 1, Vec::new());
             for receiver in to {
-                let Some(receiver) = (0..peers.len()).find(|it| addr(*it) == receiver) else {
-                    continue;
-                };
+                let receiver = index_of(receiver);
                 if reaches(sender, receiver) && !rng.random_bool(0.05) {
                     peers[receiver].receive(&digest, now);
+                    if digest.asks_for_reply && reaches(receiver, sender) {
+                        let reply = peers[receiver].reply(now, 1);
+                        peers[sender].receive(&reply, now);
+                    }
                 }
             }
         }
@@ -35,7 +50,7 @@
 
 fn fleet(hosts: usize) -> Vec<Peers> {
     let seeds: Vec<SocketAddr> = (0..3.min(hosts)).map(addr).collect();
-    (0..hosts).map(|it| Peers::new(addr(it), domain(it), seeds.clone())).collect()
+    (0..hosts).map(|it| Peers::new(host(it), seeds.clone())).collect()
 }
 
 #[test]
@@ -86,3 +101,74 @@
     assert!(peers[0].assumed_count(Time::from_millis(300), ms(300)) >= 6);
     assert_eq!(peers[0].assumed_count(Time::from_millis(5_000), ms(5_000)), 3);
 }
+
+/// Hundreds of hosts in six domains discover each other, and a few are listed in
+/// each digest.
+#[test]
+fn hundreds_of_hosts_discover_each_other_from_three_seeds() {
+    let mut peers = large_fleet(300);
+    gossip(&mut peers, Time::ZERO, 40, |_, _| true);
+    let now = Time::ZERO + DIGEST_INTERVAL * 40;
+    for it in &peers {
+        assert_eq!(it.count(now), 300);
+    }
+    let (digest, to) = peers[7].next_digest(now, 1, Vec::new());
+    assert!(digest.hosts.len() <= MAX_LISTED_HOSTS && to.len() <= 4);
+}
+
+/// Hosts of a large domain hear of another domain through each other, so none of
+/// them takes it for unreachable, and all do after a partition.
+#[test]
+fn large_domains_agree_on_which_domains_are_reachable() {
+    let mut peers = large_fleet(300);
+    gossip(&mut peers, Time::ZERO, 40, |_, _| true);
+    let mut now = Time::ZERO + DIGEST_INTERVAL * 40;
+    for _ in 0..20 {
+        gossip(&mut peers, now, 1, |_, _| true);
+        now += DIGEST_INTERVAL;
+        for it in &peers {
+            assert!(it.other_domains(now).1.is_empty(), "{:?}", it.own());
+        }
+    }
+    let is_beyond = |it: usize| it.is_multiple_of(6);
+    gossip(&mut peers, now, 14, |a, b| is_beyond(a) == is_beyond(b));
+    now += DIGEST_INTERVAL * 14;
+    assert_eq!(peers[0].other_domains(now).1.len(), 5);
+    assert_eq!(peers[1].other_domains(now).1.len(), 1);
+}
+
+/// Whether a host is chosen as a sender depends on when it was last seen, so likely
+/// senders must be heard of often, and a lost one must not be.
+#[test]
+fn all_hosts_of_a_large_fleet_choose_the_same_senders() {
+    let mut peers = large_fleet(300);
+    let domains: Vec<DomainName> = ["a", "b", "c"].map(DomainName::new).into();
+    gossip(&mut peers, Time::ZERO, 60, |_, _| true);
+    let now = Time::ZERO + DIGEST_INTERVAL * 60;
+    let choose =
+        |it: &Peers, now| Senders::choose(&it.live_hosts(now, MAX_SENDER_AGE), &domains, 100.0);
+    let all = choose(&peers[0], now);
+    assert_eq!(all.count(), 5 * domains.len());
+    for it in &peers {
+        let of_each = domains.iter().map(|domain| choose(it, now).of_domain(domain).len());
+        assert!(of_each.min() >= Some(4), "at {:?}", it.own());
+        assert_eq!(choose(it, now).of_domain(&domains[0])[..2], all.of_domain(&domains[0])[..2]);
+    }
+    let lost = index_of(all.of_domain(&domains[0])[0].address);
+    gossip(&mut peers, now, 30, |a, b| a != lost && b != lost);
+    let now = now + DIGEST_INTERVAL * 30;
+    for it in peers.iter().filter(|it| it.own().address != addr(lost)) {
+        assert!(!choose(it, now).contains(&host_in(&peers, lost)), "at {:?}", it.own());
+    }
+}
+
+fn host_in(peers: &[Peers], index: usize) -> Host {
+    peers[index].own().clone()
+}
+
+fn large_fleet(hosts: usize) -> Vec<Peers> {
+    let seeds: Vec<SocketAddr> = (0..3).map(addr).collect();
+    let domains = ["a", "b", "c", "d", "e", "f"];
+    let own = |it: usize| Host { domain: DomainName::new(domains[it % 6]), ..host(it) };
+    (0..hosts).map(|it| Peers::new(own(it), seeds.clone())).collect()
+}
--- a/crates/front/src/callers/answer.rs
+++ b/crates/front/src/callers/answer.rs
@@ -8,10 +8,10 @@
 use super::read::strip_hop_headers;
 use crate::{HeaderNames, targets::TargetAnswer};
 
-pub(super) type Answer = Response<Full<Bytes>>;
+pub(crate) type Answer = Response<Full<Bytes>>;
 
 /// Returns a target's answer without its hop-by-hop headers.
-pub(super) fn forwarded(answer: TargetAnswer) -> Answer {
+pub(crate) fn forwarded(answer: TargetAnswer) -> Answer {
     let mut headers = answer.headers;
     strip_hop_headers(&mut headers);
     let mut response = Response::new(Full::new(answer.body));
@@ -22,7 +22,7 @@
 
 /// Returns the `top` greatest records of all parts, with the signatures of the
 /// parts and the number of missing ones.
-pub(super) fn merged(
+pub(crate) fn merged(
     names: &HeaderNames,
     parts: &[TargetAnswer],
     missing: usize,
--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/callers/log_line.rs
@@ -3,7 +3,7 @@
 
 use std::{fmt::Write, sync::Arc};
 
-use base::Time;
+use base::{TargetName, Time};
 use forward::{Destination, gather::Schedule, route::RouteEntry};
 use http::{HeaderMap, StatusCode};
 use slog::info;
@@ -16,13 +16,14 @@
 };
 
 /// Values of a request's log line, taken before the answer consumes them.
-pub(super) struct LogLine {
+pub(crate) struct LogLine {
     id: String,
     route: Arc<str>,
     version: u64,
     verdict: &'static str,
     took_ms: f64,
-    is_gather: bool,
+    kind: &'static str,
+    via: Option<TargetName>,
     parts: usize,
     missing: usize,
     extra_sends: u32,
@@ -30,7 +31,7 @@
 }
 
 impl LogLine {
-    pub(super) fn new(
+    pub(crate) fn new(
         cx: &SharedCx,
         entry: &RouteEntry,
         request: &Outgoing,
@@ -43,7 +44,8 @@
             version: entry.version,
             verdict: collected.verdict.as_str(),
             took_ms: cx.clock.now().since(schedule.received).as_secs_f64() * 1_000.0,
-            is_gather: matches!(entry.route.destination, Destination::Gather(_)),
+            kind: kind(entry, request),
+            via: collected.last_target.clone().filter(|_| request.relay.is_some()),
             parts: collected.parts.len(),
             missing: collected.missing,
             extra_sends: collected.extra_sends,
@@ -62,20 +64,28 @@
         }
     }
 
-    pub(super) fn write(&self, cx: &SharedCx, status: StatusCode) {
-        let kind = if self.is_gather { "gather" } else { "single" };
-        cx.metrics.record_request(kind, self.outcome(status), self.took_ms);
+    pub(crate) fn write(&self, cx: &SharedCx, status: StatusCode) {
+        cx.metrics.record_request(self.kind, self.outcome(status), self.took_ms);
         if status.is_success() && self.missing > 0 {
             cx.metrics.record_missing_parts(self.missing);
         }
         info!(cx.log, "request: ended";
             "id" => &self.id, "route" => &*self.route, "version" => self.version,
             "status" => status.as_u16(), "verdict" => self.verdict, "took_ms" => self.took_ms as u64,
-            "parts" => self.parts, "missing" => self.missing, "extra_sends" => self.extra_sends,
+            "via" => self.via.as_deref(), "parts" => self.parts, "missing" => self.missing, "extra_sends" => self.extra_sends,
             "notes" => &self.notes);
     }
 }
 
+/// Returns how the request was served, for the metrics.
+fn kind(entry: &RouteEntry, request: &Outgoing) -> &'static str {
+    match &entry.route.destination {
+        _ if request.relay.is_some() => "relayed",
+        Destination::Gather(_) => "gather",
+        Destination::Service(_) | Destination::Weighted(_) => "single",
+    }
+}
+
 /// Logs that the caller closed its connection before its answer was ready.
 pub(crate) fn caller_left(
     cx: &SharedCx,
@@ -90,14 +100,14 @@
 }
 
 /// Logs a request that this tier refused.
-pub(super) fn refused(cx: &SharedCx, id: &str, refusal: &Refusal) {
+pub(crate) fn refused(cx: &SharedCx, id: &str, refusal: &Refusal) {
     cx.metrics.record_refusal(refusal.reason);
     info!(cx.log, "request: refused"; "id" => id, "status" => refusal.status.as_u16(),
         "reason" => refusal.reason, "inputs" => refusal.inputs.as_deref(), "version" => cx.version(),
         "retry_after_ms" => refusal.retry_after.map(|it| it.as_millis() as u64));
 }
 
-pub(super) fn request_id(cx: &SharedCx, headers: &HeaderMap) -> String {
+pub(crate) fn request_id(cx: &SharedCx, headers: &HeaderMap) -> String {
     let id = headers.get(&cx.cfg.names.request_id);
     id.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned()
 }
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -1,12 +1,12 @@
 //! Connections from callers: accepting, timeouts and graceful shutdown.
 
-mod answer;
+pub(crate) mod answer;
 mod connection;
 pub(crate) mod log_line;
 mod pages;
 mod read;
-mod refusal;
-mod request;
+pub(crate) mod refusal;
+pub(crate) mod request;
 mod stop;
 
 use std::{future::Future, io, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
@@ -30,6 +30,9 @@
 /// Time between two checks of callers' timeouts, waiting requests and targets.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Sweeps from one choice of senders to the next.
+const SWEEPS_PER_CHOICE: u32 = 5;
+
 /// Serves callers until SIGTERM or SIGINT, then shuts down gracefully.
 pub async fn serve(cx: SharedCx) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
@@ -84,8 +87,11 @@
 async fn sweep(cx: SharedCx, connections: Rc<Connections>) {
     let mut ticks = interval(SWEEP_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
+    for tick in 0_u32.. {
         ticks.tick().await;
+        if tick.is_multiple_of(SWEEPS_PER_CHOICE) {
+            cx.update_senders();
+        }
         connections.close_expired(cx.clock.now(), &cx.limits.get());
         cx.sweep();
         targets::connect_ahead(&cx);
--- a/crates/front/src/callers/refusal.rs
+++ b/crates/front/src/callers/refusal.rs
@@ -11,7 +11,7 @@
 
 /// An error answer of this tier, as opposed to one forwarded from a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Refusal {
+pub(crate) struct Refusal {
     pub status: StatusCode,
     pub reason: &'static str,
     /// Values that led to the refusal, for the log.
@@ -23,28 +23,28 @@
 }
 
 impl Refusal {
-    pub(super) fn new(status: StatusCode, reason: &'static str) -> Refusal {
+    pub(crate) fn new(status: StatusCode, reason: &'static str) -> Refusal {
         Refusal { status, reason, inputs: None, retry_after: None, closes_connection: false }
     }
 
     /// Returns a refusal of a malformed request.
-    pub(super) fn bad_request(reason: &'static str) -> Refusal {
+    pub(crate) fn bad_request(reason: &'static str) -> Refusal {
         Refusal::new(StatusCode::BAD_REQUEST, reason)
     }
 
     /// Returns a refusal that closes the connection, for requests whose rest
     /// cannot be read.
-    pub(super) fn closing(status: StatusCode, reason: &'static str) -> Refusal {
+    pub(crate) fn closing(status: StatusCode, reason: &'static str) -> Refusal {
         Refusal { closes_connection: true, ..Refusal::new(status, reason) }
     }
 
-    pub(super) fn with_inputs(self, inputs: String) -> Refusal {
+    pub(crate) fn with_inputs(self, inputs: String) -> Refusal {
         Refusal { inputs: Some(inputs), ..self }
     }
 
     /// Returns a refusal of a request that did not run and will not. Capacity is
     /// expected after `expected`; the caller's deadline ends in `left`.
-    pub(super) fn not_run(reason: &'static str, expected: Duration, left: Duration) -> Refusal {
+    pub(crate) fn not_run(reason: &'static str, expected: Duration, left: Duration) -> Refusal {
         let retry_after = Some(retry_after(expected, left));
         Refusal { retry_after, ..Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason) }
     }
--- a/crates/front/src/callers/request.rs
+++ b/crates/front/src/callers/request.rs
@@ -29,13 +29,14 @@
 use crate::{
     SharedCx,
     isolation::check_servable,
+    relay,
     scatter::{Collected, scatter},
     targets::Outgoing,
 };
 
 /// Time after which callers may retry while this host cannot serve them: it has
 /// no configuration, has reached its limit, or no target takes the request.
-const UNAVAILABLE_WAIT: Duration = Duration::from_millis(300);
+pub(crate) const UNAVAILABLE_WAIT: Duration = Duration::from_millis(300);
 
 /// Same as `UNAVAILABLE_WAIT` on an isolated host: the balancer sends callers
 /// elsewhere only after two missed readiness checks.
@@ -68,7 +69,7 @@
         let reason = "two lengths of the body are stated";
         Err(Refusal::closing(StatusCode::BAD_REQUEST, reason))
     } else {
-        respond(cx, received, req).await
+        respond(cx, received, req, Origin::Caller).await
     };
     let mut answer = answered.unwrap_or_else(|refusal| {
         log_line::refused(cx, &id, &refusal);
@@ -80,7 +81,20 @@
     answer
 }
 
-async fn respond(cx: &SharedCx, received: Time, req: Request<Incoming>) -> Result<Answer, Refusal> {
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    Caller,
+    /// Another host; the request is not passed on again.
+    Host,
+}
+
+pub(crate) async fn respond(
+    cx: &SharedCx,
+    received: Time,
+    req: Request<Incoming>,
+    origin: Origin,
+) -> Result<Answer, Refusal> {
     let (head, body) = req.into_parts();
     let names = &cx.cfg.names;
     if !head.headers.contains_key(&names.request_id) {
@@ -95,12 +109,20 @@
     }
     let body = read_body(body, cx.limits.get().body_bytes, left).await?;
     let until = received + left;
-    let request = Rc::new(outgoing(&entry.route, head, body, until));
+    let request = outgoing(&entry.route, head, body, until);
     if cx.suspects.borrow().is_blocked(request.fingerprint) {
         let reason = "the request crashed several targets";
         return Err(Refusal::not_run(reason, BLOCKED_WAIT, left));
     }
     let schedule = Schedule { received, objective: entry.route.objective, deadline: until };
+    let now = cx.clock.now();
+    entry.record_request(now);
+    check_reachable(cx, &entry, schedule, now)?;
+    if origin == Origin::Caller
+        && let Some(senders) = entry.senders()
+    {
+        return relay::pass_on(cx, &entry, senders, request, schedule).await;
+    }
     run_query(cx, &entry, request, schedule).await
 }
 
@@ -119,6 +141,7 @@
         body,
         deadline: until,
         is_idempotent: route.repeat == Repeat::Idempotent,
+        relay: None,
         is_answered: Cell::new(false),
     }
 }
@@ -173,21 +196,30 @@
     }
 }
 
-async fn run_query(
+/// Refuses a request that cannot be served from here.
+fn check_reachable(
     cx: &SharedCx,
     entry: &RouteEntry,
-    request: Rc<Outgoing>,
     schedule: Schedule,
-) -> Result<Answer, Refusal> {
-    let route = &entry.route;
-    let now = cx.clock.now();
-    entry.record_request(now);
-    if let Err(unservable) = check_servable(cx, entry, now) {
+    now: Time,
+) -> Result<(), Refusal> {
+    check_servable(cx, entry, now).map_err(|unservable| {
         let left = schedule.deadline.until(now);
         let expected = if cx.is_isolated.get() { ISOLATED_WAIT } else { UNAVAILABLE_WAIT };
         let refusal = Refusal::not_run("too few targets can be reached", expected, left);
-        return Err(refusal.with_inputs(unservable.to_string()));
-    }
+        refusal.with_inputs(unservable.to_string())
+    })
+}
+
+/// Runs a request at targets and returns the answer.
+pub(crate) async fn run_query(
+    cx: &SharedCx,
+    entry: &RouteEntry,
+    request: Outgoing,
+    schedule: Schedule,
+) -> Result<Answer, Refusal> {
+    let route = &entry.route;
+    let request = Rc::new(request);
     let plan = QueryPlan {
         shards: entry.next_services(),
         min_shards: entry.min_services(),
@@ -255,7 +287,7 @@
 /// Returns whether callers take the status to mean that the request did not
 /// run. A target's answer with such a status but without the `not_run` header
 /// is no proof of that, so it is not forwarded.
-fn implies_not_run(status: StatusCode) -> bool {
+pub(crate) fn implies_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
--- a/crates/front/src/callers/stop.rs
+++ b/crates/front/src/callers/stop.rs
@@ -51,7 +51,8 @@
             continue;
         }
         connections.close_idle(cx.clock.now());
-        if connections.len() == 0 && last_accepted.elapsed() > QUIET_TIME {
+        let is_idle = connections.len() == 0 && cx.in_progress.count() == 0;
+        if is_idle && last_accepted.elapsed() > QUIET_TIME {
             return;
         }
     }
@@ -59,7 +60,8 @@
     // host.
     drop(callers);
     let close_until = started + cx.cfg.shutdown_timeout.saturating_sub(RESERVED_TIME);
-    while connections.len() > 0 && Instant::now() < close_until {
+    let is_busy = || connections.len() > 0 || cx.in_progress.count() > 0;
+    while is_busy() && Instant::now() < close_until {
         connections.close_gracefully();
         sleep(POLL_INTERVAL).await;
     }
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -9,8 +9,10 @@
 use base::{DomainName, HashSet, TargetName};
 use forward::{
     CallerLimits, Configuration, RouteTable, TargetReport, Targets,
-    peers::Peers,
+    peers::{Host, Peers},
     placement::{Limits, ServiceKey},
+    route::RouteEntry,
+    senders::MAX_SENDER_AGE,
     suspects::Suspects,
     target::SendResult,
 };
@@ -46,6 +48,8 @@
     /// Domains that a network partition separates from this host while it is
     /// on the smaller side.
     pub(crate) cut_off: RefCell<HashSet<DomainName>>,
+    /// Same as `cut_off`, but judged by these domains' hosts alone.
+    pub(crate) separated: RefCell<HashSet<DomainName>>,
     /// Whether a partition keeps this host from serving a route in use, so
     /// that callers should go to other hosts.
     pub(crate) is_isolated: Cell<bool>,
@@ -73,7 +77,8 @@
     pub fn new(cfg: FrontSettings, log: Logger) -> Result<SharedCx, MetricsError> {
         let metrics = FrontMetrics::new(&SendResult::NAMES)?;
         let targets = Targets::new(cfg.limits.clone(), cfg.domain.clone(), cfg.regions.clone());
-        let peers = Peers::new(cfg.peers, cfg.domain.clone(), cfg.seeds.clone());
+        let own = Host { address: cfg.peers, domain: cfg.domain.clone(), capacity: cfg.capacity };
+        let peers = Peers::new(own, cfg.seeds.clone());
         Ok(Rc::new(Cx {
             cfg,
             metrics,
@@ -89,6 +94,7 @@
             follows_targets: Cell::new(false),
             follows_operations: Cell::new(false),
             cut_off: RefCell::new(HashSet::default()),
+            separated: RefCell::new(HashSet::default()),
             is_isolated: Cell::new(false),
             peers: RefCell::new(peers),
             in_progress: InProgress::default(),
@@ -117,10 +123,27 @@
         *self.configuration.borrow_mut() = Some(Rc::new(cfg.clone()));
         let table = RouteTable::new(cfg, &mut self.targets.borrow_mut());
         *self.table.borrow_mut() = Some(Rc::new(table));
+        self.update_senders();
         info!(self.log, "front: configuration in force";
             "version" => cfg.version, "routes" => cfg.routes.len());
     }
 
+    /// Chooses the senders anew from the hosts that are known now.
+    pub(crate) fn update_senders(&self) {
+        let Some(table) = self.table.borrow().clone() else { return };
+        let routes: Vec<Rc<RouteEntry>> = table.routes().cloned().collect();
+        let (now, peers) = (self.clock.now(), self.peers.borrow());
+        let hosts = peers.live_hosts(now, MAX_SENDER_AGE);
+        let mut targets = self.targets.borrow_mut();
+        let before = targets.sender_role();
+        targets.update_senders(peers.own(), &hosts, &routes, now);
+        let role = targets.sender_role();
+        if role != before {
+            info!(self.log, "front: senders changed"; "senders" => role.senders,
+                "is_sender" => role.is_sender, "live_hosts" => hosts.len());
+        }
+    }
+
     /// Applies a report that was read with the whole feed or from a peer, an
     /// unknown time after it was made.
     pub(crate) fn update_target_late(&self, report: TargetReport) {
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -6,7 +6,7 @@
 use base::{ServiceName, Time};
 use forward::{
     Destination,
-    isolation::partitioned_domains,
+    isolation::{partitioned_domains, separated_domains},
     placement::{PlacementRequest, ServiceKey},
     route::RouteEntry,
 };
@@ -24,7 +24,8 @@
     let (others, silent_hosts) = cx.peers.borrow().other_domains(now);
     let silent_targets = cx.targets.borrow().silent_domains(now);
     *cx.cut_off.borrow_mut() = partitioned_domains(&silent_targets, &silent_hosts, others);
-    let is_isolated = !cx.cut_off.borrow().is_empty() && has_unservable_route(cx, now);
+    *cx.separated.borrow_mut() = separated_domains(&silent_hosts, others);
+    let is_isolated = has_unservable_route(cx, now);
     if cx.is_isolated.replace(is_isolated) != is_isolated {
         warn!(cx.log, "front: reach changed"; "is_isolated" => is_isolated,
             "cut_off" => ?cx.cut_off.borrow(), "unheard" => ?silent_hosts,
@@ -35,7 +36,12 @@
 fn has_unservable_route(cx: &SharedCx, now: Time) -> bool {
     let table = cx.table.borrow().clone();
     let Some(table) = table else { return false };
-    table.routes().any(|it| it.is_in_use(now) && check_servable(cx, it, now).is_err())
+    let (has_separated, has_cut_off) =
+        (!cx.separated.borrow().is_empty(), !cx.cut_off.borrow().is_empty());
+    table.routes().any(|it| {
+        let is_partitioned = if it.senders().is_some() { has_separated } else { has_cut_off };
+        is_partitioned && it.is_in_use(now) && check_servable(cx, it, now).is_err()
+    })
 }
 
 /// Shortage of reachable targets that keeps a route from being served.
@@ -67,6 +73,9 @@
     entry: &RouteEntry,
     now: Time,
 ) -> Result<(), Unservable> {
+    if let Some(senders) = entry.senders() {
+        return check_senders(cx, entry, senders, now);
+    }
     let targets = cx.targets.borrow();
     let cut_off = cx.cut_off.borrow();
     let is_gather = matches!(entry.route.destination, Destination::Gather(_));
@@ -93,3 +102,20 @@
     let unreachable = names.collect();
     Err(Unservable { reachable, needed, unreachable })
 }
+
+/// Checks that a sender is in reach.
+fn check_senders(
+    cx: &SharedCx,
+    entry: &RouteEntry,
+    senders: ServiceKey,
+    now: Time,
+) -> Result<(), Unservable> {
+    let targets = cx.targets.borrow();
+    let request =
+        PlacementRequest { service: senders, class: entry.relay_class, tried: &[], regions: &[] };
+    if targets.has_allowed_target(&request, &cx.separated.borrow(), now) {
+        return Ok(());
+    }
+    let unreachable = vec![targets.service_name(senders).clone()];
+    Err(Unservable { reachable: 0, needed: 1, unreachable })
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 mod isolation;
 mod names;
 mod peers;
+mod relay;
 mod run;
 mod scatter;
 mod settings;
--- /dev/null
+++ b/crates/front/src/peers/mod.rs
@@ -0,0 +1,90 @@
+//! UDP gossip by which hosts discover each other.
+
+mod wire;
+
+use std::net::SocketAddr;
+
+use base::Time;
+use forward::peers::{DIGEST_INTERVAL, Digest};
+use slog::{debug, info, warn};
+use tokio::{
+    net::UdpSocket,
+    time::{MissedTickBehavior, interval},
+};
+
+use self::wire::WireDigest;
+use crate::SharedCx;
+
+/// Size of the receive buffer; longer datagrams are truncated.
+const MAX_DATAGRAM_BYTES: usize = 4 * 1024;
+
+pub(crate) async fn run(cx: SharedCx) {
+    let socket = match UdpSocket::bind(cx.cfg.peers).await {
+        Ok(socket) => socket,
+        Err(err) => {
+            warn!(cx.log, "front: cannot bind the gossip socket; no other host will be known";
+                "error" => %err);
+            return;
+        }
+    };
+    let mut ticks = interval(DIGEST_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    let mut last_count = 0;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => send(&cx, &socket).await,
+            received = socket.recv_from(&mut buf) => match received {
+                Ok((len, _)) => {
+                    if let Some((reply, peer)) = receive(&cx, &buf[..len]) {
+                        send_digest(&cx, &socket, &reply, peer).await;
+                    }
+                }
+                Err(err) => debug!(cx.log, "front: cannot read a datagram"; "error" => %err),
+            },
+        }
+        let now = cx.clock.now();
+        let count = cx.peers.borrow().assumed_count(now, now.since(Time::ZERO));
+        if count != last_count {
+            last_count = count;
+            cx.targets.borrow_mut().set_hosts(count);
+            info!(cx.log, "front: number of hosts changed"; "hosts" => count);
+        }
+    }
+}
+
+async fn send(cx: &SharedCx, socket: &UdpSocket) {
+    let now = cx.clock.now();
+    let strikes = cx.suspects.borrow().recent_strikes(now);
+    let (digest, to) = cx.peers.borrow_mut().next_digest(now, cx.version(), strikes);
+    for peer in to {
+        send_digest(cx, socket, &digest, peer).await;
+    }
+}
+
+async fn send_digest(cx: &SharedCx, socket: &UdpSocket, digest: &Digest, peer: SocketAddr) {
+    let sent = match postcard::to_stdvec(&WireDigest::from(digest)) {
+        Ok(bytes) => socket.send_to(&bytes, peer).await.map(|_| ()).map_err(|it| it.to_string()),
+        Err(err) => Err(err.to_string()),
+    };
+    if let Err(err) = sent {
+        debug!(cx.log, "front: cannot send a digest"; "peer" => %peer, "error" => err);
+    }
+}
+
+/// Learns from a datagram; returns the reply if it asks for one.
+fn receive(cx: &SharedCx, bytes: &[u8]) -> Option<(Digest, SocketAddr)> {
+    let decoded = postcard::from_bytes::<WireDigest>(bytes).map_err(|err| err.to_string());
+    let digest = match decoded.and_then(Digest::try_from) {
+        Ok(digest) => digest,
+        Err(err) => {
+            debug!(cx.log, "front: cannot decode a digest"; "error" => err);
+            return None;
+        }
+    };
+    let now = cx.clock.now();
+    cx.suspects.borrow_mut().merge(&digest.strikes, now);
+    let mut peers = cx.peers.borrow_mut();
+    peers.receive(&digest, now);
+    digest.asks_for_reply.then(|| (peers.reply(now, cx.version()), digest.from.address))
+}
--- /dev/null
+++ b/crates/front/src/peers/wire.rs
@@ -0,0 +1,114 @@
+//! Binary format of digests. Domains are listed once and referred to by index.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::DomainName;
+use forward::{
+    peers::{Digest, Host, ListedHost, SeenDomain},
+    suspects::Strike,
+};
+use serde::{Deserialize, Serialize};
+
+/// Wire format of a [`Digest`].
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireDigest {
+    from: WireHost,
+    version: u64,
+    domains: Vec<String>,
+    hosts: Vec<(WireHost, Millis)>,
+    /// Domains heard, each with the time since the last digest from it.
+    heard: Vec<(DomainIndex, Millis)>,
+    /// Fingerprints of requests that crashed a target, each with the time since the
+    /// crash.
+    strikes: Vec<(u64, Millis)>,
+    asks_for_reply: bool,
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct WireHost {
+    address: SocketAddr,
+    domain: DomainIndex,
+    capacity: u32,
+}
+
+/// Index into [`WireDigest::domains`].
+type DomainIndex = u16;
+
+type Millis = u64;
+
+fn millis(age: Duration) -> Millis {
+    age.as_millis() as u64
+}
+
+impl From<&Digest> for WireDigest {
+    fn from(digest: &Digest) -> Self {
+        let mut domains = Vec::new();
+        let from = wire_host(&mut domains, &digest.from);
+        let hosts = digest.hosts.iter();
+        let hosts = hosts.map(|it| (wire_host(&mut domains, &it.host), millis(it.age))).collect();
+        let heard = digest.domains.iter();
+        let heard = heard.map(|it| (index_of(&mut domains, &it.domain), millis(it.age))).collect();
+        let strikes = digest.strikes.iter().map(|it| (it.request, millis(it.age)));
+        WireDigest {
+            from,
+            version: digest.version,
+            hosts,
+            heard,
+            strikes: strikes.collect(),
+            asks_for_reply: digest.asks_for_reply,
+            domains: domains.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+fn wire_host(domains: &mut Vec<DomainName>, host: &Host) -> WireHost {
+    let domain = index_of(domains, &host.domain);
+    WireHost { address: host.address, domain, capacity: host.capacity }
+}
+
+fn index_of(domains: &mut Vec<DomainName>, domain: &DomainName) -> DomainIndex {
+    let known = domains.iter().position(|it| it == domain);
+    let index = known.unwrap_or_else(|| {
+        domains.push(domain.clone());
+        domains.len() - 1
+    });
+    index as DomainIndex
+}
+
+impl TryFrom<WireDigest> for Digest {
+    type Error = String;
+
+    fn try_from(wire: WireDigest) -> Result<Digest, String> {
+        let domains: Vec<DomainName> = wire.domains.into_iter().map(DomainName::from).collect();
+        let domain = |index: DomainIndex| {
+            let found = domains.get(usize::from(index)).cloned();
+            found.ok_or_else(|| format!("no domain has the index {index}"))
+        };
+        let host = |it: WireHost| {
+            domain(it.domain).map(|domain| Host {
+                address: it.address,
+                domain,
+                capacity: it.capacity,
+            })
+        };
+        let hosts = wire.hosts.into_iter().map(|(it, ms)| {
+            host(it).map(|host| ListedHost { host, age: Duration::from_millis(ms) })
+        });
+        let heard = wire.heard.into_iter().map(|(index, ms)| {
+            domain(index).map(|domain| SeenDomain { domain, age: Duration::from_millis(ms) })
+        });
+        let strikes = wire.strikes.into_iter();
+        let strikes =
+            strikes.map(|(request, ms)| Strike { request, age: Duration::from_millis(ms) });
+        Ok(Digest {
+            from: host(wire.from)?,
+            version: wire.version,
+            hosts: hosts.collect::<Result<_, _>>()?,
+            domains: heard.collect::<Result<_, _>>()?,
+            strikes: strikes.collect(),
+            asks_for_reply: wire.asks_for_reply,
+        })
+    }
+}
--- /dev/null
+++ b/crates/front/src/relay/answer.rs
@@ -0,0 +1,61 @@
+//! Answers requests that other hosts pass on to this one.
+
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+
+use super::{Relay, RelayOutcome};
+use crate::{
+    SharedCx,
+    callers::{
+        answer::Answer,
+        log_line::{self, request_id},
+        refusal::Refusal,
+        request::{Origin, UNAVAILABLE_WAIT, implies_not_run, respond},
+    },
+};
+
+/// Serves a request for another host. One that this host should not run is refused
+/// as not run, so that it goes to another sender.
+pub(crate) async fn answer(cx: &SharedCx, relay: Relay, mut req: Request<Incoming>) -> Answer {
+    let _guard = cx.in_progress.enter();
+    Relay::remove(req.headers_mut());
+    let id = request_id(cx, req.headers());
+    let id_header = req.headers().get(&cx.cfg.names.request_id).cloned();
+    let answered = match check(cx, relay) {
+        Ok(()) => respond(cx, relay.received, req, Origin::Host).await,
+        Err(refusal) => Err(refusal),
+    };
+    let (mut answer, outcome) = match answered {
+        Ok(answer) => (answer, RelayOutcome::Done),
+        Err(refusal) => {
+            log_line::refused(cx, &id, &refusal);
+            let outcome = outcome(refusal.status);
+            (refusal.into(), outcome)
+        }
+    };
+    outcome.write(answer.headers_mut());
+    if let Some(id) = id_header {
+        answer.headers_mut().insert(cx.cfg.names.request_id.clone(), id);
+    }
+    answer
+}
+
+fn check(cx: &SharedCx, relay: Relay) -> Result<(), Refusal> {
+    if cx.is_stopping.get() {
+        return Err(Refusal::not_run("this host is stopping", UNAVAILABLE_WAIT, UNAVAILABLE_WAIT));
+    }
+    if cx.version() < relay.version {
+        let reason = "an older configuration is in force at the sender";
+        return Err(Refusal::not_run(reason, UNAVAILABLE_WAIT, UNAVAILABLE_WAIT));
+    }
+    Ok(())
+}
+
+/// Returns what a refusal by this tier says of the request's run.
+fn outcome(status: StatusCode) -> RelayOutcome {
+    match status {
+        _ if implies_not_run(status) => RelayOutcome::NotRun,
+        _ if status.is_client_error() => RelayOutcome::Done,
+        _ => RelayOutcome::MayHaveRun,
+    }
+}
--- a/crates/front/src/scatter/event.rs
+++ b/crates/front/src/scatter/event.rs
@@ -1,5 +1,6 @@
 //! Events that a running query receives, and its result.
 
+use base::TargetName;
 use forward::{Verdict, placement::Send};
 use tokio::sync::mpsc;
 
@@ -33,6 +34,8 @@
     pub may_have_run: bool,
     /// Number of sends beyond the first of each part.
     pub extra_sends: u32,
+    /// Last place that the first part was sent to.
+    pub last_target: Option<TargetName>,
     /// Failed sends and missing parts, for the log.
     pub notes: Vec<Note>,
 }
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -6,6 +6,7 @@
 
 use std::rc::Rc;
 
+use base::TargetName;
 use forward::{
     Query, QueryPlan, Verdict,
     placement::Send,
@@ -63,6 +64,7 @@
         failure: scatter.failure.take(),
         may_have_run: scatter.query.may_have_run(),
         extra_sends: scatter.query.extra_sends(),
+        last_target: scatter.last_target(),
         notes: std::mem::take(&mut scatter.notes),
     }
 }
@@ -130,7 +132,7 @@
         let FinishedSend { is_part, step } = finished;
         match outcome.answer {
             Some(answer) if is_part => self.parts.push(answer),
-            Some(answer) if result == SendResult::Failed => self.failure = Some(answer),
+            Some(answer) if self.is_failure(result) => self.failure = Some(answer),
             Some(_) | None => {}
         }
         if let Some(step) = step {
@@ -138,6 +140,19 @@
         }
     }
 
+    /// Returns whether an answer with this result may become the caller's. A refusal by
+    /// another host states when the caller should retry.
+    fn is_failure(&self, result: SendResult) -> bool {
+        let is_refusal = result == SendResult::Shed && self.request.relay.is_some();
+        result == SendResult::Failed || is_refusal
+    }
+
+    fn last_target(&self) -> Option<TargetName> {
+        let target = self.query.tried(0).last()?;
+        let targets = self.cx.targets.borrow();
+        targets.target(*target).map(|it| it.report.name.clone())
+    }
+
     fn place(&mut self, index: usize) {
         let now = self.cx.clock.now();
         let step = self.query.place(&mut self.cx.targets.borrow_mut(), index, now);
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -11,6 +11,9 @@
 /// descriptors.
 const DEFAULT_MAX_CALLER_CONNECTIONS: usize = 600;
 
+/// One core, in thousandths.
+const DEFAULT_CAPACITY: u32 = 1_000;
+
 #[derive(Clone, Debug)]
 pub struct FrontSettings {
     /// Address on which callers are served.
@@ -25,6 +28,8 @@
     /// Addresses of hosts through which others are discovered.
     pub seeds: Vec<SocketAddr>,
     pub domain: DomainName,
+    /// Processing capacity in thousandths of a core.
+    pub capacity: u32,
     pub regions: Regions,
     pub limits: Limits,
     pub names: HeaderNames,
@@ -64,6 +69,7 @@
             peers: SocketAddr::new(callers.ip(), 0),
             seeds: Vec::new(),
             domain: DomainName::new("local"),
+            capacity: DEFAULT_CAPACITY,
             regions: Regions::default(),
             limits,
             names,
@@ -95,6 +101,13 @@
         self
     }
 
+    /// Sets the processing capacity in thousandths of a core. Hosts with more of it
+    /// serve requests for others.
+    pub fn capacity(mut self, capacity: u32) -> Self {
+        self.cfg.capacity = capacity;
+        self
+    }
+
     pub fn limits(mut self, limits: Limits) -> Self {
         self.cfg.limits = limits;
         self
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -11,7 +11,12 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::wire::{WireConfiguration, WireState, WireTarget};
-use crate::{SharedCx, callers::accept, socket};
+use crate::{
+    SharedCx,
+    callers::accept,
+    relay::{self, Relay},
+    socket,
+};
 
 pub(crate) async fn serve(cx: SharedCx, listener: TcpListener) {
     loop {
@@ -24,12 +29,22 @@
     if socket::set_options(&stream).is_err() {
         return;
     }
-    let service = service_fn(|_| {
-        let answer = state(&cx);
-        async move { Ok::<_, Infallible>(answer) }
+    let service = service_fn(|req| {
+        let cx = cx.clone();
+        async move {
+            let relayed = Relay::read(req.headers(), cx.clock.now());
+            let answer = match relayed {
+                Some(relay) => relay::answer(&cx, relay, req).await,
+                None => state(&cx),
+            };
+            Ok::<_, Infallible>(answer)
+        }
     });
     // An error means that the peer closed the connection; it will retry.
-    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    let _ = http1::Builder::new()
+        .half_close(false)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
 }
 
 fn state(cx: &SharedCx) -> Response<Full<Bytes>> {
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to a target, from its opening to its end.
 
-use std::{io, net::SocketAddr, pin::pin};
+use std::{io, net::SocketAddr, pin::pin, time::Duration};
 
 use base::TargetName;
 use bytes::Bytes;
@@ -19,6 +19,10 @@
 };
 use crate::{SharedCx, socket};
 
+/// Limit on the time to connect to another host, which takes a round trip if it is
+/// in reach. The request then still has time for the next one.
+const HOST_CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Target of a connection.
 struct Remote {
     target: TargetKey,
@@ -148,8 +152,12 @@
 
 /// Connects to the job's target, at most until the request's deadline.
 async fn connect(cx: &SharedCx, address: SocketAddr, job: &Job) -> Result<TcpStream, SendResult> {
+    let mut until = job.request.deadline;
+    if job.request.relay.is_some() {
+        until = until.min(cx.clock.now() + HOST_CONNECT_TIMEOUT);
+    }
     tokio::select! {
-        made = socket::connect_target(address) => made.map_err(|_| SendResult::Silent),
-        () = tokio::time::sleep_until(cx.clock.instant(job.request.deadline)) => Err(SendResult::Silent),
+        made = socket::connect_target(address) => made.map_err(|_| SendResult::Unreachable),
+        () = tokio::time::sleep_until(cx.clock.instant(until)) => Err(SendResult::Unreachable),
     }
 }
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{Job, Outcome, TargetAnswer};
-use crate::SharedCx;
+use crate::{SharedCx, relay::RelayOutcome};
 
 type TargetConnection = Connection<TokioIo<TcpStream>, Full<Bytes>>;
 
@@ -84,7 +84,12 @@
     }
     let mut headers = job.request.headers.clone();
     headers.insert(names.deadline_ms.clone(), HeaderValue::from(left as u64));
-    headers.insert(names.expected_target.clone(), HeaderValue::from_str(name).ok()?);
+    match &job.request.relay {
+        Some(relay) => relay.write(&mut headers, cx.clock.now()),
+        None => {
+            headers.insert(names.expected_target.clone(), HeaderValue::from_str(name).ok()?);
+        }
+    }
     let mut request = Request::new(Full::new(job.request.body.clone()));
     *request.method_mut() = job.request.method.clone();
     *request.uri_mut() = job.request.uri.clone();
@@ -125,7 +130,10 @@
     if job.request.is_answered.get() || !job.request.is_idempotent {
         std::future::pending::<()>().await;
     }
-    sleep(CANCEL_DELAY).await;
+    // Another host delays the cancellation itself.
+    if job.request.relay.is_none() {
+        sleep(CANCEL_DELAY).await;
+    }
 }
 
 /// Checks an answer, and records the load and warm-up that the target reports
@@ -138,8 +146,14 @@
         // The answer belongs to another request: the connection is out of sync.
         return ended(SendResult::Broken, false);
     }
-    record_state(cx, job, &answer.headers);
-    let result = classify(cx, &answer);
+    let result = match &job.request.relay {
+        Some(_) if echoed.is_none() => return ended(SendResult::Broken, false),
+        Some(_) => RelayOutcome::read(&answer.headers).into(),
+        None => {
+            record_state(cx, job, &answer.headers);
+            classify(cx, &answer)
+        }
+    };
     let is_reusable = is_open && !closes_connection(&answer.headers);
     Ended { outcome: Outcome { result, answer: Some(answer) }, is_reusable }
 }
--- a/crates/front/src/targets/health.rs
+++ b/crates/front/src/targets/health.rs
@@ -48,6 +48,7 @@
         deadline: cx.clock.now() + HEALTH_TIMEOUT,
         is_idempotent: true,
         fingerprint: 0,
+        relay: None,
         // No caller waits for the answer.
         is_answered: Cell::new(true),
     };
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -16,7 +16,7 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::mpsc;
 
-use crate::{SharedCx, scatter::Event};
+use crate::{SharedCx, relay::Relay, scatter::Event};
 
 /// A request to one target, with the channel for its outcome.
 pub(crate) struct Job {
@@ -38,11 +38,30 @@
     pub deadline: Time,
     pub is_idempotent: bool,
     pub fingerprint: Fingerprint,
+    /// Set if the request is passed on to another host.
+    pub relay: Option<Relay>,
     /// Whether the query has its verdict. Sends still in flight then run to
     /// their end instead of being cancelled.
     pub is_answered: Cell<bool>,
 }
 
+impl Outgoing {
+    /// Returns the same request, to be sent to targets from here.
+    pub(crate) fn without_relay(&self) -> Outgoing {
+        Outgoing {
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            deadline: self.deadline,
+            is_idempotent: self.is_idempotent,
+            fingerprint: self.fingerprint,
+            relay: None,
+            is_answered: Cell::new(false),
+        }
+    }
+}
+
 /// Outcome of a send.
 #[derive(Debug)]
 pub(crate) struct Outcome {
@@ -86,7 +105,7 @@
         SendResult::Answered => {
             cx.suspects.borrow_mut().record_answer(job.request.fingerprint, now);
         }
-        SendResult::Broken => {
+        SendResult::Broken if job.request.relay.is_none() => {
             connection::check_for_crash(cx, job.send.target, job.request.fingerprint);
         }
         _ => {}
--- a/crates/front/src/targets/pool.rs
+++ b/crates/front/src/targets/pool.rs
@@ -8,10 +8,10 @@
 
 use super::Job;
 
-/// Limit on the idle time of a connection that a non-idempotent request may
-/// use. The target may have dropped a connection that was idle for longer, and
-/// a request that is lost on it cannot be retried.
-const MAX_IDLE_FOR_NON_IDEMPOTENT: Duration = Duration::from_millis(1_000);
+/// Limit on the idle time of a connection for a request that is not retried if it
+/// is lost: a non-idempotent one, or one that is passed on to another host. The
+/// other end may have dropped a connection that was idle for longer.
+const MAX_IDLE_IF_NOT_RETRIED: Duration = Duration::from_millis(1_000);
 
 /// Sends work to a connection's task. The connection closes when its handle is
 /// dropped.
@@ -49,9 +49,8 @@
     pub(super) fn assign(&mut self, mut job: Job) -> Result<(), Job> {
         let target = job.send.target;
         while let Some(connection) = self.take(target) {
-            if !job.request.is_idempotent
-                && connection.since.elapsed() > MAX_IDLE_FOR_NON_IDEMPOTENT
-            {
+            let must_be_fresh = !job.request.is_idempotent || job.request.relay.is_some();
+            if must_be_fresh && connection.since.elapsed() > MAX_IDLE_IF_NOT_RETRIED {
                 continue;
             }
             let handle = connection.handle.clone();
--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -6,7 +6,7 @@
 
 use forward::Repeat;
 use support::{Reply, TestHost, body, ok, own_address, read_message, run, status, target};
-use tokio::{io::AsyncWriteExt, net::UdpSocket, task::JoinSet, time::sleep};
+use tokio::{io::AsyncWriteExt, task::JoinSet, time::sleep};
 
 #[test]
 fn a_host_without_a_source_learns_the_configuration_and_targets_from_a_peer() {
@@ -47,9 +47,8 @@
         sleep(Duration::from_millis(1_600)).await;
         send_requests(&host, REQUESTS).await;
         assert_eq!(one.open.get(), REQUESTS);
-        let digest = r#"{"from":"127.0.0.1:9","domain":"x","version":0,"hosts":[],"strikes":[]}"#;
-        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-        socket.send_to(digest.as_bytes(), host.peers).await.expect("sent");
+        let _second = TestHost::start_with_seeds(own_address(), vec![host.peers]);
+        host.wait_for_hosts(2).await;
         sleep(Duration::from_millis(50)).await;
         send_requests(&host, REQUESTS).await;
         sleep(Duration::from_millis(50)).await;
--- /dev/null
+++ b/crates/front/tests/relays.rs
@@ -0,0 +1,300 @@
+//! Requests that a host passes on to another one, a sender.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use forward::Repeat;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use support::{Reply, Target, TestHost, body, header, ok, own_address, run, status, target};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpStream, UdpSocket},
+    time::sleep,
+};
+
+/// Capacity of a host that passes requests on, and of the senders.
+const SMALL: u32 = 100;
+const LARGE: u32 = 1_000;
+
+/// Time in which a host chooses its senders anew.
+const CHOICE_TIME: Duration = Duration::from_millis(700);
+
+/// Returns a host that passes requests for the service `s` on to `senders`, which
+/// are scripted.
+async fn entry(repeat: Repeat, senders: &[&Target]) -> TestHost {
+    let mut host = TestHost::start_with_capacity(own_address(), Vec::new(), SMALL);
+    host.wait_for_hosts(1).await;
+    for it in senders {
+        announce(host.peers, it.address).await;
+    }
+    host.wait_for_hosts(1 + senders.len()).await;
+    host.max_connections = 1;
+    host.single(repeat);
+    host
+}
+
+/// Tells the host at `to` of a sender at `address`, by one digest.
+async fn announce(to: SocketAddr, address: SocketAddr) {
+    let none: [(u16, u64); 0] = [];
+    let no_hosts: [((SocketAddr, u16, u32), u64); 0] = [];
+    let from = (address, 0_u16, LARGE);
+    let digest = (from, 0_u64, ["local"].to_vec(), no_hosts.to_vec(), none.to_vec(), none.to_vec());
+    let mut bytes = postcard::to_stdvec(&digest).expect("encoded");
+    bytes.push(u8::from(false));
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    socket.send_to(&bytes, to).await.expect("sent");
+}
+
+/// Returns a sender's answer with a relay outcome.
+fn relayed(status: &str, outcome: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nx-id: {{id}}\r\nrelay-outcome: {outcome}\r\nretry-after: 0.123\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn done(body: &str) -> Reply {
+    Reply::Bytes(relayed("200 OK", "done", body))
+}
+
+fn not_run() -> Reply {
+    Reply::Bytes(relayed("503 Service Unavailable", "not-run", ""))
+}
+
+#[test]
+fn a_request_goes_to_a_sender_in_one_message_and_its_answer_to_the_caller() {
+    run(async {
+        let leaf = target(vec![Reply::Bytes(ok("sig", "direct"))]).await;
+        let sender = target(vec![done("relayed")]).await;
+        let other = target(vec![done("relayed")]).await;
+        let host = entry(Repeat::Idempotent, &[&sender, &other]).await;
+        host.list("s", "t1", &leaf);
+        sleep(CHOICE_TIME).await;
+        let answer = host.get("/one/x").await;
+        assert_eq!((status(&answer), body(&answer)), (200, "relayed"));
+        assert_eq!(header(&answer, "relay-outcome"), None);
+        assert_eq!((leaf.requests(), sender.requests() + other.requests()), (0, 1));
+        let received = [&sender, &other].map(|it| it.received.borrow().concat()).concat();
+        assert_eq!(header(&received, "x-id").as_deref(), Some("q1"));
+        assert_eq!(header(&received, "relay-version").as_deref(), Some("1"));
+        assert!(header(&received, "relay-age-us").is_some());
+        assert!(header(&received, "x-deadline").is_some());
+    });
+}
+
+#[test]
+fn a_request_that_a_sender_did_not_run_goes_to_the_next() {
+    run(async {
+        let (leaf, first) = leaf_and(not_run()).await;
+        // Answers too slowly to be preferred to a sender that was not asked yet.
+        let later = relayed("200 OK", "done", "relayed");
+        let second = target(vec![Reply::Later(Duration::from_millis(40), later)]).await;
+        let host = entry(Repeat::AtMostOnce, &[&first, &second]).await;
+        host.list("s", "t1", &leaf);
+        sleep(CHOICE_TIME).await;
+        for _ in 0..6 {
+            let answer = host.get("/one/x").await;
+            assert_eq!((status(&answer), body(&answer)), (200, "relayed"));
+        }
+        assert_eq!((leaf.requests(), second.requests()), (0, 6));
+        assert!(first.requests() > 0);
+    });
+}
+
+#[test]
+fn the_refusal_of_all_senders_is_the_answer_with_its_retry_after() {
+    run(async {
+        let (leaf, first) = leaf_and(not_run()).await;
+        let second = target(vec![not_run()]).await;
+        let host = entry(Repeat::Idempotent, &[&first, &second]).await;
+        host.list("s", "t1", &leaf);
+        sleep(CHOICE_TIME).await;
+        let answer = host.get("/one/x").await;
+        assert_eq!(status(&answer), 503);
+        assert_eq!(header(&answer, "retry-after").as_deref(), Some("0.123"));
+        assert_eq!((first.requests(), second.requests(), leaf.requests()), (1, 1, 0));
+    });
+}
+
+/// After an answer is lost, the request may have run: it is neither run again nor
+/// called "not run", also if another sender refused it before.
+#[test]
+fn a_request_that_a_sender_may_have_run_is_not_passed_on_again() {
+    let cut = relayed("200 OK", "done", "whole").replace("whole", "ha");
+    let replies = [
+        Reply::Close,
+        Reply::BytesThenClose(cut),
+        Reply::BytesThenClose("HTTP/1.1 200".to_owned()),
+        // Another request's answer, as if it came late on a kept connection.
+        Reply::Bytes(relayed("200 OK", "done", "other").replace("{id}", "q0")),
+        // Nothing states what became of the request.
+        Reply::Bytes(ok("sig", "unknown")),
+        Reply::Bytes(relayed("502 Bad Gateway", "may-have-run", "")),
+    ];
+    for reply in replies {
+        for repeat in [Repeat::AtMostOnce, Repeat::Idempotent] {
+            let reply = reply.clone();
+            run(async move {
+                let (leaf, first) = leaf_and(reply).await;
+                let second = target(vec![not_run()]).await;
+                let host = entry(repeat, &[&first, &second]).await;
+                host.list("s", "t1", &leaf);
+                sleep(CHOICE_TIME).await;
+                while first.requests() == 0 {
+                    let before = second.requests();
+                    let answer = host.get("/one/x").await;
+                    if first.requests() == 1 {
+                        assert!(matches!(status(&answer), 200 | 502), "{answer}");
+                        let is_complete = status(&answer) == 200;
+                        assert_eq!(is_complete, body(&answer) == "unknown", "{answer}");
+                        assert!(second.requests() - before <= 1);
+                    }
+                }
+                assert_eq!(leaf.requests(), 0);
+            });
+        }
+    }
+}
+
+#[test]
+fn without_a_sender_in_reach_a_host_sends_to_targets_itself() {
+    run(async {
+        let leaf = target(vec![Reply::Bytes(ok("sig", "direct"))]).await;
+        let mut host = TestHost::start_with_capacity(own_address(), Vec::new(), SMALL);
+        host.wait_for_hosts(1).await;
+        // Nobody listens at these addresses.
+        announce(host.peers, own_address()).await;
+        announce(host.peers, own_address()).await;
+        host.wait_for_hosts(3).await;
+        host.max_connections = 1;
+        host.single(Repeat::AtMostOnce);
+        host.list("s", "t1", &leaf);
+        sleep(CHOICE_TIME).await;
+        let answer = host.get("/one/x").await;
+        assert_eq!((status(&answer), body(&answer), leaf.requests()), (200, "direct", 1));
+    });
+}
+
+/// The sender is a real host. Its refusals are true and its answer is the caller's.
+#[test]
+fn a_sender_serves_requests_of_other_hosts() {
+    run(async {
+        let leaf = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let mut sender = TestHost::start();
+        sender.single(Repeat::AtMostOnce);
+        sender.list("s", "t1", &leaf);
+        let ask = async |version: u64| {
+            let mut stream = TcpStream::connect(sender.peers).await.expect("listening");
+            let head = format!(
+                "GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q7\r\nx-deadline: 500\r\n\
+                 relay-age-us: 2000\r\nrelay-version: {version}\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await.expect("written");
+            support::read_message(&mut stream).await.expect("an answer")
+        };
+        wait_until_listening(sender.peers).await;
+        let answer = ask(1).await;
+        assert_eq!((status(&answer), body(&answer)), (200, "yes"));
+        assert_eq!(header(&answer, "relay-outcome").as_deref(), Some("done"));
+        assert_eq!(header(&answer, "x-id").as_deref(), Some("q7"));
+        assert_eq!(header(&leaf.received.borrow()[0], "relay-age-us"), None);
+        // The sender does not know the version by which the request was passed on.
+        let answer = ask(2).await;
+        assert_eq!(status(&answer), 503);
+        assert_eq!(header(&answer, "relay-outcome").as_deref(), Some("not-run"));
+        assert_eq!(leaf.requests(), 1);
+    });
+}
+
+/// A planned stop refuses what is passed on from then on, and finishes what was
+/// accepted before.
+#[test]
+fn a_stopping_sender_finishes_what_it_accepted_and_refuses_the_rest() {
+    run(async {
+        let later = Reply::Later(Duration::from_millis(400), ok("sig", "yes"));
+        let leaf = target(vec![later]).await;
+        let mut sender = TestHost::start();
+        sender.single(Repeat::AtMostOnce);
+        sender.list("s", "t1", &leaf);
+        wait_until_listening(sender.peers).await;
+        let head = "GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q7\r\nx-deadline: 900\r\n\
+                    relay-age-us: 0\r\nrelay-version: 1\r\n\r\n";
+        let mut accepted = TcpStream::connect(sender.peers).await.expect("listening");
+        accepted.write_all(head.as_bytes()).await.expect("written");
+        while leaf.requests() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        sender.stop();
+        sleep(Duration::from_millis(50)).await;
+        let mut late = TcpStream::connect(sender.peers).await.expect("listening");
+        late.write_all(head.as_bytes()).await.expect("written");
+        let refused = support::read_message(&mut late).await.expect("an answer");
+        assert_eq!(header(&refused, "relay-outcome").as_deref(), Some("not-run"));
+        let answer = support::read_message(&mut accepted).await.expect("an answer");
+        assert_eq!((status(&answer), body(&answer)), (200, "yes"));
+        assert_eq!(leaf.requests(), 1);
+    });
+}
+
+/// The caller's leave ends the work at the target, over both hosts.
+#[test]
+fn a_caller_that_leaves_ends_the_work_behind_the_sender() {
+    run(async {
+        let leaf = target(vec![Reply::Silence]).await;
+        let (address, seed) = (own_address(), own_address());
+        let mut sender = TestHost::start_with_seeds(address, vec![seed]);
+        let second = TestHost::start_with_seeds(own_address(), vec![seed]);
+        let mut host = TestHost::start_with_capacity(seed, vec![address, second.peers], SMALL);
+        for it in [&mut sender, &mut host] {
+            it.max_connections = 1;
+            it.single(Repeat::Idempotent);
+            it.list("s", "t1", &leaf);
+            it.wait_for_hosts(3).await;
+        }
+        sleep(CHOICE_TIME).await;
+        while leaf.requests() == 0 {
+            let mut caller = host.connect().await;
+            let request = b"GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q1\r\n\r\n";
+            caller.write_all(request).await.expect("written");
+            sleep(Duration::from_millis(100)).await;
+        }
+        while *leaf.abandoned.borrow() == 0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
+
+/// Datagrams that no host sent neither end the process nor change what it knows.
+#[test]
+fn malformed_datagrams_are_ignored() {
+    run(async {
+        let host = TestHost::start();
+        host.wait_for_hosts(1).await;
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        let mut rng = SmallRng::seed_from_u64(11);
+        for round in 0..400 {
+            let mut bytes = vec![0; rng.random_range(0..600)];
+            rng.fill(&mut bytes[..]);
+            // Half of them begin like a digest.
+            if round % 2 == 0 && bytes.len() > 8 {
+                bytes[..8].copy_from_slice(&[0, 127, 0, 0, 1, 9, 0, 1]);
+            }
+            socket.send_to(&bytes, host.peers).await.expect("sent");
+        }
+        sleep(Duration::from_millis(100)).await;
+        announce(host.peers, own_address()).await;
+        host.wait_for_hosts(2).await;
+    });
+}
+
+async fn leaf_and(reply: Reply) -> (Target, Target) {
+    (target(vec![Reply::Bytes(ok("sig", "direct"))]).await, target(vec![reply]).await)
+}
+
+async fn wait_until_listening(address: SocketAddr) {
+    while TcpStream::connect(address).await.is_err() {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -205,6 +205,8 @@
     routes: Vec<Route>,
     version: u64,
     pub warmup_rate: Option<f64>,
+    /// Connections that each target accepts.
+    pub max_connections: u32,
     stop: Option<oneshot::Sender<()>>,
     pub ended: JoinHandle<io::Result<()>>,
 }
@@ -216,6 +218,15 @@
 
     /// Starts a host that discovers others through `seeds`.
     pub fn start_with_seeds(peers: SocketAddr, seeds: Vec<SocketAddr>) -> TestHost {
+        TestHost::start_with_capacity(peers, seeds, 1_000)
+    }
+
+    /// Starts a host with a processing capacity in thousandths of a core.
+    pub fn start_with_capacity(
+        peers: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        capacity: u32,
+    ) -> TestHost {
         base::invariant::panic_when_broken();
         let (callers, readiness, metrics) = (own_address(), own_address(), own_address());
         let name = HeaderName::from_static;
@@ -233,6 +244,7 @@
         let cfg = FrontSettingsBuilder::new(callers, readiness, names)
             .peers(peers, seeds)
             .metrics(Some(metrics))
+            .capacity(capacity)
             .max_caller_connections(40)
             .build();
         let cx = Cx::new(cfg, Logger::root(Discard, o!())).expect("metrics");
@@ -251,6 +263,7 @@
             routes: Vec::new(),
             version: 0,
             warmup_rate: None,
+            max_connections: 16,
             stop: Some(stop),
             ended,
         }
@@ -292,7 +305,7 @@
         self.version += 1;
         let service = Service {
             health_path: Arc::from("/health"),
-            max_connections: 16,
+            max_connections: self.max_connections,
             warmup: Duration::ZERO,
             warmup_rate: self.warmup_rate,
         };
@@ -335,6 +348,23 @@
         panic!("the host does not accept connections");
     }
 
+    /// Waits until this host counts `hosts` hosts, including itself.
+    pub async fn wait_for_hosts(&self, hosts: usize) {
+        let value = format!(" {hosts}");
+        let request = b"GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n";
+        loop {
+            if let Ok(mut stream) = TcpStream::connect(self.metrics).await {
+                stream.write_all(request).await.expect("written");
+                let page = read_message(&mut stream).await.unwrap_or_default();
+                let is_gauge = |it: &str| it.starts_with("front_hosts") && it.ends_with(&value);
+                if page.lines().any(is_gauge) {
+                    return;
+                }
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Starts a graceful shutdown.
     pub fn stop(&mut self) {
         self.stop = None;
