Let a few hosts of each domain read the source, and the others follow them

Change: forward::readers chooses two readers in a domain of more than four hosts, by rank, likely senders last. Readers keep a log of changes and serve it to the domain's other hosts on the address for hosts, by the calls that the store has: all items, or the changes after a revision. A host without reader waits by its rank before it reads the source itself; digests say who reads. A reader that does not answer within 2.5 s is left for another one, with the revision kept.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod placement;
 pub mod query;
+pub mod readers;
 pub mod retry_after;
 pub mod route;
 pub mod senders;
--- a/crates/forward/src/peers/digest.rs
+++ b/crates/forward/src/peers/digest.rs
@@ -14,6 +14,8 @@
     pub domain: DomainName,
     /// Processing capacity in thousandths of a core.
     pub capacity: u32,
+    /// Reads the configuration and the targets at their source.
+    pub reads_source: bool,
 }
 
 /// A host that another one knows of.
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -42,6 +42,9 @@
 const MAX_CANDIDATES: usize = 6;
 const MAX_NEWS: usize = 6;
 
+/// Readers of the own domain listed in a digest.
+const MAX_READERS: usize = 2;
+
 /// Time after which a silent peer is no longer counted.
 const HOST_RETENTION: Duration = Duration::from_secs(60);
 
@@ -106,6 +109,11 @@
         &self.own
     }
 
+    /// Sets whether this host reads the source itself, which is gossiped.
+    pub fn set_reads_source(&mut self, reads_source: bool) {
+        self.own.reads_source = reads_source;
+    }
+
     /// Returns the number of hosts that may be running, including this one.
     pub fn count(&self, now: Time) -> usize {
         let is_counted = |it: &KnownHost| now.since(it.last_seen) < HOST_RETENTION;
@@ -136,12 +144,14 @@
         (self.domains_last_seen.len(), silent.map(|(domain, _)| domain.clone()).collect())
     }
 
-    /// Returns the reachable peer with the highest configuration version, and that
-    /// version.
+    /// Returns the reachable peer with the highest configuration version, preferably
+    /// of the own domain, and that version.
     pub fn peer_with_newest_version(&self, now: Time) -> Option<(SocketAddr, u64)> {
         let reachable =
             self.versions.iter().filter(|(_, (_, at))| now.since(*at) < UNREACHABLE_AFTER);
-        reachable.map(|(peer, (version, _))| (*peer, *version)).max_by_key(|(_, version)| *version)
+        let is_local = |it| self.known.get(it).is_some_and(|it| it.host.domain == self.own.domain);
+        let newest = reachable.max_by_key(|(peer, (version, _))| (*version, is_local(*peer)));
+        newest.map(|(peer, (version, _))| (*peer, *version))
     }
 
     /// Learns from a peer's digest. If it asks for a reply, a digest is to be sent to
@@ -225,9 +235,15 @@
         let mut known: Vec<&KnownHost> = self.known.values().collect();
         known.sort_unstable_by_key(|it| (Reverse(it.last_seen), it.host.address));
         let live = known.iter().filter(|it| now.since(it.last_seen) <= MAX_SENDER_AGE);
-        let candidates = candidates(live.map(|it| &it.host));
+        let candidates = candidates(live.clone().map(|it| &it.host));
         let count = candidates.len().min(MAX_CANDIDATES);
         let mut listed = take_turns(&candidates, &mut self.next_candidate, count);
+        let is_reader =
+            |it: &&&KnownHost| it.host.reads_source && it.host.domain == self.own.domain;
+        let readers = live.filter(is_reader).map(|it| it.host.address);
+        listed.extend(
+            readers.take(MAX_READERS).filter(|it| !listed.contains(it)).collect::<Vec<_>>(),
+        );
         let mut others: Vec<SocketAddr> = known.iter().map(|it| it.host.address).collect();
         others.retain(|it| !listed.contains(it));
         let mut in_turn = others.split_off(others.len().min(MAX_NEWS));
--- a/crates/forward/tests/fleet/hosts.rs
+++ b/crates/forward/tests/fleet/hosts.rs
@@ -128,7 +128,7 @@
     let class = targets.class(&Arc::from("route"));
     let seeds = (0..3).map(address_of).collect();
     let domain = DomainName::new(domain_of(index));
-    let own = PeerHost { address: address_of(index), domain, capacity: 1_000 };
+    let own = PeerHost { address: address_of(index), domain, capacity: 1_000, reads_source: false };
     Host {
         targets,
         peers: Peers::new(own, seeds),
--- a/crates/forward/tests/peers.rs
+++ b/crates/forward/tests/peers.rs
@@ -24,7 +24,7 @@
 }
 
 fn host(index: usize) -> Host {
-    Host { address: addr(index), domain: domain(index), capacity: 1_000 }
+    Host { address: addr(index), domain: domain(index), capacity: 1_000, reads_source: false }
 }
 
 /// Runs rounds of gossip; `reaches` decides whether a digest arrives.
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     Clock, FrontSettings,
+    follow::ChangeLogs,
     scatter::{Event, Waiter},
     targets::Pools,
 };
@@ -43,6 +44,8 @@
     /// Whether the targets feed is followed at the source; while it is not,
     /// targets are learned from peers.
     pub(crate) follows_targets: Cell<bool>,
+    /// What this host got of each feed, for hosts that follow it.
+    pub(crate) change_logs: ChangeLogs,
     /// Same as `follows_targets`, for the configuration and evacuations.
     pub(crate) follows_operations: Cell<bool>,
     /// Domains that a network partition separates from this host while it is
@@ -77,7 +80,12 @@
     pub fn new(cfg: FrontSettings, log: Logger) -> Result<SharedCx, MetricsError> {
         let metrics = FrontMetrics::new(&SendResult::NAMES)?;
         let targets = Targets::new(cfg.limits.clone(), cfg.domain.clone(), cfg.regions.clone());
-        let own = Host { address: cfg.peers, domain: cfg.domain.clone(), capacity: cfg.capacity };
+        let own = Host {
+            address: cfg.peers,
+            domain: cfg.domain.clone(),
+            capacity: cfg.capacity,
+            reads_source: false,
+        };
         let peers = Peers::new(own, cfg.seeds.clone());
         Ok(Rc::new(Cx {
             cfg,
@@ -92,6 +100,7 @@
             is_stopping: Cell::new(false),
             has_targets: Cell::new(false),
             follows_targets: Cell::new(false),
+            change_logs: ChangeLogs::default(),
             follows_operations: Cell::new(false),
             cut_off: RefCell::new(HashSet::default()),
             separated: RefCell::new(HashSet::default()),
@@ -219,6 +228,11 @@
         self.metrics.set_gauge(FrontGauge::PartsWaiting, targets.waiting_count() as u64);
         self.metrics.set_gauge(FrontGauge::IsReady, u64::from(self.is_ready()));
         self.metrics.set_gauge(FrontGauge::FollowsSource, u64::from(follows));
+        let role = targets.sender_role();
+        let reads_source = self.change_logs.are_live();
+        self.metrics.set_gauge(FrontGauge::ReadsSource, u64::from(reads_source));
+        self.metrics.set_gauge(FrontGauge::Senders, role.senders as u64);
+        self.metrics.set_gauge(FrontGauge::IsSender, u64::from(role.is_sender));
         self.metrics.set_gauge(FrontGauge::InvariantsBroken, base::invariant::broken_count());
         self.metrics.encode()
     }
--- /dev/null
+++ b/crates/front/src/follow/change_log.rs
@@ -0,0 +1,134 @@
+//! The latest changes of each feed, kept for hosts that follow this one.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    time::Duration,
+};
+
+use base::Time;
+use tokio::sync::{Notify, futures::Notified};
+
+use super::{Batch, Feed, Item};
+
+/// Limit of items kept. A host that follows has read more recent ones.
+const MAX_ITEMS: usize = 4_096;
+
+/// The change logs of all feeds.
+#[derive(Debug)]
+#[derive(Default)]
+pub(crate) struct ChangeLogs {
+    targets: ChangeLog,
+    operations: ChangeLog,
+}
+
+#[derive(Debug)]
+#[derive(Default)]
+pub(crate) struct ChangeLog {
+    state: RefCell<State>,
+    /// Whether this host reads the feed at the source.
+    is_live: Cell<bool>,
+    changed: Notify,
+}
+
+#[derive(Debug)]
+#[derive(Default)]
+struct State {
+    /// All changes after this revision are kept.
+    start: u64,
+    revision: u64,
+    entries: VecDeque<Entry>,
+    items: usize,
+}
+
+#[derive(Debug)]
+struct Entry {
+    revision: u64,
+    items: Vec<Item>,
+    /// Time from which on the changes were made.
+    since: Time,
+}
+
+/// What a host that follows gets.
+#[derive(Debug)]
+pub(crate) enum Changes {
+    Some(Batch),
+    /// None yet.
+    None,
+    /// They are no longer kept.
+    Gone,
+}
+
+impl ChangeLogs {
+    pub(crate) fn of(&self, feed: Feed) -> &ChangeLog {
+        match feed {
+            Feed::Targets => &self.targets,
+            Feed::Operations => &self.operations,
+        }
+    }
+
+    /// Returns whether this host reads all feeds at the source.
+    pub(crate) fn are_live(&self) -> bool {
+        self.targets.is_live() && self.operations.is_live()
+    }
+}
+
+impl ChangeLog {
+    /// Drops all changes; the feed was read completely at `revision`.
+    pub(super) fn restart(&self, revision: u64) {
+        *self.state.borrow_mut() = State { start: revision, revision, ..State::default() };
+        self.changed.notify_waiters();
+    }
+
+    /// Adds changes that lead to `revision` and are at most `age` old.
+    pub(super) fn push(&self, revision: u64, items: &[Item], age: Duration, now: Time) {
+        let mut state = self.state.borrow_mut();
+        state.revision = state.revision.max(revision);
+        if items.is_empty() {
+            return;
+        }
+        state.items += items.len();
+        state.entries.push_back(Entry { revision, items: items.to_vec(), since: now.ago(age) });
+        while state.items > MAX_ITEMS
+            && let Some(dropped) = state.entries.pop_front()
+        {
+            state.items -= dropped.items.len();
+            state.start = dropped.revision;
+        }
+        self.changed.notify_waiters();
+    }
+
+    pub(super) fn set_live(&self, is_live: bool) {
+        if self.is_live.replace(is_live) != is_live {
+            self.changed.notify_waiters();
+        }
+    }
+
+    pub(crate) fn is_live(&self) -> bool {
+        self.is_live.get()
+    }
+
+    pub(super) fn revision(&self) -> u64 {
+        self.state.borrow().revision
+    }
+
+    /// Completes at the next change of this log.
+    pub(super) fn changed(&self) -> Notified<'_> {
+        self.changed.notified()
+    }
+
+    /// Returns the changes after `revision`.
+    pub(super) fn after(&self, revision: u64, now: Time) -> Changes {
+        let state = self.state.borrow();
+        if revision < state.start {
+            return Changes::Gone;
+        }
+        let newer: Vec<&Entry> = state.entries.iter().filter(|it| it.revision > revision).collect();
+        let Some(since) = newer.iter().map(|it| it.since).min() else { return Changes::None };
+        Changes::Some(Batch {
+            items: newer.iter().flat_map(|it| it.items.iter().cloned()).collect(),
+            revision: state.revision,
+            age: Some(now.since(since)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/front/src/follow/host.rs
@@ -0,0 +1,85 @@
+//! A reader as a source: calls to another host.
+
+use std::{cell::RefCell, fmt, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, StatusCode, header};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+
+use super::{Batch, Feed, Source, SourceError, wire::WireBatch};
+use crate::socket;
+
+/// Limit on the size of a reader's answer.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// A reader, with a connection that is kept between calls.
+pub(super) struct HostSource {
+    address: SocketAddr,
+    connection: RefCell<Option<SendRequest<Empty<Bytes>>>>,
+}
+
+impl HostSource {
+    pub(super) fn new(address: SocketAddr) -> HostSource {
+        HostSource { address, connection: RefCell::new(None) }
+    }
+
+    async fn call(&self, path: String) -> Result<Batch, SourceError> {
+        let mut sender = self.connect().await?;
+        let mut request = Request::new(Empty::new());
+        request.headers_mut().insert(header::HOST, HeaderValue::from_static("host"));
+        *request.uri_mut() = path.parse().map_err(unreadable)?;
+        let answer = sender.send_request(request).await.map_err(unavailable)?;
+        match answer.status() {
+            StatusCode::OK => {}
+            StatusCode::GONE => return Err(SourceError::HistoryGone),
+            status => return Err(unavailable(status)),
+        }
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+        let body = body.collect().await.map_err(unavailable)?.to_bytes();
+        self.connection.replace(Some(sender));
+        let wire: WireBatch = postcard::from_bytes(&body).map_err(unreadable)?;
+        Ok(wire.into())
+    }
+
+    /// Returns the kept connection, or a new one.
+    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, SourceError> {
+        let kept = self.connection.take();
+        if let Some(mut kept) = kept
+            && kept.ready().await.is_ok()
+        {
+            return Ok(kept);
+        }
+        let stream = socket::connect(self.address).await.map_err(unavailable)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(unavailable)?;
+        // An error also ends the call in progress, which reports it.
+        tokio::task::spawn_local(async move { connection.await.unwrap_or_default() });
+        Ok(sender)
+    }
+}
+
+fn unavailable(err: impl fmt::Display) -> SourceError {
+    SourceError::Unavailable(err.to_string())
+}
+
+fn unreadable(err: impl fmt::Display) -> SourceError {
+    SourceError::Unreadable(err.to_string())
+}
+
+impl Source for HostSource {
+    async fn read(&self, feed: Feed) -> Result<Batch, SourceError> {
+        self.call(format!("/items/{}", feed.as_str())).await
+    }
+
+    async fn changes(
+        &self,
+        feed: Feed,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Batch, SourceError> {
+        let wait_ms = wait.as_millis();
+        self.call(format!("/changes/{}/{revision}/{wait_ms}", feed.as_str())).await
+    }
+}
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -4,9 +4,18 @@
 //! When the source fails, the last known state stays in force, and the feed is
 //! read again as soon as the source answers.
 //!
+//! In a large domain, most hosts follow a reader instead of the source, see
+//! [`forward::readers`].
+//!
 //! Load pattern answered: a source that is unavailable or slow, drops its
 //! history or rejects some hosts, and many hosts that return to it at once.
 
+mod change_log;
+mod host;
+mod origin;
+mod serve;
+mod wire;
+
 use std::{
     cell::Cell,
     future::Future,
@@ -16,11 +25,15 @@
 };
 
 use base::{DomainName, HashSet, TargetName, Time};
-use forward::{Configuration, TargetReport};
+use forward::{Configuration, TargetReport, peers::DIGEST_INTERVAL, readers::Origin};
 use rustc_hash::FxHasher;
-use slog::{info, warn};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
+pub(crate) use self::{change_log::ChangeLogs, serve::answer};
+use self::{
+    host::HostSource,
+    origin::{FollowState, LostOrigins},
+};
 use crate::SharedCx;
 
 /// Time that the source may hold one call for changes.
@@ -36,6 +49,17 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 const MAX_BACKOFF: Duration = Duration::from_millis(1_600);
 
+/// Same as `CHANGES_WAIT` and `CHANGES_SLACK` for calls to a reader, short enough
+/// that the loss of a reader is noticed before changes are late.
+const HOST_CHANGES_WAIT: Duration = Duration::from_millis(2_000);
+const HOST_CHANGES_SLACK: Duration = Duration::from_millis(500);
+
+/// Time between two checks whether another origin is to be followed.
+const CHOICE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after the first round of gossip for its replies to arrive.
+const PEERS_SLACK: Duration = Duration::from_millis(50);
+
 /// Range of the factor by which a host's backoff is multiplied.
 const MIN_JITTER: f64 = 0.7;
 const MAX_JITTER: f64 = 1.3;
@@ -63,6 +87,25 @@
 }
 
 impl Feed {
+    fn as_str(self) -> &'static str {
+        match self {
+            Feed::Targets => "targets",
+            Feed::Operations => "operations",
+        }
+    }
+
+    fn from_str(name: &str) -> Option<Feed> {
+        [Feed::Targets, Feed::Operations].into_iter().find(|it| it.as_str() == name)
+    }
+
+    /// Sets whether this host reads the feed at the source itself. It offers itself
+    /// to other hosts as a reader while it does so for all feeds.
+    fn set_read_directly(self, cx: &SharedCx, is_direct: bool) {
+        cx.change_logs.of(self).set_live(is_direct);
+        let reads_source = cx.change_logs.are_live();
+        cx.peers.borrow_mut().set_reads_source(reads_source);
+    }
+
     fn is_followed(self, cx: &SharedCx) -> &Cell<bool> {
         match self {
             Feed::Targets => &cx.follows_targets,
@@ -95,6 +138,8 @@
 pub struct Batch {
     pub items: Vec<Item>,
     pub revision: u64,
+    /// Largest age of the changes, if the source states it.
+    pub age: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -125,37 +170,74 @@
 
 /// Follows `feed` for as long as the process lives.
 pub(crate) async fn follow(cx: SharedCx, source: Rc<impl Source>, feed: Feed) {
-    let jitter = jitter(&cx);
-    let mut backoff = MIN_BACKOFF;
-    let mut lost_since: Option<Instant> = None;
+    // By then this host likely knows the hosts of its domain, if there are many.
+    sleep(DIGEST_INTERVAL + PEERS_SLACK).await;
+    let mut state = FollowState::new(jitter(&cx));
     loop {
-        let err = match read(&*source, feed).await {
-            Ok(batch) => {
-                if let Some(since) = lost_since.take() {
-                    info!(cx.log, "follow: the source is back"; "feed" => ?feed,
-                        "away_ms" => since.elapsed().as_millis() as u64);
-                }
-                backoff = MIN_BACKOFF;
-                let revision = batch.revision;
-                apply_all(&cx, feed, batch);
-                feed.is_followed(&cx).set(true);
-                follow_changes(&cx, &*source, feed, revision).await
+        let origin = state.choose(&cx);
+        let ended = match origin {
+            Origin::Source => follow_origin(&cx, &*source, feed, origin, &mut state).await,
+            Origin::Host(address) => {
+                let host = HostSource::new(address);
+                follow_origin(&cx, &host, feed, origin, &mut state).await
+            }
+            Origin::None => {
+                sleep(CHOICE_INTERVAL).await;
+                continue;
             }
-            Err(err) => err,
         };
-        if matches!(err, SourceError::HistoryGone) {
-            info!(cx.log, "follow: reading the feed again"; "feed" => ?feed, "error" => %err);
-            sleep(MIN_BACKOFF.mul_f64(jitter)).await;
-            continue;
+        match ended {
+            Ended::Superseded => state.record_end(),
+            Ended::Failed(err) => state.record_failure(&cx, feed, origin, &err).await,
         }
-        feed.is_followed(&cx).set(false);
-        if lost_since.is_none() {
-            lost_since = Some(Instant::now());
-            warn!(cx.log, "follow: the source is lost, the last known state stays in force";
-                "feed" => ?feed, "error" => %err);
+    }
+}
+
+/// Why an origin is no longer followed.
+enum Ended {
+    /// Another origin is to be followed.
+    Superseded,
+    Failed(SourceError),
+}
+
+/// Reads the feed if necessary, then applies changes until a call fails or another
+/// origin is to be followed.
+async fn follow_origin(
+    cx: &SharedCx,
+    source: &impl Source,
+    feed: Feed,
+    origin: Origin,
+    state: &mut FollowState,
+) -> Ended {
+    if state.revision.is_none() {
+        let batch = match read(source, feed).await {
+            Ok(batch) => batch,
+            Err(err) => return Ended::Failed(err),
+        };
+        state.revision = Some(batch.revision);
+        cx.change_logs.of(feed).restart(batch.revision);
+        apply_all(cx, feed, batch);
+    }
+    state.record_success(cx, feed, origin);
+    feed.is_followed(cx).set(true);
+    feed.set_read_directly(cx, origin == Origin::Source);
+    let FollowState { revision, lost, .. } = state;
+    tokio::select! {
+        biased;
+        err = follow_changes(cx, source, feed, origin, revision) => Ended::Failed(err),
+        () = superseded(cx, origin, lost) => Ended::Superseded,
+    }
+}
+
+/// Completes when another origin is to be followed. One that answers is kept while
+/// no other is known.
+async fn superseded(cx: &SharedCx, origin: Origin, lost: &LostOrigins) {
+    loop {
+        sleep(CHOICE_INTERVAL).await;
+        let next = lost.choose(cx, Duration::ZERO);
+        if next != origin && next != Origin::None {
+            return;
         }
-        sleep(backoff.mul_f64(jitter)).await;
-        backoff = (backoff * 2).min(MAX_BACKOFF);
     }
 }
 
@@ -173,25 +255,36 @@
     timeout(READ_TIMEOUT, source.read(feed)).await.map_err(timed_out)?
 }
 
-/// Applies changes until a call fails; returns its error.
+/// Applies changes until a call fails; returns its error. Keeps `revision` up to
+/// date.
 async fn follow_changes(
     cx: &SharedCx,
     source: &impl Source,
     feed: Feed,
-    mut revision: u64,
+    origin: Origin,
+    revision: &mut Option<u64>,
 ) -> SourceError {
+    let (wait, slack) = match origin {
+        Origin::Host(_) => (HOST_CHANGES_WAIT, HOST_CHANGES_SLACK),
+        Origin::Source | Origin::None => (CHANGES_WAIT, CHANGES_SLACK),
+    };
     let mut last_answer = cx.clock.now();
     loop {
         let called = cx.clock.now();
-        let call = source.changes(feed, revision, CHANGES_WAIT);
-        match timeout(CHANGES_WAIT + CHANGES_SLACK, call).await {
+        let after = revision.unwrap_or_default();
+        match timeout(wait + slack, source.changes(feed, after, wait)).await {
             Ok(Ok(changes)) => {
-                revision = revision.max(changes.revision);
+                let next = after.max(changes.revision);
                 let now = cx.clock.now();
-                let age = max_age_of_changes(last_answer, called, now);
+                let age =
+                    changes.age.unwrap_or_else(|| max_age_of_changes(last_answer, called, now));
                 last_answer = now;
+                *revision = Some(next);
+                cx.change_logs.of(feed).push(next, &changes.items, age, now);
                 changes.items.into_iter().for_each(|it| apply(cx, it, age));
-                sleep(feed.pause(cx)).await;
+                if origin == Origin::Source {
+                    sleep(feed.pause(cx)).await;
+                }
             }
             Ok(Err(err)) => return err,
             Err(_) => return SourceError::Unavailable("no answer in time".to_owned()),
--- /dev/null
+++ b/crates/front/src/follow/origin.rs
@@ -0,0 +1,130 @@
+//! Where a feed is followed, and what to do when that fails.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::HashMap;
+use forward::{
+    readers::{Origin, ReaderView},
+    senders::MAX_SENDER_AGE,
+};
+use slog::{info, warn};
+use tokio::time::{Instant, sleep};
+
+use super::{Feed, MAX_BACKOFF, MIN_BACKOFF, SourceError};
+use crate::SharedCx;
+
+/// Time for which a reader that failed is not asked again, and for which a source
+/// that failed is left to the readers.
+const LOST_FOR: Duration = Duration::from_secs(4);
+
+/// State of following one feed.
+#[derive(Debug)]
+pub(super) struct FollowState {
+    /// Revision that this host has got.
+    pub revision: Option<u64>,
+    pub lost: LostOrigins,
+    jitter: f64,
+    backoff: Duration,
+    /// Since when nothing is followed.
+    idle_since: Instant,
+    last: Origin,
+    lost_since: Option<Instant>,
+}
+
+/// Origins that failed lately, with the time of the failure.
+#[derive(Debug)]
+#[derive(Default)]
+pub(super) struct LostOrigins {
+    source: Option<Instant>,
+    hosts: HashMap<SocketAddr, Instant>,
+}
+
+impl LostOrigins {
+    /// Chooses an origin; `waited` is the time since nothing is followed.
+    pub(super) fn choose(&self, cx: &SharedCx, waited: Duration) -> Origin {
+        let peers = cx.peers.borrow();
+        let own = peers.own();
+        let mut local = peers.live_hosts(cx.clock.now(), MAX_SENDER_AGE);
+        local.retain(|it| it.domain == own.domain);
+        let is_lost = |at: &Instant| at.elapsed() < LOST_FOR;
+        let lost: Vec<SocketAddr> =
+            self.hosts.iter().filter(|(_, at)| is_lost(at)).map(|(it, _)| *it).collect();
+        let is_source_lost = self.source.as_ref().is_some_and(is_lost);
+        ReaderView { own, local: &local, lost: &lost, is_source_lost, waited }.choose()
+    }
+}
+
+impl FollowState {
+    /// `jitter` is the factor by which backoffs are multiplied.
+    pub(super) fn new(jitter: f64) -> FollowState {
+        FollowState {
+            revision: None,
+            lost: LostOrigins::default(),
+            jitter,
+            backoff: MIN_BACKOFF,
+            idle_since: Instant::now(),
+            last: Origin::None,
+            lost_since: None,
+        }
+    }
+
+    pub(super) fn choose(&self, cx: &SharedCx) -> Origin {
+        self.lost.choose(cx, self.idle_since.elapsed())
+    }
+
+    pub(super) fn record_success(&mut self, cx: &SharedCx, feed: Feed, origin: Origin) {
+        self.backoff = MIN_BACKOFF;
+        if origin != self.last {
+            self.last = origin;
+            let reader = match origin {
+                Origin::Host(address) => Some(address.to_string()),
+                Origin::Source | Origin::None => None,
+            };
+            info!(cx.log, "follow: origin changed"; "feed" => ?feed, "reader" => reader,
+                "revision" => self.revision);
+        }
+        if let Some(since) = self.lost_since.take() {
+            info!(cx.log, "follow: the source is back"; "feed" => ?feed,
+                "away_ms" => since.elapsed().as_millis() as u64);
+        }
+    }
+
+    /// Records that an origin is no longer followed.
+    pub(super) fn record_end(&mut self) {
+        self.idle_since = Instant::now();
+    }
+
+    /// Records that an origin failed, and waits before the next one is chosen if
+    /// that should not be at once.
+    pub(super) async fn record_failure(
+        &mut self,
+        cx: &SharedCx,
+        feed: Feed,
+        origin: Origin,
+        err: &SourceError,
+    ) {
+        if matches!(err, SourceError::HistoryGone) {
+            info!(cx.log, "follow: reading the feed again"; "feed" => ?feed, "error" => %err);
+            self.revision = None;
+            sleep(MIN_BACKOFF.mul_f64(self.jitter)).await;
+            return;
+        }
+        feed.is_followed(cx).set(false);
+        feed.set_read_directly(cx, false);
+        self.record_end();
+        if self.lost_since.is_none() {
+            self.lost_since = Some(Instant::now());
+            warn!(cx.log, "follow: the source is lost, the last known state stays in force";
+                "feed" => ?feed, "origin" => ?origin, "error" => %err);
+        }
+        if let Origin::Host(address) = origin {
+            self.lost.hosts.insert(address, Instant::now());
+            return;
+        }
+        // Entries may have lapsed meanwhile, so the feed is read again.
+        self.revision = None;
+        self.lost.source = Some(Instant::now());
+        sleep(self.backoff.mul_f64(self.jitter)).await;
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+    }
+}
--- /dev/null
+++ b/crates/front/src/follow/serve.rs
@@ -0,0 +1,101 @@
+//! Serves the feeds to hosts that follow this one.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use slog::warn;
+use tokio::time::{Instant, sleep_until};
+
+use super::{Batch, Feed, Item, change_log::Changes, wire::WireBatch};
+use crate::SharedCx;
+
+/// Limit on the time that a host may have a call for changes held.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+type Answer = Response<Full<Bytes>>;
+
+/// Answers a call for a feed, or returns `None` if the path names none.
+pub(crate) async fn answer(cx: &SharedCx, path: &str) -> Option<Answer> {
+    let mut parts = path.strip_prefix('/')?.split('/');
+    let call = parts.next()?;
+    let feed = Feed::from_str(parts.next()?)?;
+    let result = match call {
+        "items" => items(cx, feed),
+        "changes" => {
+            let revision = parts.next()?.parse().ok()?;
+            let wait = Duration::from_millis(parts.next()?.parse().ok()?).min(MAX_WAIT);
+            changes(cx, feed, revision, wait).await
+        }
+        _ => return None,
+    };
+    Some(match result {
+        Ok(batch) => encoded(cx, &batch),
+        Err(status) => empty(status),
+    })
+}
+
+/// Returns all items of a feed, if this host reads it at the source.
+fn items(cx: &SharedCx, feed: Feed) -> Result<Batch, StatusCode> {
+    let log = cx.change_logs.of(feed);
+    if !log.is_live() {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let targets = cx.targets.borrow();
+    let items = match feed {
+        Feed::Targets => targets.listed_reports(cx.clock.now()).map(Item::Target).collect(),
+        Feed::Operations => {
+            let cfg = cx.configuration.borrow();
+            let cfg = cfg.as_ref().map(|it| Item::Configuration((**it).clone()));
+            let evacuated = targets.evacuated().iter().cloned().map(Item::Evacuated);
+            cfg.into_iter().chain(evacuated).collect()
+        }
+    };
+    Ok(Batch { items, revision: log.revision(), age: None })
+}
+
+/// Returns the changes after `revision` as soon as there are any, or an empty batch
+/// after `wait`.
+async fn changes(
+    cx: &SharedCx,
+    feed: Feed,
+    revision: u64,
+    wait: Duration,
+) -> Result<Batch, StatusCode> {
+    let log = cx.change_logs.of(feed);
+    let until = Instant::now() + wait;
+    loop {
+        let changed = log.changed();
+        if !log.is_live() {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        match log.after(revision, cx.clock.now()) {
+            Changes::Some(batch) => return Ok(batch),
+            Changes::Gone => return Err(StatusCode::GONE),
+            Changes::None => {}
+        }
+        tokio::select! {
+            () = changed => {}
+            () = sleep_until(until) => {
+                return Ok(Batch { items: Vec::new(), revision, age: None });
+            }
+        }
+    }
+}
+
+fn encoded(cx: &SharedCx, batch: &Batch) -> Answer {
+    match postcard::to_stdvec(&WireBatch::from(batch)) {
+        Ok(bytes) => Response::new(Full::new(Bytes::from(bytes))),
+        Err(err) => {
+            warn!(cx.log, "follow: cannot encode a batch"; "error" => %err);
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn empty(status: StatusCode) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::new()));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/front/src/follow/wire.rs
@@ -0,0 +1,73 @@
+//! Binary format of the batches that a reader sends.
+
+use std::time::Duration;
+
+use base::{DomainName, TargetName};
+use forward::{Configuration, TargetReport};
+use serde::{Deserialize, Serialize};
+
+use super::{Batch, Item};
+use crate::state::wire::{WireConfiguration, WireTarget};
+
+/// Wire format of a [`Batch`].
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct WireBatch {
+    items: Vec<WireItem>,
+    revision: u64,
+    age_ms: u64,
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+enum WireItem {
+    Target(WireTarget),
+    TargetRemoved(String),
+    Configuration(WireConfiguration),
+    Evacuated(String),
+    EvacuationEnded(String),
+}
+
+impl From<&Batch> for WireBatch {
+    fn from(batch: &Batch) -> Self {
+        WireBatch {
+            items: batch.items.iter().map(WireItem::from).collect(),
+            revision: batch.revision,
+            age_ms: batch.age.unwrap_or_default().as_millis() as u64,
+        }
+    }
+}
+
+impl From<WireBatch> for Batch {
+    fn from(wire: WireBatch) -> Self {
+        Batch {
+            items: wire.items.into_iter().map(Item::from).collect(),
+            revision: wire.revision,
+            age: Some(Duration::from_millis(wire.age_ms)),
+        }
+    }
+}
+
+impl From<&Item> for WireItem {
+    fn from(item: &Item) -> Self {
+        match item {
+            Item::Target(report) => WireItem::Target(report.into()),
+            Item::TargetRemoved(name) => WireItem::TargetRemoved(name.to_string()),
+            Item::Configuration(cfg) => WireItem::Configuration(cfg.into()),
+            Item::Evacuated(domain) => WireItem::Evacuated(domain.to_string()),
+            Item::EvacuationEnded(domain) => WireItem::EvacuationEnded(domain.to_string()),
+        }
+    }
+}
+
+impl From<WireItem> for Item {
+    fn from(wire: WireItem) -> Self {
+        match wire {
+            WireItem::Target(report) => Item::Target(TargetReport::from(report)),
+            WireItem::TargetRemoved(name) => Item::TargetRemoved(TargetName::from(name)),
+            WireItem::Configuration(cfg) => Item::Configuration(Configuration::from(cfg)),
+            WireItem::Evacuated(domain) => Item::Evacuated(DomainName::from(domain)),
+            WireItem::EvacuationEnded(domain) => Item::EvacuationEnded(DomainName::from(domain)),
+        }
+    }
+}
--- a/crates/front/src/peers/wire.rs
+++ b/crates/front/src/peers/wire.rs
@@ -31,6 +31,7 @@
     address: SocketAddr,
     domain: DomainIndex,
     capacity: u32,
+    reads_source: bool,
 }
 
 /// Index into [`WireDigest::domains`].
@@ -65,7 +66,8 @@
 
 fn wire_host(domains: &mut Vec<DomainName>, host: &Host) -> WireHost {
     let domain = index_of(domains, &host.domain);
-    WireHost { address: host.address, domain, capacity: host.capacity }
+    let Host { address, capacity, reads_source, .. } = *host;
+    WireHost { address, domain, capacity, reads_source }
 }
 
 fn index_of(domains: &mut Vec<DomainName>, domain: &DomainName) -> DomainIndex {
@@ -91,6 +93,7 @@
                 address: it.address,
                 domain,
                 capacity: it.capacity,
+                reads_source: it.reads_source,
             })
         };
         let hosts = wire.hosts.into_iter().map(|(it, ms)| {
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -7,6 +7,6 @@
 
 mod learn;
 mod serve;
-mod wire;
+pub(crate) mod wire;
 
 pub(crate) use self::{learn::learn, serve::serve};
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -14,6 +14,7 @@
 use crate::{
     SharedCx,
     callers::accept,
+    follow,
     relay::{self, Relay},
     socket,
 };
@@ -35,7 +36,10 @@
             let relayed = Relay::read(req.headers(), cx.clock.now());
             let answer = match relayed {
                 Some(relay) => relay::answer(&cx, relay, req).await,
-                None => state(&cx),
+                None => match follow::answer(&cx, req.uri().path()).await {
+                    Some(answer) => answer,
+                    None => state(&cx),
+                },
             };
             Ok::<_, Infallible>(answer)
         }
--- a/crates/front/src/state/wire.rs
+++ b/crates/front/src/state/wire.rs
@@ -12,7 +12,7 @@
 /// State of a host, as sent to a peer.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
-pub(super) struct WireState {
+pub(crate) struct WireState {
     pub configuration: WireConfiguration,
     /// Whether the sender follows the targets feed at the source.
     pub follows_source: bool,
@@ -22,7 +22,7 @@
 
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
-pub(super) struct WireConfiguration {
+pub(crate) struct WireConfiguration {
     version: u64,
     routes: Vec<WireRoute>,
     services: Vec<WireService>,
@@ -67,7 +67,7 @@
 
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
-pub(super) struct WireTarget {
+pub(crate) struct WireTarget {
     name: String,
     born: Option<u64>,
     sequence: u64,
--- a/crates/front/tests/relays.rs
+++ b/crates/front/tests/relays.rs
@@ -37,8 +37,8 @@
 /// Tells the host at `to` of a sender at `address`, by one digest.
 async fn announce(to: SocketAddr, address: SocketAddr) {
     let none: [(u16, u64); 0] = [];
-    let no_hosts: [((SocketAddr, u16, u32), u64); 0] = [];
-    let from = (address, 0_u16, LARGE);
+    let no_hosts: [((SocketAddr, u16, u32, bool), u64); 0] = [];
+    let from = (address, 0_u16, LARGE, false);
     let digest = (from, 0_u64, ["local"].to_vec(), no_hosts.to_vec(), none.to_vec(), none.to_vec());
     let mut bytes = postcard::to_stdvec(&digest).expect("encoded");
     bytes.push(u8::from(false));
--- a/crates/godwityardd/src/forwarding.rs
+++ b/crates/godwityardd/src/forwarding.rs
@@ -120,7 +120,7 @@
                 out.chain([Item::Configuration(file.configuration)]).collect()
             }
         };
-        Ok(Batch { items, revision })
+        Ok(Batch { items, revision, age: None })
     }
 
     /// Returns `HistoryGone` when the file has changed, so that the whole file is
@@ -138,7 +138,7 @@
                 return Err(SourceError::HistoryGone);
             }
         }
-        Ok(Batch { items: Vec::new(), revision: revision_read })
+        Ok(Batch { items: Vec::new(), revision: revision_read, age: None })
     }
 }
 
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -41,11 +41,14 @@
     PartsWaiting,
     IsReady,
     FollowsSource,
+    ReadsSource,
+    Senders,
+    IsSender,
     InvariantsBroken,
 }
 
 /// Gauge, metric name without `front_`, and description.
-const GAUGES: [(FrontGauge, &str, &str); 9] = [
+const GAUGES: [(FrontGauge, &str, &str); 12] = [
     (FrontGauge::ConfigurationVersion, "configuration_version", "Version in force"),
     (FrontGauge::Hosts, "hosts", "Hosts that share the targets' limits"),
     (FrontGauge::Targets, "targets", "Targets known"),
@@ -57,7 +60,10 @@
     (FrontGauge::RequestsInProgress, "requests_in_progress", "Requests in progress"),
     (FrontGauge::PartsWaiting, "parts_waiting", "Sends that wait for a connection"),
     (FrontGauge::IsReady, "is_ready", "1 if this host takes callers"),
-    (FrontGauge::FollowsSource, "follows_source", "1 if the source itself is followed"),
+    (FrontGauge::FollowsSource, "follows_source", "1 if the source or a reader is followed"),
+    (FrontGauge::ReadsSource, "reads_source", "1 if the source itself is read"),
+    (FrontGauge::Senders, "senders", "Hosts that send for others, 0 if each sends itself"),
+    (FrontGauge::IsSender, "is_sender", "1 if this host sends for others"),
     (FrontGauge::InvariantsBroken, "invariants_broken", "Must be 0"),
 ];
 
