Let senders answer earlier by the time that a request and its answer are on the way

The deadline of a request from another host also lost the time that it had waited there. Change: a sender states how long it took; the host that passed the request on keeps the 0.9 quantile of the rest and tells senders, which take it off the objective. Deadlines of other hosts count from when they were written. The number of hosts is logged once a second at most.

--- a/crates/front/src/callers/request.rs
+++ b/crates/front/src/callers/request.rs
@@ -29,7 +29,7 @@
 use crate::{
     SharedCx,
     isolation::check_servable,
-    relay,
+    relay::{self, Relay},
     scatter::{Collected, scatter},
     targets::Outgoing,
 };
@@ -86,7 +86,17 @@
 pub(crate) enum Origin {
     Caller,
     /// Another host; the request is not passed on again.
-    Host,
+    Host(Relay),
+}
+
+impl Origin {
+    /// Returns the latency objective at this host.
+    fn objective(self, route: &Route) -> Duration {
+        match self {
+            Origin::Caller => route.objective,
+            Origin::Host(relay) => route.objective.saturating_sub(relay.transit),
+        }
+    }
 }
 
 pub(crate) async fn respond(
@@ -107,14 +117,20 @@
         let reason = "too many requests are in progress";
         return Err(Refusal::not_run(reason, UNAVAILABLE_WAIT, left));
     }
+    // A deadline of another host is the time that was left when it passed the
+    // request on.
+    let until = match origin {
+        Origin::Caller => received + left,
+        Origin::Host(_) => cx.clock.now() + left,
+    };
     let body = read_body(body, cx.limits.get().body_bytes, left).await?;
-    let until = received + left;
     let request = outgoing(&entry.route, head, body, until);
     if cx.suspects.borrow().is_blocked(request.fingerprint) {
         let reason = "the request crashed several targets";
         return Err(Refusal::not_run(reason, BLOCKED_WAIT, left));
     }
-    let schedule = Schedule { received, objective: entry.route.objective, deadline: until };
+    let objective = origin.objective(&entry.route);
+    let schedule = Schedule { received, objective, deadline: until };
     let now = cx.clock.now();
     entry.record_request(now);
     check_reachable(cx, &entry, schedule, now)?;
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -8,7 +8,7 @@
 
 use base::{DomainName, HashSet, TargetName};
 use forward::{
-    CallerLimits, Configuration, RouteTable, TargetReport, Targets,
+    CallerLimits, Configuration, LatencyQuantile, RouteTable, TargetReport, Targets,
     peers::{Host, Peers},
     placement::{Limits, ServiceKey},
     route::RouteEntry,
@@ -59,8 +59,13 @@
     pub(crate) peers: RefCell<Peers>,
     pub(crate) in_progress: InProgress,
     pub(crate) suspects: RefCell<Suspects>,
+    /// Time that requests passed on to senders and their answers are on the way.
+    pub(crate) relay_transit: RefCell<LatencyQuantile>,
 }
 
+/// Quantile of the time on the way that senders are told to expect.
+const TRANSIT_QUANTILE: f64 = 0.9;
+
 /// Counter of requests in progress; also the guard that counts one of them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct InProgress(Rc<()>);
@@ -108,6 +113,7 @@
             peers: RefCell::new(peers),
             in_progress: InProgress::default(),
             suspects: RefCell::new(Suspects::default()),
+            relay_transit: RefCell::new(LatencyQuantile::new(TRANSIT_QUANTILE)),
         }))
     }
 
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use base::Time;
 use forward::peers::{DIGEST_INTERVAL, Digest};
@@ -18,6 +18,9 @@
 /// Size of the receive buffer; longer datagrams are truncated.
 const MAX_DATAGRAM_BYTES: usize = 4 * 1024;
 
+/// Minimum time between two log lines on the number of hosts.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 pub(crate) async fn run(cx: SharedCx) {
     let socket = match UdpSocket::bind(cx.cfg.peers).await {
         Ok(socket) => socket,
@@ -31,6 +34,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     let mut last_count = 0;
+    let mut logged_at: Option<Time> = None;
     loop {
         tokio::select! {
             _ = ticks.tick() => send(&cx, &socket).await,
@@ -48,7 +52,11 @@
         if count != last_count {
             last_count = count;
             cx.targets.borrow_mut().set_hosts(count);
-            info!(cx.log, "front: number of hosts changed"; "hosts" => count);
+            // While many hosts start, the number changes with each datagram.
+            if logged_at.is_none_or(|at| now.since(at) >= LOG_INTERVAL) {
+                logged_at = Some(now);
+                info!(cx.log, "front: number of hosts changed"; "hosts" => count);
+            }
         }
     }
 }
--- a/crates/front/src/relay/answer.rs
+++ b/crates/front/src/relay/answer.rs
@@ -3,7 +3,7 @@
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 
-use super::{Relay, RelayOutcome};
+use super::{Relay, RelayOutcome, headers};
 use crate::{
     SharedCx,
     callers::{
@@ -18,11 +18,12 @@
 /// as not run, so that it goes to another sender.
 pub(crate) async fn answer(cx: &SharedCx, relay: Relay, mut req: Request<Incoming>) -> Answer {
     let _guard = cx.in_progress.enter();
+    let started = cx.clock.now();
     Relay::remove(req.headers_mut());
     let id = request_id(cx, req.headers());
     let id_header = req.headers().get(&cx.cfg.names.request_id).cloned();
     let answered = match check(cx, relay) {
-        Ok(()) => respond(cx, relay.received, req, Origin::Host).await,
+        Ok(()) => respond(cx, relay.received, req, Origin::Host(relay)).await,
         Err(refusal) => Err(refusal),
     };
     let (mut answer, outcome) = match answered {
@@ -34,6 +35,7 @@
         }
     };
     outcome.write(answer.headers_mut());
+    headers::write_took(answer.headers_mut(), cx.clock.now().since(started));
     if let Some(id) = id_header {
         answer.headers_mut().insert(cx.cfg.names.request_id.clone(), id);
     }
--- a/crates/front/src/relay/headers.rs
+++ b/crates/front/src/relay/headers.rs
@@ -12,6 +12,13 @@
 /// Version of the configuration by which the request was passed on.
 const VERSION: HeaderName = HeaderName::from_static("relay-version");
 
+/// Time that the request and its answer are expected to spend on the way, in
+/// microseconds.
+const TRANSIT: HeaderName = HeaderName::from_static("relay-transit-us");
+
+/// Time that the sender took, in microseconds, in an answer.
+const TOOK: HeaderName = HeaderName::from_static("relay-took-us");
+
 /// What is known of the request's run, in an answer.
 const OUTCOME: HeaderName = HeaderName::from_static("relay-outcome");
 
@@ -22,12 +29,16 @@
     pub received: Time,
     /// Version of the configuration by which the request was passed on.
     pub version: u64,
+    /// Time that the request and its answer are expected to spend on the way. The
+    /// answer has to be ready by so much earlier.
+    pub transit: Duration,
 }
 
 impl Relay {
     pub(crate) fn write(&self, headers: &mut HeaderMap, now: Time) {
         let age = now.since(self.received).as_micros() as u64;
         headers.insert(AGE, HeaderValue::from(age));
+        headers.insert(TRANSIT, HeaderValue::from(self.transit.as_micros() as u64));
         headers.insert(VERSION, HeaderValue::from(self.version));
     }
 
@@ -35,15 +46,28 @@
     pub(crate) fn read(headers: &HeaderMap, now: Time) -> Option<Relay> {
         let number = |name| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
         let age = Duration::from_micros(number(AGE)?);
-        Some(Relay { received: now.ago(age), version: number(VERSION)? })
+        let transit = Duration::from_micros(number(TRANSIT).unwrap_or(0));
+        Some(Relay { received: now.ago(age), version: number(VERSION)?, transit })
     }
 
     pub(crate) fn remove(headers: &mut HeaderMap) {
         headers.remove(AGE);
         headers.remove(VERSION);
+        headers.remove(TRANSIT);
     }
 }
 
+/// Adds the time that the sender took to its answer.
+pub(super) fn write_took(headers: &mut HeaderMap, took: Duration) {
+    headers.insert(TOOK, HeaderValue::from(took.as_micros() as u64));
+}
+
+/// Removes and returns the time that the sender took.
+pub(super) fn take_took(headers: &mut HeaderMap) -> Option<Duration> {
+    let us = headers.remove(TOOK)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_micros(us))
+}
+
 /// What an answer says of the request's run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RelayOutcome {
--- a/crates/front/src/relay/pass_on.rs
+++ b/crates/front/src/relay/pass_on.rs
@@ -2,10 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
+use base::Time;
 use forward::{QueryPlan, Verdict, gather::Schedule, placement::ServiceKey, route::RouteEntry};
 use http::StatusCode;
 
-use super::{Relay, RelayOutcome};
+use super::{Relay, RelayOutcome, headers};
 use crate::{
     SharedCx,
     callers::{
@@ -27,7 +28,9 @@
     request: Outgoing,
     schedule: Schedule,
 ) -> Result<Answer, Refusal> {
-    let relay = Relay { received: schedule.received, version: entry.version };
+    let transit = cx.relay_transit.borrow().get().unwrap_or_default();
+    let relay = Relay { received: schedule.received, version: entry.version, transit };
+    let passed_on = cx.clock.now();
     let request = Rc::new(Outgoing { relay: Some(relay), ..request });
     let plan = QueryPlan {
         shards: vec![senders],
@@ -40,7 +43,8 @@
         is_idempotent: false,
         schedule,
     };
-    let collected = scatter(cx, plan, &request).await;
+    let mut collected = scatter(cx, plan, &request).await;
+    record_transit(cx, &mut collected, passed_on);
     let line = LogLine::new(cx, entry, &request, schedule, &collected);
     let is_unreached = !collected.may_have_run && collected.failure.is_none();
     if is_unreached && collected.verdict == Verdict::GiveUp {
@@ -53,6 +57,16 @@
     answered
 }
 
+/// Records how long the request and the answer of the first sender were on the way.
+fn record_transit(cx: &SharedCx, collected: &mut Collected, passed_on: Time) {
+    let answers = collected.parts.iter_mut().chain(&mut collected.failure);
+    let took = answers.filter_map(|it| headers::take_took(&mut it.headers)).last();
+    if let Some(took) = took.filter(|_| collected.notes.is_empty()) {
+        let all = cx.clock.now().since(passed_on);
+        cx.relay_transit.borrow_mut().record(all.saturating_sub(took));
+    }
+}
+
 /// Returns the sender's answer, or an error of this tier if there is none.
 fn build_answer(mut collected: Collected, left: Duration) -> Result<Answer, Refusal> {
     if let Some(answer) = collected.parts.pop() {
--- a/crates/front/tests/relays.rs
+++ b/crates/front/tests/relays.rs
@@ -208,6 +208,32 @@
     });
 }
 
+/// An answer has to be back at the host that passed the request on within the
+/// objective, so the sender answers earlier by the time on the way. The route's
+/// objective is 300 ms.
+#[test]
+fn a_sender_answers_in_part_before_the_time_on_the_way_begins() {
+    run(async {
+        let first = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let second = target(vec![Reply::Later(Duration::from_millis(200), ok("sig2", "no"))]).await;
+        let mut sender = TestHost::start();
+        sender.gather_over(2, 0.5);
+        sender.list("s0", "t1", &first);
+        sender.list("s1", "t2", &second);
+        wait_until_listening(sender.peers).await;
+        for (transit_us, missing) in [(0, "0"), (190_000, "1")] {
+            let mut stream = TcpStream::connect(sender.peers).await.expect("listening");
+            let head = format!(
+                "GET /all/x HTTP/1.1\r\nhost: h\r\nx-id: q7\r\nx-deadline: 800\r\n\
+                 relay-age-us: 0\r\nrelay-version: 1\r\nrelay-transit-us: {transit_us}\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await.expect("written");
+            let answer = support::read_message(&mut stream).await.expect("an answer");
+            assert_eq!(header(&answer, "x-missing").as_deref(), Some(missing), "{answer}");
+        }
+    });
+}
+
 /// A planned stop refuses what is passed on from then on, and finishes what was
 /// accepted before.
 #[test]
