Do not wait for senders known to be lost, and leave readers that stopped reading quietly

Cause: with all senders of a group down, a request waited in the group's queue until shortly before its objective, then this host ran it itself. After a start of all hosts, followers logged a lost source for each host that had been a reader for a moment and counted as not following. Change: a request is run here at once if no sender is expected to answer. A reader that fails is left for the next one; the source counts as lost when there is neither a reader nor the turn to read.

--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -182,6 +182,7 @@
                 follow_origin(&cx, &host, feed, origin, &mut state).await
             }
             Origin::None => {
+                state.record_idle(&cx, feed);
                 sleep(CHOICE_INTERVAL).await;
                 continue;
             }
--- a/crates/front/src/follow/origin.rs
+++ b/crates/front/src/follow/origin.rs
@@ -94,6 +94,20 @@
         self.idle_since = Instant::now();
     }
 
+    /// Records that there is neither a reader to follow nor the source to be read yet.
+    pub(super) fn record_idle(&mut self, cx: &SharedCx, feed: Feed) {
+        self.record_lost(cx, feed, "no reader is known");
+    }
+
+    fn record_lost(&mut self, cx: &SharedCx, feed: Feed, reason: &str) {
+        feed.is_followed(cx).set(false);
+        if self.lost_since.is_none() {
+            self.lost_since = Some(Instant::now());
+            warn!(cx.log, "follow: the source is lost, the last known state stays in force";
+                "feed" => ?feed, "error" => reason);
+        }
+    }
+
     /// Records that an origin failed, and waits before the next one is chosen if
     /// that should not be at once.
     pub(super) async fn record_failure(
@@ -109,18 +123,15 @@
             sleep(MIN_BACKOFF.mul_f64(self.jitter)).await;
             return;
         }
-        feed.is_followed(cx).set(false);
         feed.set_read_directly(cx, false);
         self.record_end();
-        if self.lost_since.is_none() {
-            self.lost_since = Some(Instant::now());
-            warn!(cx.log, "follow: the source is lost, the last known state stays in force";
-                "feed" => ?feed, "origin" => ?origin, "error" => %err);
-        }
         if let Origin::Host(address) = origin {
+            info!(cx.log, "follow: the reader is left"; "feed" => ?feed, "reader" => %address,
+                "error" => %err);
             self.lost.hosts.insert(address, Instant::now());
             return;
         }
+        self.record_lost(cx, feed, &err.to_string());
         // Entries may have lapsed meanwhile, so the feed is read again.
         self.revision = None;
         self.lost.source = Some(Instant::now());
--- a/crates/front/src/relay/pass_on.rs
+++ b/crates/front/src/relay/pass_on.rs
@@ -3,7 +3,12 @@
 use std::{rc::Rc, time::Duration};
 
 use base::Time;
-use forward::{QueryPlan, Verdict, gather::Schedule, placement::ServiceKey, route::RouteEntry};
+use forward::{
+    QueryPlan, Verdict,
+    gather::Schedule,
+    placement::{PlacementRequest, ServiceKey},
+    route::RouteEntry,
+};
 use http::StatusCode;
 
 use super::{Relay, RelayOutcome, headers};
@@ -20,7 +25,7 @@
 };
 
 /// Passes a request on to one of `senders` and returns its answer. If none can be
-/// reached, this host runs the request itself.
+/// reached or none answers, this host runs the request itself.
 pub(crate) async fn pass_on(
     cx: &SharedCx,
     entry: &RouteEntry,
@@ -28,6 +33,9 @@
     request: Outgoing,
     schedule: Schedule,
 ) -> Result<Answer, Refusal> {
+    if !has_sender(cx, entry, senders) {
+        return run_query(cx, entry, request, schedule).await;
+    }
     let transit = cx.relay_transit.borrow().get().unwrap_or_default();
     let relay = Relay { received: schedule.received, version: entry.version, transit };
     let passed_on = cx.clock.now();
@@ -57,6 +65,14 @@
     answered
 }
 
+/// Returns whether any sender is expected to answer.
+fn has_sender(cx: &SharedCx, entry: &RouteEntry, senders: ServiceKey) -> bool {
+    let request =
+        PlacementRequest { service: senders, class: entry.relay_class, tried: &[], regions: &[] };
+    let targets = cx.targets.borrow();
+    targets.has_responsive_target(&request, &cx.separated.borrow(), cx.clock.now())
+}
+
 /// Records how long the request and the answer of the first sender were on the way.
 fn record_transit(cx: &SharedCx, collected: &mut Collected, passed_on: Time) {
     let answers = collected.parts.iter_mut().chain(&mut collected.failure);
--- a/crates/front/tests/relays.rs
+++ b/crates/front/tests/relays.rs
@@ -10,6 +10,7 @@
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpStream, UdpSocket},
+    task::spawn_local,
     time::sleep,
 };
 
@@ -177,6 +178,38 @@
     });
 }
 
+/// Once its senders are known to be lost, a host does not wait for them.
+#[test]
+fn requests_do_not_wait_for_senders_that_are_known_to_be_lost() {
+    run(async {
+        let leaf = target(vec![Reply::Bytes(ok("sig", "direct"))]).await;
+        let mut host = TestHost::start_with_capacity(own_address(), Vec::new(), SMALL);
+        host.wait_for_hosts(1).await;
+        let (to, lost) = (host.peers, [own_address(), own_address()]);
+        spawn_local(async move {
+            // Other hosts still take them for live.
+            loop {
+                for it in lost {
+                    announce(to, it).await;
+                }
+                sleep(CHOICE_TIME).await;
+            }
+        });
+        host.wait_for_hosts(3).await;
+        host.max_connections = 1;
+        // Longer than the test may take.
+        host.objective = Duration::from_secs(20);
+        host.single(Repeat::AtMostOnce);
+        host.list("s", "t1", &leaf);
+        sleep(CHOICE_TIME).await;
+        for _ in 0..5 {
+            let answer = host.get("/one/x").await;
+            assert_eq!((status(&answer), body(&answer)), (200, "direct"));
+        }
+        assert_eq!(leaf.requests(), 5);
+    });
+}
+
 /// The sender is a real host. Its refusals are true and its answer is the caller's.
 #[test]
 fn a_sender_serves_requests_of_other_hosts() {
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -207,6 +207,9 @@
     pub warmup_rate: Option<f64>,
     /// Connections that each target accepts.
     pub max_connections: u32,
+    /// Latency objective of routes that are added. Their timeout is three times as
+    /// long.
+    pub objective: Duration,
     stop: Option<oneshot::Sender<()>>,
     pub ended: JoinHandle<io::Result<()>>,
 }
@@ -264,6 +267,7 @@
             version: 0,
             warmup_rate: None,
             max_connections: 16,
+            objective: Duration::from_millis(300),
             stop: Some(stop),
             ended,
         }
@@ -295,8 +299,8 @@
             host: Arc::from("h"),
             prefix: Arc::from(prefix),
             repeat,
-            timeout: Duration::from_millis(900),
-            objective: Duration::from_millis(300),
+            timeout: self.objective * 3,
+            objective: self.objective,
             attempts: 2,
             priority: 1,
             destination,
