After a start, wait for the first digest of another host instead of a round of gossip

Change: a host waits until it heard of another one, at most a round, and 50 ms more. A peer is asked for state 0.6 s after the start again.

--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -114,6 +114,11 @@
         self.own.reads_source = reads_source;
     }
 
+    /// Returns whether any other host was heard of.
+    pub fn knows_any(&self) -> bool {
+        !self.known.is_empty()
+    }
+
     /// Returns the number of hosts that may be running, including this one.
     pub fn count(&self, now: Time) -> usize {
         let is_counted = |it: &KnownHost| now.since(it.last_seen) < HOST_RETENTION;
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -27,7 +27,7 @@
 use base::{DomainName, HashSet, TargetName, Time};
 use forward::{Configuration, TargetReport, peers::DIGEST_INTERVAL, readers::Origin};
 use rustc_hash::FxHasher;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 pub(crate) use self::{change_log::ChangeLogs, serve::answer};
 use self::{
@@ -57,7 +57,10 @@
 /// Time between two checks whether another origin is to be followed.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time after the first round of gossip for its replies to arrive.
+/// Time between two checks whether another host is known after a start.
+const PEERS_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time after the first digest for others to arrive.
 const PEERS_SLACK: Duration = Duration::from_millis(50);
 
 /// Range of the factor by which a host's backoff is multiplied.
@@ -170,8 +173,7 @@
 
 /// Follows `feed` for as long as the process lives.
 pub(crate) async fn follow(cx: SharedCx, source: Rc<impl Source>, feed: Feed) {
-    // By then this host likely knows the hosts of its domain, if there are many.
-    sleep(DIGEST_INTERVAL + PEERS_SLACK).await;
+    wait_for_peers(&cx).await;
     let mut state = FollowState::new(jitter(&cx));
     loop {
         let origin = state.choose(&cx);
@@ -194,6 +196,16 @@
     }
 }
 
+/// Waits until this host likely knows whether its domain is large: until another
+/// host answered its first digest, or for a round of gossip.
+async fn wait_for_peers(cx: &SharedCx) {
+    let until = Instant::now() + DIGEST_INTERVAL;
+    while !cx.peers.borrow().knows_any() && Instant::now() < until {
+        sleep(PEERS_POLL_INTERVAL).await;
+    }
+    sleep(PEERS_SLACK).await;
+}
+
 /// Why an origin is no longer followed.
 enum Ended {
     /// Another origin is to be followed.
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -20,7 +20,7 @@
 
 /// Time after the start in which no peer is asked, so that the source or a reader
 /// can provide the first configuration.
-const SOURCE_HEAD_START: Duration = Duration::from_millis(1_200);
+const SOURCE_HEAD_START: Duration = Duration::from_millis(600);
 
 /// Time from a peer's answer to the next request for targets, while this host
 /// does not follow the targets feed.
