--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -49,6 +49,9 @@
     Close,
     /// Sends nothing until the connection ends.
     Silence,
+    /// Writes the first text, then the second one again and again until the
+    /// connection ends.
+    Endless(String, String),
     /// Writes these bytes after a delay.
     Later(Duration, String),
 }
@@ -58,7 +61,8 @@
     pub address: SocketAddr,
     /// Requests as received, head and body.
     pub received: Rc<RefCell<Vec<String>>>,
-    /// Number of connections that ended while a request was unanswered.
+    /// Number of connections that ended while a request was unanswered, or while an
+    /// answer did not end.
     pub abandoned: Rc<RefCell<usize>>,
     /// Number of open connections.
     pub open: Rc<Cell<usize>>,
@@ -141,6 +145,14 @@
                 *abandoned.borrow_mut() += 1;
                 return;
             }
+            Reply::Endless(first, rest) => {
+                let mut sent = stream.write_all(first.replace("{id}", &id).as_bytes()).await;
+                while sent.is_ok() {
+                    sent = stream.write_all(rest.as_bytes()).await;
+                }
+                *abandoned.borrow_mut() += 1;
+                return;
+            }
             Reply::Later(delay, text) => {
                 let mut buf = [0; 1];
                 tokio::select! {
