--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -236,31 +236,42 @@
         to
     }
 
+    /// Returns the hosts for a digest: likely senders in turn, readers of the own
+    /// domain, those seen last, and others in turn, so that a host that was seen only
+    /// once is listed too.
     fn next_listed_hosts(&mut self, now: Time, max: usize) -> Vec<ListedHost> {
-        let mut known: Vec<&KnownHost> = self.known.values().collect();
-        known.sort_unstable_by_key(|it| (Reverse(it.last_seen), it.host.address));
-        let live = known.iter().filter(|it| now.since(it.last_seen) <= MAX_SENDER_AGE);
-        let candidates = candidates(live.clone().map(|it| &it.host));
+        let candidates = self.likely_senders(now);
         let count = candidates.len().min(MAX_CANDIDATES);
         let mut listed = take_turns(&candidates, &mut self.next_candidate, count);
-        let is_reader =
-            |it: &&&KnownHost| it.host.reads_source && it.host.domain == self.own.domain;
-        let readers = live.filter(is_reader).map(|it| it.host.address);
-        listed.extend(
-            readers.take(MAX_READERS).filter(|it| !listed.contains(it)).collect::<Vec<_>>(),
-        );
-        let mut others: Vec<SocketAddr> = known.iter().map(|it| it.host.address).collect();
-        others.retain(|it| !listed.contains(it));
-        let mut in_turn = others.split_off(others.len().min(MAX_NEWS));
-        listed.extend(others);
-        // So that a host that was seen only once is listed too.
+        for it in self.local_readers(now).into_iter().take(MAX_READERS) {
+            if !listed.contains(&it) {
+                listed.push(it);
+            }
+        }
+        let mut others: Vec<&KnownHost> =
+            self.known.values().filter(|it| !listed.contains(&it.host.address)).collect();
+        others.sort_unstable_by_key(|it| (Reverse(it.last_seen), it.host.address));
+        let mut news: Vec<SocketAddr> = others.iter().map(|it| it.host.address).collect();
+        let mut in_turn = news.split_off(news.len().min(MAX_NEWS));
+        listed.extend(news);
         in_turn.sort_unstable();
         let count = in_turn.len().min(max.saturating_sub(listed.len()));
         listed.extend(take_turns(&in_turn, &mut self.next_listed, count));
-        let listed = listed.iter().filter_map(|it| self.known.get(it));
-        listed
-            .map(|it| ListedHost { host: it.host.clone(), age: now.since(it.last_seen) })
-            .collect()
+        let known = listed.iter().filter_map(|it| self.known.get(it));
+        known.map(|it| ListedHost { host: it.host.clone(), age: now.since(it.last_seen) }).collect()
+    }
+
+    fn likely_senders(&self, now: Time) -> Vec<SocketAddr> {
+        candidates(self.live(now).map(|it| &it.host))
+    }
+
+    fn local_readers(&self, now: Time) -> Vec<SocketAddr> {
+        let is_reader = |it: &&KnownHost| it.host.reads_source && it.host.domain == self.own.domain;
+        self.live(now).filter(is_reader).map(|it| it.host.address).collect()
+    }
+
+    fn live(&self, now: Time) -> impl Iterator<Item = &KnownHost> {
+        self.known.values().filter(move |it| now.since(it.last_seen) <= MAX_SENDER_AGE)
     }
 
     fn unseen_seeds(&self) -> impl Iterator<Item = SocketAddr> {
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -14,21 +14,21 @@
 mod host;
 mod origin;
 mod serve;
+mod source;
 mod wire;
 
 use std::{
-    cell::Cell,
-    future::Future,
     hash::{Hash, Hasher},
     rc::Rc,
     time::Duration,
 };
 
-use base::{DomainName, HashSet, TargetName, Time};
-use forward::{Configuration, TargetReport, peers::DIGEST_INTERVAL, readers::Origin};
+use base::{HashSet, TargetName, Time};
+use forward::{peers::DIGEST_INTERVAL, readers::Origin};
 use rustc_hash::FxHasher;
 use tokio::time::{Instant, sleep, timeout};
 
+pub use self::source::{Batch, Feed, Item, Source, SourceError};
 pub(crate) use self::{change_log::ChangeLogs, serve::answer};
 use self::{
     host::HostSource,
@@ -67,110 +67,10 @@
 const MIN_JITTER: f64 = 0.7;
 const MAX_JITTER: f64 = 1.3;
 
-/// Pause between two calls for changes, so that changes in quick succession
-/// cost one call. A target that leaves stays usable for longer than this, and
-/// a crash is detected by the target's connections.
-const TARGETS_PAUSE: Duration = Duration::from_millis(1_000);
-const OPERATIONS_PAUSE: Duration = Duration::from_millis(250);
-
-/// Same as `TARGETS_PAUSE` if any service has a rate limit for cold targets,
-/// since a target that turns cold can take few requests.
-const COLD_TARGETS_PAUSE: Duration = Duration::from_millis(250);
-
 /// A call answered sooner than this did not wait for its changes: they may
 /// have been made at any time since the previous answer.
 const IMMEDIATE_ANSWER: Duration = Duration::from_millis(400);
 
-/// A set of items that is read and followed as one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Feed {
-    Targets,
-    /// The configuration and evacuations.
-    Operations,
-}
-
-impl Feed {
-    fn as_str(self) -> &'static str {
-        match self {
-            Feed::Targets => "targets",
-            Feed::Operations => "operations",
-        }
-    }
-
-    fn from_str(name: &str) -> Option<Feed> {
-        [Feed::Targets, Feed::Operations].into_iter().find(|it| it.as_str() == name)
-    }
-
-    /// Sets whether this host reads the feed at the source itself. It offers itself
-    /// to other hosts as a reader while it does so for all feeds.
-    fn set_read_directly(self, cx: &SharedCx, is_direct: bool) {
-        cx.change_logs.of(self).set_live(is_direct);
-        let reads_source = cx.change_logs.are_live();
-        cx.peers.borrow_mut().set_reads_source(reads_source);
-    }
-
-    fn is_followed(self, cx: &SharedCx) -> &Cell<bool> {
-        match self {
-            Feed::Targets => &cx.follows_targets,
-            Feed::Operations => &cx.follows_operations,
-        }
-    }
-
-    fn pause(self, cx: &SharedCx) -> Duration {
-        match self {
-            Feed::Targets if cx.targets.borrow().limits_cold_targets() => COLD_TARGETS_PAUSE,
-            Feed::Targets => TARGETS_PAUSE,
-            Feed::Operations => OPERATIONS_PAUSE,
-        }
-    }
-}
-
-/// A decoded item of a feed.
-#[derive(Clone, Debug)]
-pub enum Item {
-    Target(TargetReport),
-    TargetRemoved(TargetName),
-    Configuration(Configuration),
-    Evacuated(DomainName),
-    EvacuationEnded(DomainName),
-}
-
-/// Items of a feed, all of them or those that changed, and the revision that
-/// includes them.
-#[derive(Clone, Debug)]
-pub struct Batch {
-    pub items: Vec<Item>,
-    pub revision: u64,
-    /// Largest age of the changes, if the source states it.
-    pub age: Option<Duration>,
-}
-
-#[derive(Debug)]
-#[derive(thiserror::Error)]
-pub enum SourceError {
-    #[error("the source no longer holds the requested history")]
-    HistoryGone,
-    #[error("the source is unavailable: {0}")]
-    Unavailable(String),
-    #[error("cannot read the source's data: {0}")]
-    Unreadable(String),
-}
-
-/// Publisher of the feeds. Implementations do not retry calls.
-pub trait Source {
-    /// Returns all items of a feed.
-    fn read(&self, feed: Feed) -> impl Future<Output = Result<Batch, SourceError>>;
-
-    /// Returns the items that changed after `revision` as soon as there are
-    /// any, or an empty batch after `wait`.
-    fn changes(
-        &self,
-        feed: Feed,
-        revision: u64,
-        wait: Duration,
-    ) -> impl Future<Output = Result<Batch, SourceError>>;
-}
-
 /// Follows `feed` for as long as the process lives.
 pub(crate) async fn follow(cx: SharedCx, source: Rc<impl Source>, feed: Feed) {
     wait_for_peers(&cx).await;
