Correct comments after reading the change as a newcomer

Cause: two comments still said that feeds are followed at the source only. Change: comments, and one expression moved.

--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -124,12 +124,11 @@
         }
         let settings = self.services[req.service.0].settings.as_ref();
         let Some(rate) = settings.and_then(|it| it.warmup_rate) else { return false };
-        // Allows for hosts that start while those that they replace still count.
-        let hosts = (self.hosts + self.hosts.div_ceil(3)) as f64;
         let share = if self.needs_senders(req.service) {
             self.limit_share(req.service)
         } else {
-            1.0 / hosts
+            // Allows for hosts that start while those that they replace still count.
+            1.0 / (self.hosts + self.hosts.div_ceil(3)) as f64
         };
         let total = rate * self.limits.cold_ratio + self.limits.cold_slack;
         // Any second over which the limit is checked can overlap two seconds of
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -41,8 +41,8 @@
     pub(crate) pools: RefCell<Pools>,
     pub(crate) is_stopping: Cell<bool>,
     has_targets: Cell<bool>,
-    /// Whether the targets feed is followed at the source; while it is not,
-    /// targets are learned from peers.
+    /// Whether the targets feed is followed, at the source or at a reader; while it
+    /// is not, targets are learned from peers.
     pub(crate) follows_targets: Cell<bool>,
     /// What this host got of each feed, for hosts that follow it.
     pub(crate) change_logs: ChangeLogs,
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -1,9 +1,11 @@
 //! Transfer of the configuration, targets and evacuations between hosts, so
-//! that a host that cannot reach the source learns them from its peers.
+//! that a host that reaches neither the source nor a reader learns them from its
+//! peers. The address for other hosts is served here, with what hosts follow
+//! (`follow`) and pass on (`relay`).
 //!
-//! A host that follows both feeds at the source asks no peer. Otherwise it asks
-//! the peer with the newest configuration: at once if that is later than its
-//! own, and at intervals while it does not follow the targets feed.
+//! A host that follows both feeds asks no peer. Otherwise it asks the peer with
+//! the newest configuration: at once if that is later than its own, and at
+//! intervals while it does not follow the targets feed.
 
 mod learn;
 mod serve;
