Log and count the limits of requests that targets state

Logs and metrics could not tell whether hosts ignore the limit, keep it each for itself, or exceed it by hedges: answers' headers are not logged.

Change: a log line when a target's stated limit changes, and the gauge front_targets_limited. No decision changes.

--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -285,6 +285,18 @@
         }
     }
 
+    /// Records what an answer says of the target's limit; returns whether it differs
+    /// from what was known.
+    pub fn record_limit(&mut self, send: &Send, limit: Option<f64>) -> bool {
+        let target = self.targets.get_mut(&send.target);
+        target.is_some_and(|it| it.record_limit(limit))
+    }
+
+    /// Returns the number of targets that state a limit.
+    pub fn limited_count(&self) -> usize {
+        self.targets.values().filter(|it| it.states_limit()).count()
+    }
+
     /// Records that the target is cold for at least `cold_for`.
     pub fn record_cold(&mut self, target: TargetKey, now: Time, cold_for: Duration) {
         if let Some(it) = self.targets.get_mut(&target) {
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -49,6 +49,8 @@
     probes: Probes,
     pub load: Option<ReportedLoad>,
     pub cold_until: Time,
+    /// Requests per second that the target takes from all hosts, while it says so.
+    stated_limit: Option<f64>,
     /// Start of the current second, and the number of sends in it.
     cold_second: (Time, u32),
     /// Since when the target is draining or no longer listed.
@@ -77,6 +79,7 @@
             probes: Probes::new(),
             load: None,
             cold_until,
+            stated_limit: None,
             cold_second: (now, 0),
             leaving_since: None,
             has_unknown_leave_time: false,
@@ -270,6 +273,18 @@
         now < self.cold_until
     }
 
+    /// Records the requests per second that an answer says the target takes from all
+    /// hosts, or that it names no limit; returns whether that differs from what was
+    /// known.
+    pub fn record_limit(&mut self, limit: Option<f64>) -> bool {
+        std::mem::replace(&mut self.stated_limit, limit) != limit
+    }
+
+    /// Returns whether the target named a limit in its last answer.
+    pub fn states_limit(&self) -> bool {
+        self.stated_limit.is_some()
+    }
+
     pub fn last_send(&self) -> Option<Time> {
         self.last_send
     }
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -230,6 +230,7 @@
             .set_gauge(FrontGauge::Hosts, self.peers.borrow().count(self.clock.now()) as u64);
         self.metrics.set_gauge(FrontGauge::Targets, targets.target_count() as u64);
         self.metrics.set_gauge(FrontGauge::TargetsDown, targets.down_count() as u64);
+        self.metrics.set_gauge(FrontGauge::TargetsLimited, targets.limited_count() as u64);
         self.metrics.set_gauge(FrontGauge::RequestsInProgress, self.in_progress.count() as u64);
         self.metrics.set_gauge(FrontGauge::PartsWaiting, targets.waiting_count() as u64);
         self.metrics.set_gauge(FrontGauge::IsReady, u64::from(self.is_ready()));
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -19,6 +19,9 @@
     pub not_run: HeaderName,
     /// Remaining warm-up time of a cold target, in milliseconds.
     pub cold_ms: HeaderName,
+    /// Requests per second that a target takes from all hosts together, while it
+    /// states a limit.
+    pub request_limit: HeaderName,
     /// Signatures of the parts that an answer was merged from.
     pub part_stamps: HeaderName,
     /// Number of shards missing from an answer.
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -5,18 +5,23 @@
 
 use base::TargetName;
 use bytes::Bytes;
-use forward::target::{ReportedLoad, SendResult};
+use forward::{
+    Targets,
+    placement::Send,
+    target::{ReportedLoad, SendResult},
+};
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{Connection, SendRequest};
 use hyper_util::rt::TokioIo;
+use slog::{debug, info};
 use tokio::{
     net::TcpStream,
     time::{sleep, sleep_until},
 };
 
 use super::{Job, Outcome, TargetAnswer};
-use crate::{SharedCx, relay::RelayOutcome};
+use crate::{SharedCx, relay::RelayOutcome, scatter::Waiter};
 
 type TargetConnection = Connection<TokioIo<TcpStream>, Full<Bytes>>;
 
@@ -191,6 +196,27 @@
     if let Some(cold_ms) = cold_ms {
         targets.record_cold(job.send.target, now, Duration::from_millis(cold_ms));
     }
+    record_limit(cx, &mut targets, &job.send, headers);
+}
+
+fn record_limit(cx: &SharedCx, targets: &mut Targets<Waiter>, send: &Send, headers: &HeaderMap) {
+    let value = headers.get(&cx.cfg.names.request_limit);
+    let limit = value.and_then(parse_limit);
+    if value.is_some() && limit.is_none() {
+        debug!(cx.log, "targets: stated limit is no number of requests"; "value" => ?value);
+        return;
+    }
+    if targets.record_limit(send, limit) {
+        let name = targets.target(send.target).map(|it| it.report.name.clone());
+        info!(cx.log, "targets: stated limit changed"; "target" => name.as_deref(),
+            "requests_per_s" => limit);
+    }
+}
+
+/// Returns the requests per second that a target takes.
+fn parse_limit(value: &HeaderValue) -> Option<f64> {
+    let limit: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(limit)
 }
 
 /// Returns the numbers of running and of waiting requests.
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -37,6 +37,7 @@
     Hosts,
     Targets,
     TargetsDown,
+    TargetsLimited,
     RequestsInProgress,
     PartsWaiting,
     IsReady,
@@ -48,7 +49,7 @@
 }
 
 /// Gauge, metric name without `front_`, and description.
-const GAUGES: [(FrontGauge, &str, &str); 12] = [
+const GAUGES: [(FrontGauge, &str, &str); 13] = [
     (FrontGauge::ConfigurationVersion, "configuration_version", "Version in force"),
     (FrontGauge::Hosts, "hosts", "Hosts that share the targets' limits"),
     (FrontGauge::Targets, "targets", "Targets known"),
@@ -57,6 +58,7 @@
         "targets_down",
         "Targets that get no requests until a trial succeeds",
     ),
+    (FrontGauge::TargetsLimited, "targets_limited", "Targets that state a limit of requests"),
     (FrontGauge::RequestsInProgress, "requests_in_progress", "Requests in progress"),
     (FrontGauge::PartsWaiting, "parts_waiting", "Sends that wait for a connection"),
     (FrontGauge::IsReady, "is_ready", "1 if this host takes callers"),
