--- a/crates/forward/tests/stated_limits.rs
+++ b/crates/forward/tests/stated_limits.rs
@@ -82,7 +82,7 @@
             world.answer(ms, Some(limit));
             // The first hosts have most of the callers.
             for host in 0..hosts {
-                if (ms + host as u64) % (7 * (host as u64 + 1)) == 0 {
+                if (ms + host as u64).is_multiple_of(7 * (host as u64 + 1)) {
                     world.send(ms, host);
                 }
             }
