Share the limits that targets state among all hosts

Cause: placement knew slots, speed and cold rates, but no rate that a target states. Callers saw nothing. The class of fault: a limit that binds the sum over hosts, which no host accounts for.

Change: each host has an equal part of a stated limit (senders have theirs), and times of its own to send, one part apart. All sends use them: first ones, retries and health checks; hedges never go to such a target. What exceeds the part goes to other targets; what none of them takes in time is refused at once as not run, with the time of the next request as Retry-After; a query that may leave parts out ends with what is left. A time that is not used lapses after a second, so hosts without requests do not save them. The limit ends with an answer that names none to a request sent after the last answer that named it; the rate then doubles each second for five.

--- a/crates/forward/src/placement/admission.rs
+++ b/crates/forward/src/placement/admission.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use base::Time;
+use base::{RegionName, Time};
 
 use super::{ClassKey, ServiceKey, Targets};
 
@@ -57,8 +57,12 @@
     /// Number of services that must answer.
     pub min_services: usize,
     pub class: ClassKey,
+    /// Regions whose targets may be used; all if empty.
+    pub regions: &'a [RegionName],
     /// Time by which the request has to be answered.
     pub answer_by: Time,
+    /// Time after which an answer is late.
+    pub in_time_until: Time,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,10 +78,16 @@
 impl<W> Targets<W> {
     /// Decides whether to accept a request.
     pub fn admit(&self, arrival: &Arrival<'_>, now: Time) -> Admission {
+        let latency = self.expected_latency(arrival.class);
+        // Other hosts may have a share left of the limits that targets state, so the
+        // caller waits for this host's share only if the answer is still in time.
+        let limit_wait = self.expected_limit_wait(arrival, now);
+        if !limit_wait.is_zero() && now + limit_wait + latency > arrival.in_time_until {
+            return Admission::Refuse { wait: limit_wait };
+        }
         let wait = self.expected_wait(arrival, now);
-        let would_end = now + wait + self.expected_latency(arrival.class);
         // Without a queue, refusing callers gains nothing.
-        if wait.is_zero() || would_end <= arrival.answer_by {
+        if wait.is_zero() || now + wait + latency <= arrival.answer_by {
             return Admission::Accept;
         }
         Admission::Refuse { wait }
@@ -90,10 +100,12 @@
             let state = &self.services[it.0];
             state.drain_rate.time_to_drain(state.queue.len(), now)
         };
-        let mut waits: Vec<Duration> = arrival.services.iter().map(wait).collect();
-        let Some(last) = arrival.min_services.min(waits.len()).checked_sub(1) else {
-            return Duration::ZERO;
-        };
-        *waits.select_nth_unstable(last).1
+        nth_wait(arrival.services.iter().map(wait).collect(), arrival.min_services)
     }
 }
+
+/// Returns the time after which the shortest `count` of `waits` are over.
+pub(super) fn nth_wait(mut waits: Vec<Duration>, count: usize) -> Duration {
+    let Some(last) = count.min(waits.len()).checked_sub(1) else { return Duration::ZERO };
+    *waits.select_nth_unstable(last).1
+}
--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::Time;
+use base::{RegionName, Time};
 
 use super::{PlacementRequest, Send, TargetKey, Targets};
 use crate::target::Target;
@@ -13,17 +13,27 @@
     Send(Send),
     /// Some target answers, but none can take another send now.
     Busy,
+    /// The targets that answer state limits, and this host's share of them is used up.
+    Limited,
     /// All targets are silent: down, or with sends long unanswered.
     Silent,
     /// No target is allowed.
     NoTarget,
 }
 
+/// What a send is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    Needed,
+    Hedge,
+}
+
 /// Result of the selection, before the send is recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Candidate {
     Usable(TargetKey),
     Busy,
+    Limited,
     Silent,
     NoTarget,
 }
@@ -48,6 +58,7 @@
     fn from(candidate: Candidate) -> Placement {
         match candidate {
             Candidate::Usable(_) | Candidate::Busy => Placement::Busy,
+            Candidate::Limited => Placement::Limited,
             Candidate::Silent => Placement::Silent,
             Candidate::NoTarget => Placement::NoTarget,
         }
@@ -58,7 +69,12 @@
     /// Returns the usable target with the shortest expected time to an answer. A
     /// leaving target is returned only if no other is usable. Starts at a different
     /// target each time, so that equal ones take turns.
-    pub(super) fn choose(&mut self, req: &PlacementRequest<'_>, now: Time) -> Candidate {
+    pub(super) fn choose(
+        &mut self,
+        req: &PlacementRequest<'_>,
+        purpose: Purpose,
+        now: Time,
+    ) -> Candidate {
         let expected = self.expected_latency(req.class);
         let share = self.connection_share(req.service);
         self.rotation = self.rotation.wrapping_add(1);
@@ -68,7 +84,7 @@
         for i in 0..targets.len() {
             let key = targets[(i + self.rotation) % targets.len()];
             let Some(target) = self.targets.get(&key) else { continue };
-            if req.tried.contains(&key) || !self.is_allowed(target, req, now) {
+            if req.tried.contains(&key) || !self.is_allowed(target, req.regions, now) {
                 continue;
             }
             if self.is_silent(target, now) {
@@ -84,6 +100,12 @@
                 fallback = Candidate::Busy;
                 continue;
             }
+            if self.is_limit_used(req.service, key, purpose, now) {
+                if fallback != Candidate::Busy {
+                    fallback = Candidate::Limited;
+                }
+                continue;
+            }
             let is_leaving = target.leaving_since().is_some();
             let cost = self.expected_time(target, expected, now);
             if best.is_none_or(|(leaves, least, _)| (is_leaving, cost) < (leaves, least)) {
@@ -93,18 +115,13 @@
         best.map_or(fallback, |(_, _, key)| Candidate::Usable(key))
     }
 
-    /// Returns whether `req` could be placed now, without recording a send.
-    pub fn can_place(&mut self, req: &PlacementRequest<'_>, now: Time) -> bool {
-        matches!(self.choose(req, now), Candidate::Usable(_))
+    /// Returns whether a hedge could be placed now, without recording a send.
+    pub fn can_hedge(&mut self, req: &PlacementRequest<'_>, now: Time) -> bool {
+        matches!(self.choose(req, Purpose::Hedge, now), Candidate::Usable(_))
     }
 
-    /// Returns whether the target may get the request at all, apart from its load.
-    pub(super) fn is_allowed(
-        &self,
-        target: &Target,
-        req: &PlacementRequest<'_>,
-        now: Time,
-    ) -> bool {
+    /// Returns whether the target may get requests at all, apart from its load.
+    pub(super) fn is_allowed(&self, target: &Target, regions: &[RegionName], now: Time) -> bool {
         let domain = &target.report.domain;
         if target.is_gone() || target.has_unknown_leave_time() || self.evacuated.contains(domain) {
             return false;
@@ -113,8 +130,7 @@
         if target.leaving_since().is_some_and(is_expired) {
             return false;
         }
-        req.regions.is_empty()
-            || self.regions.get(domain).is_some_and(|it| req.regions.contains(it))
+        regions.is_empty() || self.regions.get(domain).is_some_and(|it| regions.contains(it))
     }
 
     /// Returns whether this host has used up its share of a cold target's limit.
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -4,7 +4,7 @@
 
 use base::{DomainName, HashSet, ServiceName, TargetName, Time};
 
-use super::{Queue, ServiceKey, ServiceKind, TargetKey, Targets, Waiting};
+use super::{Queue, ServiceKey, ServiceKind, ServiceState, TargetKey, Targets, Waiting};
 use crate::{
     route::{Configuration, Service},
     target::{Target, TargetReport},
@@ -168,17 +168,19 @@
     /// reports is lost, to detect targets that turned cold; covers only services
     /// that limit requests to cold targets.
     pub fn due_health_checks(&mut self, now: Time) -> Vec<TargetKey> {
-        let mut due = Vec::new();
-        for service in &self.services {
-            let is_limited = service.settings.as_ref().is_some_and(|it| it.warmup_rate.is_some());
-            if !is_limited {
-                continue;
-            }
-            for key in &service.targets {
-                let Some(target) = self.targets.get_mut(key) else { continue };
-                if !target.is_gone() && !target.is_down() && target.take_health_check(now) {
-                    due.push(*key);
-                }
+        let has_cold_limit =
+            |it: &ServiceState<W>| it.settings.as_ref().is_some_and(|it| it.warmup_rate.is_some());
+        let services = self.services.iter().filter(|it| has_cold_limit(it));
+        let mut due: Vec<TargetKey> = services.flat_map(|it| it.targets.iter().copied()).collect();
+        due.retain(|key| {
+            let target = self.targets.get(key);
+            let is_due = target
+                .is_some_and(|it| !it.is_gone() && !it.is_down() && it.is_health_check_due(now));
+            is_due && self.take_limited_health_check(*key, now)
+        });
+        for key in &due {
+            if let Some(target) = self.targets.get_mut(key) {
+                target.start_health_check(now);
             }
         }
         due
@@ -209,7 +211,11 @@
     }
 
     /// Removes and returns the next waiter of the service's queue, to be placed now.
+    /// There is none while stated limits keep all targets from getting a request.
     pub fn pop_waiting(&mut self, service: ServiceKey, now: Time) -> Option<W> {
+        if self.is_limited(service, now) {
+            return None;
+        }
         self.services[service.0].queue.pop(now).map(|it| it.waiter)
     }
 
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -8,11 +8,14 @@
 //! - a target that is down: it is probed by connections without requests, so that
 //!   no caller waits for the probe;
 //! - more work than connections: a bounded queue for each service, most urgent
-//!   first.
+//!   first;
+//! - targets that state a limit of requests: what exceeds this host's share goes to
+//!   other targets, and is refused at once if none of them takes it in time.
 
 mod admission;
 mod choice;
 mod directory;
+mod limits;
 mod queue;
 mod reachability;
 mod senders;
@@ -21,7 +24,11 @@
 
 use base::{DomainName, HashMap, HashSet, RegionName, ServiceName, TargetName, Time};
 
-use self::{admission::DrainRate, choice::Candidate, queue::Queue};
+use self::{
+    admission::DrainRate,
+    choice::{Candidate, Purpose},
+    queue::Queue,
+};
 pub use self::{
     admission::{Admission, Arrival},
     choice::Placement,
@@ -91,6 +98,10 @@
     class_keys: HashMap<std::sync::Arc<str>, ClassKey>,
     classes: Vec<LatencyQuantile>,
     rotation: usize,
+    /// Targets that state a limit, or did so lately.
+    limited: HashSet<TargetKey>,
+    /// This host's turn among the hosts (0 to 1), at which it begins to keep a limit.
+    phase: f64,
     /// Time of the last answer from each domain.
     domain_answers: HashMap<DomainName, Time>,
 }
@@ -153,6 +164,8 @@
             class_keys: HashMap::default(),
             classes: Vec::new(),
             rotation: 0,
+            limited: HashSet::default(),
+            phase: 1.0,
             domain_answers: HashMap::default(),
         }
     }
@@ -227,13 +240,25 @@
 
     /// Selects a target and records the send as in flight there.
     pub fn place(&mut self, req: &PlacementRequest<'_>, now: Time) -> Placement {
-        let choice = self.choose(req, now);
+        self.place_as(req, Purpose::Needed, now)
+    }
+
+    /// Places an extra send for a part that is late. Targets that state a limit get
+    /// none.
+    pub fn place_hedge(&mut self, req: &PlacementRequest<'_>, now: Time) -> Placement {
+        self.place_as(req, Purpose::Hedge, now)
+    }
+
+    fn place_as(&mut self, req: &PlacementRequest<'_>, purpose: Purpose, now: Time) -> Placement {
+        let choice = self.choose(req, purpose, now);
         let Candidate::Usable(target) = choice else { return choice.into() };
+        let share = self.limit_share(req.service);
         let expected = self.expected_latency(req.class);
         self.next_send += 1;
         let id = self.next_send;
         if let Some(it) = self.targets.get_mut(&target) {
             it.start_send(id, now, expected);
+            it.use_limit(share, now);
         }
         Placement::Send(Send { id, target, service: req.service, class: req.class })
     }
@@ -285,18 +310,6 @@
         }
     }
 
-    /// Records what an answer says of the target's limit; returns whether it differs
-    /// from what was known.
-    pub fn record_limit(&mut self, send: &Send, limit: Option<f64>) -> bool {
-        let target = self.targets.get_mut(&send.target);
-        target.is_some_and(|it| it.record_limit(limit))
-    }
-
-    /// Returns the number of targets that state a limit.
-    pub fn limited_count(&self) -> usize {
-        self.targets.values().filter(|it| it.states_limit()).count()
-    }
-
     /// Records that the target is cold for at least `cold_for`.
     pub fn record_cold(&mut self, target: TargetKey, now: Time, cold_for: Duration) {
         if let Some(it) = self.targets.get_mut(&target) {
--- a/crates/forward/src/placement/reachability.rs
+++ b/crates/forward/src/placement/reachability.rs
@@ -96,7 +96,7 @@
     ) -> bool {
         let targets = &self.services[req.service.0].targets;
         let known = targets.iter().filter_map(|key| self.targets.get(key));
-        let mut allowed = known.filter(|it| self.is_allowed(it, req, now));
+        let mut allowed = known.filter(|it| self.is_allowed(it, req.regions, now));
         allowed.any(|it| !partitioned.contains(&it.report.domain) && is_usable(it))
     }
 
--- a/crates/forward/src/query/mod.rs
+++ b/crates/forward/src/query/mod.rs
@@ -91,8 +91,15 @@
     pub fn admit<W>(&self, targets: &Targets<W>, now: Time) -> Admission {
         let is_gather = self.shards.len() > 1;
         let answer_by = if is_gather { self.schedule.settle_at() } else { self.schedule.deadline };
-        let (services, min_services, class) = (&*self.shards, self.min_shards, self.class);
-        targets.admit(&Arrival { services, min_services, class, answer_by }, now)
+        let arrival = Arrival {
+            services: &self.shards,
+            min_services: self.min_shards,
+            class: self.class,
+            regions: &self.regions,
+            answer_by,
+            in_time_until: self.schedule.settle_at(),
+        };
+        targets.admit(&arrival, now)
     }
 }
 
@@ -152,8 +159,11 @@
         match placement {
             Placement::Send(send) => return Some(self.record_send(index, send, now)),
             Placement::Busy => self.gather.record_waiting(index, false),
+            Placement::Limited if self.is_limit_in_time(targets, index, now) => {
+                self.gather.record_waiting(index, false);
+            }
             Placement::Silent => self.gather.record_waiting(index, true),
-            Placement::NoTarget => {
+            Placement::Limited | Placement::NoTarget => {
                 self.gather.mark_failed(index);
                 return None;
             }
@@ -161,6 +171,12 @@
         Some(Step::Wait { index })
     }
 
+    /// Returns whether stated limits are expected to allow the part in time.
+    fn is_limit_in_time<W>(&self, targets: &Targets<W>, index: usize, now: Time) -> bool {
+        let wait = targets.limit_wait(self.plan.shards[index], &self.plan.regions, now);
+        now + wait + targets.expected_latency(self.plan.class) <= self.gather.settle_at()
+    }
+
     /// Returns whether the part waits for a connection.
     pub fn is_waiting(&self, index: usize) -> bool {
         matches!(self.gather.part(index), PartState::Waiting | PartState::Silent)
@@ -280,7 +296,8 @@
                 self.gather.postpone_hedge(index, now);
                 continue;
             }
-            if let Placement::Send(send) = targets.place(&self.placement_request(index), now) {
+            let placement = targets.place_hedge(&self.placement_request(index), now);
+            if let Placement::Send(send) = placement {
                 steps.push(self.record_send(index, send, now));
             }
         }
@@ -290,7 +307,7 @@
     /// Takes a hedge from the budget if a target is available for it.
     fn take_hedge<W>(&self, targets: &mut Targets<W>, index: usize, now: Time) -> bool {
         let req = self.placement_request(index);
-        targets.can_place(&req, now) && targets.take_retry(req.service, now)
+        targets.can_hedge(&req, now) && targets.take_retry(req.service, now)
     }
 
     /// Marks parts all of whose targets are unresponsive.
--- a/crates/forward/src/senders.rs
+++ b/crates/forward/src/senders.rs
@@ -103,6 +103,11 @@
     addresses
 }
 
+/// Returns the turn of a host among all, from 0 to 1.
+pub fn phase(address: SocketAddr) -> f64 {
+    rank(address) as f64 / u64::MAX as f64
+}
+
 /// Returns the rank of a host among equal ones, which is the same in every view.
 pub(crate) fn rank(address: SocketAddr) -> u64 {
     let mut hasher = FxHasher::default();
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -4,13 +4,14 @@
 mod probes;
 mod report;
 mod speed;
+mod stated_limit;
 
 use std::time::Duration;
 
 use base::Time;
 
 pub use self::report::{Lifecycle, ReportedLoad, SendResult, TargetReport};
-use self::{probes::Probes, speed::Speed};
+use self::{probes::Probes, speed::Speed, stated_limit::StatedLimit};
 
 /// Time for which a reported load is used.
 const LOAD_FRESH_FOR: Duration = Duration::from_millis(250);
@@ -49,8 +50,8 @@
     probes: Probes,
     pub load: Option<ReportedLoad>,
     pub cold_until: Time,
-    /// Requests per second that the target takes from all hosts, while it says so.
-    stated_limit: Option<f64>,
+    /// Limit of requests from all hosts, while the target states one.
+    stated_limit: Option<StatedLimit>,
     /// Start of the current second, and the number of sends in it.
     cold_second: (Time, u32),
     /// Since when the target is draining or no longer listed.
@@ -159,13 +160,16 @@
         !std::mem::replace(&mut self.has_connected, true)
     }
 
-    /// Returns whether a health check is due, and schedules the next one if so.
-    pub fn take_health_check(&mut self, now: Time) -> bool {
-        let is_due = self.health_checked_at.is_none_or(|at| now.since(at) >= HEALTH_CHECK_INTERVAL);
-        if is_due {
-            self.health_checked_at = Some(now);
-        }
-        is_due
+    pub fn is_health_check_due(&self, now: Time) -> bool {
+        !self.was_checked_within(HEALTH_CHECK_INTERVAL, now)
+    }
+
+    pub fn was_checked_within(&self, time: Duration, now: Time) -> bool {
+        self.health_checked_at.is_some_and(|at| now.since(at) < time)
+    }
+
+    pub fn start_health_check(&mut self, now: Time) {
+        self.health_checked_at = Some(now);
     }
 
     pub fn start_send(&mut self, send: u64, now: Time, expected: Duration) {
@@ -273,18 +277,49 @@
         now < self.cold_until
     }
 
-    /// Records the requests per second that an answer says the target takes from all
-    /// hosts, or that it names no limit; returns whether that differs from what was
-    /// known.
-    pub fn record_limit(&mut self, limit: Option<f64>) -> bool {
-        std::mem::replace(&mut self.stated_limit, limit) != limit
+    /// Records that an answer names how many requests per second the target takes from
+    /// all hosts. `share` is this host's part of them, `phase` its turn among the
+    /// hosts. Returns whether the limit is new.
+    pub fn record_limit(&mut self, per_second: f64, share: f64, phase: f64, now: Time) -> bool {
+        match &mut self.stated_limit {
+            Some(limit) => limit.name(per_second, share, now),
+            None => {
+                self.stated_limit = Some(StatedLimit::new(per_second, share, phase, now));
+                true
+            }
+        }
     }
 
-    /// Returns whether the target named a limit in its last answer.
-    pub fn states_limit(&self) -> bool {
+    /// Records that the answer to `send` names no limit; returns whether one ends.
+    pub fn record_no_limit(&mut self, send: u64, now: Time) -> bool {
+        let sent_at = self.in_flight.iter().find(|it| it.send == send).map(|it| it.at);
+        let limit = self.stated_limit.as_mut().zip(sent_at);
+        limit.is_some_and(|(limit, sent_at)| limit.end(sent_at, now))
+    }
+
+    /// Forgets a limit that ended long ago; returns whether one is left.
+    pub fn expire_limit(&mut self, now: Time) -> bool {
+        if self.stated_limit.is_some_and(|it| it.is_over(now)) {
+            self.stated_limit = None;
+        }
         self.stated_limit.is_some()
     }
 
+    /// Returns the time from which this host may send its next request, and the time
+    /// between two of them, if the target states a limit. `share` is this host's part
+    /// of it.
+    pub fn next_limited_send(&self, share: f64, now: Time) -> Option<(Time, Duration)> {
+        let limit = self.stated_limit.filter(|it| !it.is_over(now))?;
+        Some(limit.next_send(share, now))
+    }
+
+    /// Counts a request against the stated limit, if there is one.
+    pub fn use_limit(&mut self, share: f64, now: Time) {
+        if let Some(limit) = &mut self.stated_limit {
+            limit.record_send(share, now);
+        }
+    }
+
     pub fn last_send(&self) -> Option<Time> {
         self.last_send
     }
--- a/crates/forward/tests/fleet/checks.rs
+++ b/crates/forward/tests/fleet/checks.rs
@@ -18,15 +18,22 @@
 /// Time after which an unanswered send times out.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Requests that may arrive in a window at a target that states a limit: this
+/// multiple of it, plus a slack.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_RATIO: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+
 impl World {
-    /// Delivers a send; returns when and how it ends.
+    /// Delivers a send; returns the target that it reaches, and when
+    /// and how it ends.
     pub fn deliver(
         &mut self,
         host: usize,
         id: usize,
         index: usize,
         send: &Send,
-    ) -> (Duration, SendResult) {
+    ) -> (Option<usize>, Duration, SendResult) {
         let (seed, now) = (self.seed, self.now);
         assert!(!self.records[id].is_over, "seed {seed} at {now:?}: sent for a query that is over");
         let report = &self.hosts[host].targets.target(send.target).expect("placed").report;
@@ -38,15 +45,62 @@
             let target = &self.targets[*it];
             target.is_up && self.is_connected(domain_of(host), &target.report.domain)
         });
-        let Some(target) = reached else { return (SILENCE_TIMEOUT, SendResult::Silent) };
+        let Some(target) = reached else { return (None, SILENCE_TIMEOUT, SendResult::Silent) };
         if self.targets[target].report.name != name {
-            return (Duration::from_millis(1), SendResult::Misdirected);
+            return (None, Duration::from_millis(1), SendResult::Misdirected);
         }
         assert_eq!(self.targets[target].report.service, expected_service, "seed {seed} at {now:?}");
         let service = self.targets[target].service();
         self.record_arrival(id, index, service);
         self.check_target(host, target);
-        self.run(id, index, target)
+        self.check_limit(host, target);
+        let (took, result) = self.run(id, index, target);
+        (Some(target), took, result)
+    }
+
+    /// Delivers what an answer says of the target's limit.
+    pub fn tell_limit(&mut self, host: usize, target: usize, send: &Send) {
+        let now = self.now;
+        let it = &mut self.targets[target];
+        let targets = &mut self.hosts[host].targets;
+        match it.stated_limit.filter(|(_, until)| *until > now) {
+            Some((limit, _)) => {
+                targets.record_limit(send.target, limit, now);
+                let told = it.told.entry(host).or_insert(now);
+                if *told <= self.hosts[host].started {
+                    *told = now;
+                }
+            }
+            None => {
+                targets.record_no_limit(send, now);
+            }
+        }
+    }
+
+    /// Checks that the hosts that were told the target's limit keep it together.
+    fn check_limit(&mut self, host: usize, index: usize) {
+        let (seed, now) = (self.seed, self.now);
+        let is_known = self.told_before(host, index);
+        let target = &mut self.targets[index];
+        let Some((limit, _)) = target.stated_limit.filter(|(_, until)| *until > now) else {
+            return;
+        };
+        if !is_known {
+            return;
+        }
+        target.limited_arrivals.push(now);
+        let recent = target.limited_arrivals.iter().rev();
+        let count = recent.take_while(|at| now.since(**at) < LIMIT_WINDOW).count() as f64;
+        let bound = limit * LIMIT_RATIO * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+        assert!(count <= bound, "seed {seed} at {now:?}: {count} in 4 s, limit {limit}");
+    }
+
+    /// Returns whether the host was told the target's limit half a second ago or
+    /// earlier. A host that restarted knows nothing of before.
+    fn told_before(&self, host: usize, target: usize) -> bool {
+        let told = self.targets[target].told.get(&host);
+        let started = self.hosts[host].started;
+        told.is_some_and(|at| *at > started && self.now.since(*at) >= Duration::from_millis(500))
     }
 
     fn record_arrival(&mut self, id: usize, index: usize, service: usize) {
--- a/crates/forward/tests/fleet/hosts.rs
+++ b/crates/forward/tests/fleet/hosts.rs
@@ -85,6 +85,7 @@
             }
         }
         self.hosts[host].targets.remove_unlisted(now);
+        self.hosts[host].targets.expire_limits(now);
         self.check_health(host);
     }
 
@@ -115,6 +116,7 @@
         leaving_for: LEAVING_FOR,
     };
     let mut targets = Targets::new(limits, DomainName::new(domain_of(index)), Default::default());
+    targets.set_phase((index + 1) as f64 / HOSTS as f64);
     let service = Service {
         health_path: Arc::from("/health"),
         max_connections: MAX_CONNECTIONS,
--- a/crates/forward/tests/fleet/mod.rs
+++ b/crates/forward/tests/fleet/mod.rs
@@ -39,6 +39,9 @@
 /// Time after which the address of an ended target is reused.
 pub const REUSE_AFTER: Duration = Duration::from_secs(2);
 
+/// Limits that targets state, in requests per second.
+pub const STATED_LIMITS: [f64; 3] = [1.0, 5.0, 20.0];
+
 /// Probabilities per millisecond: of a fault, and of a request at each host.
 const FAULT_CHANCE: f64 = 0.002;
 const REQUEST_CHANCE: f64 = 0.02;
@@ -117,7 +120,7 @@
         self.events += 1;
         let host = self.rng.random_range(0..HOSTS);
         let target = self.rng.random_range(0..self.targets.len());
-        match self.rng.random_range(0..13) {
+        match self.rng.random_range(0..14) {
             0 => self.restart_host(host),
             1 => self.hosts[host].frozen_until = self.after(4_000),
             2 => self.hosts[host].source_lost_until = self.after(8_000),
@@ -132,6 +135,12 @@
             8 => self.restart(target),
             9 => self.crash_permanently(target),
             10 => self.targets[target].pauses_until = self.after(1_500),
+            12 => {
+                let limit = STATED_LIMITS[self.rng.random_range(0..STATED_LIMITS.len())];
+                self.targets[target].stated_limit = Some((limit, self.after(15_000)));
+                self.targets[target].told.clear();
+                self.targets[target].limited_arrivals.clear();
+            }
             11 => self.hosts[host].slow_until = self.after(5_000),
             _ => {
                 let until = self.now + Duration::from_millis(3_000);
--- a/crates/forward/tests/fleet/queries.rs
+++ b/crates/forward/tests/fleet/queries.rs
@@ -38,6 +38,8 @@
     pub id: usize,
     pub index: usize,
     pub send: Send,
+    /// The target that the send reached.
+    pub target: Option<usize>,
     pub ends: Time,
     pub result: SendResult,
 }
@@ -120,9 +122,10 @@
         match step {
             Step::Send { index, send } => {
                 self.events += 1;
-                let (after, result) = self.deliver(host, id, index, &send);
+                let (target, after, result) = self.deliver(host, id, index, &send);
                 let ends = self.now + after;
-                self.hosts[host].in_flight.push(InFlightSend { id, index, send, ends, result });
+                let sent = InFlightSend { id, index, send, target, ends, result };
+                self.hosts[host].in_flight.push(sent);
             }
             Step::Wait { index } => {
                 let it = &mut self.hosts[host];
@@ -142,7 +145,10 @@
             self.hosts[host].in_flight.extract_if(.., |it| it.ends <= now).collect();
         for send_in_flight in ended {
             self.events += 1;
-            let InFlightSend { id, index, send, result, .. } = send_in_flight;
+            let InFlightSend { id, index, send, target, result, .. } = send_in_flight;
+            if matches!(result, SendResult::Answered | SendResult::Shed) {
+                target.into_iter().for_each(|it| self.tell_limit(host, it, &send));
+            }
             let it = &mut self.hosts[host];
             it.targets.finish_send(&send, now, result);
             if let Some(running) = it.queries.get_mut(&id) {
--- a/crates/forward/tests/fleet/targets.rs
+++ b/crates/forward/tests/fleet/targets.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use base::{ServiceName, TargetName, Time};
+use base::{HashMap, ServiceName, TargetName, Time};
 use forward::{Lifecycle, TargetReport};
 use rand::Rng;
 
@@ -19,6 +19,12 @@
     /// Time at which the source accepted that the target leaves.
     pub leaves_at: Option<Time>,
     pub arrivals: Vec<Time>,
+    /// Limit of requests per second that the target states, until a time.
+    pub stated_limit: Option<(f64, Time)>,
+    /// Time at which each host was first told the limit.
+    pub told: HashMap<usize, Time>,
+    /// Requests of hosts that were told half a second before or earlier.
+    pub limited_arrivals: Vec<Time>,
 }
 
 impl Target {
@@ -52,6 +58,9 @@
             cold_until: self.now + cold_for,
             leaves_at: None,
             arrivals: Vec::new(),
+            stated_limit: None,
+            told: HashMap::default(),
+            limited_arrivals: Vec::new(),
         });
     }
 
@@ -101,6 +110,7 @@
         let now = self.now;
         let target = &mut self.targets[index];
         target.is_up = true;
+        target.stated_limit = None;
         target.cold_until = now + WARMUP;
         target.report = TargetReport {
             born: Some(born),
--- a/crates/forward/tests/waiting.rs
+++ b/crates/forward/tests/waiting.rs
@@ -30,7 +30,17 @@
 
 fn admit(it: &ServicesFixture, min_services: usize, answer_by: Time, now: Time) -> Admission {
     let (services, class) = (&*it.services, it.class);
-    it.targets.admit(&Arrival { services, min_services, class, answer_by }, now)
+    it.targets.admit(
+        &Arrival {
+            services,
+            min_services,
+            class,
+            regions: &[],
+            answer_by,
+            in_time_until: answer_by,
+        },
+        now,
+    )
 }
 
 /// Finishes a send of `service` every 20 ms.
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -12,7 +12,7 @@
     peers::{Host, Peers},
     placement::{Limits, ServiceKey},
     route::RouteEntry,
-    senders::MAX_SENDER_AGE,
+    senders::{MAX_SENDER_AGE, phase},
     suspects::Suspects,
     target::SendResult,
 };
@@ -84,7 +84,8 @@
 impl Cx {
     pub fn new(cfg: FrontSettings, log: Logger) -> Result<SharedCx, MetricsError> {
         let metrics = FrontMetrics::new(&SendResult::NAMES)?;
-        let targets = Targets::new(cfg.limits.clone(), cfg.domain.clone(), cfg.regions.clone());
+        let mut targets = Targets::new(cfg.limits.clone(), cfg.domain.clone(), cfg.regions.clone());
+        targets.set_phase(phase(cfg.peers));
         let own = Host {
             address: cfg.peers,
             domain: cfg.domain.clone(),
@@ -260,6 +261,7 @@
     /// service.
     pub(crate) fn sweep(&self) {
         self.targets.borrow_mut().remove_unlisted(self.clock.now());
+        self.targets.borrow_mut().expire_limits(self.clock.now());
         self.suspects.borrow_mut().remove_expired(self.clock.now());
         let services = self.targets.borrow().services_with_waiting();
         for service in services {
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -5,11 +5,7 @@
 
 use base::TargetName;
 use bytes::Bytes;
-use forward::{
-    Targets,
-    placement::Send,
-    target::{ReportedLoad, SendResult},
-};
+use forward::target::{ReportedLoad, SendResult};
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{Connection, SendRequest};
@@ -21,7 +17,7 @@
 };
 
 use super::{Job, Outcome, TargetAnswer};
-use crate::{SharedCx, relay::RelayOutcome, scatter::Waiter};
+use crate::{SharedCx, relay::RelayOutcome};
 
 type TargetConnection = Connection<TokioIo<TcpStream>, Full<Bytes>>;
 
@@ -157,8 +153,10 @@
             None => return ended(SendResult::Broken, false),
         },
         None => {
+            let result = classify(cx, &answer);
             record_state(cx, job, &answer.headers);
-            classify(cx, &answer)
+            record_limit(cx, job, &answer.headers, result);
+            result
         }
     };
     let is_reusable = is_open && !closes_connection(&answer.headers);
@@ -196,18 +194,28 @@
     if let Some(cold_ms) = cold_ms {
         targets.record_cold(job.send.target, now, Duration::from_millis(cold_ms));
     }
-    record_limit(cx, &mut targets, &job.send, headers);
 }
 
-fn record_limit(cx: &SharedCx, targets: &mut Targets<Waiter>, send: &Send, headers: &HeaderMap) {
+/// Records whether the answer names a limit of requests. Only an answer of the target
+/// itself shows that it names none any more.
+fn record_limit(cx: &SharedCx, job: &Job, headers: &HeaderMap, result: SendResult) {
+    let (now, target) = (cx.clock.now(), job.send.target);
+    let mut targets = cx.targets.borrow_mut();
     let value = headers.get(&cx.cfg.names.request_limit);
     let limit = value.and_then(parse_limit);
-    if value.is_some() && limit.is_none() {
-        debug!(cx.log, "targets: stated limit is no number of requests"; "value" => ?value);
-        return;
-    }
-    if targets.record_limit(send, limit) {
-        let name = targets.target(send.target).map(|it| it.report.name.clone());
+    let is_changed = match (value, limit) {
+        (_, Some(limit)) => targets.record_limit(target, limit, now),
+        (Some(value), None) => {
+            debug!(cx.log, "targets: stated limit is no number of requests"; "value" => ?value);
+            false
+        }
+        (None, None) => {
+            let is_own_answer = matches!(result, SendResult::Answered | SendResult::Shed);
+            is_own_answer && targets.record_no_limit(&job.send, now)
+        }
+    };
+    if is_changed {
+        let name = targets.target(target).map(|it| it.report.name.clone());
         info!(cx.log, "targets: stated limit changed"; "target" => name.as_deref(),
             "requests_per_s" => limit);
     }
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -367,21 +367,23 @@
 
     /// Waits until this host counts `hosts` hosts, including itself.
     pub async fn wait_for_hosts(&self, hosts: usize) {
-        let value = format!(" {hosts}");
-        let request = b"GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n";
-        loop {
-            if let Ok(mut stream) = TcpStream::connect(self.metrics).await {
-                stream.write_all(request).await.expect("written");
-                let page = read_message(&mut stream).await.unwrap_or_default();
-                let is_gauge = |it: &str| it.starts_with("front_hosts") && it.ends_with(&value);
-                if page.lines().any(is_gauge) {
-                    return;
-                }
-            }
+        while self.gauge("front_hosts").await != Some(hosts as u64) {
             sleep(Duration::from_millis(20)).await;
         }
     }
 
+    /// Returns the value of a gauge without labels; `None` if the host does not serve
+    /// its metrics yet.
+    pub async fn gauge(&self, name: &str) -> Option<u64> {
+        let mut stream = TcpStream::connect(self.metrics).await.ok()?;
+        let request = b"GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n";
+        stream.write_all(request).await.expect("written");
+        let page = read_message(&mut stream).await.unwrap_or_default();
+        let is_gauge =
+            |it: &&str| it.strip_prefix(name).is_some_and(|it| it.starts_with([' ', '{']));
+        page.lines().find(is_gauge)?.rsplit_once(' ')?.1.parse().ok()
+    }
+
     /// Starts a graceful shutdown.
     pub fn stop(&mut self) {
         self.stop = None;
