Log when no target answers a host

The log had the refusals, but not when a host could know that none of its targets answers.

Change: forward decides whether no target answers: several targets, or all, are silent, and none gave a sign for 0.4 s, for 0.15 s on end. A log line and the gauge front_has_lost_targets show it. Nothing depends on it.

--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod directory;
 mod limits;
 mod queue;
+mod reach;
 mod reachability;
 mod senders;
 
@@ -28,6 +29,7 @@
     admission::DrainRate,
     choice::{Candidate, Purpose},
     queue::Queue,
+    reach::Reach,
 };
 pub use self::{
     admission::{Admission, Arrival},
@@ -104,6 +106,7 @@
     phase: f64,
     /// Time of the last answer from each domain.
     domain_answers: HashMap<DomainName, Time>,
+    reach: Reach,
 }
 
 #[derive(Debug)]
@@ -167,6 +170,7 @@
             limited: HashSet::default(),
             phase: 1.0,
             domain_answers: HashMap::default(),
+            reach: Reach::default(),
         }
     }
 
@@ -265,6 +269,9 @@
 
     /// Records the end of a send.
     pub fn finish_send(&mut self, send: &Send, now: Time, result: SendResult) {
+        if !self.are_hosts(send.service) {
+            self.reach.record_result(result, now);
+        }
         let Some(target) = self.targets.get_mut(&send.target) else { return };
         let took = target.finish_send(send.id, now, result);
         if matches!(result, SendResult::Answered | SendResult::Shed | SendResult::Failed) {
@@ -296,6 +303,7 @@
     /// Records that a probe connected to the target; returns its service.
     pub fn probe_succeeded(&mut self, target: TargetKey, now: Time) -> Option<ServiceKey> {
         let it = self.targets.get_mut(&target)?;
+        self.reach.record_sign(now);
         if it.is_down() {
             it.probe_succeeded(now);
             // The target may have restarted.
--- /dev/null
+++ b/crates/forward/src/placement/reach.rs
@@ -0,0 +1,76 @@
+//! Detection that no target answers this host.
+//!
+//! Load pattern answered: a host that is cut off from all targets, while callers and
+//! other hosts still reach it. Its connections hang, are reset, or live on while new
+//! ones are refused. Targets that are all in trouble look the same from here; what
+//! other hosts say tells them apart.
+
+use std::time::Duration;
+
+use base::Time;
+
+use super::{SendResult, Targets};
+
+/// Silent targets that are needed, if there are as many.
+const MIN_SILENT_TARGETS: usize = 3;
+
+/// No target answered for so long.
+const SILENT_FOR: Duration = Duration::from_millis(400);
+
+/// Time for which this must hold: a host that was frozen has answers to read first.
+const CONFIRMED_AFTER: Duration = Duration::from_millis(150);
+
+/// What this host knows of its reach.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Reach {
+    /// Time of the last sign of any target: an answer, or a connection that was made.
+    last_sign: Option<Time>,
+    /// Since when no target seems to answer.
+    silent_since: Option<Time>,
+    is_lost: bool,
+}
+
+impl Reach {
+    pub(super) fn record_sign(&mut self, now: Time) {
+        *self = Reach { last_sign: Some(now), silent_since: None, is_lost: false };
+    }
+
+    pub(super) fn record_result(&mut self, result: SendResult, now: Time) {
+        if matches!(result, SendResult::Answered | SendResult::Shed | SendResult::Failed) {
+            self.record_sign(now);
+        }
+    }
+}
+
+impl<W> Targets<W> {
+    /// Returns whether no target answers this host, as of the last
+    /// [`Targets::update_reach`].
+    pub fn has_lost_targets(&self) -> bool {
+        self.reach.is_lost
+    }
+
+    /// Evaluates whether any target answers this host; returns whether that changed.
+    pub fn update_reach(&mut self, now: Time) -> bool {
+        let before = self.reach.is_lost;
+        let is_recent = self.reach.last_sign.is_some_and(|at| now.since(at) <= SILENT_FOR);
+        if before || is_recent || !self.are_targets_silent(now) {
+            self.reach.silent_since = None;
+            return false;
+        }
+        let since = *self.reach.silent_since.get_or_insert(now);
+        self.reach.is_lost = now.since(since) >= CONFIRMED_AFTER;
+        self.reach.is_lost
+    }
+
+    /// Returns whether several targets are silent, or all of them.
+    fn are_targets_silent(&self, now: Time) -> bool {
+        let (mut known, mut silent) = (0, 0);
+        for (key, target) in &self.targets {
+            if !target.is_gone() && !self.is_host(*key) {
+                known += 1;
+                silent += usize::from(self.is_silent(target, now));
+            }
+        }
+        known > 0 && silent >= MIN_SILENT_TARGETS.min(known)
+    }
+}
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -56,6 +56,8 @@
     /// Whether a partition keeps this host from serving a route in use, so
     /// that callers should go to other hosts.
     pub(crate) is_isolated: Cell<bool>,
+    /// Whether no target answers this host.
+    pub(crate) has_lost_targets: Cell<bool>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) in_progress: InProgress,
     pub(crate) suspects: RefCell<Suspects>,
@@ -111,6 +113,7 @@
             cut_off: RefCell::new(HashSet::default()),
             separated: RefCell::new(HashSet::default()),
             is_isolated: Cell::new(false),
+            has_lost_targets: Cell::new(false),
             peers: RefCell::new(peers),
             in_progress: InProgress::default(),
             suspects: RefCell::new(Suspects::default()),
@@ -232,6 +235,8 @@
         self.metrics.set_gauge(FrontGauge::Targets, targets.target_count() as u64);
         self.metrics.set_gauge(FrontGauge::TargetsDown, targets.down_count() as u64);
         self.metrics.set_gauge(FrontGauge::TargetsLimited, targets.limited_count() as u64);
+        let has_lost_targets = u64::from(targets.has_lost_targets());
+        self.metrics.set_gauge(FrontGauge::HasLostTargets, has_lost_targets);
         self.metrics.set_gauge(FrontGauge::RequestsInProgress, self.in_progress.count() as u64);
         self.metrics.set_gauge(FrontGauge::PartsWaiting, targets.waiting_count() as u64);
         self.metrics.set_gauge(FrontGauge::IsReady, u64::from(self.is_ready()));
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -21,6 +21,7 @@
 /// as isolated.
 pub(crate) fn update(cx: &SharedCx) {
     let now = cx.clock.now();
+    update_reach(cx, now);
     let (others, silent_hosts) = cx.peers.borrow().other_domains(now);
     let silent_targets = cx.targets.borrow().silent_domains(now);
     *cx.cut_off.borrow_mut() = partitioned_domains(&silent_targets, &silent_hosts, others);
@@ -33,6 +34,17 @@
     }
 }
 
+/// Evaluates whether any target answers this host.
+fn update_reach(cx: &SharedCx, now: Time) {
+    let mut targets = cx.targets.borrow_mut();
+    targets.update_reach(now);
+    let has_lost_targets = targets.has_lost_targets();
+    if cx.has_lost_targets.replace(has_lost_targets) != has_lost_targets {
+        warn!(cx.log, "front: reach of targets changed"; "no_target_answers" => has_lost_targets,
+            "down" => targets.down_count(), "targets" => targets.target_count());
+    }
+}
+
 fn has_unservable_route(cx: &SharedCx, now: Time) -> bool {
     let table = cx.table.borrow().clone();
     let Some(table) = table else { return false };
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -38,6 +38,7 @@
     Targets,
     TargetsDown,
     TargetsLimited,
+    HasLostTargets,
     RequestsInProgress,
     PartsWaiting,
     IsReady,
@@ -49,7 +50,7 @@
 }
 
 /// Gauge, metric name without `front_`, and description.
-const GAUGES: [(FrontGauge, &str, &str); 13] = [
+const GAUGES: [(FrontGauge, &str, &str); 14] = [
     (FrontGauge::ConfigurationVersion, "configuration_version", "Version in force"),
     (FrontGauge::Hosts, "hosts", "Hosts that share the targets' limits"),
     (FrontGauge::Targets, "targets", "Targets known"),
@@ -59,6 +60,7 @@
         "Targets that get no requests until a trial succeeds",
     ),
     (FrontGauge::TargetsLimited, "targets_limited", "Targets that state a limit of requests"),
+    (FrontGauge::HasLostTargets, "has_lost_targets", "1 if no target answers this host"),
     (FrontGauge::RequestsInProgress, "requests_in_progress", "Requests in progress"),
     (FrontGauge::PartsWaiting, "parts_waiting", "Sends that wait for a connection"),
     (FrontGauge::IsReady, "is_ready", "1 if this host takes callers"),
