--- a/crates/front/tests/relays.rs
+++ b/crates/front/tests/relays.rs
@@ -6,7 +6,10 @@
 
 use forward::Repeat;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use support::{Reply, Target, TestHost, body, header, ok, own_address, run, status, target};
+use support::{
+    Reply, Target, TestHost, announce, body, done, header, not_run, ok, own_address, relayed, run,
+    status, target,
+};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpStream, UdpSocket},
@@ -14,9 +17,8 @@
     time::sleep,
 };
 
-/// Capacity of a host that passes requests on, and of the senders.
+/// Capacity of a host that passes requests on.
 const SMALL: u32 = 100;
-const LARGE: u32 = 1_000;
 
 /// Time in which a host chooses its senders anew.
 const CHOICE_TIME: Duration = Duration::from_millis(700);
@@ -35,35 +37,6 @@
     host
 }
 
-/// Tells the host at `to` of a sender at `address`, by one digest.
-async fn announce(to: SocketAddr, address: SocketAddr) {
-    let none: [(u16, u64); 0] = [];
-    let no_hosts: [((SocketAddr, u16, u32, bool), u64); 0] = [];
-    let from = (address, 0_u16, LARGE, false);
-    let digest = (from, 0_u64, ["local"].to_vec(), no_hosts.to_vec(), none.to_vec(), none.to_vec());
-    let mut bytes = postcard::to_stdvec(&digest).expect("encoded");
-    bytes.push(u8::from(false));
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-    socket.send_to(&bytes, to).await.expect("sent");
-}
-
-/// Returns a sender's answer with a relay outcome.
-fn relayed(status: &str, outcome: &str, body: &str) -> String {
-    format!(
-        "HTTP/1.1 {status}\r\nx-id: {{id}}\r\nrelay-outcome: {outcome}\r\nretry-after: 0.123\r\n\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
-fn done(body: &str) -> Reply {
-    Reply::Bytes(relayed("200 OK", "done", body))
-}
-
-fn not_run() -> Reply {
-    Reply::Bytes(relayed("503 Service Unavailable", "not-run", ""))
-}
-
 #[test]
 fn a_request_goes_to_a_sender_in_one_message_and_its_answer_to_the_caller() {
     run(async {
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -26,7 +26,7 @@
 use slog::{Discard, Logger, o};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpStream, UdpSocket},
     sync::oneshot,
     task::{JoinHandle, LocalSet, spawn_local},
     time::{sleep, timeout},
@@ -407,6 +407,38 @@
     }
 }
 
+/// Capacity of a scripted host.
+const LARGE: u32 = 1_000;
+
+/// Tells the host at `to` of a sender at `address`, by one digest.
+pub async fn announce(to: SocketAddr, address: SocketAddr) {
+    let none: [(u16, u64); 0] = [];
+    let no_hosts: [((SocketAddr, u16, u32, bool), u64); 0] = [];
+    let from = (address, 0_u16, LARGE, false);
+    let digest = (from, 0_u64, ["local"].to_vec(), no_hosts.to_vec(), none.to_vec(), none.to_vec());
+    let mut bytes = postcard::to_stdvec(&digest).expect("encoded");
+    bytes.push(u8::from(false));
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    socket.send_to(&bytes, to).await.expect("sent");
+}
+
+/// Returns a sender's answer with a relay outcome.
+pub fn relayed(status: &str, outcome: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nx-id: {{id}}\r\nrelay-outcome: {outcome}\r\nretry-after: 0.123\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+pub fn done(body: &str) -> Reply {
+    Reply::Bytes(relayed("200 OK", "done", body))
+}
+
+pub fn not_run() -> Reply {
+    Reply::Bytes(relayed("503 Service Unavailable", "not-run", ""))
+}
+
 /// Returns a loopback address that no other test uses. A port that was merely
 /// found free could be taken before it is bound.
 pub fn own_address() -> SocketAddr {
