Pass requests on to hosts that reach targets while this one does not

Cause: a host that is cut off from all targets judged each target by itself, so it neither knew that the cut is its own nor had anything to do about it but refuse. The class of fault: a part of the fleet that is up, but useless where it stands, while others could do its work.

Hosts gossip whether no target answers them. Where no other host reaches targets either, these are in trouble, and all is as before. What the loss leaves silent is probed; the first sign of a target ends the loss. Requests stay in the regions of their route, and what may have run is not passed on again.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod budget;
 pub mod gather;
+pub mod helpers;
 pub mod isolation;
 pub mod latency;
 pub mod merge;
--- a/crates/forward/src/peers/digest.rs
+++ b/crates/forward/src/peers/digest.rs
@@ -16,6 +16,8 @@
     pub capacity: u32,
     /// Reads the configuration and the targets at their source.
     pub reads_source: bool,
+    /// No target answers the host.
+    pub has_lost_targets: bool,
 }
 
 /// A host that another one knows of.
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -114,6 +114,11 @@
         self.own.reads_source = reads_source;
     }
 
+    /// Sets whether no target answers this host, which is gossiped.
+    pub fn set_has_lost_targets(&mut self, has_lost_targets: bool) {
+        self.own.has_lost_targets = has_lost_targets;
+    }
+
     /// Returns whether any other host was heard of.
     pub fn knows_any(&self) -> bool {
         !self.known.is_empty()
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -138,7 +138,7 @@
     }
 
     pub fn target_count(&self) -> usize {
-        self.target_keys.len()
+        self.target_keys.values().filter(|it| !self.is_host(**it)).count()
     }
 
     /// Returns targets to open a first connection to now, a few at a time, so that
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -107,6 +107,8 @@
     /// Time of the last answer from each domain.
     domain_answers: HashMap<DomainName, Time>,
     reach: Reach,
+    /// Hosts that requests are passed on to while this host cannot serve them.
+    helpers: Option<ServiceKey>,
 }
 
 #[derive(Debug)]
@@ -171,6 +173,7 @@
             phase: 1.0,
             domain_answers: HashMap::default(),
             reach: Reach::default(),
+            helpers: None,
         }
     }
 
@@ -242,6 +245,13 @@
         self.classes[class.0].mean().unwrap_or(DEFAULT_EXPECTED_LATENCY)
     }
 
+    /// Makes the expected latency of `class` that of another one until it has samples.
+    pub fn expect_like(&mut self, class: ClassKey, other: ClassKey) {
+        if self.classes[class.0].mean().is_none() {
+            self.classes[class.0] = self.classes[other.0].clone();
+        }
+    }
+
     /// Selects a target and records the send as in flight there.
     pub fn place(&mut self, req: &PlacementRequest<'_>, now: Time) -> Placement {
         self.place_as(req, Purpose::Needed, now)
--- a/crates/forward/src/placement/reach.rs
+++ b/crates/forward/src/placement/reach.rs
@@ -9,7 +9,7 @@
 
 use base::Time;
 
-use super::{SendResult, Targets};
+use super::{SendResult, Target, TargetKey, Targets};
 
 /// Silent targets that are needed, if there are as many.
 const MIN_SILENT_TARGETS: usize = 3;
@@ -58,19 +58,34 @@
             return false;
         }
         let since = *self.reach.silent_since.get_or_insert(now);
-        self.reach.is_lost = now.since(since) >= CONFIRMED_AFTER;
-        self.reach.is_lost
+        if now.since(since) < CONFIRMED_AFTER {
+            return false;
+        }
+        self.reach.is_lost = true;
+        // Connections that hang say nothing of the end of the cut; probes do.
+        let silent: Vec<TargetKey> = self.silent_targets(now).collect();
+        for key in silent {
+            if let Some(target) = self.targets.get_mut(&key) {
+                target.assume_down(now);
+            }
+        }
+        true
+    }
+
+    /// Returns the targets that are silent, of those in use.
+    fn silent_targets(&self, now: Time) -> impl Iterator<Item = TargetKey> {
+        self.used_targets().filter(move |(_, it)| self.is_silent(it, now)).map(|(key, _)| key)
+    }
+
+    fn used_targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
+        let all = self.targets.iter().map(|(key, it)| (*key, it));
+        all.filter(|(key, it)| !it.is_gone() && !self.is_host(*key))
     }
 
     /// Returns whether several targets are silent, or all of them.
     fn are_targets_silent(&self, now: Time) -> bool {
-        let (mut known, mut silent) = (0, 0);
-        for (key, target) in &self.targets {
-            if !target.is_gone() && !self.is_host(*key) {
-                known += 1;
-                silent += usize::from(self.is_silent(target, now));
-            }
-        }
+        let known = self.used_targets().count();
+        let silent = self.silent_targets(now).count();
         known > 0 && silent >= MIN_SILENT_TARGETS.min(known)
     }
 }
--- a/crates/forward/src/placement/senders.rs
+++ b/crates/forward/src/placement/senders.rs
@@ -7,6 +7,7 @@
 
 use super::{ServiceKey, ServiceKind, TargetKey, Targets, USABLE_CONNECTION_SHARE};
 use crate::{
+    helpers::choose as choose_helpers,
     peers::Host,
     route::{RouteEntry, Service},
     senders::{OVERLAP, SENDERS_PART, Senders},
@@ -51,7 +52,21 @@
                 .map(|domains| *groups.entry(domains).or_insert_with_key(|it| self.group_key(it)));
             entry.set_senders(key);
         }
-        self.update_groups(&groups, own, &senders, now);
+        let helpers = self.group_named("helpers");
+        self.helpers = Some(helpers);
+        let in_domains = groups.iter().map(|(domains, key)| {
+            let hosts = domains.iter().flat_map(|it| senders.of_domain(it));
+            (*key, hosts.cloned().collect())
+        });
+        let in_groups: Vec<(ServiceKey, Vec<Host>)> =
+            in_domains.chain([(helpers, choose_helpers(own, hosts))]).collect();
+        self.update_groups(&in_groups, own, now);
+    }
+
+    /// Returns the group of hosts that requests are passed on to while this host cannot
+    /// serve them.
+    pub fn helpers(&self) -> Option<ServiceKey> {
+        self.helpers
     }
 
     pub fn sender_role(&self) -> SenderRole {
@@ -141,7 +156,11 @@
 
     fn group_key(&mut self, domains: &[DomainName]) -> ServiceKey {
         let names: Vec<&str> = domains.iter().map(DomainName::as_str).collect();
-        let key = self.service(&ServiceName::new(&format!("senders in {}", names.join(" "))));
+        self.group_named(&format!("senders in {}", names.join(" ")))
+    }
+
+    fn group_named(&mut self, name: &str) -> ServiceKey {
+        let key = self.service(&ServiceName::new(name));
         let state = &mut self.services[key.0];
         state.kind = ServiceKind::Hosts;
         state.settings.get_or_insert_with(|| Service {
@@ -153,19 +172,12 @@
         key
     }
 
-    /// Makes the senders of each group its targets. Groups that no route uses any
-    /// more lose theirs.
-    fn update_groups(
-        &mut self,
-        groups: &HashMap<Vec<DomainName>, ServiceKey>,
-        own: &Host,
-        senders: &Senders,
-        now: Time,
-    ) {
+    /// Makes the hosts of each group its targets. Groups that no route uses any more
+    /// lose theirs.
+    fn update_groups(&mut self, groups: &[(ServiceKey, Vec<Host>)], own: &Host, now: Time) {
         let mut wanted: HashSet<TargetName> = HashSet::default();
-        for (domains, key) in groups {
-            let hosts = domains.iter().flat_map(|it| senders.of_domain(it));
-            for host in hosts.filter(|it| it.address != own.address) {
+        for (key, hosts) in groups {
+            for host in hosts.iter().filter(|it| it.address != own.address) {
                 let report = host_report(host, self.services[key.0].name.clone());
                 wanted.insert(report.name.clone());
                 self.apply_report(report, now);
--- a/crates/forward/src/route/table.rs
+++ b/crates/forward/src/route/table.rs
@@ -15,6 +15,10 @@
 /// Time for which a route counts as in use after a request.
 const IN_USE_FOR: Duration = Duration::from_secs(2);
 
+/// Time between two requests of a route that helpers are asked to serve after they
+/// refused one.
+const HELPERS_ASKED_EVERY: Duration = Duration::from_secs(1);
+
 /// The routes of one configuration, indexed.
 #[derive(Debug)]
 pub struct RouteTable {
@@ -39,6 +43,8 @@
     last_request: Cell<Option<Time>>,
     /// Senders that requests are passed on to; `None` if this host serves them.
     senders: Cell<Option<ServiceKey>>,
+    /// Time at which helpers last refused a request.
+    refused_by_helpers: Cell<Option<Time>>,
 }
 
 impl RouteTable {
@@ -78,6 +84,7 @@
             version,
             last_request: Cell::new(None),
             senders: Cell::new(None),
+            refused_by_helpers: Cell::new(None),
         }
     }
 
@@ -91,6 +98,18 @@
         self.senders.set(senders);
     }
 
+    /// Records that helpers refused a request too.
+    pub fn record_refusal_by_helpers(&self, now: Time) {
+        self.refused_by_helpers.set(Some(now));
+    }
+
+    /// Returns whether helpers refused a request lately: its targets are in trouble, and
+    /// not this host.
+    pub fn is_refused_by_helpers(&self, now: Time) -> bool {
+        let last = self.refused_by_helpers.get();
+        last.is_some_and(|at| now.since(at) < HELPERS_ASKED_EVERY)
+    }
+
     pub fn record_request(&self, now: Time) {
         self.last_request.set(Some(now));
     }
--- a/crates/forward/src/senders.rs
+++ b/crates/forward/src/senders.rs
@@ -58,8 +58,12 @@
     pub fn choose(hosts: &[Host], domains: &[DomainName], connections: f64) -> Senders {
         let usable = connections * SENDERS_PART / (CONNECTIONS_PER_SENDER * OVERLAP);
         let limit = (usable as usize / domains.len().max(1)).max(MIN_SENDERS);
+        // If all have lost their targets, these are in trouble, and not the hosts.
+        let is_any_left = hosts.iter().any(|it| !it.has_lost_targets);
+        let is_usable = |it: &Host| !is_any_left || !it.has_lost_targets;
         let of_domain = |domain: &DomainName| {
-            let local = hosts.iter().filter(|it| it.domain == *domain).cloned().collect();
+            let is_local = |it: &&Host| it.domain == *domain && is_usable(it);
+            let local = hosts.iter().filter(is_local).cloned().collect();
             (domain.clone(), choose_in_domain(local, limit))
         };
         Senders { by_domain: domains.iter().map(of_domain).collect() }
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -260,6 +260,11 @@
         self.probes.is_down()
     }
 
+    /// Treats the target as down, so that it is probed and gets no requests meanwhile.
+    pub fn assume_down(&mut self, now: Time) {
+        self.probes.mark_down(now);
+    }
+
     /// Returns whether a probe is due, and schedules the next one if so.
     pub fn take_probe(&mut self, now: Time) -> bool {
         self.probes.take_due(now)
--- a/crates/forward/tests/fleet/hosts.rs
+++ b/crates/forward/tests/fleet/hosts.rs
@@ -130,7 +130,13 @@
     let class = targets.class(&Arc::from("route"));
     let seeds = (0..3).map(address_of).collect();
     let domain = DomainName::new(domain_of(index));
-    let own = PeerHost { address: address_of(index), domain, capacity: 1_000, reads_source: false };
+    let own = PeerHost {
+        address: address_of(index),
+        domain,
+        capacity: 1_000,
+        reads_source: false,
+        has_lost_targets: false,
+    };
     Host {
         targets,
         peers: Peers::new(own, seeds),
--- a/crates/forward/tests/peers.rs
+++ b/crates/forward/tests/peers.rs
@@ -24,7 +24,13 @@
 }
 
 fn host(index: usize) -> Host {
-    Host { address: addr(index), domain: domain(index), capacity: 1_000, reads_source: false }
+    Host {
+        address: addr(index),
+        domain: domain(index),
+        capacity: 1_000,
+        reads_source: false,
+        has_lost_targets: false,
+    }
 }
 
 /// Runs rounds of gossip; `reaches` decides whether a digest arrives.
--- /dev/null
+++ b/crates/forward/tests/reach.rs
@@ -0,0 +1,160 @@
+//! Detection that no target answers a host, and the choice of hosts that help it.
+
+mod services;
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{DomainName, HashMap};
+use forward::{helpers, peers::Host, placement::Send, senders::Senders, target::SendResult};
+
+use services::{ServicesFixture, at};
+
+/// A host whose targets answered until 1 s, with sends in flight since then.
+fn waiting_host() -> (ServicesFixture, Vec<Send>) {
+    let mut it = ServicesFixture::new(4, 2);
+    for service in 0..4 {
+        let send = it.send(service, at(1_000));
+        it.targets.finish_send(&send, at(1_000), SendResult::Answered);
+    }
+    let sends = (0..4).map(|service| it.send(service, at(1_001))).collect();
+    (it, sends)
+}
+
+/// Evaluates reach each 100 ms; returns whether the targets are lost at the end.
+fn is_lost(it: &mut ServicesFixture, from: u64, until: u64) -> bool {
+    (from..=until).step_by(100).for_each(|ms| {
+        it.targets.update_reach(at(ms));
+    });
+    it.targets.has_lost_targets()
+}
+
+#[test]
+fn a_host_whose_targets_all_fall_silent_knows_within_a_second() {
+    let (mut it, _) = waiting_host();
+    assert!(!is_lost(&mut it, 1_000, 1_300));
+    assert!(is_lost(&mut it, 1_400, 2_000));
+}
+
+#[test]
+fn a_host_whose_connections_are_refused_knows_too() {
+    let (mut it, sends) = waiting_host();
+    for send in sends {
+        it.targets.finish_send(&send, at(1_010), SendResult::Unreachable);
+    }
+    assert!(is_lost(&mut it, 1_100, 2_000));
+}
+
+#[test]
+fn a_host_with_a_single_target_knows_too() {
+    let mut it = ServicesFixture::new(1, 1);
+    it.send(0, at(1_000));
+    assert!(is_lost(&mut it, 1_100, 2_000));
+}
+
+#[test]
+fn one_answer_shows_that_targets_are_in_reach() {
+    for result in [SendResult::Answered, SendResult::Shed, SendResult::Failed] {
+        let (mut it, sends) = waiting_host();
+        assert!(!is_lost(&mut it, 1_000, 1_400));
+        it.targets.finish_send(&sends[0], at(1_450), result);
+        assert!(!is_lost(&mut it, 1_500, 1_800));
+        assert!(is_lost(&mut it, 1_900, 2_400), "the others are silent still");
+    }
+}
+
+/// After a freeze all answers are old until they are read.
+#[test]
+fn a_host_that_wakes_from_a_freeze_has_not_lost_its_targets() {
+    let (mut it, sends) = waiting_host();
+    assert!(!it.targets.update_reach(at(5_000)));
+    for send in sends {
+        it.targets.finish_send(&send, at(5_001), SendResult::Answered);
+    }
+    assert!(!is_lost(&mut it, 5_100, 5_900));
+}
+
+#[test]
+fn an_idle_host_has_not_lost_its_targets() {
+    let mut it = ServicesFixture::new(4, 2);
+    assert!(!is_lost(&mut it, 0, 60_000));
+}
+
+#[test]
+fn lost_targets_are_probed_and_the_first_that_is_reached_ends_the_loss() {
+    let (mut it, _) = waiting_host();
+    assert!(is_lost(&mut it, 1_100, 2_000));
+    let due: Vec<_> = (2_000..4_000).flat_map(|ms| it.targets.due_probes(at(ms))).collect();
+    assert!(due.len() >= 4, "{due:?}");
+    it.targets.probe_succeeded(due[0], at(4_000));
+    assert!(!it.targets.has_lost_targets());
+}
+
+fn host(index: u16, domain: &str, has_lost_targets: bool) -> Host {
+    let [high, low] = index.to_be_bytes();
+    let address = ([10, 0, high, low], 7_000).into();
+    let domain = DomainName::new(domain);
+    Host { address, domain, capacity: 1_000, reads_source: false, has_lost_targets }
+}
+
+#[test]
+fn helpers_have_not_lost_their_targets_and_some_are_of_other_domains() {
+    let local = (0..6).map(|it| host(it, "a", it < 3));
+    let remote = (6..30).map(|it| host(it, "b", it < 9));
+    let hosts: Vec<Host> = local.chain(remote).collect();
+    let chosen = helpers::choose(&hosts[0], &hosts);
+    assert!(chosen.iter().all(|it| !it.has_lost_targets));
+    let count = |name: &str| chosen.iter().filter(|it| it.domain.as_str() == name).count();
+    assert_eq!((count("a"), count("b")), (3, 4));
+    let all_lost: Vec<Host> = (0..6).map(|it| host(it, "a", true)).collect();
+    assert!(helpers::choose(&all_lost[0], &all_lost).is_empty());
+}
+
+#[test]
+fn a_whole_domain_that_is_cut_off_spreads_its_requests() {
+    let lost = (0..50).map(|it| host(it, "a", true));
+    let hosts: Vec<Host> = lost.chain((50..100).map(|it| host(it, "b", false))).collect();
+    let mut load: HashMap<SocketAddr, usize> = HashMap::default();
+    for own in hosts.iter().filter(|it| it.has_lost_targets) {
+        let chosen = helpers::choose(own, &hosts);
+        assert_eq!(chosen.len(), 4);
+        chosen.iter().for_each(|it| *load.entry(it.address).or_default() += 1);
+    }
+    // Evenly spread, each of the 50 would help four hosts.
+    let most = load.values().max().copied().unwrap_or(0);
+    assert!(load.len() >= 20 && most <= 30, "{} hosts, at most {most}", load.len());
+}
+
+#[test]
+fn senders_that_lost_their_targets_are_replaced_unless_all_did() {
+    let domains = [DomainName::new("a"), DomainName::new("b")];
+    let choose = |hosts: &[Host]| Senders::choose(hosts, &domains, 100.0);
+    let well: Vec<Host> =
+        (0..20).map(|it| host(it, ["a", "b"][usize::from(it % 2)], false)).collect();
+    let first = choose(&well).of_domain(&domains[0])[0].clone();
+    let lose = |is_lost: &dyn Fn(&Host) -> bool| -> Vec<Host> {
+        well.iter().map(|it| Host { has_lost_targets: is_lost(it), ..it.clone() }).collect()
+    };
+    let one_lost = choose(&lose(&|it| it.address == first.address));
+    assert!(one_lost.of_domain(&domains[0]).iter().all(|it| it.address != first.address));
+    assert_eq!(one_lost.count(), choose(&well).count());
+    let domain_lost = choose(&lose(&|it| it.domain == domains[0]));
+    assert!(domain_lost.of_domain(&domains[0]).is_empty());
+    assert!(!domain_lost.of_domain(&domains[1]).is_empty());
+    let all_lost = choose(&lose(&|_| true));
+    assert_eq!(all_lost.count(), choose(&well).count());
+}
+
+/// Time of answers of hosts that help says nothing about targets.
+#[test]
+fn answers_of_other_hosts_are_no_sign_of_targets() {
+    let (mut it, _) = waiting_host();
+    let (own, other) = (host(1, "a", false), host(2, "a", false));
+    it.targets.update_senders(&own, &[own.clone(), other], &[], at(1_000));
+    let helpers = it.targets.helpers().expect("a group");
+    for ms in (1_100..2_500).step_by(100) {
+        let send = it.send_to_group(helpers, at(ms));
+        it.targets.finish_send(&send, at(ms) + Duration::from_millis(5), SendResult::Answered);
+        it.targets.update_reach(at(ms));
+    }
+    assert!(it.targets.has_lost_targets());
+}
--- a/crates/forward/tests/readers.rs
+++ b/crates/forward/tests/readers.rs
@@ -15,6 +15,7 @@
         domain: DomainName::new("a"),
         capacity: if it < 3 { 500 } else { 120 },
         reads_source: false,
+        has_lost_targets: false,
     };
     (0..count).map(host).collect()
 }
--- a/crates/forward/tests/senders.rs
+++ b/crates/forward/tests/senders.rs
@@ -27,7 +27,13 @@
 
 fn host(index: usize, domain_name: &str, capacity: u32) -> Host {
     let address = ([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7_000).into();
-    Host { address, domain: domain(domain_name), capacity, reads_source: false }
+    Host {
+        address,
+        domain: domain(domain_name),
+        capacity,
+        reads_source: false,
+        has_lost_targets: false,
+    }
 }
 
 /// Returns hosts of the domains `a` to `d`, of which the first two of each are
--- a/crates/forward/tests/services/mod.rs
+++ b/crates/forward/tests/services/mod.rs
@@ -95,6 +95,15 @@
         }
     }
 
+    /// Places a send on a group of hosts.
+    pub fn send_to_group(&mut self, group: ServiceKey, now: Time) -> Send {
+        let req = PlacementRequest { service: group, class: self.class, tried: &[], regions: &[] };
+        match self.targets.place(&req, now) {
+            Placement::Send(send) => send,
+            other => panic!("not sent: {other:?}"),
+        }
+    }
+
     /// Places a send of the first service on `target`.
     pub fn send_to(&mut self, target: TargetKey, now: Time) -> Send {
         let others: Vec<TargetKey> =
--- a/crates/front/src/callers/request.rs
+++ b/crates/front/src/callers/request.rs
@@ -28,7 +28,7 @@
 };
 use crate::{
     SharedCx,
-    isolation::check_servable,
+    isolation::{Unservable, check_servable, check_targets, needed_helpers},
     relay::{self, Relay},
     scatter::{Collected, scatter},
     targets::Outgoing,
@@ -133,6 +133,12 @@
     let schedule = Schedule { received, objective, deadline: until };
     let now = cx.clock.now();
     entry.record_request(now);
+    if origin == Origin::Caller
+        && entry.senders().is_none()
+        && let Some(helpers) = needed_helpers(cx, &entry, now)
+    {
+        return relay::pass_on_to_helpers(cx, &entry, helpers, request, schedule).await;
+    }
     check_reachable(cx, &entry, schedule, now)?;
     if origin == Origin::Caller
         && let Some(senders) = entry.senders()
@@ -219,12 +225,27 @@
     schedule: Schedule,
     now: Time,
 ) -> Result<(), Refusal> {
-    check_servable(cx, entry, now).map_err(|unservable| {
-        let left = schedule.deadline.until(now);
-        let expected = if cx.is_isolated.get() { ISOLATED_WAIT } else { UNAVAILABLE_WAIT };
-        let refusal = Refusal::not_run("too few targets can be reached", expected, left);
-        refusal.with_inputs(unservable.to_string())
-    })
+    let refusal = |it| unreachable(cx, &it, schedule.deadline.until(now));
+    check_servable(cx, entry, now).map_err(refusal)
+}
+
+fn unreachable(cx: &SharedCx, unservable: &Unservable, left: Duration) -> Refusal {
+    let expected = if cx.is_isolated.get() { ISOLATED_WAIT } else { UNAVAILABLE_WAIT };
+    let refusal = Refusal::not_run("too few targets can be reached", expected, left);
+    refusal.with_inputs(unservable.to_string())
+}
+
+/// Runs a request at targets that no other host took, if these can be reached.
+pub(crate) async fn run_here(
+    cx: &SharedCx,
+    entry: &RouteEntry,
+    request: Outgoing,
+    schedule: Schedule,
+) -> Result<Answer, Refusal> {
+    let now = cx.clock.now();
+    let refusal = |it| unreachable(cx, &it, schedule.deadline.until(now));
+    check_targets(cx, entry, now).map_err(refusal)?;
+    run_query(cx, entry, request, schedule).await
 }
 
 /// Runs a request at targets and returns the answer.
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -93,6 +93,7 @@
             domain: cfg.domain.clone(),
             capacity: cfg.capacity,
             reads_source: false,
+            has_lost_targets: false,
         };
         let peers = Peers::new(own, cfg.seeds.clone());
         Ok(Rc::new(Cx {
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -12,7 +12,7 @@
 };
 use slog::warn;
 
-use crate::SharedCx;
+use crate::{SharedCx, relay};
 
 /// Limit on the services listed when a route cannot be served.
 const MAX_LISTED_SERVICES: usize = 5;
@@ -34,15 +34,21 @@
     }
 }
 
-/// Evaluates whether any target answers this host.
+/// Evaluates whether any target answers this host, and tells other hosts.
 fn update_reach(cx: &SharedCx, now: Time) {
-    let mut targets = cx.targets.borrow_mut();
-    targets.update_reach(now);
-    let has_lost_targets = targets.has_lost_targets();
-    if cx.has_lost_targets.replace(has_lost_targets) != has_lost_targets {
-        warn!(cx.log, "front: reach of targets changed"; "no_target_answers" => has_lost_targets,
-            "down" => targets.down_count(), "targets" => targets.target_count());
+    let has_lost_targets = {
+        let mut targets = cx.targets.borrow_mut();
+        targets.update_reach(now);
+        targets.has_lost_targets()
+    };
+    if cx.has_lost_targets.replace(has_lost_targets) == has_lost_targets {
+        return;
     }
+    cx.peers.borrow_mut().set_has_lost_targets(has_lost_targets);
+    cx.update_senders();
+    let targets = cx.targets.borrow();
+    warn!(cx.log, "front: reach of targets changed"; "no_target_answers" => has_lost_targets,
+        "down" => targets.down_count(), "targets" => targets.target_count());
 }
 
 fn has_unservable_route(cx: &SharedCx, now: Time) -> bool {
@@ -85,9 +91,18 @@
     entry: &RouteEntry,
     now: Time,
 ) -> Result<(), Unservable> {
-    if let Some(senders) = entry.senders() {
-        return check_senders(cx, entry, senders, now);
+    match entry.senders() {
+        Some(senders) => check_senders(cx, entry, senders, now),
+        None => check_targets(cx, entry, now),
     }
+}
+
+/// Checks that enough services of a route have a reachable target.
+pub(crate) fn check_targets(
+    cx: &SharedCx,
+    entry: &RouteEntry,
+    now: Time,
+) -> Result<(), Unservable> {
     let targets = cx.targets.borrow();
     let cut_off = cx.cut_off.borrow();
     let is_gather = matches!(entry.route.destination, Destination::Gather(_));
@@ -115,6 +130,16 @@
     Err(Unservable { reachable, needed, unreachable })
 }
 
+/// Returns the helpers that a request should be passed on to, as this host cannot serve
+/// it and one of them is expected to.
+pub(crate) fn needed_helpers(cx: &SharedCx, entry: &RouteEntry, now: Time) -> Option<ServiceKey> {
+    let has_lost_targets = cx.has_lost_targets.get();
+    let is_needed = has_lost_targets
+        || check_targets(cx, entry, now).is_err() && !entry.is_refused_by_helpers(now);
+    let helpers = cx.targets.borrow().helpers().filter(|_| is_needed)?;
+    relay::has_responsive_host(cx, entry, helpers).then_some(helpers)
+}
+
 /// Checks that a sender is in reach.
 fn check_senders(
     cx: &SharedCx,
--- a/crates/front/src/peers/wire.rs
+++ b/crates/front/src/peers/wire.rs
@@ -32,6 +32,7 @@
     domain: DomainIndex,
     capacity: u32,
     reads_source: bool,
+    has_lost_targets: bool,
 }
 
 /// Index into [`WireDigest::domains`].
@@ -66,8 +67,8 @@
 
 fn wire_host(domains: &mut Vec<DomainName>, host: &Host) -> WireHost {
     let domain = index_of(domains, &host.domain);
-    let Host { address, capacity, reads_source, .. } = *host;
-    WireHost { address, domain, capacity, reads_source }
+    let Host { address, capacity, reads_source, has_lost_targets, .. } = *host;
+    WireHost { address, domain, capacity, reads_source, has_lost_targets }
 }
 
 fn index_of(domains: &mut Vec<DomainName>, domain: &DomainName) -> DomainIndex {
@@ -94,6 +95,7 @@
                 domain,
                 capacity: it.capacity,
                 reads_source: it.reads_source,
+                has_lost_targets: it.has_lost_targets,
             })
         };
         let hosts = wire.hosts.into_iter().map(|(it, ms)| {
--- a/crates/front/src/relay/answer.rs
+++ b/crates/front/src/relay/answer.rs
@@ -46,6 +46,10 @@
     if cx.is_stopping.get() {
         return Err(Refusal::not_run("this host is stopping", UNAVAILABLE_WAIT, UNAVAILABLE_WAIT));
     }
+    if cx.has_lost_targets.get() {
+        let reason = "no target answers this host";
+        return Err(Refusal::not_run(reason, UNAVAILABLE_WAIT, UNAVAILABLE_WAIT));
+    }
     if cx.version() < relay.version {
         let reason = "an older configuration is in force at the sender";
         return Err(Refusal::not_run(reason, UNAVAILABLE_WAIT, UNAVAILABLE_WAIT));
--- a/crates/front/src/relay/mod.rs
+++ b/crates/front/src/relay/mod.rs
@@ -14,5 +14,5 @@
 pub(crate) use self::{
     answer::answer,
     headers::{Relay, RelayOutcome},
-    pass_on::pass_on,
+    pass_on::{has_responsive_host, pass_on, pass_on_to_helpers},
 };
--- a/crates/front/src/relay/pass_on.rs
+++ b/crates/front/src/relay/pass_on.rs
@@ -18,7 +18,7 @@
         answer::{self, Answer},
         log_line::LogLine,
         refusal::Refusal,
-        request::{UNAVAILABLE_WAIT, implies_not_run, run_query},
+        request::{UNAVAILABLE_WAIT, implies_not_run, run_here},
     },
     scatter::{Collected, scatter},
     targets::{Outgoing, TargetAnswer},
@@ -33,21 +33,62 @@
     request: Outgoing,
     schedule: Schedule,
 ) -> Result<Answer, Refusal> {
-    if !has_sender(cx, entry, senders) {
-        return run_query(cx, entry, request, schedule).await;
+    if !has_responsive_host(cx, entry, senders) {
+        return run_here(cx, entry, request, schedule).await;
     }
+    let (answered, request) = ask(cx, entry, senders, request, schedule).await;
+    match answered {
+        Some(answered) => answered,
+        None => run_here(cx, entry, request.without_relay(), schedule).await,
+    }
+}
+
+/// Same as [`pass_on`] for a request that this host cannot serve itself.
+pub(crate) async fn pass_on_to_helpers(
+    cx: &SharedCx,
+    entry: &RouteEntry,
+    helpers: ServiceKey,
+    request: Outgoing,
+    schedule: Schedule,
+) -> Result<Answer, Refusal> {
+    cx.targets.borrow_mut().expect_like(entry.relay_class, entry.class);
+    let (answered, request) = ask(cx, entry, helpers, request, schedule).await;
+    let is_refusal = match &answered {
+        Some(Ok(answer)) => implies_not_run(answer.status()),
+        Some(Err(refusal)) => implies_not_run(refusal.status),
+        None => true,
+    };
+    if is_refusal {
+        entry.record_refusal_by_helpers(cx.clock.now());
+    }
+    match answered {
+        Some(answered) => answered,
+        None => run_here(cx, entry, request.without_relay(), schedule).await,
+    }
+}
+
+/// Passes a request on to one of `hosts`. Returns its answer, or `None` if none of them
+/// could be reached, and the request.
+async fn ask(
+    cx: &SharedCx,
+    entry: &RouteEntry,
+    hosts: ServiceKey,
+    request: Outgoing,
+    schedule: Schedule,
+) -> (Option<Result<Answer, Refusal>>, Rc<Outgoing>) {
     let transit = cx.relay_transit.borrow().get().unwrap_or_default();
     let relay = Relay { received: schedule.received, version: entry.version, transit };
     let passed_on = cx.clock.now();
     let request = Rc::new(Outgoing { relay: Some(relay), ..request });
     let plan = QueryPlan {
-        shards: vec![senders],
+        shards: vec![hosts],
         min_shards: 1,
         class: entry.relay_class,
-        regions: Vec::new(),
+        // A body goes to no other region than its targets.
+        regions: entry.route.regions.clone(),
         attempts: 1,
         priority: entry.route.priority,
-        // Whether another sender may run it depends on what the first one did.
+        // Whether another host may run it depends on what the first one did.
         is_idempotent: false,
         schedule,
     };
@@ -57,18 +98,19 @@
     let is_unreached = !collected.may_have_run && collected.failure.is_none();
     if is_unreached && collected.verdict == Verdict::GiveUp {
         line.write(cx, StatusCode::SERVICE_UNAVAILABLE);
-        return run_query(cx, entry, request.without_relay(), schedule).await;
+        return (None, request);
     }
     let left = schedule.deadline.until(cx.clock.now());
     let answered = build_answer(collected, left);
     line.write(cx, answered.as_ref().map_or_else(|it| it.status, |it| it.status()));
-    answered
+    (Some(answered), request)
 }
 
-/// Returns whether any sender is expected to answer.
-fn has_sender(cx: &SharedCx, entry: &RouteEntry, senders: ServiceKey) -> bool {
+/// Returns whether any of the hosts is expected to answer.
+pub(crate) fn has_responsive_host(cx: &SharedCx, entry: &RouteEntry, hosts: ServiceKey) -> bool {
+    let regions = &entry.route.regions;
     let request =
-        PlacementRequest { service: senders, class: entry.relay_class, tried: &[], regions: &[] };
+        PlacementRequest { service: hosts, class: entry.relay_class, tried: &[], regions };
     let targets = cx.targets.borrow();
     targets.has_responsive_target(&request, &cx.separated.borrow(), cx.clock.now())
 }
--- a/crates/front/tests/lost_targets.rs
+++ b/crates/front/tests/lost_targets.rs
@@ -6,8 +6,13 @@
 
 use forward::Repeat;
 use socket2::{Domain, Protocol, Socket, Type};
-use support::{Reply, Target, TestHost, announce, done, own_address, run, status, target};
+use support::{
+    Reply, Target, TestHost, announce_as, done, header, not_run, ok, own_address, read_message,
+    relayed, run, status, target,
+};
 use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
     task::spawn_local,
     time::{Instant, sleep},
 };
@@ -61,6 +66,11 @@
 }
 
 async fn fleet(cut: Cut, repeat: Repeat, other: Reply) -> Fleet {
+    fleet_with(cut, repeat, other, false).await
+}
+
+/// Same as `fleet`, with another host that may have lost its targets too.
+async fn fleet_with(cut: Cut, repeat: Repeat, other: Reply, has_lost_targets: bool) -> Fleet {
     let mut host = TestHost::start();
     host.wait_for_hosts(1).await;
     host.single(repeat);
@@ -75,7 +85,7 @@
     let (to, address) = (host.peers, other.address);
     spawn_local(async move {
         loop {
-            announce(to, address).await;
+            announce_as(to, address, has_lost_targets).await;
             sleep(DIGEST_INTERVAL).await;
         }
     });
@@ -109,3 +119,91 @@
         });
     }
 }
+
+/// Sends requests until the host knows that it lost its targets.
+async fn lose_targets(it: &Fleet) {
+    while it.host.gauge("front_has_lost_targets").await != Some(1) {
+        it.host.get("/all/x").await;
+        it.host.get("/one/x").await;
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[test]
+fn a_request_that_another_host_may_have_run_is_not_run_again() {
+    run(async {
+        let lost = Reply::Bytes(relayed("502 Bad Gateway", "may-have-run", ""));
+        let it = fleet(Cut::Refuses, Repeat::AtMostOnce, lost).await;
+        lose_targets(&it).await;
+        let before = it.other.requests();
+        assert_eq!(status(&it.host.get("/one/x").await), 502);
+        assert_eq!(it.other.requests(), before + 1);
+    });
+}
+
+#[test]
+fn a_request_that_no_host_can_serve_is_refused_at_once() {
+    run(async {
+        let it = fleet_with(Cut::Refuses, Repeat::Idempotent, done("yes"), true).await;
+        lose_targets(&it).await;
+        let (before, started) = (it.other.requests(), Instant::now());
+        for path in ["/one/x", "/all/x"] {
+            let answer = it.host.get(path).await;
+            assert_eq!(status(&answer), 503);
+            assert!(header(&answer, "retry-after").is_some());
+        }
+        assert!(started.elapsed() < Duration::from_millis(200), "{:?}", started.elapsed());
+        assert_eq!(it.other.requests(), before, "it was not asked");
+    });
+}
+
+/// Targets in trouble cost other hosts one request a second of each route.
+#[test]
+fn hosts_that_cannot_serve_a_request_either_are_not_asked_each_time() {
+    run(async {
+        let it = fleet(Cut::Refuses, Repeat::Idempotent, not_run()).await;
+        // Another target answers, so this host has not lost its targets.
+        let well = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        it.host.list("s", "t-well", &well);
+        let started = Instant::now();
+        let mut sent = 0;
+        while started.elapsed() < Duration::from_millis(1_500) {
+            it.host.get("/one/x").await;
+            assert_eq!(status(&it.host.get("/all/x").await), 503);
+            sent += 1;
+            sleep(Duration::from_millis(10)).await;
+        }
+        let asked = it.other.received.borrow().iter().filter(|it| it.contains("/all/x")).count();
+        assert!(sent > 20 && (1..=3).contains(&asked), "{asked} of {sent}");
+    });
+}
+
+#[test]
+fn a_host_serves_requests_itself_again_once_a_target_is_in_reach() {
+    run(async {
+        let it = fleet(Cut::Refuses, Repeat::Idempotent, done("passed on")).await;
+        lose_targets(&it).await;
+        assert_eq!(status(&it.host.get("/one/x").await), 200);
+        let back = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        it.host.list("s", "t-s", &back);
+        while back.requests() == 0 {
+            assert_eq!(status(&it.host.get("/one/x").await), 200);
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+#[test]
+fn a_host_that_lost_its_targets_refuses_requests_of_other_hosts_as_not_run() {
+    run(async {
+        let it = fleet(Cut::Refuses, Repeat::Idempotent, done("yes")).await;
+        lose_targets(&it).await;
+        let mut stream = TcpStream::connect(it.host.peers).await.expect("connected");
+        let request = "GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q1\r\nrelay-age-us: 0\r\n\
+                       relay-version: 1\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.expect("written");
+        let answer = read_message(&mut stream).await.unwrap_or_default();
+        assert_eq!(status(&answer), 503);
+        assert_eq!(header(&answer, "relay-outcome").as_deref(), Some("not-run"));
+    });
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -407,14 +407,22 @@
     }
 }
 
+/// A host in a digest.
+type WireHost = (SocketAddr, u16, u32, bool, bool);
+
 /// Capacity of a scripted host.
 const LARGE: u32 = 1_000;
 
 /// Tells the host at `to` of a sender at `address`, by one digest.
 pub async fn announce(to: SocketAddr, address: SocketAddr) {
+    announce_as(to, address, false).await;
+}
+
+/// Same as `announce`, for a host that may have lost its targets.
+pub async fn announce_as(to: SocketAddr, address: SocketAddr, has_lost_targets: bool) {
     let none: [(u16, u64); 0] = [];
-    let no_hosts: [((SocketAddr, u16, u32, bool), u64); 0] = [];
-    let from = (address, 0_u16, LARGE, false);
+    let no_hosts: [(WireHost, u64); 0] = [];
+    let from = (address, 0_u16, LARGE, false, has_lost_targets);
     let digest = (from, 0_u64, ["local"].to_vec(), no_hosts.to_vec(), none.to_vec(), none.to_vec());
     let mut bytes = postcard::to_stdvec(&digest).expect("encoded");
     bytes.push(u8::from(false));
