End requests whose answers a host cannot get any more

Cause: requests for one target that were in flight when a host lost all its targets were held until their deadline (3 to 5 s), though their answers could not arrive and other hosts could have served them. Callers saw a timeout, without time to repeat.

Change: once no target has answered a host for 1.2 s and other hosts say that they reach theirs, requests that may be repeated end, and their callers can repeat them at another host. Others wait, as before, and so do all where no host reaches targets.

--- a/crates/forward/src/gather/mod.rs
+++ b/crates/forward/src/gather/mod.rs
@@ -180,9 +180,14 @@
     /// Has no effect on a request to a single shard: its target may still be
     /// working on it.
     pub fn mark_unresponsive(&mut self, index: usize) {
-        if self.parts.len() > 1
-            && let PartState::Sent { in_flight } = self.parts[index].state
-        {
+        if self.parts.len() > 1 {
+            self.mark_answer_lost(index);
+        }
+    }
+
+    /// Marks a part whose targets may work on it, but whose answer does not arrive.
+    pub fn mark_answer_lost(&mut self, index: usize) {
+        if let PartState::Sent { in_flight } = self.parts[index].state {
             self.parts[index].state = PartState::Unresponsive { in_flight };
         }
     }
--- a/crates/forward/src/placement/reach.rs
+++ b/crates/forward/src/placement/reach.rs
@@ -20,6 +20,10 @@
 /// Time for which this must hold: a host that was frozen has answers to read first.
 const CONFIRMED_AFTER: Duration = Duration::from_millis(150);
 
+/// Time after which answers count as lost. Other hosts that lost their targets too have
+/// told so by then.
+const ANSWERS_LOST_AFTER: Duration = Duration::from_millis(1_200);
+
 /// What this host knows of its reach.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Reach {
@@ -49,11 +53,22 @@
         self.reach.is_lost
     }
 
+    /// Returns whether answers that are still due need not be waited for: no target
+    /// has answered this host for some time, and others say that they reach theirs.
+    pub fn are_answers_lost(&self, now: Time) -> bool {
+        let since = self.reach.silent_since.filter(|_| self.reach.is_lost);
+        let has_helpers = self.helpers.is_some_and(|it| !self.services[it.0].targets.is_empty());
+        has_helpers && since.is_some_and(|at| now.since(at) >= ANSWERS_LOST_AFTER)
+    }
+
     /// Evaluates whether any target answers this host; returns whether that changed.
     pub fn update_reach(&mut self, now: Time) -> bool {
         let before = self.reach.is_lost;
         let is_recent = self.reach.last_sign.is_some_and(|at| now.since(at) <= SILENT_FOR);
-        if before || is_recent || !self.are_targets_silent(now) {
+        if before {
+            return false;
+        }
+        if is_recent || !self.are_targets_silent(now) {
             self.reach.silent_since = None;
             return false;
         }
--- a/crates/forward/src/query/mod.rs
+++ b/crates/forward/src/query/mod.rs
@@ -320,6 +320,10 @@
             if is_sent && self.tried[index].iter().all(|it| targets.is_unresponsive(*it, now)) {
                 self.gather.mark_unresponsive(index);
             }
+            // The caller may repeat it at another host.
+            if is_sent && self.plan.is_idempotent && targets.are_answers_lost(now) {
+                self.gather.mark_answer_lost(index);
+            }
         }
     }
 
--- a/crates/forward/tests/reach.rs
+++ b/crates/forward/tests/reach.rs
@@ -4,8 +4,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use assert_matches::assert_matches;
 use base::{DomainName, HashMap};
-use forward::{helpers, peers::Host, placement::Send, senders::Senders, target::SendResult};
+use forward::{
+    Verdict, helpers, peers::Host, placement::Send, senders::Senders, target::SendResult,
+};
 
 use services::{ServicesFixture, at};
 
@@ -144,7 +147,32 @@
     assert_eq!(all_lost.count(), choose(&well).count());
 }
 
-/// Time of answers of hosts that help says nothing about targets.
+/// A request that is sent when the targets fall silent.
+fn verdict_of_silent_request(is_idempotent: bool, has_helper: bool, until: u64) -> Verdict {
+    let mut it = ServicesFixture::new(1, 2);
+    let (own, other) = (host(1, "a", false), host(2, "a", !has_helper));
+    it.targets.update_senders(&own, &[own.clone(), other], &[], at(0));
+    let mut query = it.query(1, is_idempotent, 10_000, at(1_000));
+    query.place(&mut it.targets, 0, at(1_000));
+    it.send(0, at(1_000));
+    let mut verdict = Verdict::Wait(at(1_000));
+    for ms in (1_000..=until).step_by(100) {
+        it.targets.update_reach(at(ms));
+        verdict = query.poll(&mut it.targets, at(ms)).1;
+    }
+    verdict
+}
+
+#[test]
+fn requests_in_flight_end_when_their_answers_are_lost_and_callers_are_served_elsewhere() {
+    assert_eq!(verdict_of_silent_request(true, true, 4_000), Verdict::GiveUp);
+    // Others may have lost their targets too, and have not said so yet.
+    assert_matches!(verdict_of_silent_request(true, true, 2_000), Verdict::Wait(_));
+    assert_matches!(verdict_of_silent_request(true, false, 4_000), Verdict::Wait(_));
+    assert_matches!(verdict_of_silent_request(false, true, 4_000), Verdict::Wait(_));
+}
+
+/// Answers of hosts that help say nothing about targets.
 #[test]
 fn answers_of_other_hosts_are_no_sign_of_targets() {
     let (mut it, _) = waiting_host();
