Keep stated limits of any size

Cause: found on reading the change: a target that names a limit of 1e300 requests a second made the time between two of them zero, and the division by it panicked. One answer of a target could end the daemon.

Change: limits beyond a million a second count as that, and the time between two requests is a microsecond at least.

Measured: a_limit_of_any_size_can_be_kept failed before with a panic (cannot convert float seconds to Duration), passes after.

Conclusion: no value in the header harms the host.

--- a/crates/forward/src/target/stated_limit.rs
+++ b/crates/forward/src/target/stated_limit.rs
@@ -25,6 +25,10 @@
 /// the limit ends.
 const MIN_PER_SECOND: f64 = 0.1;
 
+/// Limits beyond what time can resolve limit nothing.
+const MAX_PER_SECOND: f64 = 1e6;
+const MIN_SPACING: Duration = Duration::from_micros(1);
+
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StatedLimit {
     per_second: f64,
@@ -89,6 +93,7 @@
     fn spacing(&self, share: f64, now: Time) -> Duration {
         let since_end = self.ended_at.map_or(Duration::ZERO, |at| now.since(at));
         let rise = (since_end.as_secs_f64() / DOUBLES_IN.as_secs_f64()).exp2();
-        Duration::from_secs_f64(1.0 / (self.per_second.max(MIN_PER_SECOND) * share * rise))
+        let per_second = self.per_second.clamp(MIN_PER_SECOND, MAX_PER_SECOND);
+        Duration::from_secs_f64(1.0 / (per_second * share * rise)).max(MIN_SPACING)
     }
 }
--- a/crates/forward/tests/stated_limits.rs
+++ b/crates/forward/tests/stated_limits.rs
@@ -161,6 +161,17 @@
     assert!((1..=3).contains(&send_all(&mut it, 1_000, 26_000)));
 }
 
+#[test]
+fn a_limit_of_any_size_can_be_kept() {
+    for per_second in [f64::MIN_POSITIVE, 1e-9, 1e9, 1e300, f64::MAX] {
+        let (mut it, _) = limited(per_second);
+        it.targets.set_hosts(2_000);
+        let sends = send_all(&mut it, 2_000, 2_100);
+        assert_eq!(sends, if per_second > 1.0 { 100 } else { 0 }, "{per_second}");
+        assert!(it.targets.limit_wait(it.service, &[], at(3_000)) < Duration::from_secs(86_400));
+    }
+}
+
 #[test]
 fn requests_beyond_a_limit_go_to_another_target() {
     let (mut it, one) = limited(2.0);
