Take the answer of another target at an address as a sign of targets

Cause: found on reading the change: an answer that another target has the address did not count as a sign, so a host whose targets' addresses were all used again could take its targets for lost.

Change: it counts.

Measured: one_answer_shows_that_targets_are_in_reach, with that result added, failed before and passes after.

Conclusion: what answers is in reach, whoever it is.

--- a/crates/forward/src/placement/reach.rs
+++ b/crates/forward/src/placement/reach.rs
@@ -40,7 +40,11 @@
     }
 
     pub(super) fn record_result(&mut self, result: SendResult, now: Time) {
-        if matches!(result, SendResult::Answered | SendResult::Shed | SendResult::Failed) {
+        let is_answer = matches!(
+            result,
+            SendResult::Answered | SendResult::Shed | SendResult::Failed | SendResult::Misdirected
+        );
+        if is_answer {
             self.record_sign(now);
         }
     }
@@ -61,13 +65,13 @@
         has_helpers && since.is_some_and(|at| now.since(at) >= ANSWERS_LOST_AFTER)
     }
 
-    /// Evaluates whether any target answers this host; returns whether that changed.
+    /// Evaluates whether any target answers this host; returns whether the targets are
+    /// lost as of now. The loss ends with the first sign of a target.
     pub fn update_reach(&mut self, now: Time) -> bool {
-        let before = self.reach.is_lost;
-        let is_recent = self.reach.last_sign.is_some_and(|at| now.since(at) <= SILENT_FOR);
-        if before {
+        if self.reach.is_lost {
             return false;
         }
+        let is_recent = self.reach.last_sign.is_some_and(|at| now.since(at) <= SILENT_FOR);
         if is_recent || !self.are_targets_silent(now) {
             self.reach.silent_since = None;
             return false;
--- a/crates/forward/tests/reach.rs
+++ b/crates/forward/tests/reach.rs
@@ -56,7 +56,9 @@
 
 #[test]
 fn one_answer_shows_that_targets_are_in_reach() {
-    for result in [SendResult::Answered, SendResult::Shed, SendResult::Failed] {
+    for result in
+        [SendResult::Answered, SendResult::Shed, SendResult::Failed, SendResult::Misdirected]
+    {
         let (mut it, sends) = waiting_host();
         assert!(!is_lost(&mut it, 1_000, 1_400));
         it.targets.finish_send(&sends[0], at(1_450), result);
