Tell peers since when a target is no longer listed

Cause: a host that does not follow the source learns the list from a peer. A target missing from it counted as leaving from then on, though the peer had known for up to 1.3 s. Trace: the target leaves at 19.747 s, host c-1 learned the list at 19.671 and again at 20.872 s, and used the target until 22.78 s (2.4 s are allowed). Class: the age of a fact is lost where it is passed on. Ruled out: the list read from the source at 21.4 s; the target had its mark by then, which is not moved. Change: a host's state for peers names the targets that it knows to be unlisted and for how long. The learner counts from then on, also if it marked the target itself later. A state without the field (older version) is read as before. Test: a_target_that_left_is_not_used_longer_by_a_host_that_learns_it_late, with a scripted source in the test support; failed before (answered 200 where no target is left).

--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -137,6 +137,14 @@
         })
     }
 
+    /// Returns the targets that the platform no longer lists, with the time for which
+    /// that has been known.
+    pub fn unlisted(&self, now: Time) -> impl Iterator<Item = (&TargetName, Duration)> {
+        let targets = self.targets.iter().filter(|(key, _)| !self.is_host(**key));
+        let unlisted = targets.map(|(_, it)| it).filter(|it| !it.is_gone() && it.is_unlisted());
+        unlisted.filter_map(move |it| Some((&it.report.name, now.since(it.leaving_since()?))))
+    }
+
     pub fn target_count(&self) -> usize {
         self.target_keys.values().filter(|it| !self.is_host(**it)).count()
     }
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -120,9 +120,10 @@
         self.has_unknown_leave_time
     }
 
-    /// Records that the platform no longer lists the target.
-    pub fn mark_unlisted(&mut self, now: Time) {
-        self.leaving_since.get_or_insert(now);
+    /// Records that the platform no longer lists the target, since `since` at the
+    /// latest.
+    pub fn mark_unlisted(&mut self, since: Time) {
+        self.leaving_since = Some(self.leaving_since.map_or(since, |it| it.min(since)));
     }
 
     /// Excludes the target from all further sends, as another has its place.
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -72,7 +72,7 @@
 const IMMEDIATE_ANSWER: Duration = Duration::from_millis(400);
 
 /// Follows `feed` for as long as the process lives.
-pub(crate) async fn follow(cx: SharedCx, source: Rc<impl Source>, feed: Feed) {
+pub async fn follow(cx: SharedCx, source: Rc<impl Source>, feed: Feed) {
     wait_for_peers(&cx).await;
     let mut state = FollowState::new(jitter(&cx));
     loop {
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -120,6 +120,10 @@
     let names: HashSet<TargetName> = reports.iter().map(|it| it.name.clone()).collect();
     reports.into_iter().for_each(|it| cx.update_target_late(it));
     if state.follows_source {
+        for it in state.unlisted {
+            let (name, unlisted_for) = it.into();
+            cx.unlist_target(&name, unlisted_for);
+        }
         cx.retain_listed(&names);
     } else if !names.is_empty() {
         cx.mark_targets_known();
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -10,7 +10,7 @@
 use slog::warn;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::wire::{WireConfiguration, WireState, WireTarget};
+use super::wire::{WireConfiguration, WireState, WireTarget, WireUnlisted};
 use crate::{
     SharedCx,
     callers::accept,
@@ -67,6 +67,7 @@
                 .listed_reports(cx.clock.now())
                 .map(|it| WireTarget::from(&it))
                 .collect(),
+            unlisted: targets.unlisted(cx.clock.now()).map(WireUnlisted::from).collect(),
             evacuated: targets.evacuated().iter().map(ToString::to_string).collect(),
         })
     };
--- a/crates/front/src/state/wire.rs
+++ b/crates/front/src/state/wire.rs
@@ -17,9 +17,19 @@
     /// Whether the sender follows the targets feed at the source.
     pub follows_source: bool,
     pub targets: Vec<WireTarget>,
+    /// Targets that the source lists no more; none from a host of an older version.
+    #[serde(default)]
+    pub unlisted: Vec<WireUnlisted>,
     pub evacuated: Vec<String>,
 }
 
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct WireUnlisted {
+    name: String,
+    unlisted_for_ms: u64,
+}
+
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct WireConfiguration {
@@ -206,6 +216,18 @@
     }
 }
 
+impl From<(&TargetName, Duration)> for WireUnlisted {
+    fn from((name, unlisted_for): (&TargetName, Duration)) -> Self {
+        WireUnlisted { name: name.to_string(), unlisted_for_ms: ms(unlisted_for) }
+    }
+}
+
+impl From<WireUnlisted> for (TargetName, Duration) {
+    fn from(wire: WireUnlisted) -> Self {
+        (TargetName::from(wire.name), Duration::from_millis(wire.unlisted_for_ms))
+    }
+}
+
 impl From<&TargetReport> for WireTarget {
     fn from(report: &TargetReport) -> Self {
         WireTarget {
--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
-use std::{io::ErrorKind, time::Duration};
+use std::{io::ErrorKind, rc::Rc, time::Duration};
 
 use forward::Repeat;
-use support::{Reply, TestHost, body, ok, own_address, read_message, run, status, target};
+use support::{
+    Reply, TestHost, body, ok, own_address, read_message, report, run, source::ScriptedSource,
+    status, target,
+};
 use tokio::{io::AsyncWriteExt, task::JoinSet, time::sleep};
 
 #[test]
@@ -26,12 +29,43 @@
         assert_eq!((status(&answer), body(&answer)), (200, "yes"));
         // A later version is learned too.
         informed.gather(1.0);
-        while learner.cx.version() < 2 {
-            sleep(Duration::from_millis(20)).await;
-        }
+        wait_for_version(&learner, 2).await;
+    });
+}
+
+/// A target that left is used for a second. Where a host learns of it from a peer, that
+/// second counts from when the peer got to know it.
+#[test]
+fn a_target_that_left_is_not_used_longer_by_a_host_that_learns_it_late() {
+    run(async {
+        let one = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let (first, second) = (own_address(), own_address());
+        let mut informed = TestHost::start_with_seeds(first, vec![second]);
+        informed.single(Repeat::Idempotent);
+        let source = Rc::new(ScriptedSource::default());
+        source.list(report("s", "t1", one.address));
+        source.list(report("other", "t2", one.address));
+        informed.follow_targets(&source);
+        let learner = TestHost::start_with_seeds(second, vec![first]);
+        wait_for_version(&learner, 1).await;
+        assert_eq!(status(&learner.get("/one/x").await), 200);
+        // The learner has just asked, so it asks again after a second, or for a later
+        // version.
+        source.remove("t1");
+        sleep(Duration::from_millis(950)).await;
+        informed.gather(1.0);
+        wait_for_version(&learner, 2).await;
+        sleep(Duration::from_millis(100)).await;
+        assert_ne!(status(&learner.get("/one/x").await), 200);
     });
 }
 
+async fn wait_for_version(host: &TestHost, version: u64) {
+    while host.cx.version() < version {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// When another host appears, this host's share of a target's connections
 /// shrinks. Connections beyond the share must be closed as they become idle.
 #[test]
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -3,6 +3,8 @@
 //! Test support: a host's forwarding tier on loopback, with scripted targets
 //! and callers that write raw bytes.
 
+pub mod source;
+
 use std::{
     cell::{Cell, RefCell},
     future::Future,
@@ -21,7 +23,10 @@
     CallerLimits, Configuration, Destination, Lifecycle, Repeat, Route, Service, TargetReport,
     route::GatherSpec,
 };
-use front::{Cx, FrontSettingsBuilder, HeaderNames, SharedCx};
+use front::{
+    Cx, FrontSettingsBuilder, HeaderNames, SharedCx,
+    follow::{Feed, follow},
+};
 use http::HeaderName;
 use slog::{Discard, Logger, o};
 use tokio::{
@@ -32,6 +37,8 @@
     time::{sleep, timeout},
 };
 
+use self::source::ScriptedSource;
+
 /// Port of the addresses returned by `own_address`.
 const PORT: u16 = 8_100;
 
@@ -291,18 +298,12 @@
     }
 
     pub fn list_at(&self, service: &str, name: &str, address: SocketAddr) {
-        let report = TargetReport {
-            name: TargetName::new(name),
-            born: None,
-            sequence: 1,
-            service: ServiceName::new(service),
-            address,
-            domain: DomainName::new("local"),
-            slots: 4,
-            lifecycle: Lifecycle::Ready,
-            cold_for: Duration::ZERO,
-        };
-        self.cx.update_target(report, Duration::ZERO);
+        self.cx.update_target(report(service, name, address), Duration::ZERO);
+    }
+
+    /// Follows the targets of `source`.
+    pub fn follow_targets(&self, source: &Rc<ScriptedSource>) {
+        spawn_local(follow(self.cx.clone(), source.clone(), Feed::Targets));
     }
 
     /// Adds a route and applies the resulting configuration.
@@ -407,6 +408,20 @@
     }
 }
 
+pub fn report(service: &str, name: &str, address: SocketAddr) -> TargetReport {
+    TargetReport {
+        name: TargetName::new(name),
+        born: None,
+        sequence: 1,
+        service: ServiceName::new(service),
+        address,
+        domain: DomainName::new("local"),
+        slots: 4,
+        lifecycle: Lifecycle::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
+
 /// A host in a digest.
 type WireHost = (SocketAddr, u16, u32, bool, bool);
 
--- /dev/null
+++ b/crates/front/tests/support/source.rs
@@ -0,0 +1,85 @@
+//! A source whose targets a test lists and removes, and which may be out of reach.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
+
+use base::TargetName;
+use forward::TargetReport;
+use front::follow::{Batch, Feed, Item, Source, SourceError};
+use tokio::{sync::Notify, time::timeout};
+
+#[derive(Debug)]
+#[derive(Default)]
+pub struct ScriptedSource {
+    targets: RefCell<Vec<TargetReport>>,
+    /// The change of each revision.
+    changes: RefCell<Vec<Item>>,
+    is_unreachable: Cell<bool>,
+    changed: Notify,
+    answers: Cell<usize>,
+}
+
+impl ScriptedSource {
+    pub fn list(&self, report: TargetReport) {
+        self.targets.borrow_mut().push(report.clone());
+        self.change(Item::Target(report));
+    }
+
+    pub fn remove(&self, name: &str) {
+        self.targets.borrow_mut().retain(|it| it.name.as_str() != name);
+        self.change(Item::TargetRemoved(TargetName::new(name)));
+    }
+
+    /// Ends the calls that wait, and fails all others until it is reachable again.
+    pub fn set_unreachable(&self, is_unreachable: bool) {
+        self.is_unreachable.set(is_unreachable);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the number of calls answered.
+    pub fn answers(&self) -> usize {
+        self.answers.get()
+    }
+
+    fn change(&self, item: Item) {
+        self.changes.borrow_mut().push(item);
+        self.changed.notify_waiters();
+    }
+
+    fn revision(&self) -> u64 {
+        self.changes.borrow().len() as u64
+    }
+
+    fn check_reachable(&self) -> Result<(), SourceError> {
+        if self.is_unreachable.get() {
+            return Err(SourceError::Unavailable("refused".to_owned()));
+        }
+        self.answers.set(self.answers.get() + 1);
+        Ok(())
+    }
+}
+
+impl Source for ScriptedSource {
+    async fn read(&self, _feed: Feed) -> Result<Batch, SourceError> {
+        self.check_reachable()?;
+        let items = self.targets.borrow().iter().cloned().map(Item::Target).collect();
+        Ok(Batch { items, revision: self.revision(), age: None })
+    }
+
+    async fn changes(
+        &self,
+        _feed: Feed,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Batch, SourceError> {
+        let changed = self.changed.notified();
+        if self.revision() == revision && !self.is_unreachable.get() {
+            let _ = timeout(wait, changed).await;
+        }
+        self.check_reachable()?;
+        let items = self.changes.borrow()[revision as usize..].to_vec();
+        Ok(Batch { items, revision: self.revision(), age: None })
+    }
+}
