Count the age of a change over the gap in which a host missed it

Cause: the age of changes was counted from when the source was followed again, not from its last answer before the gap, and targets missing from a list read after a gap counted as leaving from then on. After a gap of 1.5 s a target that had left at its start was used 1.5 s too long. Change: forward::feed knows up to when a host knows all changes of a feed, over failed calls, dropped history and other origins. Changes and lists count from then on. After a gap of more than the time for which a leaving target is a fallback, entries may have lapsed with the source away for all: removed ones count from now, as before, and one that is said to drain gets nothing more. A host's state for peers has the age of its list. Left: a reader tells its followers no age of a whole list, and up to a second of its own lag (0.25 s with cold targets) is not counted.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,6 +6,7 @@
 //! argument. HTTP, header names and sockets are in `front`.
 
 pub mod budget;
+pub mod feed;
 pub mod gather;
 pub mod helpers;
 pub mod isolation;
@@ -23,6 +24,7 @@
 
 pub use crate::{
     budget::RetryBudget,
+    feed::FeedProgress,
     gather::{Gather, Verdict},
     latency::LatencyQuantile,
     placement::{Placement, Targets},
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -85,8 +85,8 @@
         }
     }
 
-    /// Marks all targets whose names are not in `listed` as unlisted.
-    pub fn retain_listed(&mut self, listed: &HashSet<TargetName>, now: Time) {
+    /// Marks all targets whose names are not in `listed` as unlisted since `since`.
+    pub fn retain_listed(&mut self, listed: &HashSet<TargetName>, since: Time) {
         let is_missing = |name: &TargetName, key| !listed.contains(name) && !self.is_host(key);
         let missing: Vec<TargetName> = self
             .target_keys
@@ -95,7 +95,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in missing {
-            self.mark_unlisted(&name, now);
+            self.mark_unlisted(&name, since);
         }
     }
 
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -181,6 +181,11 @@
         self.limits = limits;
     }
 
+    /// Returns the time for which a target that leaves is used as a fallback.
+    pub fn leaving_for(&self) -> Duration {
+        self.limits.leaving_for
+    }
+
     /// Sets the number of hosts that share each target's limits, including this one.
     /// Until this is called, a single connection to each target is used.
     pub fn set_hosts(&mut self, hosts: usize) {
--- /dev/null
+++ b/crates/forward/tests/feeds.rs
@@ -0,0 +1,58 @@
+//! How old a change may be that a host hears of after a gap.
+
+mod fixture;
+
+use std::time::Duration;
+
+use base::HashSet;
+use fixture::{Fixture, LEAVING_FOR, at, report};
+use forward::{FeedProgress, Placement};
+
+/// Largest age of a change heard of at `now_ms`, in milliseconds.
+fn age(progress: FeedProgress, now_ms: u64) -> Option<u64> {
+    progress.max_age(LEAVING_FOR, at(now_ms)).map(|it| it.as_millis() as u64)
+}
+
+#[test]
+fn a_change_is_as_old_as_the_gap_in_which_it_was_missed() {
+    let mut it = FeedProgress::default();
+    assert_eq!(age(it, 100), None);
+    it.record_complete(at(100));
+    // An answer at once, and one to a call that waited.
+    it.record_call(at(1_000));
+    assert_eq!(age(it, 1_005), Some(905));
+    assert_eq!(age(it, 1_700), Some(0));
+    it.record_complete(at(1_700));
+    // The next call fails; what a later one brings may have been made at any time
+    // since.
+    it.record_call(at(1_700));
+    it.record_failure();
+    it.record_call(at(3_000));
+    assert_eq!(age(it, 3_010), Some(1_310));
+    // An older list, learned elsewhere, takes nothing back.
+    it.record_complete(at(900));
+    assert_eq!(age(it, 3_010), Some(1_310));
+}
+
+/// After a gap that is longer, missing entries may have lapsed with the source away.
+#[test]
+fn nothing_is_known_of_the_age_of_changes_after_a_long_gap() {
+    let mut it = FeedProgress::default();
+    it.record_complete(at(1_000));
+    let last = 1_000 + LEAVING_FOR.as_millis() as u64;
+    assert!(age(it, last).is_some());
+    assert_eq!(age(it, last + 1), None);
+}
+
+#[test]
+fn a_target_missing_from_a_list_is_used_no_longer_than_one_that_was_seen_to_leave() {
+    let mut it = Fixture::new(None);
+    it.targets.apply_report(report("one", "a"), at(0));
+    let since = at(5_000).ago(Duration::from_millis(700));
+    it.targets.retain_listed(&HashSet::default(), since);
+    assert!(matches!(it.place(since + LEAVING_FOR), Placement::Send(_)));
+    assert_eq!(it.place(since + LEAVING_FOR + Duration::from_millis(1)), Placement::NoTarget);
+    // A later list does not extend the time.
+    it.targets.retain_listed(&HashSet::default(), at(6_000));
+    assert_eq!(it.place(at(6_500)), Placement::NoTarget);
+}
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use base::{DomainName, HashSet, TargetName};
+use base::{DomainName, HashSet, TargetName, Time};
 use forward::{
     CallerLimits, Configuration, LatencyQuantile, RouteTable, TargetReport, Targets,
     peers::{Host, Peers},
@@ -21,7 +21,7 @@
 
 use crate::{
     Clock, FrontSettings,
-    follow::ChangeLogs,
+    follow::{ChangeLogs, Feed},
     scatter::{Event, Waiter},
     targets::Pools,
 };
@@ -175,15 +175,21 @@
         self.targets.borrow_mut().apply_change(report, age, self.clock.now());
     }
 
-    /// Marks the target as no longer listed by the platform, as of `age` ago.
-    pub(crate) fn unlist_target(&self, name: &TargetName, age: Duration) {
-        self.targets.borrow_mut().mark_unlisted(name, self.clock.now().ago(age));
+    /// Marks the target as no longer listed by the platform, since `since` at the
+    /// latest.
+    pub(crate) fn unlist_target(&self, name: &TargetName, since: Time) {
+        self.targets.borrow_mut().mark_unlisted(name, since);
     }
 
     /// Applies a complete list of targets: all others are marked as no longer
-    /// listed.
+    /// listed, since the previous list unless that is long ago.
     pub fn retain_listed(&self, listed: &HashSet<TargetName>) {
-        self.targets.borrow_mut().retain_listed(listed, self.clock.now());
+        let now = self.clock.now();
+        let mut targets = self.targets.borrow_mut();
+        let progress = self.change_logs.of(Feed::Targets).progress();
+        let age = progress.max_age(targets.leaving_for(), now).unwrap_or_default();
+        targets.retain_listed(listed, now.ago(age));
+        drop(targets);
         self.mark_targets_known();
     }
 
--- a/crates/front/src/follow/change_log.rs
+++ b/crates/front/src/follow/change_log.rs
@@ -7,6 +7,7 @@
 };
 
 use base::Time;
+use forward::FeedProgress;
 use tokio::sync::{Notify, futures::Notified};
 
 use super::{Batch, Feed, Item};
@@ -14,7 +15,7 @@
 /// Limit of items kept. A host that follows has read more recent ones.
 const MAX_ITEMS: usize = 4_096;
 
-/// The change logs of all feeds.
+/// What this host has got of all feeds.
 #[derive(Debug)]
 #[derive(Default)]
 pub(crate) struct ChangeLogs {
@@ -28,6 +29,7 @@
     state: RefCell<State>,
     /// Whether this host reads the feed at the source.
     is_live: Cell<bool>,
+    progress: Cell<FeedProgress>,
     changed: Notify,
 }
 
@@ -108,6 +110,16 @@
         self.is_live.get()
     }
 
+    pub(crate) fn progress(&self) -> FeedProgress {
+        self.progress.get()
+    }
+
+    pub(crate) fn update_progress(&self, update: impl FnOnce(&mut FeedProgress)) {
+        let mut progress = self.progress.get();
+        update(&mut progress);
+        self.progress.set(progress);
+    }
+
     pub(super) fn revision(&self) -> u64 {
         self.state.borrow().revision
     }
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -23,7 +23,7 @@
     time::Duration,
 };
 
-use base::{HashSet, TargetName, Time};
+use base::{HashSet, TargetName};
 use forward::{peers::DIGEST_INTERVAL, readers::Origin};
 use rustc_hash::FxHasher;
 use tokio::time::{Instant, sleep, timeout};
@@ -67,10 +67,6 @@
 const MIN_JITTER: f64 = 0.7;
 const MAX_JITTER: f64 = 1.3;
 
-/// A call answered sooner than this did not wait for its changes: they may
-/// have been made at any time since the previous answer.
-const IMMEDIATE_ANSWER: Duration = Duration::from_millis(400);
-
 /// Follows `feed` for as long as the process lives.
 pub async fn follow(cx: SharedCx, source: Rc<impl Source>, feed: Feed) {
     wait_for_peers(&cx).await;
@@ -89,6 +85,7 @@
                 continue;
             }
         };
+        record_progress(&cx, feed, &ended);
         match ended {
             Ended::Superseded => state.record_end(),
             Ended::Failed(err) => state.record_failure(&cx, feed, origin, &err).await,
@@ -113,6 +110,19 @@
     Failed(SourceError),
 }
 
+/// Records up to when the feed's changes are known as an origin is no longer followed.
+fn record_progress(cx: &SharedCx, feed: Feed, ended: &Ended) {
+    let now = cx.clock.now();
+    cx.change_logs.of(feed).update_progress(|it| match ended {
+        Ended::Superseded | Ended::Failed(SourceError::HistoryGone) => {
+            if let Some(until) = it.complete_until(now) {
+                it.record_complete(until);
+            }
+        }
+        Ended::Failed(_) => it.record_failure(),
+    });
+}
+
 /// Reads the feed if necessary, then applies changes until a call fails or another
 /// origin is to be followed.
 async fn follow_origin(
@@ -122,14 +132,17 @@
     origin: Origin,
     state: &mut FollowState,
 ) -> Ended {
+    let log = cx.change_logs.of(feed);
     if state.revision.is_none() {
+        let called = cx.clock.now();
         let batch = match read(source, feed).await {
             Ok(batch) => batch,
             Err(err) => return Ended::Failed(err),
         };
         state.revision = Some(batch.revision);
-        cx.change_logs.of(feed).restart(batch.revision);
+        log.restart(batch.revision);
         apply_all(cx, feed, batch);
+        log.update_progress(|it| it.record_complete(called));
     }
     state.record_success(cx, feed, origin);
     feed.is_followed(cx).set(true);
@@ -181,19 +194,19 @@
         Origin::Host(_) => (HOST_CHANGES_WAIT, HOST_CHANGES_SLACK),
         Origin::Source | Origin::None => (CHANGES_WAIT, CHANGES_SLACK),
     };
-    let mut last_answer = cx.clock.now();
+    let log = cx.change_logs.of(feed);
     loop {
-        let called = cx.clock.now();
+        log.update_progress(|it| it.record_call(cx.clock.now()));
         let after = revision.unwrap_or_default();
         match timeout(wait + slack, source.changes(feed, after, wait)).await {
             Ok(Ok(changes)) => {
                 let next = after.max(changes.revision);
                 let now = cx.clock.now();
-                let age =
-                    changes.age.unwrap_or_else(|| max_age_of_changes(last_answer, called, now));
-                last_answer = now;
+                let limit = cx.targets.borrow().leaving_for();
+                let age = changes.age.or_else(|| log.progress().max_age(limit, now));
+                log.update_progress(|it| it.record_complete(now));
                 *revision = Some(next);
-                cx.change_logs.of(feed).push(next, &changes.items, age, now);
+                log.push(next, &changes.items, age.unwrap_or_default(), now);
                 changes.items.into_iter().for_each(|it| apply(cx, it, age));
                 if origin == Origin::Source {
                     sleep(feed.pause(cx)).await;
@@ -205,11 +218,6 @@
     }
 }
 
-/// Returns the largest age that the changes returned by a call may have.
-fn max_age_of_changes(last_answer: Time, called: Time, now: Time) -> Duration {
-    if now.since(called) < IMMEDIATE_ANSWER { now.since(last_answer) } else { Duration::ZERO }
-}
-
 fn apply_all(cx: &SharedCx, feed: Feed, batch: Batch) {
     match feed {
         Feed::Targets => {
@@ -221,7 +229,7 @@
             for item in batch.items {
                 match item {
                     Item::Target(report) => cx.update_target_late(report),
-                    other => apply(cx, other, Duration::ZERO),
+                    other => apply(cx, other, None),
                 }
             }
             cx.retain_listed(&listed);
@@ -234,17 +242,23 @@
             cx.set_evacuated(domains.collect());
             let is_configuration = |it: &Item| matches!(it, Item::Configuration(_));
             let changes = batch.items.into_iter().filter(is_configuration);
-            changes.for_each(|it| apply(cx, it, Duration::ZERO));
+            changes.for_each(|it| apply(cx, it, None));
         }
     }
 }
 
-fn apply(cx: &SharedCx, item: Item, age: Duration) {
-    match item {
-        Item::Target(report) => cx.update_target(report, age),
-        Item::TargetRemoved(name) => cx.unlist_target(&name, age),
-        Item::Configuration(cfg) => cx.apply_configuration(&cfg),
-        Item::Evacuated(domain) => cx.set_evacuation(domain, true),
-        Item::EvacuationEnded(domain) => cx.set_evacuation(domain, false),
+/// Applies a change that was made at most `age` ago; `None` if it was missed in a gap so
+/// long that entries may have lapsed.
+fn apply(cx: &SharedCx, item: Item, age: Option<Duration>) {
+    match (item, age) {
+        (Item::Target(report), Some(age)) => cx.update_target(report, age),
+        (Item::Target(report), None) => cx.update_target_late(report),
+        (Item::TargetRemoved(name), age) => {
+            let now = cx.clock.now();
+            cx.unlist_target(&name, age.map_or(now, |it| now.ago(it)));
+        }
+        (Item::Configuration(cfg), _) => cx.apply_configuration(&cfg),
+        (Item::Evacuated(domain), _) => cx.set_evacuation(domain, true),
+        (Item::EvacuationEnded(domain), _) => cx.set_evacuation(domain, false),
     }
 }
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -13,7 +13,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::wire::WireState;
-use crate::{SharedCx, socket};
+use crate::{SharedCx, follow::Feed, socket};
 
 /// Time between two checks whether a peer has later state.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -54,10 +54,11 @@
     loop {
         ticks.tick().await;
         let Some(peer) = peer_to_ask(&cx, last_learned) else { continue };
+        let asked = cx.clock.now();
         match timeout(ANSWER_TIMEOUT, fetch(peer)).await.map_err(LearnError::from).flatten() {
             Ok(state) => {
                 last_learned = cx.clock.now();
-                apply(&cx, peer, state);
+                apply(&cx, peer, state, asked);
             }
             Err(err) => warn!(cx.log, "state: cannot learn from a peer";
                 "peer" => %peer, "error" => %err),
@@ -101,7 +102,8 @@
     }
 }
 
-fn apply(cx: &SharedCx, peer: SocketAddr, state: WireState) {
+/// Applies the state of a peer that was asked for it at `asked`.
+fn apply(cx: &SharedCx, peer: SocketAddr, state: WireState, asked: Time) {
     let cfg = forward::Configuration::from(state.configuration);
     info!(cx.log, "state: learned from a peer"; "peer" => %peer, "version" => cfg.version,
         "targets" => state.targets.len(), "from_source" => state.follows_source);
@@ -122,9 +124,14 @@
     if state.follows_source {
         for it in state.unlisted {
             let (name, unlisted_for) = it.into();
-            cx.unlist_target(&name, unlisted_for);
+            cx.unlist_target(&name, asked.ago(unlisted_for));
         }
         cx.retain_listed(&names);
+        if let Some(age_ms) = state.targets_age_ms {
+            let known_until = asked.ago(Duration::from_millis(age_ms));
+            let log = cx.change_logs.of(Feed::Targets);
+            log.update_progress(|it| it.record_complete(known_until));
+        }
     } else if !names.is_empty() {
         cx.mark_targets_known();
     }
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -10,11 +10,11 @@
 use slog::warn;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::wire::{WireConfiguration, WireState, WireTarget, WireUnlisted};
+use super::wire::{WireConfiguration, WireState, WireTarget, WireUnlisted, ms};
 use crate::{
     SharedCx,
     callers::accept,
-    follow,
+    follow::{self, Feed},
     relay::{self, Relay},
     socket,
 };
@@ -59,15 +59,15 @@
             *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             return answer;
         };
+        let now = cx.clock.now();
         let targets = cx.targets.borrow();
+        let known_until = cx.change_logs.of(Feed::Targets).progress().complete_until(now);
         serde_json::to_vec(&WireState {
             configuration: WireConfiguration::from(&**cfg),
             follows_source: cx.follows_targets.get(),
-            targets: targets
-                .listed_reports(cx.clock.now())
-                .map(|it| WireTarget::from(&it))
-                .collect(),
-            unlisted: targets.unlisted(cx.clock.now()).map(WireUnlisted::from).collect(),
+            targets: targets.listed_reports(now).map(|it| WireTarget::from(&it)).collect(),
+            targets_age_ms: known_until.map(|it| ms(now.since(it))),
+            unlisted: targets.unlisted(now).map(WireUnlisted::from).collect(),
             evacuated: targets.evacuated().iter().map(ToString::to_string).collect(),
         })
     };
--- a/crates/front/src/state/wire.rs
+++ b/crates/front/src/state/wire.rs
@@ -17,6 +17,9 @@
     /// Whether the sender follows the targets feed at the source.
     pub follows_source: bool,
     pub targets: Vec<WireTarget>,
+    /// Age of the list of targets; none from a host of an older version.
+    #[serde(default)]
+    pub targets_age_ms: Option<u64>,
     /// Targets that the source lists no more; none from a host of an older version.
     #[serde(default)]
     pub unlisted: Vec<WireUnlisted>,
@@ -89,7 +92,7 @@
     cold_ms: u64,
 }
 
-fn ms(duration: Duration) -> u64 {
+pub(super) fn ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/front/tests/support/source.rs
+++ b/crates/front/tests/support/source.rs
@@ -16,6 +16,8 @@
     targets: RefCell<Vec<TargetReport>>,
     /// The change of each revision.
     changes: RefCell<Vec<Item>>,
+    /// Revision up to which changes are no longer held.
+    dropped: Cell<u64>,
     is_unreachable: Cell<bool>,
     changed: Notify,
     answers: Cell<usize>,
@@ -38,6 +40,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Forgets all changes until now.
+    pub fn drop_history(&self) {
+        self.dropped.set(self.revision());
+    }
+
     /// Returns the number of calls answered.
     pub fn answers(&self) -> usize {
         self.answers.get()
@@ -79,6 +86,9 @@
             let _ = timeout(wait, changed).await;
         }
         self.check_reachable()?;
+        if revision < self.dropped.get() {
+            return Err(SourceError::HistoryGone);
+        }
         let items = self.changes.borrow()[revision as usize..].to_vec();
         Ok(Batch { items, revision: self.revision(), age: None })
     }
