Let weak hosts pass wide queries on to stronger ones

Callers saw: in fleets of 17 to 101 hosts two of three answers to wide queries left parts out, while a fleet of 301 was served better. Cause: requests were passed on to senders only where targets accept fewer connections than there are hosts. Change: services of queries whose parts take the weakest host more than a quarter of the objective have senders too, if other hosts have more than twice its capacity. Everything else of senders (shares, fallbacks, truth) is as it was. Test: wide_queries_are_passed_on_by_weak_hosts; failed before.

--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -90,6 +90,8 @@
     hosts: usize,
     is_host_count_known: bool,
     sender_role: SenderRole,
+    /// Services of queries that are too wide for some hosts to send.
+    wide_services: HashSet<ServiceKey>,
     service_keys: HashMap<ServiceName, ServiceKey>,
     services: Vec<ServiceState<W>>,
     target_keys: HashMap<TargetName, TargetKey>,
@@ -159,6 +161,7 @@
             hosts: 1,
             is_host_count_known: false,
             sender_role: SenderRole::default(),
+            wide_services: HashSet::default(),
             service_keys: HashMap::default(),
             services: Vec::new(),
             target_keys: HashMap::default(),
--- a/crates/forward/src/placement/senders.rs
+++ b/crates/forward/src/placement/senders.rs
@@ -10,7 +10,7 @@
     helpers::choose as choose_helpers,
     peers::Host,
     route::{RouteEntry, Service},
-    senders::{OVERLAP, SENDERS_PART, Senders},
+    senders::{OVERLAP, SENDERS_PART, Senders, is_too_wide, least_capacity},
     target::{Lifecycle, TargetReport},
 };
 
@@ -35,6 +35,7 @@
         routes: &[Rc<RouteEntry>],
         now: Time,
     ) {
+        self.wide_services = wide_services(hosts, routes);
         let services: HashSet<ServiceKey> = routes
             .iter()
             .flat_map(|it| it.services.iter().copied())
@@ -74,12 +75,13 @@
     }
 
     /// Returns whether the service's targets accept fewer connections than there are
-    /// hosts.
+    /// hosts, or queries are too wide for some hosts.
     pub fn needs_senders(&self, service: ServiceKey) -> bool {
         let state = &self.services[service.0];
         let is_known = self.is_host_count_known && state.kind == ServiceKind::Targets;
         let settings = state.settings.as_ref().filter(|_| is_known);
-        settings.is_some_and(|it| usable_connections(it) < self.hosts as f64)
+        let is_wide = self.wide_services.contains(&service);
+        settings.is_some_and(|it| is_wide || usable_connections(it) < self.hosts as f64)
     }
 
     /// Returns the part of the limits of the service's targets that this host may
@@ -191,6 +193,14 @@
     }
 }
 
+/// Returns the services of queries that are too wide for the weakest host, while others
+/// are stronger.
+fn wide_services(hosts: &[Host], routes: &[Rc<RouteEntry>]) -> HashSet<ServiceKey> {
+    let Some(least) = least_capacity(hosts) else { return HashSet::default() };
+    let is_wide = |it: &&Rc<RouteEntry>| is_too_wide(it.parts(), least, it.route.objective);
+    routes.iter().filter(is_wide).flat_map(|it| it.services.iter().copied()).collect()
+}
+
 fn usable_connections(settings: &Service) -> f64 {
     f64::from(settings.max_connections) * USABLE_CONNECTION_SHARE
 }
--- a/crates/forward/src/route/table.rs
+++ b/crates/forward/src/route/table.rs
@@ -119,6 +119,14 @@
         self.last_request.get().is_some_and(|at| now.since(at) < IN_USE_FOR)
     }
 
+    /// Returns the number of services that a request goes to.
+    pub fn parts(&self) -> usize {
+        match &self.route.destination {
+            Destination::Gather(_) => self.services.len(),
+            Destination::Service(_) | Destination::Weighted(_) => 1,
+        }
+    }
+
     /// Returns the number of services that must answer a request.
     pub fn min_services(&self) -> usize {
         match &self.route.destination {
--- a/crates/forward/src/senders.rs
+++ b/crates/forward/src/senders.rs
@@ -1,6 +1,6 @@
 //! Senders: the hosts that send to the targets of a service, where its targets
-//! accept fewer connections than there are hosts. Other hosts pass their requests
-//! on to a sender.
+//! accept fewer connections than there are hosts, or where queries are too wide for
+//! the weakest hosts. Other hosts pass their requests on to a sender.
 //!
 //! Load pattern answered: a large fleet with few requests a host. If each host
 //! kept a connection of its own, targets would reject many of them, and those that
@@ -38,6 +38,14 @@
 /// the parts of concurrent queries wait for each other.
 const CONNECTIONS_PER_SENDER: f64 = 4.0;
 
+/// Processor time that a part of a query takes on a whole core: a request and an
+/// answer of a few hundred bytes.
+const PART_WORK: Duration = Duration::from_micros(50);
+
+/// Part of a query's objective that a host's own work may take. The rest is for
+/// targets and for requests that wait for each other.
+const OWN_WORK_SHARE: f64 = 0.25;
+
 /// Part of the targets' limits that senders share. The rest is for hosts that send
 /// themselves as they reach no sender.
 pub const SENDERS_PART: f64 = 0.8;
@@ -83,11 +91,29 @@
     }
 }
 
+/// Returns the least capacity of a host, `None` if all hosts are equally strong.
+pub fn least_capacity(hosts: &[Host]) -> Option<u32> {
+    let greatest = hosts.iter().map(|it| it.capacity).max()?;
+    let weak = hosts.iter().filter(|it| !is_strong(it, greatest));
+    weak.map(|it| it.capacity).min()
+}
+
+/// Returns whether a query of `parts` parts takes a host of this capacity, in
+/// thousandths of a core, too large a part of its objective.
+pub fn is_too_wide(parts: usize, capacity: u32, objective: Duration) -> bool {
+    let work = PART_WORK.as_secs_f64() * parts as f64 * 1_000.0 / f64::from(capacity.max(1));
+    work > objective.as_secs_f64() * OWN_WORK_SHARE
+}
+
+fn is_strong(host: &Host, greatest: u32) -> bool {
+    host.capacity.saturating_mul(2) > greatest
+}
+
 /// Chooses among the hosts with at least half of the greatest capacity, and among
 /// all if these are too few.
 fn choose_in_domain(mut hosts: Vec<Host>, limit: usize) -> Vec<Host> {
     let greatest = hosts.iter().map(|it| it.capacity).max().unwrap_or(0);
-    let is_strong = |it: &Host| it.capacity.saturating_mul(2) > greatest;
+    let is_strong = |it: &Host| is_strong(it, greatest);
     hosts.sort_by_key(|it| (!is_strong(it), rank(it.address)));
     let strong = hosts.iter().filter(|it| is_strong(it)).count();
     hosts.truncate(strong.max(MIN_SENDERS).min(limit));
--- a/crates/forward/tests/senders.rs
+++ b/crates/forward/tests/senders.rs
@@ -55,6 +55,11 @@
 
 impl View {
     fn new(own: Host, max_connections: u32, regions: &[&str]) -> View {
+        View::over(SHARDS, own, max_connections, regions)
+    }
+
+    /// Same as `new`, with targets of `shards` shards.
+    fn over(shards: usize, own: Host, max_connections: u32, regions: &[&str]) -> View {
         let limits = Limits {
             retry: RetryLimits { ratio: 0.2, window: Duration::from_secs(10), slack: 100.0 },
             cold_ratio: 1.5,
@@ -65,11 +70,11 @@
         let region = |it: &str| if it == "c" { "r2" } else { "r1" };
         let all = ["a", "b", "c", "d"].map(|it| (domain(it), RegionName::new(region(it))));
         let mut targets = Targets::new(limits, own.domain.clone(), all.into_iter().collect());
-        let cfg = configuration(max_connections, regions);
+        let cfg = configuration(shards, max_connections, regions);
         targets.configure(&cfg);
         let table = RouteTable::new(&cfg, &mut targets);
         let mut view = View { own, targets, table };
-        for shard in 0..SHARDS {
+        for shard in 0..shards {
             ["a", "b", "c"].iter().for_each(|it| view.list(shard, it, Lifecycle::Ready));
         }
         view
@@ -112,9 +117,9 @@
     }
 }
 
-fn configuration(max_connections: u32, regions: &[&str]) -> Configuration {
+fn configuration(shards: usize, max_connections: u32, regions: &[&str]) -> Configuration {
     let shards: Vec<ServiceName> =
-        (0..SHARDS).map(|it| ServiceName::new(&format!("s{it}"))).collect();
+        (0..shards).map(|it| ServiceName::new(&format!("s{it}"))).collect();
     let service = Service {
         health_path: Arc::from("/health"),
         max_connections,
@@ -156,6 +161,28 @@
     }
 }
 
+/// A wide query is too much work for a weak host within its objective. It goes to strong
+/// hosts if there are any, though targets accept connections from all hosts.
+#[test]
+fn wide_queries_are_passed_on_by_weak_hosts() {
+    let uneven = hosts(20);
+    let weak: Vec<Host> = uneven.iter().filter(|it| it.capacity < 500).cloned().collect();
+    let own = weak[0].clone();
+    for (shards, fleet, is_passed_on) in
+        [(180, &uneven, true), (20, &uneven, false), (180, &weak, false)]
+    {
+        let mut view = View::over(shards, own.clone(), 400, &[]);
+        view.update(fleet);
+        assert_eq!(view.group().is_some(), is_passed_on, "{shards} shards, {} hosts", fleet.len());
+        assert_eq!(view.targets.sender_role().senders > 0, is_passed_on);
+    }
+    let strong = uneven.iter().find(|it| it.capacity == 500 && it.domain == domain("a"));
+    let mut view = View::over(180, strong.expect("a strong host").clone(), 400, &[]);
+    view.update(&uneven);
+    assert_eq!(view.group(), None);
+    assert!(view.targets.sender_role().is_sender);
+}
+
 /// Requests go to strong hosts in the domains of the targets, and these send
 /// themselves.
 #[test]
