Choose the target of a hedge once

Change: placing a hedge takes it from the retry budget between choice and record. Conclusion: no change for callers; one choice less a hedge.

--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -115,11 +115,6 @@
         best.map_or(fallback, |(_, _, key)| Candidate::Usable(key))
     }
 
-    /// Returns whether a hedge could be placed now, without recording a send.
-    pub fn can_hedge(&mut self, req: &PlacementRequest<'_>, now: Time) -> bool {
-        matches!(self.choose(req, Purpose::Hedge, now), Candidate::Usable(_))
-    }
-
     /// Returns whether the target may get requests at all, apart from its load.
     pub(super) fn is_allowed(&self, target: &Target, regions: &[RegionName], now: Time) -> bool {
         let domain = &target.report.domain;
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -262,18 +262,20 @@
 
     /// Selects a target and records the send as in flight there.
     pub fn place(&mut self, req: &PlacementRequest<'_>, now: Time) -> Placement {
-        self.place_as(req, Purpose::Needed, now)
+        match self.choose(req, Purpose::Needed, now) {
+            Candidate::Usable(target) => Placement::Send(self.record_send(req, target, now)),
+            other => other.into(),
+        }
     }
 
-    /// Places an extra send for a part that is late. Targets that state a limit get
-    /// none.
-    pub fn place_hedge(&mut self, req: &PlacementRequest<'_>, now: Time) -> Placement {
-        self.place_as(req, Purpose::Hedge, now)
+    /// Places an extra send for a part that is late, if a target is available and the
+    /// retry budget allows it. Targets that state a limit get none.
+    pub fn place_hedge(&mut self, req: &PlacementRequest<'_>, now: Time) -> Option<Send> {
+        let Candidate::Usable(target) = self.choose(req, Purpose::Hedge, now) else { return None };
+        self.take_retry(req.service, now).then(|| self.record_send(req, target, now))
     }
 
-    fn place_as(&mut self, req: &PlacementRequest<'_>, purpose: Purpose, now: Time) -> Placement {
-        let choice = self.choose(req, purpose, now);
-        let Candidate::Usable(target) = choice else { return choice.into() };
+    fn record_send(&mut self, req: &PlacementRequest<'_>, target: TargetKey, now: Time) -> Send {
         let share = self.limit_share(req.service);
         let expected = self.expected_latency(req.class);
         self.next_send += 1;
@@ -282,7 +284,7 @@
             it.start_send(id, now, expected);
             it.use_limit(share, now);
         }
-        Placement::Send(Send { id, target, service: req.service, class: req.class })
+        Send { id, target, service: req.service, class: req.class }
     }
 
     /// Records the end of a send.
--- a/crates/forward/src/query/mod.rs
+++ b/crates/forward/src/query/mod.rs
@@ -292,24 +292,14 @@
             if self.runs[index] >= self.plan.attempts {
                 continue;
             }
-            if !self.take_hedge(targets, index, now) {
-                self.gather.postpone_hedge(index, now);
-                continue;
-            }
-            let placement = targets.place_hedge(&self.placement_request(index), now);
-            if let Placement::Send(send) = placement {
-                steps.push(self.record_send(index, send, now));
+            match targets.place_hedge(&self.placement_request(index), now) {
+                Some(send) => steps.push(self.record_send(index, send, now)),
+                None => self.gather.postpone_hedge(index, now),
             }
         }
         (steps, self.gather.next_hedge(delay))
     }
 
-    /// Takes a hedge from the budget if a target is available for it.
-    fn take_hedge<W>(&self, targets: &mut Targets<W>, index: usize, now: Time) -> bool {
-        let req = self.placement_request(index);
-        targets.can_hedge(&req, now) && targets.take_retry(req.service, now)
-    }
-
     /// Marks parts all of whose targets are unresponsive.
     fn mark_unresponsive_parts<W>(&mut self, targets: &Targets<W>, now: Time) {
         if now < self.gather.settle_at() {
