Let hosts of the forwarding tier know each other's digests and state by a key

Digests, state and feeds between hosts end with 16 bytes of an HMAC-SHA256 over their kind and bytes, checked in constant time; the first of two keys signs and both are accepted. front_rejected_digests counts what is dropped. Without keys nothing changes but a line at the start. The cost with keys was not measured. Requests passed on carry no MAC, and a recorded message can be sent again (docs/decisions/large-fleets.md, OPERATIONS).

--- a/crates/front/src/follow/host.rs
+++ b/crates/front/src/follow/host.rs
@@ -9,7 +9,7 @@
 use hyper_util::rt::TokioIo;
 
 use super::{Batch, Feed, Source, SourceError, wire::WireBatch};
-use crate::socket;
+use crate::{MessageKind, PeerKeys, socket};
 
 /// Limit on the size of a reader's answer.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -17,12 +17,13 @@
 /// A reader, with a connection that is kept between calls.
 pub(super) struct HostSource {
     address: SocketAddr,
+    keys: PeerKeys,
     connection: RefCell<Option<SendRequest<Empty<Bytes>>>>,
 }
 
 impl HostSource {
-    pub(super) fn new(address: SocketAddr) -> HostSource {
-        HostSource { address, connection: RefCell::new(None) }
+    pub(super) fn new(address: SocketAddr, keys: PeerKeys) -> HostSource {
+        HostSource { address, keys, connection: RefCell::new(None) }
     }
 
     async fn call(&self, path: String) -> Result<Batch, SourceError> {
@@ -39,7 +40,9 @@
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
         let body = body.collect().await.map_err(unavailable)?.to_bytes();
         self.connection.replace(Some(sender));
-        let wire: WireBatch = postcard::from_bytes(&body).map_err(unreadable)?;
+        let batch = self.keys.verify(MessageKind::Feed, &body);
+        let batch = batch.ok_or_else(|| unreadable("no key made the MAC of the body"))?;
+        let wire: WireBatch = postcard::from_bytes(batch).map_err(unreadable)?;
         Ok(wire.into())
     }
 
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -76,7 +76,7 @@
         let ended = match origin {
             Origin::Source => follow_origin(&cx, &*source, feed, origin, &mut state).await,
             Origin::Host(address) => {
-                let host = HostSource::new(address);
+                let host = HostSource::new(address, cx.cfg.peer_keys.clone());
                 follow_origin(&cx, &host, feed, origin, &mut state).await
             }
             Origin::None => {
--- a/crates/front/src/follow/serve.rs
+++ b/crates/front/src/follow/serve.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::{Batch, Feed, Item, change_log::Changes, wire::WireBatch};
-use crate::SharedCx;
+use crate::{MessageKind, SharedCx};
 
 /// Limit on the time that a host may have a call for changes held.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -86,7 +86,10 @@
 
 fn encoded(cx: &SharedCx, batch: &Batch) -> Answer {
     match postcard::to_stdvec(&WireBatch::from(batch)) {
-        Ok(bytes) => Response::new(Full::new(Bytes::from(bytes))),
+        Ok(mut bytes) => {
+            cx.cfg.peer_keys.sign(MessageKind::Feed, &mut bytes);
+            Response::new(Full::new(Bytes::from(bytes)))
+        }
         Err(err) => {
             warn!(cx.log, "follow: cannot encode a batch"; "error" => %err);
             empty(StatusCode::INTERNAL_SERVER_ERROR)
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 mod isolation;
 mod names;
+mod peer_keys;
 mod peers;
 mod relay;
 mod run;
@@ -27,6 +28,7 @@
     clock::Clock,
     cx::{Cx, SharedCx},
     names::HeaderNames,
+    peer_keys::{MessageKind, PeerKeys, PeerKeysError},
     run::run,
     settings::{FrontSettings, FrontSettingsBuilder},
     socket::connect,
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use self::wire::WireDigest;
-use crate::SharedCx;
+use crate::{MessageKind, SharedCx};
 
 /// Size of the receive buffer; longer datagrams are truncated.
 const MAX_DATAGRAM_BYTES: usize = 4 * 1024;
@@ -72,7 +72,10 @@
 
 async fn send_digest(cx: &SharedCx, socket: &UdpSocket, digest: &Digest, peer: SocketAddr) {
     let sent = match postcard::to_stdvec(&WireDigest::from(digest)) {
-        Ok(bytes) => socket.send_to(&bytes, peer).await.map(|_| ()).map_err(|it| it.to_string()),
+        Ok(mut bytes) => {
+            cx.cfg.peer_keys.sign(MessageKind::Digest, &mut bytes);
+            socket.send_to(&bytes, peer).await.map(|_| ()).map_err(|it| it.to_string())
+        }
         Err(err) => Err(err.to_string()),
     };
     if let Err(err) = sent {
@@ -82,10 +85,16 @@
 
 /// Learns from a datagram; returns the reply if it asks for one.
 fn receive(cx: &SharedCx, bytes: &[u8]) -> Option<(Digest, SocketAddr)> {
+    let Some(bytes) = cx.cfg.peer_keys.verify(MessageKind::Digest, bytes) else {
+        cx.metrics.record_rejected_digest("not authentic");
+        debug!(cx.log, "front: no key made the MAC of a digest");
+        return None;
+    };
     let decoded = postcard::from_bytes::<WireDigest>(bytes).map_err(|err| err.to_string());
     let digest = match decoded.and_then(Digest::try_from) {
         Ok(digest) => digest,
         Err(err) => {
+            cx.metrics.record_rejected_digest("unreadable");
             debug!(cx.log, "front: cannot decode a digest"; "error" => err);
             return None;
         }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::{io, rc::Rc};
 
+use slog::info;
 use telemetry::buffered::{FLUSH_INTERVAL, LogBuffer};
 use tokio::task::spawn_local;
 
@@ -13,6 +14,9 @@
 /// Follows `source` and serves callers until SIGTERM or SIGINT, then shuts down
 /// gracefully.
 pub async fn run(cx: SharedCx, source: impl Source + 'static, log: LogBuffer) -> io::Result<()> {
+    if cx.cfg.peer_keys.is_empty() {
+        info!(cx.log, "front: digests and state of other hosts are not authenticated");
+    }
     let source = Rc::new(source);
     spawn_local(flush(log.clone()));
     spawn_local(follow(cx.clone(), source.clone(), Feed::Operations));
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -5,7 +5,7 @@
 use base::DomainName;
 use forward::{placement::Limits, route::Regions};
 
-use crate::HeaderNames;
+use crate::{HeaderNames, PeerKeys};
 
 /// Leaves room for connections to targets within the usual limit of 1,024 file
 /// descriptors.
@@ -27,6 +27,8 @@
     pub peers: SocketAddr,
     /// Addresses of hosts through which others are discovered.
     pub seeds: Vec<SocketAddr>,
+    /// Keys by which hosts know each other's digests and state.
+    pub peer_keys: PeerKeys,
     pub domain: DomainName,
     /// Processing capacity in thousandths of a core.
     pub capacity: u32,
@@ -68,6 +70,7 @@
             metrics: None,
             peers: SocketAddr::new(callers.ip(), 0),
             seeds: Vec::new(),
+            peer_keys: PeerKeys::default(),
             domain: DomainName::new("local"),
             capacity: DEFAULT_CAPACITY,
             regions: Regions::default(),
@@ -95,6 +98,11 @@
         self
     }
 
+    pub fn peer_keys(mut self, keys: PeerKeys) -> Self {
+        self.cfg.peer_keys = keys;
+        self
+    }
+
     pub fn location(mut self, domain: DomainName, regions: Regions) -> Self {
         self.cfg.domain = domain;
         self.cfg.regions = regions;
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -13,7 +13,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::wire::WireState;
-use crate::{SharedCx, follow::Feed, socket};
+use crate::{MessageKind, SharedCx, follow::Feed, socket};
 
 /// Time between two checks whether a peer has later state.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -43,6 +43,8 @@
     Body(Box<dyn std::error::Error + Send + Sync>),
     #[error("cannot decode the body: {0}")]
     Decode(#[from] serde_json::Error),
+    #[error("no key made the MAC of the body")]
+    NotAuthentic,
     #[error("no answer in time")]
     Timeout(#[from] tokio::time::error::Elapsed),
 }
@@ -55,7 +57,7 @@
         ticks.tick().await;
         let Some(peer) = peer_to_ask(&cx, last_learned) else { continue };
         let asked = cx.clock.now();
-        match timeout(ANSWER_TIMEOUT, fetch(peer)).await.map_err(LearnError::from).flatten() {
+        match timeout(ANSWER_TIMEOUT, fetch(&cx, peer)).await.map_err(LearnError::from).flatten() {
             Ok(state) => {
                 last_learned = cx.clock.now();
                 apply(&cx, peer, state, asked);
@@ -78,7 +80,7 @@
     (version > cx.version() || needs_targets && version > 0).then_some(peer)
 }
 
-async fn fetch(peer: SocketAddr) -> Result<WireState, LearnError> {
+async fn fetch(cx: &SharedCx, peer: SocketAddr) -> Result<WireState, LearnError> {
     let stream = socket::connect(peer).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let exchange = async {
@@ -91,7 +93,8 @@
         }
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
         let body = body.collect().await.map_err(LearnError::Body)?.to_bytes();
-        Ok(serde_json::from_slice(&body)?)
+        let state = cx.cfg.peer_keys.verify(MessageKind::State, &body);
+        Ok(serde_json::from_slice(state.ok_or(LearnError::NotAuthentic)?)?)
     };
     let mut exchange = std::pin::pin!(exchange);
     tokio::select! {
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -12,7 +12,7 @@
 
 use super::wire::{WireConfiguration, WireState, WireTarget, WireUnlisted, ms};
 use crate::{
-    SharedCx,
+    MessageKind, SharedCx,
     callers::accept,
     follow::{self, Feed},
     relay::{self, Relay},
@@ -72,7 +72,10 @@
         })
     };
     match encoded {
-        Ok(bytes) => *answer.body_mut() = Full::new(Bytes::from(bytes)),
+        Ok(mut bytes) => {
+            cx.cfg.peer_keys.sign(MessageKind::State, &mut bytes);
+            *answer.body_mut() = Full::new(Bytes::from(bytes));
+        }
         Err(err) => {
             warn!(cx.log, "state: cannot encode this host's state"; "error" => %err);
             *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -248,6 +248,15 @@
         peers: SocketAddr,
         seeds: Vec<SocketAddr>,
         capacity: u32,
+    ) -> TestHost {
+        TestHost::start_with(peers, seeds, |it| it.capacity(capacity))
+    }
+
+    /// Starts a host with further settings.
+    pub fn start_with(
+        peers: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        further: impl FnOnce(FrontSettingsBuilder) -> FrontSettingsBuilder,
     ) -> TestHost {
         base::invariant::panic_when_broken();
         let (callers, readiness, metrics) = (own_address(), own_address(), own_address());
@@ -267,9 +276,8 @@
         let cfg = FrontSettingsBuilder::new(callers, readiness, names)
             .peers(peers, seeds)
             .metrics(Some(metrics))
-            .capacity(capacity)
-            .max_caller_connections(40)
-            .build();
+            .max_caller_connections(40);
+        let cfg = further(cfg).build();
         let cx = Cx::new(cfg, Logger::root(Discard, o!())).expect("metrics");
         let (stop, stopped) = oneshot::channel::<()>();
         let serving = front::serve_until(cx.clone(), async {
--- a/crates/godwityardd/src/forwarding.rs
+++ b/crates/godwityardd/src/forwarding.rs
@@ -11,7 +11,7 @@
 use eyre::WrapErr;
 use forward::{budget::RetryLimits, placement::Limits};
 use front::{
-    Cx, FrontSettings, FrontSettingsBuilder, HeaderNames,
+    Cx, FrontSettings, FrontSettingsBuilder, HeaderNames, PeerKeys,
     follow::{Batch, Feed, Item, Source, SourceError},
 };
 use http::HeaderName;
@@ -40,13 +40,14 @@
 }
 
 /// Serves until a signal asks the process to stop.
-pub(crate) fn run(path: &Path) -> eyre::Result<()> {
+pub(crate) fn run(path: &Path, key_files: &[PathBuf]) -> eyre::Result<()> {
     let file = read(path)?;
+    let keys = PeerKeys::read(key_files)?;
     let (log, buffer) = buffered_logger(&file.listen.callers.to_string());
     telemetry::report_broken_invariants(&log);
     set_stdout_nonblocking().wrap_err("cannot make standard output non-blocking")?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let serving = serve(path.to_owned(), settings(&file), log, buffer.clone());
+    let serving = serve(path.to_owned(), settings(&file, keys), log, buffer.clone());
     let result = LocalSet::new().block_on(&runtime, serving);
     buffer.flush();
     result
@@ -70,7 +71,7 @@
     Ok(parse_forwarding(&source, &text)?)
 }
 
-fn settings(file: &Forwarding) -> FrontSettings {
+fn settings(file: &Forwarding, keys: PeerKeys) -> FrontSettings {
     let limits = Limits {
         retry: RetryLimits { ratio: file.retry_ratio, window: RETRY_WINDOW, slack: RETRY_SLACK },
         cold_ratio: 1.0,
@@ -83,6 +84,7 @@
         .readiness_path("/readyz")
         .metrics(listen.metrics)
         .peers(listen.peers, listen.seeds.clone())
+        .peer_keys(keys)
         .location(file.domain.clone(), file.regions.clone())
         .limits(limits)
         .build()
--- a/crates/godwityardd/src/main.rs
+++ b/crates/godwityardd/src/main.rs
@@ -31,13 +31,21 @@
     /// without a fleet; the file is read again when it changes
     #[argh(option)]
     forwarding: Option<PathBuf>,
+
+    /// with --forwarding: file with the key by which hosts know each other's messages;
+    /// given twice, the first one signs and both are accepted
+    #[argh(option)]
+    peer_key_file: Vec<PathBuf>,
 }
 
 fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
     match (args.settings, args.forwarding) {
+        (Some(_), None) if !args.peer_key_file.is_empty() => {
+            eyre::bail!("--peer-key-file goes with --forwarding; a fleet has fleet-secret-file")
+        }
         (Some(settings), None) => serve_fleet(&settings),
-        (None, Some(file)) => forwarding::run(&file),
+        (None, Some(file)) => forwarding::run(&file, &args.peer_key_file),
         _ => eyre::bail!("expected exactly one of --settings and --forwarding"),
     }
 }
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -26,6 +26,7 @@
     request_latency: Histogram<f64>,
     missing_parts: Counter<u64>,
     refusals: Counter<u64>,
+    rejected_digests: Counter<u64>,
     sends: Arc<[AtomicU64]>,
     gauges: Arc<[AtomicU64; GAUGES.len()]>,
 }
@@ -88,6 +89,7 @@
             request_latency: latency.with_boundaries(LATENCY_BOUNDS_MS.to_vec()).build(),
             missing_parts: meter.u64_counter("front_missing_parts").build(),
             refusals: meter.u64_counter("front_refusals").build(),
+            rejected_digests: meter.u64_counter("front_rejected_digests").build(),
             sends,
             gauges,
             exporter,
@@ -115,6 +117,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a datagram from which nothing was taken.
+    pub fn record_rejected_digest(&self, reason: &'static str) {
+        self.rejected_digests.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts parts that are missing from a successful answer.
     pub fn record_missing_parts(&self, count: usize) {
         self.missing_parts.add(count as u64, &[]);
