Count targets whose entries lapsed in a gap from its end

When the store takes all entries back for a moment, a host that missed it in a short gap counted all targets as leaving since before the gap, and ran out of fallbacks before the entries came back (within two seconds). Cause: a target that left and an entry that lapsed look alike; the age of the gap was right for the one and wrong for the other.

--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -85,20 +85,25 @@
         }
     }
 
-    /// Marks all targets whose names are not in `listed` as unlisted since `since`.
-    pub fn retain_listed(&mut self, listed: &HashSet<TargetName>, since: Time) {
-        let is_missing = |name: &TargetName, key| !listed.contains(name) && !self.is_host(key);
-        let missing: Vec<TargetName> = self
-            .target_keys
-            .iter()
-            .filter(|(name, key)| is_missing(name, **key))
-            .map(|(name, _)| name.clone())
-            .collect();
+    /// Marks all targets whose names are not in `listed` as unlisted since `since`, or
+    /// from now on if their entries seem to have lapsed.
+    pub fn retain_listed(&mut self, listed: &HashSet<TargetName>, since: Time, now: Time) {
+        let listed_now = self.listed().map(|it| &it.report.name);
+        let missing: Vec<TargetName> =
+            listed_now.filter(|it| !listed.contains(*it)).cloned().collect();
+        let since = if self.is_lapse(missing.len()) { now } else { since };
         for name in missing {
             self.mark_unlisted(&name, since);
         }
     }
 
+    /// Returns whether the removal of so many targets at once means that their entries
+    /// lapsed, as more than half of the listed ones are gone. Those that are alive will
+    /// be back soon.
+    pub fn is_lapse(&self, removed: usize) -> bool {
+        removed * 2 > self.listed().count()
+    }
+
     /// Sets the domains whose targets get no requests. Targets of a domain that
     /// returns may have turned cold meanwhile, so they count as cold.
     pub fn set_evacuated(&mut self, domains: HashSet<DomainName>, now: Time) {
@@ -128,15 +133,18 @@
 
     /// Returns the reports of listed targets, with the remaining cold time.
     pub fn listed_reports(&self, now: Time) -> impl Iterator<Item = TargetReport> {
-        let targets = self.targets.iter().filter(|(key, _)| !self.is_host(**key));
-        let known = targets.map(|(_, it)| it).filter(|it| !it.is_gone());
-        let listed = known.filter(|it| !it.is_unlisted());
-        listed.map(move |it| {
+        self.listed().map(move |it| {
             let cold_for = it.cold_until.until(now);
             TargetReport { cold_for, ..it.report.clone() }
         })
     }
 
+    fn listed(&self) -> impl Iterator<Item = &Target> {
+        let targets = self.targets.iter().filter(|(key, _)| !self.is_host(**key));
+        let known = targets.map(|(_, it)| it).filter(|it| !it.is_gone());
+        known.filter(|it| !it.is_unlisted())
+    }
+
     /// Returns the targets that the platform no longer lists, with the time for which
     /// that has been known.
     pub fn unlisted(&self, now: Time) -> impl Iterator<Item = (&TargetName, Duration)> {
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -188,7 +188,7 @@
         let mut targets = self.targets.borrow_mut();
         let progress = self.change_logs.of(Feed::Targets).progress();
         let age = progress.max_age(targets.leaving_for(), now).unwrap_or_default();
-        targets.retain_listed(listed, now.ago(age));
+        targets.retain_listed(listed, now.ago(age), now);
         drop(targets);
         self.mark_targets_known();
     }
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -204,6 +204,7 @@
                 let now = cx.clock.now();
                 let limit = cx.targets.borrow().leaving_for();
                 let age = changes.age.or_else(|| log.progress().max_age(limit, now));
+                let age = age.filter(|_| !is_lapse(cx, &changes.items));
                 log.update_progress(|it| it.record_complete(now));
                 *revision = Some(next);
                 log.push(next, &changes.items, age.unwrap_or_default(), now);
@@ -218,6 +219,12 @@
     }
 }
 
+/// Returns whether the changes show that entries lapsed.
+fn is_lapse(cx: &SharedCx, items: &[Item]) -> bool {
+    let removed = items.iter().filter(|it| matches!(it, Item::TargetRemoved(_))).count();
+    cx.targets.borrow().is_lapse(removed)
+}
+
 fn apply_all(cx: &SharedCx, feed: Feed, batch: Batch) {
     match feed {
         Feed::Targets => {
@@ -247,8 +254,8 @@
     }
 }
 
-/// Applies a change that was made at most `age` ago; `None` if it was missed in a gap so
-/// long that entries may have lapsed.
+/// Applies a change that was made at most `age` ago; `None` if its age is unknown and
+/// entries may have lapsed.
 fn apply(cx: &SharedCx, item: Item, age: Option<Duration>) {
     match (item, age) {
         (Item::Target(report), Some(age)) => cx.update_target(report, age),
