Correct what pages say of senders and keys, and share a filter of targets

Change: the pages; the filter of reach is used in the directory too; nothing is counted without a removal. No decision changes. Test: a_host_without_keys_sees_hosts_that_are_to_have_them, for the sentence on keys.

--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -101,7 +101,7 @@
     /// lapsed, as more than half of the listed ones are gone. Those that are alive will
     /// be back soon.
     pub fn is_lapse(&self, removed: usize) -> bool {
-        removed * 2 > self.listed().count()
+        removed > 0 && removed * 2 > self.listed().count()
     }
 
     /// Sets the domains whose targets get no requests. Targets of a domain that
@@ -140,16 +140,13 @@
     }
 
     fn listed(&self) -> impl Iterator<Item = &Target> {
-        let targets = self.targets.iter().filter(|(key, _)| !self.is_host(**key));
-        let known = targets.map(|(_, it)| it).filter(|it| !it.is_gone());
-        known.filter(|it| !it.is_unlisted())
+        self.used_targets().map(|(_, it)| it).filter(|it| !it.is_unlisted())
     }
 
     /// Returns the targets that the platform no longer lists, with the time for which
     /// that has been known.
     pub fn unlisted(&self, now: Time) -> impl Iterator<Item = (&TargetName, Duration)> {
-        let targets = self.targets.iter().filter(|(key, _)| !self.is_host(**key));
-        let unlisted = targets.map(|(_, it)| it).filter(|it| !it.is_gone() && it.is_unlisted());
+        let unlisted = self.used_targets().map(|(_, it)| it).filter(|it| it.is_unlisted());
         unlisted.filter_map(move |it| Some((&it.report.name, now.since(it.leaving_since()?))))
     }
 
--- a/crates/forward/src/placement/reach.rs
+++ b/crates/forward/src/placement/reach.rs
@@ -96,7 +96,8 @@
         self.used_targets().filter(move |(_, it)| self.is_silent(it, now)).map(|(key, _)| key)
     }
 
-    fn used_targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
+    /// Returns all targets that are neither hosts nor gone.
+    pub(super) fn used_targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
         let all = self.targets.iter().map(|(key, it)| (*key, it));
         all.filter(|(key, it)| !it.is_gone() && !self.is_host(*key))
     }
--- a/crates/forward/src/placement/senders.rs
+++ b/crates/forward/src/placement/senders.rs
@@ -17,10 +17,10 @@
 /// Requests that a host is expected to work on at a time without delay.
 const HOST_SLOTS: u32 = 16;
 
-/// Role of this host where targets do not accept connections from all hosts.
+/// Role of this host where services have senders.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SenderRole {
-    /// Number of senders; 0 if all targets accept connections from all hosts.
+    /// Number of senders; 0 if each host sends itself.
     pub senders: usize,
     pub is_sender: bool,
 }
--- a/crates/front/tests/peer_keys.rs
+++ b/crates/front/tests/peer_keys.rs
@@ -87,3 +87,17 @@
         assert_eq!(keyed.gauge("front_hosts").await, Some(1));
     });
 }
+
+/// OPERATIONS says how the first key is given to a fleet.
+#[test]
+fn a_host_without_keys_sees_hosts_that_are_to_have_them() {
+    run(async {
+        let (first, second) = (own_address(), own_address());
+        let plain = host(first, &[], &[]);
+        let keyed = host(second, &[first], &[OLD]);
+        plain.wait_for_hosts(2).await;
+        while keyed.gauge("front_rejected_digests_total").await.is_none_or(|it| it < 1) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
