Review case 4: an endless body in small chunks fills a host's memory

Cause: the limit on answers counts the bytes of the body, not what collect() keeps of each chunk.

Change: review/4; sizes of chunks are written with eight digits now, and only answers with an id are repeated by the stand-in of leafs.

--- a/review/standins/leaf.rs
+++ b/review/standins/leaf.rs
@@ -165,7 +165,7 @@
                 let text = format!("{head}{echo}Content-Length: 0\r\n\r\n");
                 let what = if is_health { "a health request" } else { &id };
                 self.record.note(&format!("leaf {} is full and rejects {what}", self.id));
-                if (self.behaviour.is_repeated)(self.index) {
+                if !is_health && (self.behaviour.is_repeated)(self.index) {
                     late = text.clone().into_bytes();
                 }
                 out.write_all(text.as_bytes()).is_ok()
@@ -174,9 +174,6 @@
                     thread::sleep(HEALTH_WORK);
                     let head = "HTTP/1.1 200 OK\r\nX-Instance-Id: ";
                     let text = format!("{head}{}\r\n{echo}Content-Length: 0\r\n\r\n", self.id);
-                    if (self.behaviour.is_repeated)(self.index) {
-                        late = text.clone().into_bytes();
-                    }
                     out.write_all(text.as_bytes()).is_ok()
                 } else if wait_while_open(&out, Duration::ZERO) {
                     self.answer(&mut out, &request, &id, &echo, &mut late)
@@ -297,7 +294,7 @@
     if out.write_all(head.as_bytes()).is_err() {
         return 0;
     }
-    let piece = format!("{:032x}\r\na\r\n", 1).repeat(1_000);
+    let piece = "00000001\r\na\r\n".repeat(2_000);
     let (started, mut written) = (Instant::now(), 0);
     while out.write_all(piece.as_bytes()).is_ok() {
         written += piece.len() as u64;
