--- a/review/standins/leaf.rs
+++ b/review/standins/leaf.rs
@@ -297,7 +297,7 @@
     if out.write_all(head.as_bytes()).is_err() {
         return 0;
     }
-    let piece = "00000001\r\na\r\n".repeat(2_000);
+    let piece = format!("{:032x}\r\na\r\n", 1).repeat(1_000);
     let (started, mut written) = (Instant::now(), 0);
     while out.write_all(piece.as_bytes()).is_ok() {
         written += piece.len() as u64;
