Review case 5: an entry with missing fields is used as a leaf, and requests run at the wrong service

**Cause** An entry of another writer without `version`, `warmup_left_ms` and `seq` is decoded with defaults, though such an entry names no leaf.

**Change** The case as a script.

**Conclusion** One entry in the store sends requests to a service that they never asked for.

--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod encoded_answer;
 pub mod endless_chunks;
+pub mod foreign_entry;
 pub mod late_health_answer;
 pub mod readers_cut;
 pub mod silent_store;
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -33,6 +33,7 @@
         "endless-chunks" => cases::endless_chunks::play(&record, has_trouble),
         "silent-store" => cases::silent_store::play(&record, has_trouble),
         "readers-cut" => cases::readers_cut::play(&record, has_trouble),
+        "foreign-entry" => cases::foreign_entry::play(&record, has_trouble),
         "late-health-answer" => cases::late_health_answer::play(&record, has_trouble),
         _ => Err(format!("no case is named {case}")),
     };
