--- a/review/standins/cases/late_health_answer.rs
+++ b/review/standins/cases/late_health_answer.rs
@@ -1,4 +1,4 @@
-//! The store is down for some seconds, and some leafs send second copies of answers
+//! The store is busy for some seconds, and some leafs send second copies of answers
 //! late, also of those to health requests.
 
 use std::{
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use super::{SERVICE, loads};
+use super::{SERVICE, TOTAL_RATES, loads};
 use crate::{
     client::{self, Outcome, Sent},
     deployment::{Deployment, configuration_with_warmup, route},
@@ -22,13 +22,13 @@
 
 /// Leafs in trouble. A `garble` of the site file, "extra late across", has `share`
 /// 0.5, `x` 0.04 and `for_s` 5.0.
-const BAD_LEAFS: std::ops::Range<usize> = 0..5;
+const BAD_LEAFS: std::ops::Range<usize> = 0..4;
 
 /// One answer in so many of theirs comes twice.
 const REPEATED_ONE_IN: u64 = 25;
 
 /// Each spell of trouble, and the calm before each. In the site file `platform_down`
-/// lasts up to 5.6 s for all machines.
+/// lasts up to 5.6 s for all machines; "busy" is one of its variants.
 const SPELL: Duration = Duration::from_secs(5);
 const CALM: Duration = Duration::from_secs(5);
 const SPELLS: u32 = 9;
@@ -39,9 +39,8 @@
 const QUEUE: usize = 18;
 const WORK: Duration = Duration::from_millis(220);
 
-/// Requests per second of all kinds in each zone of the site, times 1.1: near the crest
-/// of their wave, which swings by 0.15.
-const RATES: [(&str, f64); 3] = [("bajio-a", 46.6), ("bajio-b", 33.3), ("bajio-c", 43.7)];
+/// Part of the site's rates by which they swing.
+const SWING: f64 = 0.15;
 
 /// Requests per second that a cold leaf tolerates. No leaf turns cold here.
 const WARMUP_PER_S: f64 = 20.0;
@@ -67,14 +66,16 @@
         for _ in 0..SPELLS {
             thread::sleep(CALM);
             is_trouble.store(has_trouble, Relaxed);
-            store.set_down(has_trouble);
+            store.set_busy(has_trouble);
             thread::sleep(SPELL);
             is_trouble.store(false, Relaxed);
-            store.set_down(false);
+            store.set_busy(false);
         }
     });
     let time = (CALM + SPELL) * SPELLS + CALM;
-    let sent = client::run(&loads(&RATES, "POST", &"x".repeat(300)), time, &ingress, record);
+    let mut loads = loads(&TOTAL_RATES, "POST", &"x".repeat(300));
+    loads.iter_mut().for_each(|it| it.swing = SWING);
+    let sent = client::run(&loads, time, &ingress, record);
     let sent = sent.lock().unwrap();
     let runs = deployment.runs.lock().unwrap();
     let successes = sent.iter().filter(|it| status(it) / 100 == 2).count();
--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -4,6 +4,7 @@
 pub mod endless_chunks;
 pub mod foreign_entry;
 pub mod late_health_answer;
+pub mod lost_store_answer;
 pub mod readers_cut;
 pub mod silent_store;
 pub mod stop_in_turn;
@@ -30,6 +31,7 @@
         body: body.to_owned(),
         deadline: Duration::from_millis(5_000),
         per_s,
+        swing: 0.0,
     };
     rates.iter().map(load).collect()
 }
--- a/review/standins/cases/readers_cut.rs
+++ b/review/standins/cases/readers_cut.rs
@@ -63,6 +63,7 @@
         body: String::new(),
         deadline: Duration::from_millis(1_200),
         per_s: 42.4,
+        swing: 0.0,
     };
     let loads: Vec<Load> = PATHS.iter().map(load).collect();
     let time = (CALM + CUT) * PATHS.len() as u32 + Duration::from_secs(6);
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -18,6 +18,9 @@
 /// Time that clients allow a new connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
+/// Period of the wave in which the rates of the site swing.
+const WAVE: Duration = Duration::from_secs(11);
+
 pub enum Outcome {
     Answer(Message),
     /// The connection ended without a complete answer.
@@ -46,6 +49,8 @@
     pub body: String,
     pub deadline: Duration,
     pub per_s: f64,
+    /// Part of `per_s` by which the rate swings.
+    pub swing: f64,
 }
 
 pub type AllSent = Arc<Mutex<Vec<Sent>>>;
@@ -59,8 +64,11 @@
         threads.push(thread::spawn(move || {
             let mut requests = Vec::new();
             let started = Instant::now();
+            let mut due = Duration::ZERO;
             for number in 0_u64.. {
-                let due = Duration::from_secs_f64(number as f64 / load.per_s);
+                let phase = due.as_secs_f64() / WAVE.as_secs_f64() * std::f64::consts::TAU;
+                let per_s = load.per_s * (1.0 + load.swing * phase.sin());
+                due += Duration::from_secs_f64(1.0 / per_s);
                 if due >= time {
                     break;
                 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -31,6 +31,7 @@
         "encoded-answer" => cases::encoded_answer::play(&record, has_trouble),
         "stop-in-turn" => cases::stop_in_turn::play(&record, has_trouble),
         "endless-chunks" => cases::endless_chunks::play(&record, has_trouble),
+        "lost-store-answer" => cases::lost_store_answer::play(&record, has_trouble),
         "silent-store" => cases::silent_store::play(&record, has_trouble),
         "readers-cut" => cases::readers_cut::play(&record, has_trouble),
         "foreign-entry" => cases::foreign_entry::play(&record, has_trouble),
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -31,8 +31,11 @@
     /// Whether calls that come in get no answer. Those that wait already are answered
     /// later.
     is_silent: bool,
-    /// Whether all connections are closed without an answer.
-    is_down: bool,
+    /// Each answer whose number is a multiple of this is lost; 0 for none.
+    lose_each: u64,
+    answers: u64,
+    /// Whether all calls are rejected with 503.
+    is_busy: bool,
 }
 
 impl Store {
@@ -44,7 +47,9 @@
             items: BTreeMap::new(),
             history: Vec::new(),
             is_silent: false,
-            is_down: false,
+            lose_each: 0,
+            answers: 0,
+            is_busy: false,
         };
         let store = Store { addr, state: Arc::new(Mutex::new(state)), record: record.clone() };
         let served = store.clone();
@@ -81,17 +86,29 @@
         self.state.lock().unwrap().is_silent = is_silent;
     }
 
-    fn is_silent(&self) -> bool {
-        self.state.lock().unwrap().is_silent
+    /// Loses each answer whose number is a multiple of `each` from now on; 0 for none.
+    pub fn lose_answers(&self, each: u64) {
+        let mut state = self.state.lock().unwrap();
+        (state.lose_each, state.answers) = (each, 0);
     }
 
-    /// Closes all connections without an answer until it is up again.
-    pub fn set_down(&self, is_down: bool) {
-        self.state.lock().unwrap().is_down = is_down;
+    /// Rejects all calls with 503, those that wait too, until it is no longer busy.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.state.lock().unwrap().is_busy = is_busy;
     }
 
-    fn is_down(&self) -> bool {
-        self.state.lock().unwrap().is_down
+    fn is_busy(&self) -> bool {
+        self.state.lock().unwrap().is_busy
+    }
+
+    fn is_lost(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        state.answers += 1;
+        state.lose_each > 0 && state.answers % state.lose_each == 0
+    }
+
+    fn is_silent(&self) -> bool {
+        self.state.lock().unwrap().is_silent
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -113,12 +130,22 @@
                 "/v1/kv-watch" => self.watch(&query),
                 _ => "{}".to_owned(),
             };
-            if self.is_down() {
-                return;
-            }
             while self.is_silent() {
                 thread::sleep(POLL);
             }
+            if self.is_lost() {
+                self.record.note(&format!("store: the answer to {target} is lost"));
+                // Nothing further comes on this connection; it stays open.
+                let _ = reader.read_to_end(&mut Vec::new());
+                return;
+            }
+            if self.is_busy() {
+                let text = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                if out.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             let head = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -159,7 +186,7 @@
                 let new = new.filter(|(rev, key, _)| *rev > after && key.starts_with(prefix));
                 let events: Vec<String> =
                     new.map(|(rev, key, value)| item(key, *rev, value.as_deref())).collect();
-                if !events.is_empty() || state.is_down || Instant::now() >= until {
+                if !events.is_empty() || state.is_busy || Instant::now() >= until {
                     return format!(
                         r#"{{"events":[{}],"store_revision":{}}}"#,
                         events.join(","),
