--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -10,6 +10,7 @@
     host::{Host, HostSettings},
     ingress::Ingress,
     leaf::{Behaviour, Leaf, Runs},
+    proxy::Proxy,
     record::Record,
     store::Store,
 };
@@ -17,9 +18,15 @@
 /// Name of the host that clients ask for.
 pub const HOST_NAME: &str = "pupu76.example";
 
+/// `drain_ms` of the site arriaga-pasarela.
+const DRAIN_MS: u64 = 3_000;
+
 pub struct Deployment {
     pub store: Store,
     pub hosts: Vec<Host>,
+    pub leafs: Vec<Leaf>,
+    /// For each host, what stands between it and the store.
+    pub proxies: Vec<Proxy>,
     pub runs: Runs,
 }
 
@@ -31,6 +38,29 @@
         hosts: &[(&str, usize)],
         services: &[(&str, usize)],
         behaviour: &Behaviour,
+    ) -> Result<Deployment, String> {
+        Deployment::build(record, hosts, services, behaviour, DRAIN_MS, false)
+    }
+
+    /// Same as `new` with another `drain_ms` in the settings, and with a proxy between
+    /// each host and the store.
+    pub fn with_proxies(
+        record: &Record,
+        hosts: &[(&str, usize)],
+        services: &[(&str, usize)],
+        behaviour: &Behaviour,
+        drain_ms: u64,
+    ) -> Result<Deployment, String> {
+        Deployment::build(record, hosts, services, behaviour, drain_ms, true)
+    }
+
+    fn build(
+        record: &Record,
+        hosts: &[(&str, usize)],
+        services: &[(&str, usize)],
+        behaviour: &Behaviour,
+        drain_ms: u64,
+        has_proxies: bool,
     ) -> Result<Deployment, String> {
         let store = Store::start(own_ip(200), record)?;
         let runs = Runs::default();
@@ -50,16 +80,24 @@
         let zones: Vec<&str> = zones.collect();
         let seeds: Vec<IpAddr> = (1..=zones.len().min(3) as u8).map(own_ip).collect();
         let mut all = Vec::new();
+        let mut proxies = Vec::new();
         for (index, zone) in zones.iter().enumerate() {
+            let mut store_addr = store.addr;
+            if has_proxies {
+                let proxy = Proxy::start(own_ip(201), store.addr)?;
+                store_addr = proxy.addr;
+                proxies.push(proxy);
+            }
             all.push(Host::new(&HostSettings {
                 name: format!("front-{zone}-{}", index + 1),
                 zone: (*zone).to_owned(),
                 ip: own_ip(index as u8 + 1),
                 seeds: seeds.clone(),
-                store: store.addr,
+                store: store_addr,
+                drain_ms,
             })?);
         }
-        Ok(Deployment { store, hosts: all, runs })
+        Ok(Deployment { store, hosts: all, leafs, proxies, runs })
     }
 
     /// Starts the hosts and waits until all are in rotation.
--- a/review/standins/leaf.rs
+++ b/review/standins/leaf.rs
@@ -55,6 +55,8 @@
 /// A request that a leaf began to work on.
 #[derive(Clone)]
 pub struct Run {
+    /// When the request reached the leaf.
+    pub at: Duration,
     pub leaf: String,
     pub service: String,
     pub stamp: String,
@@ -235,6 +237,7 @@
         let body = format!("{} served {id}. ", self.id).repeat(150).into_bytes();
         let reaction = (self.behaviour.reaction)(self.index);
         let run = Run {
+            at: self.record.now(),
             leaf: self.id.clone(),
             service: self.service.clone(),
             stamp: stamp.clone(),
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -67,6 +67,15 @@
         state.history.push((rev, key.to_owned(), Some(value.to_owned())));
     }
 
+    /// Removes an item; its return is the acknowledgement.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let rev = state.revision;
+        state.items.remove(key);
+        state.history.push((rev, key.to_owned(), None));
+    }
+
     /// Loses each answer whose number is a multiple of `each` from now on; 0 for none.
     pub fn lose_answers(&self, each: u64) {
         let mut state = self.state.lock().unwrap();
