Record who proved the configuration, and log how each version came

Change: `FeedProgress` records who proved it (source, reader, peer). Accessors for log lines of requests and refusals: `Cx::configuration_age(now)` and `Cx::configuration_provenance()`. The line at each change of version names the origin, how it came, and the largest age of the change. What concerns the configuration in force moved from `cx.rs` to a file of its own. No decision depends on it.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -6,10 +6,12 @@
 //! Load pattern answered: targets that leave while a host has lost the source for
 //! moments, and entries that lapse while the source is away for all.
 
-use std::time::Duration;
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use base::Time;
 
+use crate::readers::Origin;
+
 /// A call answered sooner than this did not wait for its changes: they may have
 /// been made at any time since the previous answer.
 const IMMEDIATE_ANSWER: Duration = Duration::from_millis(400);
@@ -18,12 +20,47 @@
 /// if their targets live.
 const LAPSED_FOR: Duration = Duration::from_millis(2_000);
 
+/// Where a host has its knowledge of a feed from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Provenance {
+    #[default]
+    Unknown,
+    Source,
+    /// A host that reads the source for others.
+    Reader(SocketAddr),
+    /// The state of another host.
+    Peer(SocketAddr),
+}
+
+impl From<Origin> for Provenance {
+    fn from(origin: Origin) -> Provenance {
+        match origin {
+            Origin::Source => Provenance::Source,
+            Origin::Host(address) => Provenance::Reader(address),
+            Origin::None => Provenance::Unknown,
+        }
+    }
+}
+
+impl fmt::Display for Provenance {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Provenance::Unknown => f.write_str("unknown"),
+            Provenance::Source => f.write_str("source"),
+            Provenance::Reader(address) => write!(f, "reader {address}"),
+            Provenance::Peer(address) => write!(f, "peer {address}"),
+        }
+    }
+}
+
 /// Progress of a host in a feed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FeedProgress {
     /// All changes until then are known. An answer is needed to know: a call that waits
     /// may be one that is never answered.
     proven_until: Option<Time>,
+    /// Who proved it.
+    provenance: Provenance,
     /// Since when a call for changes waits.
     called: Option<Time>,
     /// Time at which the last call failed. The source returned no earlier than shortly
@@ -38,8 +75,11 @@
     }
 
     /// Records that all changes made until `until` are known.
-    pub fn record_complete(&mut self, until: Time) {
-        self.proven_until = self.proven_until.max(Some(until));
+    pub fn record_complete(&mut self, until: Time, provenance: Provenance) {
+        if self.proven_until <= Some(until) {
+            self.proven_until = Some(until);
+            self.provenance = provenance;
+        }
         self.called = None;
     }
 
@@ -59,6 +99,17 @@
         self.proven_until
     }
 
+    /// Returns who proved that all changes until then are known.
+    pub fn provenance(&self) -> Provenance {
+        self.provenance
+    }
+
+    /// Returns the time since the source last proved, maybe through others, that all
+    /// changes are known.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.proven_until.map(|it| now.since(it))
+    }
+
     /// Returns whether state that is known until then may be later than what is known
     /// here; `None` from a host that doesn't say.
     pub fn is_news(&self, known_until: Option<Time>) -> bool {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use crate::{
     budget::RetryBudget,
-    feed::FeedProgress,
+    feed::{FeedProgress, Provenance},
     gather::{Gather, Verdict},
     latency::LatencyQuantile,
     placement::{Placement, Targets},
--- a/crates/forward/tests/feeds.rs
+++ b/crates/forward/tests/feeds.rs
@@ -6,7 +6,7 @@
 
 use base::{HashSet, ServiceName, TargetName};
 use fixture::{Fixture, LEAVING_FOR, at, report};
-use forward::{FeedProgress, Placement, TargetReport};
+use forward::{FeedProgress, Placement, Provenance, TargetReport};
 
 /// Largest age of a change heard of at `now_ms`, in milliseconds.
 fn age(progress: FeedProgress, now_ms: u64) -> Option<u64> {
@@ -17,12 +17,12 @@
 fn a_change_is_as_old_as_the_gap_in_which_it_was_missed() {
     let mut it = FeedProgress::default();
     assert_eq!(age(it, 100), None);
-    it.record_complete(at(100));
+    it.record_complete(at(100), Provenance::Source);
     // An answer at once, and one to a call that waited.
     it.record_call(at(1_000));
     assert_eq!(age(it, 1_005), Some(905));
     assert_eq!(age(it, 1_700), Some(0));
-    it.record_complete(at(1_700));
+    it.record_complete(at(1_700), Provenance::Source);
     // The next call fails; what a later one brings may have been made at any time
     // since.
     it.record_call(at(1_700));
@@ -30,7 +30,7 @@
     it.record_call(at(3_000));
     assert_eq!(age(it, 3_010), Some(1_310));
     // An older list, learned elsewhere, takes nothing back.
-    it.record_complete(at(900));
+    it.record_complete(at(900), Provenance::Source);
     assert_eq!(age(it, 3_010), Some(1_310));
 }
 
@@ -38,7 +38,7 @@
 #[test]
 fn nothing_is_known_of_the_age_of_changes_after_a_long_gap() {
     let mut it = FeedProgress::default();
-    it.record_complete(at(1_000));
+    it.record_complete(at(1_000), Provenance::Source);
     let last = 1_000 + LEAVING_FOR.as_millis() as u64;
     assert!(age(it, last).is_some());
     assert_eq!(age(it, last + 1), None);
@@ -50,7 +50,7 @@
 #[test]
 fn after_a_long_gap_a_missing_target_is_used_until_lapsed_entries_are_back() {
     let mut it = FeedProgress::default();
-    it.record_complete(at(1_000));
+    it.record_complete(at(1_000), Provenance::Source);
     it.record_call(at(1_000));
     it.record_failure(at(4_000));
     it.record_failure(at(7_000));
@@ -72,7 +72,7 @@
 fn older_state_is_no_news() {
     let mut it = FeedProgress::default();
     assert!(it.is_news(Some(at(10))) && it.is_news(None));
-    it.record_complete(at(1_000));
+    it.record_complete(at(1_000), Provenance::Source);
     assert!(!it.is_news(Some(at(999))));
     assert!(it.is_news(Some(at(1_000))) && it.is_news(None));
 }
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -124,32 +124,6 @@
         }))
     }
 
-    /// Returns the version of the configuration in force, 0 before the first.
-    pub fn version(&self) -> u64 {
-        self.table.borrow().as_ref().map_or(0, |it| it.version)
-    }
-
-    /// Puts `cfg` in force unless the same or a later version already is.
-    pub fn apply_configuration(&self, cfg: &Configuration) {
-        let current = self.version();
-        if cfg.version == current && current > 0 {
-            return;
-        }
-        if cfg.version <= current {
-            warn!(self.log, "front: ignored a configuration that is older than the one in force";
-                "version" => current, "offered" => cfg.version);
-            return;
-        }
-        self.targets.borrow_mut().configure(cfg);
-        self.limits.set(cfg.limits);
-        *self.configuration.borrow_mut() = Some(Rc::new(cfg.clone()));
-        let table = RouteTable::new(cfg, &mut self.targets.borrow_mut());
-        *self.table.borrow_mut() = Some(Rc::new(table));
-        self.update_senders();
-        info!(self.log, "front: configuration in force";
-            "version" => cfg.version, "routes" => cfg.routes.len());
-    }
-
     /// Chooses the senders anew from the hosts that are known now.
     pub(crate) fn update_senders(&self) {
         let Some(table) = self.table.borrow().clone() else { return };
--- a/crates/front/src/follow/change_log.rs
+++ b/crates/front/src/follow/change_log.rs
@@ -3,11 +3,12 @@
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
+    net::SocketAddr,
     time::Duration,
 };
 
 use base::Time;
-use forward::FeedProgress;
+use forward::{FeedProgress, Provenance};
 use tokio::sync::{Notify, futures::Notified};
 
 use super::{Batch, Feed, Item};
@@ -123,12 +124,12 @@
         self.progress.set(progress);
     }
 
-    /// Records that state of a peer was applied, whose changes are known until
+    /// Records that state of a `peer` was applied, whose changes are known until
     /// `known_until` if it says so.
-    pub(crate) fn record_replaced(&self, known_until: Option<Time>) {
+    pub(crate) fn record_replaced(&self, peer: SocketAddr, known_until: Option<Time>) {
         self.is_replaced.set(true);
         if let Some(until) = known_until {
-            self.update_progress(|it| it.record_complete(until));
+            self.update_progress(|it| it.record_complete(until, Provenance::Peer(peer)));
         }
     }
 
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -13,6 +13,7 @@
 mod change_log;
 mod host;
 mod origin;
+mod received;
 mod serve;
 mod source;
 #[cfg(test)]
@@ -36,7 +37,11 @@
 use tokio::time::{Instant, sleep, timeout};
 
 pub use self::source::{Batch, Feed, Item, Source, SourceError};
-pub(crate) use self::{change_log::ChangeLogs, serve::answer};
+pub(crate) use self::{
+    change_log::ChangeLogs,
+    received::{Means, Received},
+    serve::answer,
+};
 use self::{
     host::HostSource,
     origin::{FollowState, LostOrigins},
@@ -132,8 +137,8 @@
         }
         state.revision = Some(batch.revision);
         log.restart(batch.revision);
-        apply_all(cx, feed, batch);
-        log.update_progress(|it| it.record_complete(known_until));
+        apply_all(cx, feed, origin, batch);
+        log.update_progress(|it| it.record_complete(known_until, origin.into()));
     }
     state.record_success(cx, feed, origin);
     feed.is_followed(cx).set(true);
@@ -191,10 +196,13 @@
                 let next = after.max(changes.revision);
                 let now = cx.clock.now();
                 let made = when_made(cx, &changes, log.progress(), now);
-                log.update_progress(|it| it.record_complete(now.ago(changes.behind)));
+                let age = made.age.or_else(|| log.progress().age(now));
+                let received = Received { from: origin.into(), by: Means::Changes, age };
+                let known_until = now.ago(changes.behind);
+                log.update_progress(|it| it.record_complete(known_until, origin.into()));
                 *revision = Some(next);
                 log.push(next, &changes.items, now.since(made.removed_since), now);
-                changes.items.into_iter().for_each(|it| apply(cx, it, made));
+                changes.items.into_iter().for_each(|it| apply(cx, it, made, received));
                 if origin == Origin::Source {
                     sleep(feed.pause(cx)).await;
                 }
@@ -242,8 +250,11 @@
     cx.targets.borrow().is_lapse(removed)
 }
 
-fn apply_all(cx: &SharedCx, feed: Feed, batch: Batch) {
-    let made = Made { age: None, removed_since: cx.clock.now() };
+fn apply_all(cx: &SharedCx, feed: Feed, origin: Origin, batch: Batch) {
+    let now = cx.clock.now();
+    let made = Made { age: None, removed_since: now };
+    let age = cx.change_logs.of(feed).progress().age(now);
+    let received = Received { from: origin.into(), by: Means::CompleteRead, age };
     match feed {
         Feed::Targets => {
             let names = batch.items.iter().filter_map(|it| match it {
@@ -254,7 +265,7 @@
             for item in batch.items {
                 match item {
                     Item::Target(report) => cx.update_target_late(report),
-                    other => apply(cx, other, made),
+                    other => apply(cx, other, made, received),
                 }
             }
             cx.retain_listed(&listed);
@@ -267,17 +278,17 @@
             cx.set_evacuated(domains.collect());
             let is_configuration = |it: &Item| matches!(it, Item::Configuration(_));
             let changes = batch.items.into_iter().filter(is_configuration);
-            changes.for_each(|it| apply(cx, it, made));
+            changes.for_each(|it| apply(cx, it, made, received));
         }
     }
 }
 
-fn apply(cx: &SharedCx, item: Item, made: Made) {
+fn apply(cx: &SharedCx, item: Item, made: Made, received: Received) {
     match (item, made.age) {
         (Item::Target(report), Some(age)) => cx.update_target(report, age),
         (Item::Target(report), None) => cx.update_target_late(report),
         (Item::TargetRemoved(name), _) => cx.unlist_target(&name, made.removed_since),
-        (Item::Configuration(cfg), _) => cx.apply_configuration(&cfg),
+        (Item::Configuration(cfg), _) => cx.apply_configuration_of(&cfg, received),
         (Item::Evacuated(domain), _) => cx.set_evacuation(domain, true),
         (Item::EvacuationEnded(domain), _) => cx.set_evacuation(domain, false),
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod callers;
 mod clock;
+mod configuration;
 mod cx;
 pub mod follow;
 mod isolation;
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -4,7 +4,7 @@
 
 use base::{DomainName, HashSet, TargetName, Time};
 use bytes::Bytes;
-use forward::TargetReport;
+use forward::{Provenance, TargetReport};
 use http::{Request, StatusCode, header};
 use http_body_util::Empty;
 use hyper::client::conn::http1;
@@ -16,7 +16,7 @@
 use crate::{
     MessageKind, SharedCx,
     body::{BodyError, BodyLimits, read_body},
-    follow::Feed,
+    follow::{Feed, Means, Received},
     socket,
 };
 
@@ -114,16 +114,20 @@
     let cfg = forward::Configuration::from(state.configuration);
     info!(cx.log, "state: learned from a peer"; "peer" => %peer, "version" => cfg.version,
         "targets" => state.targets.len(), "from_source" => state.follows_source);
+    let operations = cx.change_logs.of(Feed::Operations);
     if cfg.version > cx.version() {
-        cx.apply_configuration(&cfg);
+        let age = operations.progress().age(cx.clock.now());
+        cx.apply_configuration_of(
+            &cfg,
+            Received { from: Provenance::Peer(peer), by: Means::State, age },
+        );
     }
-    let operations = cx.change_logs.of(Feed::Operations);
     let known_until = known_until(asked, state.operations_age_ms);
     if !cx.follows_operations.get() && operations.progress().is_news(known_until) {
         let evacuated: HashSet<DomainName> =
             state.evacuated.into_iter().map(DomainName::from).collect();
         cx.set_evacuated(evacuated);
-        operations.record_replaced(known_until);
+        operations.record_replaced(peer, known_until);
     }
     let targets = cx.change_logs.of(Feed::Targets);
     let known_until = self::known_until(asked, state.targets_age_ms);
@@ -143,7 +147,7 @@
         cx.mark_targets_known();
     }
     // A host that does not follow the source may lack what it has not been told.
-    targets.record_replaced(known_until.filter(|_| state.follows_source));
+    targets.record_replaced(peer, known_until.filter(|_| state.follows_source));
 }
 
 /// Returns the time until which a peer that was asked at `asked` knows all changes;
--- a/crates/front/tests/followers.rs
+++ b/crates/front/tests/followers.rs
@@ -4,7 +4,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use forward::{Configuration, Repeat, budget::RetryLimits, placement::Limits};
+use forward::{Configuration, Provenance, Repeat, budget::RetryLimits, placement::Limits};
 use support::{
     Reply, TestHost, ok, own_address, report, run, source::ScriptedSource, status, target,
 };
@@ -30,6 +30,10 @@
     }
 }
 
+fn version(version: u64) -> Configuration {
+    Configuration { version, ..Configuration::default() }
+}
+
 async fn domain(targets: &[(&str, &str, std::net::SocketAddr)]) -> Vec<Member> {
     let limits = Limits {
         retry: RetryLimits { ratio: 0.05, window: Duration::from_secs(10), slack: 10.0 },
@@ -42,7 +46,7 @@
     let mut members = Vec::new();
     for address in &addresses {
         let source = Rc::new(ScriptedSource::default());
-        source.publish(Configuration { version: 1, ..Configuration::default() });
+        source.publish(version(1));
         for (service, name, at) in targets {
             source.list(report(service, name, *at));
         }
@@ -106,3 +110,24 @@
         }
     });
 }
+
+/// On-call engineers have to see from where a host has its configuration, and since when it
+/// is known to be the newest one.
+#[test]
+fn hosts_know_who_proved_their_configuration_and_when() {
+    run(async {
+        let members = domain(&[]).await;
+        let readers = wait_for_readers(&members).await;
+        members.iter().for_each(|it| it.source.publish(version(9)));
+        for (it, is_reader) in members.iter().zip(readers) {
+            while it.host.cx.version() < 9 {
+                sleep(Duration::from_millis(20)).await;
+            }
+            let provenance = it.host.cx.configuration_provenance();
+            assert_eq!(matches!(provenance, Provenance::Source), is_reader, "{provenance}");
+            assert_eq!(matches!(provenance, Provenance::Reader(_)), !is_reader, "{provenance}");
+            let age = it.host.cx.configuration_age(it.host.cx.clock.now());
+            assert!(age.is_some_and(|it| it < RECOVERY), "{age:?}");
+        }
+    });
+}
--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -25,6 +25,8 @@
             sleep(Duration::from_millis(20)).await;
         }
         assert_eq!(learner.cx.version(), 1);
+        // The peer has never heard of it from the source.
+        assert_eq!(learner.cx.configuration_age(learner.cx.clock.now()), None);
         let answer = learner.get("/one/x").await;
         assert_eq!((status(&answer), body(&answer)), (200, "yes"));
         // A later version is learned too.
