Name the configuration behind each request: its version, age and origin

Cause: lines "request: refused" of the record have `inputs: null` for "no route matches" and name a version alone. They can't tell a host with an old configuration from a caller with a wrong path, nor a stale reader from a call that waits.

Change: lines "request: refused", "request: ended" and "request: the caller left" name `version`, `version_age_ms` (time since it was last known to be the newest one) and `version_from` (who proved that: source, reader ADDRESS, peer ADDRESS). "request: ended" names those at the moment of its decision. A 404 names the number of routes and those of the host name. Gauge `front_configuration_age_ms`. The fields are written into the line itself; nothing is allocated for them but the inputs of a 404.

The new tests were not run on the old code, which has none of these fields.

--- a/crates/forward/src/route/table.rs
+++ b/crates/forward/src/route/table.rs
@@ -64,6 +64,11 @@
         self.by_host.values().flatten()
     }
 
+    /// Returns the number of routes of `host`.
+    pub fn routes_of(&self, host: &str) -> usize {
+        self.by_host.get(host).map_or(0, Vec::len)
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Rc<RouteEntry>> {
         let routes = self.by_host.get(host)?;
--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/callers/log_line.rs
@@ -11,6 +11,7 @@
 use super::refusal::Refusal;
 use crate::{
     SharedCx,
+    in_force::InForce,
     scatter::{Collected, Note},
     targets::Outgoing,
 };
@@ -19,7 +20,7 @@
 pub(crate) struct LogLine {
     id: String,
     route: Arc<str>,
-    version: u64,
+    in_force: InForce,
     verdict: &'static str,
     took_ms: f64,
     kind: &'static str,
@@ -41,7 +42,7 @@
         LogLine {
             id: request_id(cx, &request.headers),
             route: entry.route.name.clone(),
-            version: entry.version,
+            in_force: request.in_force,
             verdict: collected.verdict.as_str(),
             took_ms: cx.clock.now().since(schedule.received).as_secs_f64() * 1_000.0,
             kind: kind(entry, request),
@@ -70,7 +71,7 @@
             cx.metrics.record_missing_parts(self.missing);
         }
         info!(cx.log, "request: ended";
-            "id" => &self.id, "route" => &*self.route, "version" => self.version,
+            self.in_force, "id" => &self.id, "route" => &*self.route,
             "status" => status.as_u16(), "verdict" => self.verdict, "took_ms" => self.took_ms as u64,
             "via" => self.via.as_deref(), "parts" => self.parts, "missing" => self.missing, "extra_sends" => self.extra_sends,
             "notes" => &self.notes);
@@ -95,15 +96,15 @@
     notes: &[Note],
 ) {
     let after = cx.clock.now().since(received);
-    info!(cx.log, "request: the caller left"; "id" => request_id(cx, &request.headers),
+    info!(cx.log, "request: the caller left"; request.in_force, "id" => request_id(cx, &request.headers),
         "after_ms" => after.as_millis() as u64, "parts" => done, "notes" => format_notes(notes));
 }
 
 /// Logs a request that this tier refused.
 pub(crate) fn refused(cx: &SharedCx, id: &str, refusal: &Refusal) {
     cx.metrics.record_refusal(refusal.reason);
-    info!(cx.log, "request: refused"; "id" => id, "status" => refusal.status.as_u16(),
-        "reason" => refusal.reason, "inputs" => refusal.inputs.as_deref(), "version" => cx.version(),
+    info!(cx.log, "request: refused"; InForce::now(cx), "id" => id, "status" => refusal.status.as_u16(),
+        "reason" => refusal.reason, "inputs" => refusal.inputs.as_deref(),
         "retry_after_ms" => refusal.retry_after.map(|it| it.as_millis() as u64));
 }
 
--- a/crates/front/src/callers/request.rs
+++ b/crates/front/src/callers/request.rs
@@ -10,8 +10,11 @@
 use base::{Time, always};
 use bytes::Bytes;
 use forward::{
-    Destination, QueryPlan, Repeat, Route, Verdict, gather::Schedule, placement::Admission,
-    route::RouteEntry, suspects::Fingerprint,
+    Destination, QueryPlan, Repeat, Route, Verdict,
+    gather::Schedule,
+    placement::Admission,
+    route::{RouteEntry, RouteTable},
+    suspects::Fingerprint,
 };
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header, request::Parts,
@@ -28,6 +31,7 @@
 };
 use crate::{
     SharedCx,
+    in_force::InForce,
     isolation::{Unservable, check_servable, check_targets, needed_helpers},
     relay::{self, Relay},
     scatter::{Collected, scatter},
@@ -114,6 +118,7 @@
         return Err(Refusal::bad_request("the request has no id"));
     }
     let deadline = deadline(&head.headers, &names.deadline_ms)?;
+    let in_force = InForce::now(cx);
     let entry = find_route(cx, &head, deadline)?;
     let left = deadline.map_or(entry.route.timeout, |it| it.min(entry.route.timeout));
     if cx.in_progress.count() > MAX_REQUESTS_IN_PROGRESS {
@@ -128,7 +133,7 @@
         Origin::Host(_) => cx.clock.now() + left,
     };
     let body = read_body(body, cx.limits.get().body_bytes, left).await?;
-    let request = outgoing(&entry.route, head, body, until);
+    let request = outgoing(&entry.route, in_force, head, body, until);
     if cx.suspects.borrow().is_blocked(request.fingerprint) {
         let reason = "the request crashed several targets";
         return Err(Refusal::not_run(reason, BLOCKED_WAIT, left));
@@ -168,7 +173,7 @@
 
 /// Builds the request that goes to targets: the caller's without hop-by-hop
 /// headers.
-fn outgoing(route: &Route, head: Parts, body: Bytes, until: Time) -> Outgoing {
+fn outgoing(route: &Route, in_force: InForce, head: Parts, body: Bytes, until: Time) -> Outgoing {
     let mut headers = head.headers;
     strip_hop_headers(&mut headers);
     // The body has been read, so no `100 Continue` is needed.
@@ -181,6 +186,7 @@
         body,
         deadline: until,
         is_idempotent: route.repeat == Repeat::Idempotent,
+        in_force,
         relay: None,
         is_answered: Cell::new(false),
     }
@@ -226,7 +232,13 @@
     let host = host.ok_or_else(|| Refusal::bad_request("no host is named"))?;
     let host = without_port(host).to_ascii_lowercase();
     let entry = table.find(&host, path).cloned();
-    entry.ok_or_else(|| Refusal::new(StatusCode::NOT_FOUND, "no route matches"))
+    entry.ok_or_else(|| unknown_route(&table, &host))
+}
+
+fn unknown_route(table: &RouteTable, host: &str) -> Refusal {
+    let (all, of_host) = (table.routes().count(), table.routes_of(host));
+    let refusal = Refusal::new(StatusCode::NOT_FOUND, "no route matches");
+    refusal.with_inputs(format!("{all} routes, {of_host} of this host name"))
 }
 
 fn without_port(host: &str) -> &str {
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -23,6 +23,7 @@
 use crate::{
     Clock, FrontSettings,
     follow::{ChangeLogs, Feed},
+    in_force::InForce,
     scatter::{Event, Waiter},
     targets::Pools,
 };
@@ -216,7 +217,10 @@
     pub(crate) fn encode_metrics(&self) -> Result<String, MetricsError> {
         let targets = self.targets.borrow();
         let follows = self.follows_targets.get() && self.follows_operations.get();
-        self.metrics.set_gauge(FrontGauge::ConfigurationVersion, self.version());
+        let in_force = InForce::now(self);
+        self.metrics.set_gauge(FrontGauge::ConfigurationVersion, in_force.version);
+        let age = in_force.age.unwrap_or_else(|| self.clock.now().since(Time::ZERO));
+        self.metrics.set_gauge(FrontGauge::ConfigurationAge, age.as_millis() as u64);
         self.metrics
             .set_gauge(FrontGauge::Hosts, self.peers.borrow().count(self.clock.now()) as u64);
         self.metrics.set_gauge(FrontGauge::Targets, targets.target_count() as u64);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 mod configuration;
 mod cx;
 pub mod follow;
+mod in_force;
 mod isolation;
 mod names;
 mod peer_keys;
--- a/crates/front/src/targets/health.rs
+++ b/crates/front/src/targets/health.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::{Job, Outgoing};
-use crate::SharedCx;
+use crate::{SharedCx, in_force::InForce};
 
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -47,6 +47,7 @@
         body: Bytes::new(),
         deadline: cx.clock.now() + HEALTH_TIMEOUT,
         is_idempotent: true,
+        in_force: InForce::now(cx),
         fingerprint: 0,
         relay: None,
         // No caller waits for the answer.
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -18,7 +18,7 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::mpsc;
 
-use crate::{SharedCx, relay::Relay, scatter::Event};
+use crate::{SharedCx, in_force::InForce, relay::Relay, scatter::Event};
 
 /// A request to one target, with the channel for its outcome.
 pub(crate) struct Job {
@@ -39,6 +39,8 @@
     /// Deadline of the request.
     pub deadline: Time,
     pub is_idempotent: bool,
+    /// Configuration by which the request is served.
+    pub in_force: InForce,
     pub fingerprint: Fingerprint,
     /// Set if the request is passed on to another host.
     pub relay: Option<Relay>,
@@ -57,6 +59,7 @@
             body: self.body.clone(),
             deadline: self.deadline,
             is_idempotent: self.is_idempotent,
+            in_force: self.in_force,
             fingerprint: self.fingerprint,
             relay: None,
             is_answered: Cell::new(false),
--- a/crates/front/tests/metrics.rs
+++ b/crates/front/tests/metrics.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
-use forward::Repeat;
-use support::{Reply, TestHost, body, ok, read_message, run, target};
-use tokio::{io::AsyncWriteExt, net::TcpStream};
+use std::{rc::Rc, time::Duration};
+
+use forward::{Configuration, Repeat};
+use support::{Reply, TestHost, body, ok, read_message, run, source::ScriptedSource, target};
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 #[test]
 fn each_metric_is_served_and_documented() {
@@ -33,3 +35,22 @@
         }
     });
 }
+
+/// Guards against hosts on an old configuration that look like all others.
+#[test]
+fn the_age_of_the_configuration_grows_while_the_source_is_silent() {
+    const SILENCE: Duration = Duration::from_millis(700);
+    run(async {
+        let source = Rc::new(ScriptedSource::default());
+        source.publish(Configuration { version: 1, ..Configuration::default() });
+        let host = TestHost::start();
+        host.follow_configuration(&source);
+        while host.gauge("front_configuration_version").await != Some(1) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        source.cut_off();
+        sleep(SILENCE).await;
+        let age = host.gauge("front_configuration_age_ms").await;
+        assert!(age >= Some(SILENCE.as_millis() as u64), "{age:?}");
+    });
+}
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -35,6 +35,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FrontGauge {
     ConfigurationVersion,
+    ConfigurationAge,
     Hosts,
     Targets,
     TargetsDown,
@@ -51,8 +52,13 @@
 }
 
 /// Gauge, metric name without `front_`, and description.
-const GAUGES: [(FrontGauge, &str, &str); 14] = [
+const GAUGES: [(FrontGauge, &str, &str); 15] = [
     (FrontGauge::ConfigurationVersion, "configuration_version", "Version in force"),
+    (
+        FrontGauge::ConfigurationAge,
+        "configuration_age_ms",
+        "Time since the version in force was last known to be the newest one",
+    ),
     (FrontGauge::Hosts, "hosts", "Hosts that share the targets' limits"),
     (FrontGauge::Targets, "targets", "Targets known"),
     (
