Show in `explain` which later versions other hosts had before a request

Cause: from one host's lines nobody sees whether a version that it decided by was old.

Change: `godwityard explain` prints, for each host with lines of the request, the versions that are later than the request's and that other hosts in the given logs had put in force before, with their number and the first one's time.

Conclusion: a refusal by an old configuration is told from one of a wrong path by one call.

--- a/crates/godwityard/src/commands/explain/log_line.rs
+++ b/crates/godwityard/src/commands/explain/log_line.rs
@@ -38,6 +38,16 @@
         self.fields.get(field)?.as_str()
     }
 
+    pub(super) fn u64_field(&self, field: &str) -> Option<u64> {
+        self.fields.get(field)?.as_u64()
+    }
+
+    /// Returns the time by the clock of the host, in a form that can be compared: fractions
+    /// of a second have no zeros at their end.
+    pub(super) fn time(&self) -> &str {
+        self.ts.trim_end_matches('Z')
+    }
+
     /// Parses the field `notes`, which is a sequence of `SERVICE/TARGET text; `.
     /// `TARGET` is `-` if the note is on no single target.
     pub(super) fn part_notes(&self) -> Vec<PartNote> {
--- a/crates/godwityard/src/commands/explain/trace.rs
+++ b/crates/godwityard/src/commands/explain/trace.rs
@@ -1,6 +1,9 @@
 //! Trace of one request, collected from the logs of hosts.
 
-use std::io::{self, Write};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io::{self, Write},
+};
 
 use serde::Serialize;
 
@@ -14,12 +17,14 @@
 /// shown.
 const FOLLOWING_LINES: usize = 150;
 
+const CONFIGURATION_MESSAGE: &str = "front: configuration in force";
+
 /// Messages that log a change of a host's state, by kind. Of each kind the last one
 /// before the request holds.
 const STATE_MESSAGES: [&[&str]; 7] = [
     &["host: starting"],
     &["front: stopping"],
-    &["front: configuration in force"],
+    &[CONFIGURATION_MESSAGE],
     &["follow: the source is lost", "follow: the source is back"],
     &["front: reach changed"],
     &["front: evacuated domains changed"],
@@ -49,6 +54,9 @@
     host: String,
     lines: Vec<Event>,
     parts: Vec<PartTrace>,
+    /// Versions later than the request's that were in force elsewhere before, by the
+    /// clocks of the hosts.
+    later_versions: Vec<VersionTrace>,
     /// State of the host before the request.
     #[serde(rename = "believed")]
     state_before: Vec<Event>,
@@ -80,6 +88,16 @@
     notes_nearby: usize,
 }
 
+/// A configuration that other hosts had before the request.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct VersionTrace {
+    version: u64,
+    hosts: usize,
+    /// Time from which the first of them had it.
+    since: String,
+}
+
 impl RequestTrace {
     pub(super) fn new(request: &str, lines: &[LogLine]) -> RequestTrace {
         let mut hosts: Vec<&str> = Vec::new();
@@ -137,6 +155,7 @@
             host: host.to_owned(),
             lines: request_lines.iter().map(|it| Event::from(*it)).collect(),
             parts: parts.collect(),
+            later_versions: later_versions(&request_lines, lines),
             state_before: state_before(&host_lines[..first]),
             changes_after: state_changes(&host_lines[first..], FOLLOWING_LINES),
         }
@@ -152,6 +171,12 @@
                 writeln!(out, "      notes on the same target in {count} other requests nearby")?;
             }
         }
+        for VersionTrace { version, hosts, since } in &self.later_versions {
+            writeln!(
+                out,
+                "  version {version} was in force on {hosts} other hosts, since {since}"
+            )?;
+        }
         if !self.state_before.is_empty() {
             writeln!(out, "  state of the host before the request:")?;
             print_events(out, &self.state_before, false)?;
@@ -164,6 +189,15 @@
     }
 }
 
+impl VersionTrace {
+    /// `lines` are those of hosts that put the version in force.
+    fn new(version: u64, lines: &[&LogLine]) -> Option<VersionTrace> {
+        let hosts: BTreeSet<&str> = lines.iter().map(|it| &*it.host).collect();
+        let first = lines.iter().min_by_key(|it| it.time())?;
+        Some(VersionTrace { version, hosts: hosts.len(), since: first.ts.clone() })
+    }
+}
+
 impl From<&LogLine> for Event {
     fn from(line: &LogLine) -> Event {
         let mut text = line.msg.clone();
@@ -194,6 +228,22 @@
     found.into_iter().map(|index| Event::from(before[index])).collect()
 }
 
+/// Returns the versions that are later than those of `request_lines` and were in force
+/// elsewhere before.
+fn later_versions(request_lines: &[&LogLine], lines: &[LogLine]) -> Vec<VersionTrace> {
+    let Some(first) = request_lines.first() else { return Vec::new() };
+    let versions = request_lines.iter().filter_map(|it| it.u64_field("version"));
+    let Some(own) = versions.min() else { return Vec::new() };
+    let mut later: BTreeMap<u64, Vec<&LogLine>> = BTreeMap::new();
+    let elsewhere = lines.iter().filter(|it| it.host != first.host && it.time() < first.time());
+    for line in elsewhere.filter(|it| it.msg == CONFIGURATION_MESSAGE) {
+        if let Some(version) = line.u64_field("version").filter(|it| *it > own) {
+            later.entry(version).or_default().push(line);
+        }
+    }
+    later.into_iter().filter_map(|(version, lines)| VersionTrace::new(version, &lines)).collect()
+}
+
 /// Returns the state changes among the first `count` lines of `after`.
 fn state_changes(after: &[&LogLine], count: usize) -> Vec<Event> {
     let is_state_change = |it: &&&LogLine| {
--- a/crates/godwityard/tests/explain_logs.rs
+++ b/crates/godwityard/tests/explain_logs.rs
@@ -16,6 +16,12 @@
 {"msg":"front: reach changed","level":"WARN","ts":"T06","host":"h2","is_isolated":true}
 {"msg":"request: refused","level":"INFO","ts":"T07","host":"h2","reason":"too few targets can be reached","status":503,"id":"q2","retry_after_ms":100}
 {"msg":"host: starting","level":"INFO","ts":"T08","host":"h2","domain":"b"}
+{"msg":"front: configuration in force","level":"INFO","ts":"T10Z","host":"h3","version":4,"origin":"source"}
+{"msg":"front: configuration in force","level":"INFO","ts":"T10.8Z","host":"h4","version":6,"origin":"source"}
+{"msg":"front: configuration in force","level":"INFO","ts":"T10.9Z","host":"h4","version":6,"origin":"source"}
+{"msg":"front: configuration in force","level":"INFO","ts":"T10.75Z","host":"h5","version":6,"origin":"source"}
+{"msg":"request: refused","level":"INFO","ts":"T12.1Z","host":"h3","version":4,"version_age_ms":9200,"version_from":"reader 10.0.0.4:7380","inputs":"2 routes, 1 of this host name","reason":"no route matches","status":404,"id":"q4"}
+{"msg":"front: configuration in force","level":"INFO","ts":"T12.15Z","host":"h4","version":7,"origin":"source"}
 not a line of a host
 "#;
 
@@ -57,6 +63,25 @@
     assert!(changes_after.contains("T08 host: starting"), "{}", ran.out);
 }
 
+/// Guards against refusals that can't be told from those of a wrong path: the host had an
+/// old configuration, and others the next one.
+#[test]
+fn a_refusal_by_an_old_configuration_shows_its_age_and_later_versions_elsewhere() {
+    let ran = explain("old-version", &["q4"]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    for wanted in [
+        "version 4",
+        "version_age_ms 9200",
+        "version_from reader 10.0.0.4:7380",
+        "inputs 2 routes, 1 of this host name",
+        "\n  version 6 was in force on 2 other hosts, since T10.75Z\n",
+        "T10Z front: configuration in force, origin source, version 4",
+    ] {
+        assert!(ran.out.contains(wanted), "{wanted}: {}", ran.out);
+    }
+    assert!(!ran.out.contains("version 7"), "{}", ran.out);
+}
+
 #[test]
 fn unknown_request_lists_unplanned_starts() {
     let ran = explain("lost", &["q3"]);
