End a planned stop only after the last answers

Cause: the process ended at the moment at which its last requests did. In one turn of the event loop the stop's timer and those of the requests are due, and the stop goes first: its end drops all connections, so requests at targets ended without an answer (LOST). The 0.9 s reserved for answers were not used. The test in crates/front can't show it, as its event loop goes on after the host has ended.

Change: requests end as before, 0.9 s before the limit; the process ends as soon as nothing is in progress, at the latest 0.3 s before the limit, and gives answers that are due one more turn if it wakes up later than that.

--- a/crates/forward/src/stopping.rs
+++ b/crates/forward/src/stopping.rs
@@ -18,6 +18,10 @@
 /// until twice this time is left.
 const RESERVED_TIME: Duration = Duration::from_millis(900);
 
+/// Part of the reserved time that is left for the process to end. Until then it sends
+/// answers, also if it runs late.
+const EXIT_TIME: Duration = Duration::from_millis(300);
+
 /// A planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stop {
@@ -46,6 +50,11 @@
         self.begun + self.limit.saturating_sub(RESERVED_TIME)
     }
 
+    /// Returns the time until which the last answers are sent.
+    pub fn exits_at(&self) -> Time {
+        self.begun + self.limit.saturating_sub(EXIT_TIME)
+    }
+
     /// Returns whether a request is taken that comes in now and ends within `time_limit`
     /// in any case.
     pub fn takes(&self, time_limit: Duration, now: Time) -> bool {
--- a/crates/forward/tests/stopping.rs
+++ b/crates/forward/tests/stopping.rs
@@ -36,9 +36,12 @@
         let limit = Duration::from_millis(limit);
         assert!(stop.serves_until() >= BEGUN + Duration::from_millis(2_001).min(limit / 2));
         assert!(stop.accepts_until() <= stop.ends_at());
-        assert!(stop.ends_at() <= BEGUN + limit);
+        assert!(stop.ends_at() <= stop.exits_at());
+        assert!(stop.exits_at() <= BEGUN + limit);
     }
     let (stop, _) = stops().nth(3).expect("a stop of six seconds");
-    assert!(stop.ends_at() < BEGUN + Duration::from_millis(6_000));
+    // Between the two a process that runs late still sends its answers.
+    assert!(stop.ends_at() < stop.exits_at());
+    assert!(stop.exits_at() < BEGUN + Duration::from_millis(6_000));
     assert!(stop.serves_until() < stop.accepts_until());
 }
--- a/crates/front/src/callers/stop.rs
+++ b/crates/front/src/callers/stop.rs
@@ -49,7 +49,11 @@
     // host.
     drop(callers);
     let is_busy = || connections.len() > 0 || cx.in_progress.count() > 0;
-    while is_busy() && cx.clock.now() < stop.ends_at() {
+    let mut is_over = false;
+    while is_busy() && !is_over {
+        // If the time passed while the process did not run, answers that are due are
+        // sent in one more interval.
+        is_over = cx.clock.now() >= stop.exits_at();
         connections.close_gracefully();
         sleep(POLL_INTERVAL).await;
     }
