--- /dev/null
+++ b/crates/front/src/follow/apply.rs
@@ -0,0 +1,79 @@
+//! Puts items of a feed in force, with what is known of when they changed.
+
+use std::time::Duration;
+
+use base::{HashSet, TargetName, Time};
+use forward::{FeedProgress, readers::Origin};
+
+use super::{Batch, Feed, Item, Means, Received};
+use crate::SharedCx;
+
+/// When changes were made.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Made {
+    /// Largest age of the changes; `None` if it is unknown or entries may have lapsed.
+    pub age: Option<Duration>,
+    /// Time since which targets whose entries were removed count as leaving.
+    pub removed_since: Time,
+}
+
+/// Returns when changes were made that an answer, read now, tells of.
+pub(super) fn when_made(cx: &SharedCx, changes: &Batch, progress: FeedProgress, now: Time) -> Made {
+    if is_lapse(cx, &changes.items) {
+        return Made { age: None, removed_since: now };
+    }
+    let leaving_for = cx.targets.borrow().leaving_for();
+    let age = changes.age.or_else(|| progress.max_age(leaving_for, now));
+    let known_until = age.map(|it| now.ago(it)).or_else(|| progress.proven_until());
+    Made { age, removed_since: known_until.unwrap_or(now) }
+}
+
+/// Returns whether the changes show that entries lapsed.
+fn is_lapse(cx: &SharedCx, items: &[Item]) -> bool {
+    let removed = items.iter().filter(|it| matches!(it, Item::TargetRemoved(_))).count();
+    cx.targets.borrow().is_lapse(removed)
+}
+
+pub(super) fn apply_all(cx: &SharedCx, feed: Feed, origin: Origin, batch: Batch) {
+    let now = cx.clock.now();
+    let made = Made { age: None, removed_since: now };
+    let age = cx.change_logs.of(feed).progress().age(now);
+    let received = Received { from: origin.into(), by: Means::CompleteRead, age };
+    match feed {
+        Feed::Targets => {
+            let names = batch.items.iter().filter_map(|it| match it {
+                Item::Target(report) => Some(report.name.clone()),
+                _ => None,
+            });
+            let listed: HashSet<TargetName> = names.collect();
+            for item in batch.items {
+                match item {
+                    Item::Target(report) => cx.update_target_late(report),
+                    other => apply(cx, other, made, received),
+                }
+            }
+            cx.retain_listed(&listed);
+        }
+        Feed::Operations => {
+            let domains = batch.items.iter().filter_map(|it| match it {
+                Item::Evacuated(domain) => Some(domain.clone()),
+                _ => None,
+            });
+            cx.set_evacuated(domains.collect());
+            let is_configuration = |it: &Item| matches!(it, Item::Configuration(_));
+            let changes = batch.items.into_iter().filter(is_configuration);
+            changes.for_each(|it| apply(cx, it, made, received));
+        }
+    }
+}
+
+pub(super) fn apply(cx: &SharedCx, item: Item, made: Made, received: Received) {
+    match (item, made.age) {
+        (Item::Target(report), Some(age)) => cx.update_target(report, age),
+        (Item::Target(report), None) => cx.update_target_late(report),
+        (Item::TargetRemoved(name), _) => cx.unlist_target(&name, made.removed_since),
+        (Item::Configuration(cfg), _) => cx.apply_configuration_of(&cfg, received),
+        (Item::Evacuated(domain), _) => cx.set_evacuation(domain, true),
+        (Item::EvacuationEnded(domain), _) => cx.set_evacuation(domain, false),
+    }
+}
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -10,6 +10,7 @@
 //! Load pattern answered: a source that is unavailable or slow, drops its
 //! history or rejects some hosts, and many hosts that return to it at once.
 
+mod apply;
 mod change_log;
 mod host;
 mod origin;
@@ -26,9 +27,7 @@
     time::Duration,
 };
 
-use base::{HashSet, TargetName, Time};
 use forward::{
-    FeedProgress,
     peers::DIGEST_INTERVAL,
     readers::{Origin, has_followers},
     source_calls::{MAX_JITTER, MIN_JITTER},
@@ -37,15 +36,16 @@
 use tokio::time::{Instant, sleep, timeout};
 
 pub use self::source::{Batch, Feed, Item, Source, SourceError};
+use self::{
+    apply::{apply, apply_all, when_made},
+    host::HostSource,
+    origin::{FollowState, LostOrigins},
+};
 pub(crate) use self::{
     change_log::ChangeLogs,
     received::{Means, Received},
     serve::answer,
 };
-use self::{
-    host::HostSource,
-    origin::{FollowState, LostOrigins},
-};
 use crate::SharedCx;
 
 /// Time that a reader may hold one call for changes, and time beyond it after which the
@@ -223,73 +223,3 @@
         if has_followers(origin::local_hosts(cx).len()) { calls.for_reader() } else { calls };
     (calls.wait, calls.changes)
 }
-
-/// When changes were made.
-#[derive(Clone, Copy, Debug)]
-struct Made {
-    /// Largest age of the changes; `None` if it is unknown or entries may have lapsed.
-    age: Option<Duration>,
-    /// Time since which targets whose entries were removed count as leaving.
-    removed_since: Time,
-}
-
-/// Returns when changes were made that an answer, read now, tells of.
-fn when_made(cx: &SharedCx, changes: &Batch, progress: FeedProgress, now: Time) -> Made {
-    if is_lapse(cx, &changes.items) {
-        return Made { age: None, removed_since: now };
-    }
-    let leaving_for = cx.targets.borrow().leaving_for();
-    let age = changes.age.or_else(|| progress.max_age(leaving_for, now));
-    let known_until = age.map(|it| now.ago(it)).or_else(|| progress.proven_until());
-    Made { age, removed_since: known_until.unwrap_or(now) }
-}
-
-/// Returns whether the changes show that entries lapsed.
-fn is_lapse(cx: &SharedCx, items: &[Item]) -> bool {
-    let removed = items.iter().filter(|it| matches!(it, Item::TargetRemoved(_))).count();
-    cx.targets.borrow().is_lapse(removed)
-}
-
-fn apply_all(cx: &SharedCx, feed: Feed, origin: Origin, batch: Batch) {
-    let now = cx.clock.now();
-    let made = Made { age: None, removed_since: now };
-    let age = cx.change_logs.of(feed).progress().age(now);
-    let received = Received { from: origin.into(), by: Means::CompleteRead, age };
-    match feed {
-        Feed::Targets => {
-            let names = batch.items.iter().filter_map(|it| match it {
-                Item::Target(report) => Some(report.name.clone()),
-                _ => None,
-            });
-            let listed: HashSet<TargetName> = names.collect();
-            for item in batch.items {
-                match item {
-                    Item::Target(report) => cx.update_target_late(report),
-                    other => apply(cx, other, made, received),
-                }
-            }
-            cx.retain_listed(&listed);
-        }
-        Feed::Operations => {
-            let domains = batch.items.iter().filter_map(|it| match it {
-                Item::Evacuated(domain) => Some(domain.clone()),
-                _ => None,
-            });
-            cx.set_evacuated(domains.collect());
-            let is_configuration = |it: &Item| matches!(it, Item::Configuration(_));
-            let changes = batch.items.into_iter().filter(is_configuration);
-            changes.for_each(|it| apply(cx, it, made, received));
-        }
-    }
-}
-
-fn apply(cx: &SharedCx, item: Item, made: Made, received: Received) {
-    match (item, made.age) {
-        (Item::Target(report), Some(age)) => cx.update_target(report, age),
-        (Item::Target(report), None) => cx.update_target_late(report),
-        (Item::TargetRemoved(name), _) => cx.unlist_target(&name, made.removed_since),
-        (Item::Configuration(cfg), _) => cx.apply_configuration_of(&cfg, received),
-        (Item::Evacuated(domain), _) => cx.set_evacuation(domain, true),
-        (Item::EvacuationEnded(domain), _) => cx.set_evacuation(domain, false),
-    }
-}
