Answer requests that were taken before a planned stop and outlast it

Cause: only requests taken during a stop had its end as their deadline.

Change: a stop that begins wakes the queries in progress, which end with it at the latest, by the rule for a deadline that passes: with the parts if they are enough, else with 504, or 503 if no target got the request.

Left: a request whose body is still coming in at the end of the stop.

--- a/crates/forward/src/gather/mod.rs
+++ b/crates/forward/src/gather/mod.rs
@@ -226,6 +226,11 @@
         self.schedule.settle_at()
     }
 
+    /// Ends the query at `at` at the latest.
+    pub fn end_by(&mut self, at: Time) {
+        self.schedule.deadline = self.schedule.deadline.min(at);
+    }
+
     /// Evaluates whether the query is answered, fails or waits.
     pub fn verdict(&self, now: Time) -> Verdict {
         let done = self.done();
--- a/crates/forward/src/query/mod.rs
+++ b/crates/forward/src/query/mod.rs
@@ -125,6 +125,12 @@
         &self.plan
     }
 
+    /// Ends the query at `at` at the latest, as if that were its deadline.
+    pub fn end_by(&mut self, at: Time) {
+        self.plan.schedule.deadline = self.plan.schedule.deadline.min(at);
+        self.gather.end_by(at);
+    }
+
     pub fn part(&self, index: usize) -> PartState {
         self.gather.part(index)
     }
--- a/crates/forward/tests/queries.rs
+++ b/crates/forward/tests/queries.rs
@@ -148,3 +148,23 @@
     let mut query = it.query(1, true, TIMEOUT_MS, at(0));
     assert_eq!(query.poll(&mut it.targets, at(0)).1, Verdict::GiveUp);
 }
+
+/// Guards against requests that are cut when their host stops: a query in progress ends
+/// with an answer before that, and with its own deadline if that is earlier.
+#[test]
+fn a_query_in_progress_ends_no_later_than_its_host() {
+    for (host_ends, ends) in [(at(400), at(400)), (at(5_000), at(TIMEOUT_MS))] {
+        let mut it = ServicesFixture::new(1, 2);
+        let mut query = it.query(1, false, TIMEOUT_MS, at(0));
+        place(&mut query, &mut it, at(0));
+        query.end_by(host_ends);
+        let mut now = at(0);
+        let verdict = loop {
+            match query.poll(&mut it.targets, now).1 {
+                Verdict::Wait(until) => now = until,
+                verdict => break verdict,
+            }
+        };
+        assert_eq!((verdict, now, query.may_have_run()), (Verdict::TimedOut, ends, true));
+    }
+}
--- a/crates/front/src/callers/stop.rs
+++ b/crates/front/src/callers/stop.rs
@@ -24,7 +24,7 @@
 pub(super) async fn drain(cx: &SharedCx, callers: TcpListener, connections: &Rc<Connections>) {
     let begun = cx.clock.now();
     let stop = Stop::new(begun, cx.cfg.shutdown_timeout);
-    cx.stop.set(Some(stop));
+    cx.begin_stop(stop);
     info!(cx.log, "front: stopping"; "open_connections" => connections.len());
     let mut last_accepted = begun;
     while cx.clock.now() < stop.accepts_until() {
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -19,6 +19,7 @@
 };
 use slog::{Logger, info, warn};
 use telemetry::{FrontGauge, FrontMetrics, metrics::MetricsError};
+use tokio::sync::Notify;
 
 use crate::{
     Clock, FrontSettings,
@@ -43,6 +44,8 @@
     pub(crate) pools: RefCell<Pools>,
     /// Planned stop in progress.
     pub(crate) stop: Cell<Option<Stop>>,
+    /// Wakes the queries in progress when a planned stop begins.
+    pub(crate) stop_begun: Notify,
     has_targets: Cell<bool>,
     /// Whether the targets feed is followed, at the source or at a reader; while it
     /// is not, targets are learned from peers.
@@ -110,6 +113,7 @@
             limits: Cell::new(CallerLimits::default()),
             pools: RefCell::new(Pools::default()),
             stop: Cell::new(None),
+            stop_begun: Notify::new(),
             has_targets: Cell::new(false),
             follows_targets: Cell::new(false),
             change_logs: ChangeLogs::default(),
@@ -209,6 +213,12 @@
         self.is_stopping() || self.is_isolated.get()
     }
 
+    /// Begins a planned stop. Queries in progress end with it at the latest.
+    pub(crate) fn begin_stop(&self, stop: Stop) {
+        self.stop.set(Some(stop));
+        self.stop_begun.notify_waiters();
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop.get().is_some()
     }
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -92,6 +92,9 @@
             while let Ok(event) = rx.try_recv() {
                 self.handle(event);
             }
+            if let Some(stop) = self.cx.stop.get() {
+                self.query.end_by(stop.ends_at());
+            }
             let now = self.cx.clock.now();
             let (steps, verdict) = self.query.poll(&mut self.cx.targets.borrow_mut(), now);
             steps.into_iter().for_each(|it| self.run_step(it));
@@ -106,6 +109,7 @@
                         self.handle(event);
                     }
                 }
+                () = self.cx.stop_begun.notified() => {}
                 () = sleep_until(self.cx.clock.instant(wake_at)) => {}
             }
         }
