Count a change as old as it may be on a host that runs late

Cause: an answer that is read 0.4 s after its call passed for one to a call that waited, so its changes counted as made just now. A host that gets no processor for so long reads an answer late that was sent at once: the change may be older by the pause of a second before the call and by the delay, more than the 0.6 s between the time for which a leaving target is used (0.8 of drain_ms) and drain_ms. Requests then reach targets that left (DRAIN). An answer also counted as proof up to the moment at which it was read.

What had come in before the last sign but one has been read since, so an answer counts as sent after that sign and after its call, not as sent now.

Changes heard of after a short wait now count as up to 0.2 s older.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -66,6 +66,8 @@
     /// Time at which the last call failed. The source returned no earlier than shortly
     /// before.
     failed_at: Option<Time>,
+    /// The last two signs that the host runs.
+    ran_at: [Option<Time>; 2],
 }
 
 impl FeedProgress {
@@ -74,6 +76,19 @@
         self.called = Some(now);
     }
 
+    /// Records that the host runs. What has come in until then is read before the next
+    /// sign.
+    pub fn record_running(&mut self, now: Time) {
+        self.ran_at = [self.ran_at[1], Some(now)];
+    }
+
+    /// Returns the time before which an answer, read now, was not sent. A host that gets
+    /// no processor for a while reads it late.
+    pub fn sent_after(&self, now: Time) -> Time {
+        let came_in_after = self.ran_at[0].unwrap_or(now);
+        self.called.map_or(came_in_after, |called| came_in_after.max(called))
+    }
+
     /// Records that all changes made until `until` are known.
     pub fn record_complete(&mut self, until: Time, provenance: Provenance) {
         if self.proven_until <= Some(until) {
@@ -120,9 +135,10 @@
     /// of; `None` if that is more than `limit`. The answer to a call that waited came at
     /// the first change.
     pub fn max_age(&self, limit: Duration, now: Time) -> Option<Duration> {
-        let has_waited = |called| now.since(called) >= IMMEDIATE_ANSWER;
+        let sent_after = self.sent_after(now);
+        let has_waited = |called| sent_after.since(called) >= IMMEDIATE_ANSWER;
         let known_until =
-            if self.called.is_some_and(has_waited) { Some(now) } else { self.proven_until };
+            if self.called.is_some_and(has_waited) { Some(sent_after) } else { self.proven_until };
         let age = now.since(known_until?);
         (age <= limit).then_some(age)
     }
--- a/crates/forward/tests/feeds.rs
+++ b/crates/forward/tests/feeds.rs
@@ -109,3 +109,57 @@
     it.targets.apply_report(other, at(0));
     [TargetName::new("two")].into_iter().collect()
 }
+
+/// Time between two signs that a host runs, the store's time for an answer, and the pause
+/// between two calls, in milliseconds.
+const SIGN_MS: u64 = 100;
+const ANSWER_MS: u64 = 4;
+const PAUSE_MS: u64 = 1_000;
+
+/// Longest wait of a call for changes.
+const WAIT_MS: u64 = 2_000;
+
+/// Returns the time since which a change counts that the source acknowledges at
+/// `changed_at`, at a host that does not run in `stall`.
+fn known_since(changed_at: u64, stall: &std::ops::Range<u64>) -> u64 {
+    let mut it = FeedProgress::default();
+    it.record_complete(at(0), Provenance::Source);
+    let (mut called, mut next_call, mut last_sign) = (None, PAUSE_MS, 0);
+    for now in (1..).filter(|now| !stall.contains(now)) {
+        if now >= last_sign + SIGN_MS {
+            it.record_running(at(now));
+            last_sign = now;
+        }
+        let Some(begun) = called else {
+            if now >= next_call {
+                it.record_call(at(now));
+                called = Some(now);
+            }
+            continue;
+        };
+        if now >= changed_at.max(begun) + ANSWER_MS {
+            let age = it.max_age(Duration::from_secs(60), at(now)).expect("a known age");
+            return now - age.as_millis() as u64;
+        }
+        if now >= begun + WAIT_MS + ANSWER_MS {
+            it.record_complete(it.sent_after(at(now)), Provenance::Source);
+            (called, next_call) = (None, now + PAUSE_MS);
+        }
+    }
+    unreachable!("the change is heard of")
+}
+
+/// Guards against requests to targets that left on a machine with too little processor: an
+/// answer that is read late must not pass for one to a call that waited.
+#[test]
+fn a_change_is_no_younger_than_its_acknowledgement_however_late_a_host_runs() {
+    for changed_at in (20..7_000).step_by(31) {
+        for stalled_at in (10..7_000).step_by(97) {
+            for stall_ms in [0, 150, 450, 700, 1_900] {
+                let stall = stalled_at..stalled_at + stall_ms;
+                let since = known_since(changed_at, &stall);
+                assert!(since <= changed_at + ANSWER_MS, "{changed_at} {stall:?}: {since}");
+            }
+        }
+    }
+}
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -89,6 +89,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     for tick in 0_u32.. {
         ticks.tick().await;
+        cx.change_logs.record_running(cx.clock.now());
         if tick.is_multiple_of(SWEEPS_PER_CHOICE) {
             cx.update_senders();
         }
--- a/crates/front/src/follow/change_log.rs
+++ b/crates/front/src/follow/change_log.rs
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Records that this host runs and reads what has come in.
+    pub(crate) fn record_running(&self, now: Time) {
+        for log in [&self.targets, &self.operations] {
+            log.update_progress(|it| it.record_running(now));
+        }
+    }
+
     /// Returns whether this host reads all feeds at the source.
     pub(crate) fn are_live(&self) -> bool {
         self.targets.is_live() && self.operations.is_live()
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -198,7 +198,7 @@
                 let made = when_made(cx, &changes, log.progress(), now);
                 let age = made.age.or_else(|| log.progress().age(now));
                 let received = Received { from: origin.into(), by: Means::Changes, age };
-                let known_until = now.ago(changes.behind);
+                let known_until = log.progress().sent_after(now).ago(changes.behind);
                 log.update_progress(|it| it.record_complete(known_until, origin.into()));
                 *revision = Some(next);
                 log.push(next, &changes.items, now.since(made.removed_since), now);
--- a/crates/front/tests/gaps.rs
+++ b/crates/front/tests/gaps.rs
@@ -4,15 +4,21 @@
 mod support;
 
 use std::{
+    cell::Cell,
     rc::Rc,
+    thread,
     time::{Duration, Instant},
 };
 
 use forward::{Configuration, Repeat, budget::RetryLimits, placement::Limits};
+use front::follow::{Batch, Feed, Source, SourceError, follow};
 use support::{
     Reply, Target, TestHost, ok, own_address, report, run, source::ScriptedSource, status, target,
 };
-use tokio::time::{sleep, sleep_until};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, sleep_until},
+};
 
 const LEAVING_FOR: Duration = Duration::from_secs(2);
 const MARGIN: Duration = Duration::from_millis(50);
@@ -167,3 +173,58 @@
         }
     });
 }
+
+/// A source whose answers the host reads late, as it gets no processor meanwhile.
+#[derive(Debug)]
+#[derive(Default)]
+struct ReadLate {
+    source: ScriptedSource,
+    delay: Cell<Duration>,
+}
+
+impl Source for ReadLate {
+    async fn read(&self, feed: Feed) -> Result<Batch, SourceError> {
+        self.source.read(feed).await
+    }
+
+    async fn changes(
+        &self,
+        feed: Feed,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Batch, SourceError> {
+        let answer = self.source.changes(feed, revision, wait).await;
+        thread::sleep(self.delay.get());
+        answer
+    }
+}
+
+/// Guards against requests to targets that left, on a machine with too little processor: a
+/// change that was made in the pause between two calls and is read late must not count as
+/// made just now.
+#[test]
+fn a_target_that_left_is_not_used_longer_by_a_host_that_runs_late() {
+    run(async {
+        let one = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let it = Rc::new(ReadLate::default());
+        it.source.list(report("s", "t1", one.address));
+        it.source.list(report("other", "t2", one.address));
+        let mut host = TestHost::start();
+        host.cx.set_limits(limits());
+        host.single(Repeat::Idempotent);
+        spawn_local(follow(host.cx.clone(), it.clone(), Feed::Targets));
+        while status(&host.get("/one/x").await) != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let answers = it.source.answers();
+        it.source.list(report("other", "t3", one.address));
+        while it.source.answers() == answers {
+            sleep(Duration::from_millis(10)).await;
+        }
+        it.source.remove("t1");
+        let left = Instant::now();
+        it.delay.set(Duration::from_millis(600));
+        sleep_until((left + LEAVING_FOR + MARGIN).into()).await;
+        assert_ne!(status(&host.get("/one/x").await), 200);
+    });
+}
