Apply answers of the source that come after their call has failed

Cause: each call to the source has a limit, and a call that reached it was dropped. A source that answers every call, but later than that, as it or the host is short of processor time, was never read: calls for changes failed, the complete read that follows failed too, and so on for as long as it lasted, with more calls than in normal times. Callers were served by the old configuration. Whichever is answered first counts. A complete read is applied if it was called no earlier than what is known; changes only if nothing else was applied since their revision, and they count as old as the gap. When calls fail, and that the source then counts as lost, is as before.

--- a/crates/forward/src/source_calls.rs
+++ b/crates/forward/src/source_calls.rs
@@ -21,6 +21,10 @@
 const READ_SHARE: f64 = 0.5;
 const MAX_BACKOFF_SHARE: f64 = 0.25;
 
+/// Factor by which the recovery time is multiplied for the time in which the answer to a
+/// call that has failed still counts.
+const LATE_FACTOR: u32 = 2;
+
 /// Limit on the backoff after the first failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(200);
 
@@ -36,6 +40,8 @@
     pub changes: Duration,
     /// Time after which a complete read of a feed has failed.
     pub read: Duration,
+    /// Time after which a call that has failed is given up. Until then its answer counts.
+    pub give_up: Duration,
     /// Backoff after a failed call; doubles from the first value to the second.
     pub first_backoff: Duration,
     pub max_backoff: Duration,
@@ -52,6 +58,7 @@
             wait,
             changes: wait + recovery.mul_f64(SLACK_SHARE),
             read: recovery.mul_f64(READ_SHARE),
+            give_up: recovery * LATE_FACTOR,
             first_backoff: FIRST_BACKOFF.min(max_backoff),
             max_backoff,
         }
--- a/crates/front/src/follow/change_log.rs
+++ b/crates/front/src/follow/change_log.rs
@@ -140,7 +140,11 @@
         }
     }
 
-    /// Returns whether state of a peer was applied since the last call.
+    /// Returns whether state of a peer was applied since `take_replaced` was called last.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.is_replaced.get()
+    }
+
     pub(super) fn take_replaced(&self) -> bool {
         self.is_replaced.take()
     }
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -11,6 +11,7 @@
 //! history or rejects some hosts, and many hosts that return to it at once.
 
 mod apply;
+mod calls;
 mod change_log;
 mod host;
 mod origin;
@@ -33,11 +34,12 @@
     source_calls::{MAX_JITTER, MIN_JITTER},
 };
 use rustc_hash::FxHasher;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 pub use self::source::{Batch, Feed, Item, Source, SourceError};
 use self::{
     apply::{apply, apply_all, when_made},
+    calls::{Answer, Call, Calls},
     host::HostSource,
     origin::{FollowState, LostOrigins},
 };
@@ -64,16 +66,19 @@
 const PEERS_SLACK: Duration = Duration::from_millis(50);
 
 /// Follows `feed` for as long as the process lives.
-pub async fn follow(cx: SharedCx, source: Rc<impl Source>, feed: Feed) {
+pub async fn follow(cx: SharedCx, source: Rc<impl Source + 'static>, feed: Feed) {
     wait_for_peers(&cx).await;
-    let mut state = FollowState::new(cx.cfg.source_calls, jitter(&cx));
+    let limits = cx.cfg.source_calls;
+    let mut state = FollowState::new(limits, jitter(&cx));
+    let mut calls = Calls::new(source, feed, cx.clock, limits.give_up);
     loop {
         let origin = state.choose(&cx);
         let ended = match origin {
-            Origin::Source => follow_origin(&cx, &*source, feed, origin, &mut state).await,
+            Origin::Source => follow_origin(&cx, &mut calls, origin, &mut state).await,
             Origin::Host(address) => {
-                let host = HostSource::new(address, cx.cfg.peer_keys.clone());
-                follow_origin(&cx, &host, feed, origin, &mut state).await
+                let host = Rc::new(HostSource::new(address, cx.cfg.peer_keys.clone()));
+                let mut calls = Calls::new(host, feed, cx.clock, limits.give_up);
+                follow_origin(&cx, &mut calls, origin, &mut state).await
             }
             Origin::None => {
                 state.record_idle(&cx, feed);
@@ -83,7 +88,10 @@
         };
         record_progress(&cx, feed, &ended);
         match ended {
-            Ended::Superseded => state.record_end(),
+            Ended::Superseded => {
+                calls.abandon();
+                state.record_end();
+            }
             Ended::Failed(err) => state.record_failure(&cx, feed, origin, &err).await,
         }
     }
@@ -119,26 +127,19 @@
 /// origin is to be followed.
 async fn follow_origin(
     cx: &SharedCx,
-    source: &impl Source,
-    feed: Feed,
+    calls: &mut Calls<impl Source + 'static>,
     origin: Origin,
     state: &mut FollowState,
 ) -> Ended {
-    let log = cx.change_logs.of(feed);
-    if log.take_replaced() || state.revision.is_none() {
-        let called = cx.clock.now();
-        let batch = match read(cx, source, feed).await {
-            Ok(batch) => batch,
-            Err(err) => return Ended::Failed(err),
-        };
-        let known_until = called.ago(batch.behind);
-        if !log.progress().is_news(Some(known_until)) {
-            return Ended::Failed(SourceError::Unavailable("the reader is behind".to_owned()));
+    let feed = calls.feed;
+    if cx.change_logs.of(feed).take_replaced() {
+        state.revision = None;
+    }
+    if state.was_lost || state.revision.is_none() {
+        if let Err(err) = read(cx, calls, origin, &mut state.revision).await {
+            return Ended::Failed(err);
         }
-        state.revision = Some(batch.revision);
-        log.restart(batch.revision);
-        apply_all(cx, feed, origin, batch);
-        log.update_progress(|it| it.record_complete(known_until, origin.into()));
+        state.was_lost = false;
     }
     state.record_success(cx, feed, origin);
     feed.is_followed(cx).set(true);
@@ -146,7 +147,7 @@
     let FollowState { revision, lost, .. } = state;
     tokio::select! {
         biased;
-        err = follow_changes(cx, source, feed, origin, revision) => Ended::Failed(err),
+        err = follow_changes(cx, calls, origin, revision) => Ended::Failed(err),
         () = superseded(cx, origin, lost) => Ended::Superseded,
     }
 }
@@ -172,45 +173,102 @@
     MIN_JITTER + fraction * (MAX_JITTER - MIN_JITTER)
 }
 
-async fn read(cx: &SharedCx, source: &impl Source, feed: Feed) -> Result<Batch, SourceError> {
-    let timed_out = |_| SourceError::Unavailable("no answer in time".to_owned());
-    timeout(cx.cfg.source_calls.read, source.read(feed)).await.map_err(timed_out)?
+/// Reads the feed completely, or applies changes that an earlier call tells of.
+async fn read(
+    cx: &SharedCx,
+    calls: &mut Calls<impl Source + 'static>,
+    origin: Origin,
+    revision: &mut Option<u64>,
+) -> Result<(), SourceError> {
+    calls.make(Call::Read);
+    let until = Instant::now() + cx.cfg.source_calls.read;
+    loop {
+        let answer = calls.next(until).await?;
+        let is_late = answer.is_late;
+        if take(cx, calls.feed, origin, revision, answer) {
+            return Ok(());
+        }
+        if !is_late {
+            return Err(SourceError::Unavailable("the reader is behind".to_owned()));
+        }
+    }
 }
 
 /// Applies changes until a call fails; returns its error. Keeps `revision` up to
 /// date.
 async fn follow_changes(
     cx: &SharedCx,
-    source: &impl Source,
-    feed: Feed,
+    calls: &mut Calls<impl Source + 'static>,
     origin: Origin,
     revision: &mut Option<u64>,
 ) -> SourceError {
-    let log = cx.change_logs.of(feed);
+    let feed = calls.feed;
     loop {
         let (wait, limit) = limits_of_changes(cx, origin);
-        log.update_progress(|it| it.record_call(cx.clock.now()));
-        let after = revision.unwrap_or_default();
-        match timeout(limit, source.changes(feed, after, wait)).await {
-            Ok(Ok(changes)) => {
-                let next = after.max(changes.revision);
-                let now = cx.clock.now();
-                let made = when_made(cx, &changes, log.progress(), now);
-                let age = made.age.or_else(|| log.progress().age(now));
-                let received = Received { from: origin.into(), by: Means::Changes, age };
-                let known_until = log.progress().sent_after(now).ago(changes.behind);
-                log.update_progress(|it| it.record_complete(known_until, origin.into()));
-                *revision = Some(next);
-                log.push(next, &changes.items, now.since(made.removed_since), now);
-                changes.items.into_iter().for_each(|it| apply(cx, it, made, received));
-                if origin == Origin::Source {
-                    sleep(feed.pause(cx)).await;
-                }
+        cx.change_logs.of(feed).update_progress(|it| it.record_call(cx.clock.now()));
+        calls.make(Call::Changes { after: revision.unwrap_or_default(), wait });
+        let until = Instant::now() + limit;
+        loop {
+            let answer = match calls.next(until).await {
+                Ok(answer) => answer,
+                Err(err) => return err,
+            };
+            let is_late = answer.is_late;
+            if take(cx, feed, origin, revision, answer) || !is_late {
+                break;
+            }
+        }
+        if origin == Origin::Source {
+            sleep(feed.pause(cx)).await;
+        }
+    }
+}
+
+/// Applies an answer unless a later one was; returns whether it did.
+fn take(
+    cx: &SharedCx,
+    feed: Feed,
+    origin: Origin,
+    revision: &mut Option<u64>,
+    answer: Answer,
+) -> bool {
+    let log = cx.change_logs.of(feed);
+    let now = cx.clock.now();
+    match answer.call {
+        Call::Read => {
+            let known_until = answer.called.ago(answer.batch.behind);
+            if !log.progress().is_news(Some(known_until)) {
+                return false;
+            }
+            log.take_replaced();
+            *revision = Some(answer.batch.revision);
+            log.restart(answer.batch.revision);
+            apply_all(cx, feed, origin, answer.batch);
+            log.update_progress(|it| it.record_complete(known_until, origin.into()));
+        }
+        Call::Changes { after, .. } => {
+            if *revision != Some(after) || log.is_replaced() {
+                return false;
+            }
+            let changes = answer.batch;
+            let mut proven_at = log.progress().sent_after(now);
+            if answer.is_late {
+                // The last call doesn't show when they were made.
+                log.update_progress(|it| it.record_end());
+                proven_at = answer.called;
             }
-            Ok(Err(err)) => return err,
-            Err(_) => return SourceError::Unavailable("no answer in time".to_owned()),
+            let next = after.max(changes.revision);
+            let made = when_made(cx, &changes, log.progress(), now);
+            let age = made.age.or_else(|| log.progress().age(now));
+            let received = Received { from: origin.into(), by: Means::Changes, age };
+            let known_until = proven_at.ago(changes.behind);
+            log.update_progress(|it| it.record_complete(known_until, origin.into()));
+            *revision = Some(next);
+            log.push(next, &changes.items, now.since(made.removed_since), now);
+            changes.items.into_iter().for_each(|it| apply(cx, it, made, received));
         }
     }
+    true
 }
 
 /// Returns the wait for changes, and the time after which the call has failed.
--- a/crates/front/src/follow/origin.rs
+++ b/crates/front/src/follow/origin.rs
@@ -24,6 +24,9 @@
 pub(super) struct FollowState {
     /// Revision that this host has got.
     pub revision: Option<u64>,
+    /// Whether the source was lost since then. Entries may have lapsed, so the feed is read
+    /// again.
+    pub was_lost: bool,
     pub lost: LostOrigins,
     calls: CallLimits,
     jitter: f64,
@@ -69,6 +72,7 @@
     pub(super) fn new(calls: CallLimits, jitter: f64) -> FollowState {
         FollowState {
             revision: None,
+            was_lost: false,
             lost: LostOrigins::default(),
             calls,
             jitter,
@@ -143,8 +147,7 @@
             return;
         }
         self.record_lost(cx, feed, &err.to_string());
-        // Entries may have lapsed meanwhile, so the feed is read again.
-        self.revision = None;
+        self.was_lost = true;
         self.lost.source = Some(Instant::now());
         sleep(self.backoff.mul_f64(self.jitter)).await;
         self.backoff = (self.backoff * 2).min(self.calls.max_backoff);
--- a/crates/front/tests/gaps.rs
+++ b/crates/front/tests/gaps.rs
@@ -228,3 +228,56 @@
         assert_ne!(status(&host.get("/one/x").await), 200);
     });
 }
+
+/// Guards against hosts that stay on an old configuration for as long as the source answers
+/// each call later than the call may take.
+#[test]
+fn configurations_are_put_in_force_by_answers_that_come_late() {
+    run(async {
+        let source = Rc::new(ScriptedSource::default());
+        let version = |version| Configuration { version, ..Configuration::default() };
+        source.publish(version(5));
+        let host =
+            TestHost::start_with(own_address(), Vec::new(), |it| it.source_recovery(RECOVERY));
+        host.follow_configuration(&source);
+        while host.cx.version() < 5 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        source.set_delay(RECOVERY);
+        for next in 6..9 {
+            source.publish(version(next));
+            while host.cx.version() < next {
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    });
+}
+
+/// Guards against targets that come back by an answer that was overtaken by a later one.
+#[test]
+fn a_late_answer_does_not_bring_back_a_target_that_left() {
+    run(async {
+        let one = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let source = Rc::new(ScriptedSource::default());
+        source.list(report("s", "t1", one.address));
+        source.list(report("other", "t2", one.address));
+        source.list(report("other", "t3", one.address));
+        let mut host =
+            TestHost::start_with(own_address(), Vec::new(), |it| it.source_recovery(RECOVERY));
+        host.cx.set_limits(limits());
+        host.single(Repeat::Idempotent);
+        host.follow_targets(&source);
+        while status(&host.get("/one/x").await) != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        // Calls made now are answered after later ones, with what was true before.
+        source.set_delay(RECOVERY * 3);
+        sleep(RECOVERY * 2).await;
+        source.remove("t1");
+        source.set_delay(Duration::ZERO);
+        sleep(LEAVING_FOR + RECOVERY + MARGIN).await;
+        assert_ne!(status(&host.get("/one/x").await), 200);
+        sleep(RECOVERY * 2).await;
+        assert_ne!(status(&host.get("/one/x").await), 200);
+    });
+}
--- a/crates/front/tests/support/source.rs
+++ b/crates/front/tests/support/source.rs
@@ -10,7 +10,10 @@
 use base::TargetName;
 use forward::{Configuration, TargetReport};
 use front::follow::{Batch, Feed, Item, Source, SourceError};
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 #[derive(Debug)]
 #[derive(Default)]
@@ -24,6 +27,8 @@
     is_unreachable: Cell<bool>,
     is_silent: Cell<bool>,
     is_cut_off: Cell<bool>,
+    /// Time that each answer is on its way.
+    delay: Cell<Duration>,
     changed: Notify,
     answers: Cell<usize>,
 }
@@ -62,6 +67,11 @@
         self.is_silent.set(true);
     }
 
+    /// Delays all answers that are made from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay.set(delay);
+    }
+
     /// Forgets all changes until now.
     pub fn drop_history(&self) {
         self.dropped.set(self.revision());
@@ -108,7 +118,9 @@
             Feed::Targets => self.targets.borrow().iter().cloned().map(Item::Target).collect(),
             Feed::Operations => vec![Item::Configuration(self.configuration.borrow().clone())],
         };
-        Ok(batch(items, self.revision()))
+        let batch = batch(items, self.revision());
+        sleep(self.delay.get()).await;
+        Ok(batch)
     }
 
     async fn changes(
@@ -130,6 +142,8 @@
             return Err(SourceError::HistoryGone);
         }
         let items = self.changes.borrow()[revision as usize..].to_vec();
-        Ok(batch(items, self.revision()))
+        let batch = batch(items, self.revision());
+        sleep(self.delay.get()).await;
+        Ok(batch)
     }
 }
