Refuse with 503, not 404, while a host can't tell whether a route exists

Cause: callers got 404, which nobody retries, for routes that are there. A host answered 404 by whatever table it had, however old: after the source fell silent, behind a reader that was behind, after a start from such a host. It knew that it doesn't have the route, not that the route doesn't exist.

Change: `forward::route::UnknownRoute` decides: 404 only if the configuration in force was known to be the newest one within the time after which a published one is due everywhere (`bounds.config_ms`, `FrontSettings::configuration_due`); else 503 "the route may not be known yet", not run, at once, with a short `Retry-After`. What a sender answers over the hop follows from it: 503 goes to the next sender, 404 is final. A configuration that the program sets itself (`Cx::apply_configuration`) is always known to be the newest one.

Conclusion: a host that can't tell says so. Followers are a moment above 3,000 ms at the end of their waits of 2 s, and then say 503 for routes that never were; their waits should follow from the bound.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -25,6 +25,8 @@
 pub enum Provenance {
     #[default]
     Unknown,
+    /// The program of this host itself, which knows of each change at once.
+    Local,
     Source,
     /// A host that reads the source for others.
     Reader(SocketAddr),
@@ -46,6 +48,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Provenance::Unknown => f.write_str("unknown"),
+            Provenance::Local => f.write_str("local"),
             Provenance::Source => f.write_str("source"),
             Provenance::Reader(address) => write!(f, "reader {address}"),
             Provenance::Peer(address) => write!(f, "peer {address}"),
@@ -98,6 +101,11 @@
         self.called = None;
     }
 
+    /// Records that the program of this host sets the state itself.
+    pub fn record_local(&mut self) {
+        self.provenance = Provenance::Local;
+    }
+
     /// Records that a call is given up without an answer, for another origin.
     pub fn record_end(&mut self) {
         self.called = None;
@@ -122,6 +130,9 @@
     /// Returns the time since the source last proved, maybe through others, that all
     /// changes are known.
     pub fn age(&self, now: Time) -> Option<Duration> {
+        if self.provenance == Provenance::Local {
+            return Some(Duration::ZERO);
+        }
         self.proven_until.map(|it| now.since(it))
     }
 
--- a/crates/forward/src/route/mod.rs
+++ b/crates/forward/src/route/mod.rs
@@ -4,12 +4,16 @@
 //! host's prefixes, longest first.
 
 mod table;
+mod unknown;
 
 use std::{sync::Arc, time::Duration};
 
 use base::{DomainName, HashMap, RegionName, ServiceName};
 
-pub use self::table::{RouteEntry, RouteTable};
+pub use self::{
+    table::{RouteEntry, RouteTable},
+    unknown::UnknownRoute,
+};
 
 /// A configuration as published by operators. A later version replaces it
 /// entirely.
--- a/crates/front/src/callers/request.rs
+++ b/crates/front/src/callers/request.rs
@@ -13,7 +13,7 @@
     Destination, QueryPlan, Repeat, Route, Verdict,
     gather::Schedule,
     placement::Admission,
-    route::{RouteEntry, RouteTable},
+    route::{RouteEntry, UnknownRoute},
     suspects::Fingerprint,
 };
 use http::{
@@ -119,7 +119,7 @@
     }
     let deadline = deadline(&head.headers, &names.deadline_ms)?;
     let in_force = InForce::now(cx);
-    let entry = find_route(cx, &head, deadline)?;
+    let entry = find_route(cx, in_force, &head, deadline)?;
     let left = deadline.map_or(entry.route.timeout, |it| it.min(entry.route.timeout));
     if cx.in_progress.count() > MAX_REQUESTS_IN_PROGRESS {
         let reason = "too many requests are in progress";
@@ -216,14 +216,14 @@
 
 fn find_route(
     cx: &SharedCx,
+    in_force: InForce,
     head: &Parts,
     deadline: Option<Duration>,
 ) -> Result<Rc<RouteEntry>, Refusal> {
     let table = cx.table.borrow().clone();
-    let table = table.ok_or_else(|| {
-        let left = deadline.unwrap_or(UNAVAILABLE_WAIT * 3);
-        Refusal::not_run("no configuration is known yet", UNAVAILABLE_WAIT, left)
-    })?;
+    let left = deadline.unwrap_or(UNAVAILABLE_WAIT * 3);
+    let table = table
+        .ok_or_else(|| Refusal::not_run("no configuration is known yet", UNAVAILABLE_WAIT, left))?;
     let path = head.uri.path();
     if head.uri.authority().is_some() || !path.starts_with('/') {
         return Err(Refusal::bad_request("the request target is not a path"));
@@ -232,13 +232,16 @@
     let host = host.ok_or_else(|| Refusal::bad_request("no host is named"))?;
     let host = without_port(host).to_ascii_lowercase();
     let entry = table.find(&host, path).cloned();
-    entry.ok_or_else(|| unknown_route(&table, &host))
-}
-
-fn unknown_route(table: &RouteTable, host: &str) -> Refusal {
-    let (all, of_host) = (table.routes().count(), table.routes_of(host));
-    let refusal = Refusal::new(StatusCode::NOT_FOUND, "no route matches");
-    refusal.with_inputs(format!("{all} routes, {of_host} of this host name"))
+    entry.ok_or_else(|| {
+        let refusal = match UnknownRoute::new(in_force.age, cx.cfg.configuration_due) {
+            UnknownRoute::Absent => Refusal::new(StatusCode::NOT_FOUND, "no route matches"),
+            UnknownRoute::Uncertain => {
+                Refusal::not_run("the route may not be known yet", UNAVAILABLE_WAIT, left)
+            }
+        };
+        let (all, of_host) = (table.routes().count(), table.routes_of(&host));
+        refusal.with_inputs(format!("{all} routes, {of_host} of this host name"))
+    })
 }
 
 fn without_port(host: &str) -> &str {
--- a/crates/front/src/configuration.rs
+++ b/crates/front/src/configuration.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use base::Time;
-use forward::{Configuration, Provenance, RouteTable};
+use forward::{Configuration, FeedProgress, Provenance, RouteTable};
 use slog::{info, warn};
 
 use crate::{
@@ -29,9 +29,10 @@
         self.change_logs.of(Feed::Operations).progress().provenance()
     }
 
-    /// Puts `cfg` in force unless the same or a later version already is.
+    /// Puts `cfg` of this program in force unless the same or a later version already is.
     pub fn apply_configuration(&self, cfg: &Configuration) {
-        let received = Received { from: Provenance::Unknown, by: Means::Changes, age: None };
+        self.change_logs.of(Feed::Operations).update_progress(FeedProgress::record_local);
+        let received = Received { from: Provenance::Local, by: Means::Changes, age: None };
         self.apply_configuration_of(cfg, received);
     }
 
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -14,6 +14,8 @@
 /// One core, in thousandths.
 const DEFAULT_CAPACITY: u32 = 1_000;
 
+const DEFAULT_CONFIGURATION_DUE: Duration = Duration::from_secs(3);
+
 const DEFAULT_SOURCE_RECOVERY: Duration = Duration::from_secs(4);
 
 #[derive(Clone, Debug)]
@@ -44,6 +46,9 @@
     pub shutdown_timeout: Duration,
     /// Limits of calls to the source.
     pub source_calls: CallLimits,
+    /// Time within which a configuration that was published is due to be in force on all
+    /// hosts.
+    pub configuration_due: Duration,
 }
 
 /// Builder of [`FrontSettings`]. Addresses and header names are required, since
@@ -83,6 +88,7 @@
             max_caller_connections: DEFAULT_MAX_CALLER_CONNECTIONS,
             shutdown_timeout: Duration::from_secs(6),
             source_calls: CallLimits::new(DEFAULT_SOURCE_RECOVERY),
+            configuration_due: DEFAULT_CONFIGURATION_DUE,
         };
         FrontSettingsBuilder { cfg }
     }
@@ -143,6 +149,12 @@
         self
     }
 
+    /// Sets the time within which a configuration is due on all hosts.
+    pub fn configuration_due(mut self, time: Duration) -> Self {
+        self.cfg.configuration_due = time;
+        self
+    }
+
     pub fn build(self) -> FrontSettings {
         self.cfg
     }
--- a/crates/front/tests/followers.rs
+++ b/crates/front/tests/followers.rs
@@ -133,7 +133,7 @@
                 let is_right = match cx.configuration_provenance() {
                     Provenance::Source => *is_reader,
                     Provenance::Reader(_) => !is_reader,
-                    Provenance::Peer(_) | Provenance::Unknown => false,
+                    Provenance::Local | Provenance::Peer(_) | Provenance::Unknown => false,
                 };
                 is_recent && is_right
             };
