Move the decision on a request's head to a file of its own

Change: callers/head.rs has what is decided by the head; no behaviour changes.

Conclusion: the faults of heads that follow are mended in one place.

--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod answer;
 mod connection;
+mod head;
 pub(crate) mod log_line;
 mod pages;
 mod read;
--- a/crates/front/src/callers/request.rs
+++ b/crates/front/src/callers/request.rs
@@ -10,21 +10,17 @@
 use base::{Time, always};
 use bytes::Bytes;
 use forward::{
-    Destination, QueryPlan, Repeat, Route, Verdict,
-    gather::Schedule,
-    placement::Admission,
-    route::{RouteEntry, UnknownRoute},
-    suspects::Fingerprint,
-};
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header, request::Parts,
+    Destination, QueryPlan, Repeat, Route, Verdict, gather::Schedule, placement::Admission,
+    route::RouteEntry, suspects::Fingerprint,
 };
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, request::Parts};
 use hyper::body::Incoming;
 use rustc_hash::FxHasher;
 
 use super::{
     answer::{self, Answer},
     connection::{ConnectionState, Phase},
+    head::{Accepted, accept},
     log_line::{self, LogLine, request_id},
     read::{read_body, strip_hop_headers},
     refusal::Refusal,
@@ -46,19 +42,9 @@
 /// elsewhere only after two missed readiness checks.
 const ISOLATED_WAIT: Duration = Duration::from_secs(2);
 
-/// Same as `UNAVAILABLE_WAIT` on a host that is stopping: other hosts serve at once.
-const STOPPING_WAIT: Duration = Duration::ZERO;
-
-/// Limit on requests in progress on this host; more are refused, so that bodies
-/// and answers fit into memory.
-const MAX_REQUESTS_IN_PROGRESS: usize = 1_000;
-
 /// Time after which callers may retry a request that crashed targets.
 const BLOCKED_WAIT: Duration = Duration::from_secs(60);
 
-/// Longer deadlines of callers are reduced to this.
-const MAX_DEADLINE: Duration = Duration::from_secs(600);
-
 /// Answers a request. Errors of this tier are logged and become error answers.
 pub(super) async fn handle(
     cx: &SharedCx,
@@ -113,19 +99,7 @@
     origin: Origin,
 ) -> Result<Answer, Refusal> {
     let (head, body) = req.into_parts();
-    let names = &cx.cfg.names;
-    if !head.headers.contains_key(&names.request_id) {
-        return Err(Refusal::bad_request("the request has no id"));
-    }
-    let deadline = deadline(&head.headers, &names.deadline_ms)?;
-    let in_force = InForce::now(cx);
-    let entry = find_route(cx, in_force, &head, deadline)?;
-    let left = deadline.map_or(entry.route.timeout, |it| it.min(entry.route.timeout));
-    if cx.in_progress.count() > MAX_REQUESTS_IN_PROGRESS {
-        let reason = "too many requests are in progress";
-        return Err(Refusal::not_run(reason, UNAVAILABLE_WAIT, left));
-    }
-    let left = limit_by_stop(cx, left)?;
+    let Accepted { entry, in_force, left } = accept(cx, &head)?;
     // A deadline of another host is the time that was left when it passed the
     // request on.
     let until = match origin {
@@ -157,20 +131,6 @@
     run_query(cx, &entry, request, schedule).await
 }
 
-/// Returns the time that a request has, which ends with a planned stop in progress.
-/// Refuses one that may not end in time.
-fn limit_by_stop(cx: &SharedCx, left: Duration) -> Result<Duration, Refusal> {
-    let Some(stop) = cx.stop.get() else { return Ok(left) };
-    let now = cx.clock.now();
-    let until_end = stop.ends_at().until(now);
-    if stop.takes(left, now) {
-        return Ok(left.min(until_end));
-    }
-    let refusal = Refusal::not_run("this host is stopping", STOPPING_WAIT, left);
-    let (left, until_end) = (left.as_millis(), until_end.as_millis());
-    Err(refusal.with_inputs(format!("{left} ms left, {until_end} ms until the end")))
-}
-
 /// Builds the request that goes to targets: the caller's without hop-by-hop
 /// headers.
 fn outgoing(route: &Route, in_force: InForce, head: Parts, body: Bytes, until: Time) -> Outgoing {
@@ -203,54 +163,6 @@
     hasher.finish()
 }
 
-/// Returns the time that the caller waits for an answer, if its header states
-/// one.
-fn deadline(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Duration>, Refusal> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
-    let parsed = value.to_str().ok().and_then(|it| it.trim().parse::<u64>().ok());
-    let ms = parsed.ok_or_else(|| {
-        Refusal::bad_request("the deadline is not a whole number of milliseconds")
-    })?;
-    Ok(Some(Duration::from_millis(ms).min(MAX_DEADLINE)))
-}
-
-fn find_route(
-    cx: &SharedCx,
-    in_force: InForce,
-    head: &Parts,
-    deadline: Option<Duration>,
-) -> Result<Rc<RouteEntry>, Refusal> {
-    let table = cx.table.borrow().clone();
-    let left = deadline.unwrap_or(UNAVAILABLE_WAIT * 3);
-    let table = table
-        .ok_or_else(|| Refusal::not_run("no configuration is known yet", UNAVAILABLE_WAIT, left))?;
-    let path = head.uri.path();
-    if head.uri.authority().is_some() || !path.starts_with('/') {
-        return Err(Refusal::bad_request("the request target is not a path"));
-    }
-    let host = head.headers.get(header::HOST).and_then(|it| it.to_str().ok());
-    let host = host.ok_or_else(|| Refusal::bad_request("no host is named"))?;
-    let host = without_port(host).to_ascii_lowercase();
-    let entry = table.find(&host, path).cloned();
-    entry.ok_or_else(|| {
-        let refusal = match UnknownRoute::new(in_force.age, cx.cfg.configuration_due) {
-            UnknownRoute::Absent => Refusal::new(StatusCode::NOT_FOUND, "no route matches"),
-            UnknownRoute::Uncertain => {
-                Refusal::not_run("the route may not be known yet", UNAVAILABLE_WAIT, left)
-            }
-        };
-        let (all, of_host) = (table.routes().count(), table.routes_of(&host));
-        refusal.with_inputs(format!("{all} routes, {of_host} of this host name"))
-    })
-}
-
-fn without_port(host: &str) -> &str {
-    match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|it| it.is_ascii_digit()) => name,
-        Some(_) | None => host,
-    }
-}
-
 /// Refuses a request that cannot be served from here.
 fn check_reachable(
     cx: &SharedCx,
