Ask a peer for a configuration that is late to come from the own origin

Cause: a host that counts as following asked no peer. It counts as following while a call waits, also if the origin (the source or a reader) has fallen silent or is itself behind, so how old its configuration could get was decided by the limits of calls and by how many origins fail in a row. Peers' digests name their version, and nobody compared it with the own one. A late host asks the peer with the newest version, whatever its origin says, and takes the configuration from it; targets and evacuations only if it doesn't follow them, as before. The origin isn't left for it: a host that can't read an entry of the source would leave it again and again. Conclusion: how old a configuration gets no longer depends on the origin as long as any reachable peer has the next one.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod stopping;
 pub mod suspects;
 pub mod target;
+pub mod version_lag;
 
 pub use crate::{
     budget::RetryBudget,
@@ -33,4 +34,5 @@
     query::{Query, QueryPlan},
     route::{CallerLimits, Configuration, Destination, Repeat, Route, RouteTable, Service},
     target::{Lifecycle, TargetReport},
+    version_lag::VersionLag,
 };
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -1,10 +1,11 @@
-//! Learns state from a peer while the source is not followed.
+//! Learns state from a peer while the source is not followed, and a configuration that
+//! peers have while the own origin doesn't tell of it.
 
 use std::{net::SocketAddr, time::Duration};
 
 use base::{DomainName, HashSet, TargetName, Time};
 use bytes::Bytes;
-use forward::{Provenance, TargetReport};
+use forward::{Provenance, TargetReport, VersionLag};
 use http::{Request, StatusCode, header};
 use http_body_util::Empty;
 use hyper::client::conn::http1;
@@ -58,9 +59,10 @@
     let mut ticks = interval(CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_learned = Time::ZERO;
+    let mut lag = VersionLag::new(cx.cfg.configuration_due);
     loop {
         ticks.tick().await;
-        let Some(peer) = peer_to_ask(&cx, last_learned) else { continue };
+        let Some(peer) = peer_to_ask(&cx, &mut lag, last_learned) else { continue };
         let asked = cx.clock.now();
         match timeout(ANSWER_TIMEOUT, fetch(&cx, peer)).await.map_err(LearnError::from).flatten() {
             Ok(state) => {
@@ -74,13 +76,16 @@
 }
 
 /// Returns the peer to fetch state from now, if there is need of one.
-fn peer_to_ask(cx: &SharedCx, last_learned: Time) -> Option<SocketAddr> {
+fn peer_to_ask(cx: &SharedCx, lag: &mut VersionLag, last_learned: Time) -> Option<SocketAddr> {
     let now = cx.clock.now();
-    let is_early = now.since(Time::ZERO) < SOURCE_HEAD_START;
-    if is_early || (cx.follows_operations.get() && cx.follows_targets.get()) {
+    if now.since(Time::ZERO) < SOURCE_HEAD_START {
         return None;
     }
     let (peer, version) = cx.peers.borrow().peer_with_newest_version(now)?;
+    lag.record(cx.version(), version, now);
+    if cx.follows_operations.get() && cx.follows_targets.get() {
+        return (version > cx.version() && lag.is_late(now)).then_some(peer);
+    }
     let needs_targets = !cx.follows_targets.get() && now.since(last_learned) >= TARGETS_INTERVAL;
     (version > cx.version() || needs_targets && version > 0).then_some(peer)
 }
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -3,9 +3,9 @@
 //! peers. The address for other hosts is served here, with what hosts follow
 //! (`follow`) and pass on (`relay`).
 //!
-//! A host that follows both feeds asks no peer. Otherwise it asks the peer with
-//! the newest configuration: at once if that is later than its own, and at
-//! intervals while it does not follow the targets feed.
+//! A host that follows both feeds asks a peer only for a configuration that it is late to
+//! get. Otherwise it asks the peer with the newest configuration: at once if that is later
+//! than its own, and at intervals while it does not follow the targets feed.
 
 mod learn;
 mod serve;
--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -4,7 +4,7 @@
 
 use std::{io::ErrorKind, rc::Rc, time::Duration};
 
-use forward::Repeat;
+use forward::{Configuration, Repeat};
 use support::{
     Reply, TestHost, body, ok, own_address, read_message, report, run, source::ScriptedSource,
     status, target,
@@ -98,6 +98,37 @@
     });
 }
 
+/// Guards against requests that an old configuration handles, while the host waits for
+/// changes of an origin that has fallen silent: peers have the next one.
+#[test]
+fn a_configuration_that_peers_have_is_put_in_force_while_the_origin_is_silent() {
+    run(async {
+        let (first, second) = (own_address(), own_address());
+        let sources = [first, second].map(|_| Rc::new(ScriptedSource::default()));
+        // The call for changes waits for longer than the test takes.
+        let hosts = [(first, second), (second, first)].map(|(own, seed)| {
+            TestHost::start_with(own, vec![seed], |it| it.source_recovery(Duration::from_secs(56)))
+        });
+        let version = |version| Configuration { version, ..Configuration::default() };
+        for (host, source) in hosts.iter().zip(&sources) {
+            source.publish(version(5));
+            host.follow_configuration(source);
+            host.follow_targets(source);
+        }
+        for host in &hosts {
+            wait_for_version(host, 5).await;
+            host.wait_for_hosts(2).await;
+        }
+        sources[0].cut_off();
+        for next in [6, 9] {
+            sources.iter().for_each(|it| it.publish(version(next)));
+            for host in &hosts {
+                wait_for_version(host, next).await;
+            }
+        }
+    });
+}
+
 async fn wait_for_version(host: &TestHost, version: u64) {
     while host.cx.version() < version {
         sleep(Duration::from_millis(10)).await;
