Let the source hold calls for less time if its answers are late

Cause: a call for changes fails an eighth of the recovery time (readers: a sixteenth, 250 ms with `contact_ms` 4 s) after the time for which the source may hold it. A source whose answers are later than that, but answers each call, failed every call that it held: readers were left by all followers of their domain each two seconds, all hosts turned to the source, and feeds were read again and again. Change: `AnswerDelay` follows how late answers are (a call's time less the time for which it was held), and a call is held only for what its limit leaves beyond twice that. How soon a call has failed, and with that how soon a silent source is noticed, is as before. Conclusion: lateness up to the limit of a call costs its own time only.

--- a/crates/forward/src/source_calls.rs
+++ b/crates/forward/src/source_calls.rs
@@ -4,8 +4,11 @@
 //! that the source never answers, on a connection that stays open. So it waits for a
 //! part only of the time within which a host has to follow the source again.
 //!
-//! Load pattern answered: a source that is silent for some seconds, or loses answers,
-//! while all hosts make their calls. All of them miss what changes after its return.
+//! Load patterns answered:
+//! - a source that is silent for some seconds, or loses answers, while all hosts make
+//!   their calls. All of them miss what changes after its return;
+//! - a source whose answers are late. Calls that it holds would fail though it answers
+//!   each, and their failures would have the feeds read again and again.
 
 use std::time::Duration;
 
@@ -70,3 +73,25 @@
         CallLimits { wait: self.wait / 2, changes: self.changes / 2, ..self }
     }
 }
+
+/// How late the answers of a source are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnswerDelay(Duration);
+
+impl AnswerDelay {
+    /// Records an answer that came `took` after its call, which the source might hold for
+    /// `wait` and held for that long if nothing had changed.
+    pub fn record(&mut self, wait: Duration, took: Duration, has_changes: bool) {
+        let beyond = took.saturating_sub(wait);
+        if has_changes && beyond.is_zero() {
+            return;
+        }
+        self.0 = beyond.max(self.0 / 2);
+    }
+
+    /// Returns the time that the source may hold a call which fails after `limit`, at most
+    /// `wait`. The answer may come twice as late as the last ones.
+    pub fn hold(self, wait: Duration, limit: Duration) -> Duration {
+        wait.min(limit.saturating_sub(self.0 * 2))
+    }
+}
--- a/crates/forward/tests/source_calls.rs
+++ b/crates/forward/tests/source_calls.rs
@@ -3,7 +3,7 @@
 
 use std::{ops::Range, time::Duration};
 
-use forward::source_calls::{CallLimits, MAX_JITTER, MIN_JITTER};
+use forward::source_calls::{AnswerDelay, CallLimits, MAX_JITTER, MIN_JITTER};
 
 /// Time between an answer and the next call for changes.
 const PAUSE_MS: u64 = 1_000;
@@ -71,3 +71,36 @@
     assert!(longest.wait <= Duration::from_secs(30));
     assert!(longest.changes > longest.wait);
 }
+
+/// Guards against hosts that lose a source which answers each call, as its answers are later
+/// than the slack of a call that it holds.
+#[test]
+fn calls_to_a_source_that_answers_late_do_not_fail() {
+    for recovery in [1_000, 4_000, 6_000] {
+        let limits = CallLimits::new(Duration::from_millis(recovery)).for_reader();
+        for late in (0..ms(limits.changes)).step_by(10).map(Duration::from_millis) {
+            let mut delay = AnswerDelay::default();
+            // The complete read.
+            delay.record(Duration::ZERO, late, true);
+            for _ in 0..100 {
+                let wait = delay.hold(limits.wait, limits.changes);
+                assert!(wait + late <= limits.changes, "{late:?} late");
+                delay.record(wait, wait + late, false);
+            }
+        }
+    }
+}
+
+/// A source that answers at once again is called no more often than before.
+#[test]
+fn calls_wait_as_long_as_before_after_late_answers() {
+    let limits = CallLimits::new(Duration::from_secs(4));
+    let mut delay = AnswerDelay::default();
+    delay.record(Duration::ZERO, Duration::from_secs(4), true);
+    assert_eq!(delay.hold(limits.wait, limits.changes), Duration::ZERO);
+    for _ in 0..8 {
+        let wait = delay.hold(limits.wait, limits.changes);
+        delay.record(wait, wait + Duration::from_millis(4), false);
+    }
+    assert_eq!(delay.hold(limits.wait, limits.changes), limits.wait);
+}
--- a/crates/front/src/follow/calls.rs
+++ b/crates/front/src/follow/calls.rs
@@ -7,6 +7,7 @@
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 
 use base::Time;
+use forward::source_calls::AnswerDelay;
 use tokio::{
     task::{AbortHandle, Id, JoinSet},
     time::{Instant, timeout, timeout_at},
@@ -52,6 +53,16 @@
     /// The open calls, and those that ended since the last one was made.
     handles: VecDeque<AbortHandle>,
     last: Option<Id>,
+    delay: AnswerDelay,
+}
+
+impl Call {
+    fn wait(self) -> Duration {
+        match self {
+            Call::Read => Duration::ZERO,
+            Call::Changes { wait, .. } => wait,
+        }
+    }
 }
 
 impl<S: Source + 'static> Calls<S> {
@@ -64,9 +75,15 @@
             open: JoinSet::new(),
             handles: VecDeque::new(),
             last: None,
+            delay: AnswerDelay::default(),
         }
     }
 
+    /// Returns how late answers are.
+    pub(super) fn delay(&self) -> AnswerDelay {
+        self.delay
+    }
+
     /// Makes a call. If too many are open, the oldest one is given up.
     pub(super) fn make(&mut self, call: Call) {
         let (source, feed, limit) = (self.source.clone(), self.feed, self.give_up);
@@ -97,7 +114,11 @@
             let is_late = self.last != Some(id);
             let Ended { call, called, result } = ended;
             match result {
-                Ok(batch) => return Ok(Answer { call, called, is_late, batch }),
+                Ok(batch) => {
+                    let took = self.clock.now().since(called);
+                    self.delay.record(call.wait(), took, !batch.items.is_empty());
+                    return Ok(Answer { call, called, is_late, batch });
+                }
                 Err(err) if !is_late => return Err(err),
                 Err(_) => {}
             }
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -205,6 +205,7 @@
     let feed = calls.feed;
     loop {
         let (wait, limit) = limits_of_changes(cx, origin);
+        let wait = calls.delay().hold(wait, limit);
         cx.change_logs.of(feed).update_progress(|it| it.record_call(cx.clock.now()));
         calls.make(Call::Changes { after: revision.unwrap_or_default(), wait });
         let until = Instant::now() + limit;
@@ -271,7 +272,7 @@
     true
 }
 
-/// Returns the wait for changes, and the time after which the call has failed.
+/// Returns the longest wait for changes, and the time after which the call has failed.
 fn limits_of_changes(cx: &SharedCx, origin: Origin) -> (Duration, Duration) {
     if let Origin::Host(_) = origin {
         return (HOST_CHANGES_WAIT, HOST_CHANGES_WAIT + HOST_CHANGES_SLACK);
--- a/crates/front/tests/gaps.rs
+++ b/crates/front/tests/gaps.rs
@@ -281,3 +281,26 @@
         assert_ne!(status(&host.get("/one/x").await), 200);
     });
 }
+
+/// Guards against hosts that leave a source, and the readers of which are left, as it answers
+/// calls later than they may take beyond the time for which it holds them.
+#[test]
+fn a_source_that_answers_late_is_followed_all_the_while() {
+    run(async {
+        let source = Rc::new(ScriptedSource::default());
+        source.publish(Configuration { version: 5, ..Configuration::default() });
+        let host = TestHost::start_with(own_address(), Vec::new(), |it| {
+            it.source_recovery(Duration::from_secs(3))
+        });
+        source.set_delay(Duration::from_millis(700));
+        host.follow_configuration(&source);
+        host.follow_targets(&source);
+        while host.gauge("front_follows_source").await != Some(1) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        for _ in 0..70 {
+            sleep(Duration::from_millis(80)).await;
+            assert_eq!(host.gauge("front_follows_source").await, Some(1));
+        }
+    });
+}
