Read the body of a refused request before its refusal

Cause: a request that is refused by its head (404, or 503 "not run" for want of a configuration, of room, or in a stop) was answered before its body had come in. The HTTP library then closes the connection with the body unread and without saying so: the caller's write fails with a broken pipe, the answer may be lost in the reset, and with it the promise that the request did not run. The same between hosts; by the code, a host that loses a sender's refusal so answers 502, "may have run", which was not run as a test.

Change: what is left of the body is read and dropped, for up to 300 ms and within the limit on bodies; then the answer follows, and the connection is kept. A caller that expects `100 Continue`, or whose body doesn't come in, gets the answer with `Connection: close`.

Conclusion: a refusal is an answer, also to a caller that is still sending.

--- a/crates/front/src/body/mod.rs
+++ b/crates/front/src/body/mod.rs
@@ -36,6 +36,21 @@
     Broken(#[from] E),
 }
 
+/// Reads a body and drops it.
+pub(crate) async fn skip_body<B>(mut body: B, limits: BodyLimits) -> Result<(), BodyError<B::Error>>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        length += frame?.data_ref().map_or(0, Bytes::len);
+        if length > limits.bytes {
+            return Err(BodyError::TooLarge);
+        }
+    }
+    Ok(())
+}
+
 /// Reads a body; trailers are dropped.
 pub(crate) async fn read_body<B>(
     mut body: B,
--- a/crates/front/src/callers/mod.rs
+++ b/crates/front/src/callers/mod.rs
@@ -5,7 +5,7 @@
 mod head;
 pub(crate) mod log_line;
 mod pages;
-mod read;
+pub(crate) mod read;
 pub(crate) mod refusal;
 pub(crate) mod request;
 mod stop;
--- a/crates/front/src/callers/read.rs
+++ b/crates/front/src/callers/read.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use hyper::body::{Body, Incoming};
+use tokio::time::timeout;
 
 use super::refusal::Refusal;
 use crate::body::{self, BodyError, BodyLimits};
@@ -16,6 +17,9 @@
 const CONTENT_LENGTH: usize = 1;
 const TRANSFER_ENCODING: usize = 2;
 
+/// Limit on the time in which the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Headers that apply to one connection only.
 const HOP_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -58,7 +62,7 @@
         return Err(too_large());
     }
     let reading = body::read_body(body, BodyLimits::bytes(max_bytes));
-    match tokio::time::timeout(time_limit, reading).await {
+    match timeout(time_limit, reading).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLarge)) => Err(too_large()),
         Ok(Err(BodyError::TooManyPieces | BodyError::Broken(_))) | Err(_) => {
@@ -67,6 +71,25 @@
     }
 }
 
+/// Reads what is left of a refused request, so that the refusal reaches a caller that is
+/// still sending, and the connection can be used further. If it doesn't come in soon, the
+/// connection is closed after the answer.
+pub(crate) async fn discard(
+    refusal: Refusal,
+    headers: &HeaderMap,
+    body: Incoming,
+    max_bytes: usize,
+) -> Refusal {
+    if body.is_end_stream() {
+        return refusal;
+    }
+    // A caller that waits for `100 Continue` is told without its body.
+    let is_awaited = headers.contains_key(header::EXPECT);
+    let reading = body::skip_body(body, BodyLimits::bytes(max_bytes));
+    let is_read = !is_awaited && matches!(timeout(DISCARD_TIMEOUT, reading).await, Ok(Ok(())));
+    Refusal { closes_connection: refusal.closes_connection || !is_read, ..refusal }
+}
+
 fn too_large() -> Refusal {
     Refusal::closing(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
 }
--- a/crates/front/src/callers/request.rs
+++ b/crates/front/src/callers/request.rs
@@ -22,7 +22,7 @@
     connection::{ConnectionState, Phase},
     head::{Accepted, accept},
     log_line::{self, LogLine, request_id},
-    read::{read_body, strip_hop_headers},
+    read::{discard, read_body, strip_hop_headers},
     refusal::Refusal,
 };
 use crate::{
@@ -99,7 +99,13 @@
     origin: Origin,
 ) -> Result<Answer, Refusal> {
     let (head, body) = req.into_parts();
-    let Accepted { entry, in_force, left } = accept(cx, &head)?;
+    let accepted = match accept(cx, &head) {
+        Ok(accepted) => accepted,
+        Err(refusal) => {
+            return Err(discard(refusal, &head.headers, body, cx.limits.get().body_bytes).await);
+        }
+    };
+    let Accepted { entry, in_force, left } = accepted;
     // A deadline of another host is the time that was left when it passed the
     // request on.
     let until = match origin {
--- a/crates/front/src/relay/answer.rs
+++ b/crates/front/src/relay/answer.rs
@@ -9,6 +9,7 @@
     callers::{
         answer::Answer,
         log_line::{self, request_id},
+        read::discard,
         refusal::Refusal,
         request::{Origin, UNAVAILABLE_WAIT, implies_not_run, respond},
     },
@@ -24,7 +25,10 @@
     let id_header = req.headers().get(&cx.cfg.names.request_id).cloned();
     let answered = match check(cx, relay) {
         Ok(()) => respond(cx, relay.received, req, Origin::Host(relay)).await,
-        Err(refusal) => Err(refusal),
+        Err(refusal) => {
+            let (head, body) = req.into_parts();
+            Err(discard(refusal, &head.headers, body, cx.limits.get().body_bytes).await)
+        }
     };
     let (mut answer, outcome) = match answered {
         Ok(answer) => (answer, RelayOutcome::Done),
--- a/crates/front/tests/proper_requests.rs
+++ b/crates/front/tests/proper_requests.rs
@@ -7,7 +7,11 @@
 
 use forward::Repeat;
 use support::{Reply, Target, TestHost, header, ok, read_message, run, status, target};
-use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{Instant, sleep},
+};
 
 /// Time between two parts of a request.
 const PAUSE: Duration = Duration::from_millis(30);
@@ -76,3 +80,63 @@
         assert!(one.received.borrow().iter().all(|it| header(it, "x-149").is_some()));
     });
 }
+/// Guards against connections that are reset under an answer: a request was refused before
+/// its body had come in.
+#[test]
+fn a_refusal_reaches_a_caller_that_is_still_sending_its_body() {
+    run(async {
+        let (host, _one) = served().await;
+        let mut stream = host.connect().await;
+        let head = "POST /none/x HTTP/1.1\r\nhost: h\r\nx-id: q\r\ncontent-length: 3\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.expect("written");
+        sleep(PAUSE).await;
+        stream.write_all(b"abc").await.expect("written");
+        sleep(PAUSE).await;
+        let answer = read_message(&mut stream).await.unwrap_or_default();
+        assert_eq!(status(&answer), 404);
+        assert_eq!(header(&answer, "connection"), None, "{answer}");
+        let request = "GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.expect("written");
+        let answer = read_message(&mut stream).await.unwrap_or_default();
+        assert_eq!(status(&answer), 200, "{answer}");
+    });
+}
+
+/// Same for a host that passes a request on: it must learn that the request did not run.
+#[test]
+fn a_senders_refusal_reaches_a_host_that_is_still_sending_the_body() {
+    run(async {
+        let (host, _one) = served().await;
+        drop(host.connect().await);
+        let mut stream = TcpStream::connect(host.peers).await.expect("connected");
+        // The sender has an older version.
+        let head = "POST /one/x HTTP/1.1\r\nhost: h\r\nx-id: q\r\ncontent-length: 3\r\n\
+                    relay-age-us: 0\r\nrelay-version: 2\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.expect("written");
+        sleep(PAUSE).await;
+        stream.write_all(b"abc").await.expect("written");
+        let answer = read_message(&mut stream).await.unwrap_or_default();
+        assert_eq!(status(&answer), 503);
+        assert_eq!(header(&answer, "relay-outcome").as_deref(), Some("not-run"));
+        stream.write_all(head.as_bytes()).await.expect("written");
+        stream.write_all(b"abc").await.expect("written");
+        let answer = read_message(&mut stream).await.unwrap_or_default();
+        assert_eq!(status(&answer), 503, "{answer}");
+    });
+}
+
+/// A caller that sends no body is refused all the same, and told of the close.
+#[test]
+fn a_refusal_does_not_wait_for_a_body_that_never_comes() {
+    for expectation in ["", "expect: 100-continue\r\n"] {
+        run(async {
+            let (host, _one) = served().await;
+            let asked = Instant::now();
+            let head = "POST /none/x HTTP/1.1\r\nhost: h\r\nx-id: q\r\ncontent-length: 3\r\n";
+            let answer = host.exchange(&format!("{head}{expectation}\r\n")).await;
+            assert_eq!(status(&answer), 404, "{answer}");
+            assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
+            assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+        });
+    }
+}
