--- a/xtask/src/deployment/process.rs
+++ b/xtask/src/deployment/process.rs
@@ -16,9 +16,14 @@
 impl Process {
     /// Starts a program and appends its output to a log file.
     pub fn start(name: &str, program: &Path, args: &[String], log: &Path) -> eyre::Result<Self> {
+        Process::spawn(name, Command::new(program).args(args), log)
+    }
+
+    /// Starts a command and appends its output to a log file.
+    pub fn spawn(name: &str, command: &mut Command, log: &Path) -> eyre::Result<Self> {
         let log = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(program)
-            .args(args)
+        let program = command.get_program().to_owned();
+        let child = command
             .stdin(Stdio::piped())
             .stdout(log.try_clone()?)
             .stderr(log)
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,9 @@
-//! Workspace automation: `cargo xtask ci | codegen | demo | bench`.
+//! Workspace automation: `cargo xtask ci | codegen | demo | bench | soak`.
 //!
 //! `demo` and `bench` run the project's programs as processes on loopback and
 //! evaluate them by what the stand-ins and the callers recorded. The tier runs in
-//! real time over real sockets; no part of it is simulated.
+//! real time over real sockets; no part of it is simulated. `soak` does so with the
+//! host program of the users' platform.
 
 #![allow(clippy::print_stdout, clippy::print_stderr)]
 
@@ -21,6 +22,7 @@
 mod relay;
 mod report;
 mod scenario;
+mod soak;
 mod timeline;
 
 /// Automation of the workspace.
@@ -37,6 +39,7 @@
     Codegen(CodegenArgs),
     Demo(DemoArgs),
     Bench(BenchArgs),
+    Soak(SoakArgs),
 }
 
 /// Check formatting, lints and tests.
@@ -90,6 +93,37 @@
     keep_logs: bool,
 }
 
+/// Play the host program as many processes beside faults, and judge by the rules.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct SoakArgs {
+    /// the host program to play
+    #[argh(option)]
+    program: PathBuf,
+    /// a seed
+    #[argh(option)]
+    seed: Option<u64>,
+    /// a range of seeds, such as 1..20
+    #[argh(option, from_str_fn(soak::parse_seeds))]
+    seeds: Option<Vec<u64>>,
+    /// number of hosts, 1 to 90
+    #[argh(option, default = "6")]
+    hosts: usize,
+    /// length of a run, 15 to 600
+    #[argh(option, default = "60")]
+    seconds: u64,
+    /// what happens: silence, late, stops, mixed
+    #[argh(option, default = "soak::Days::Mixed")]
+    days: soak::Days,
+    /// quota of a core for each host, such as 0.25
+    #[argh(option)]
+    cpu_share: Option<f64>,
+    /// folder for the records and logs of all runs; else those of broken runs
+    /// are in target/soak
+    #[argh(option)]
+    keep: Option<PathBuf>,
+}
+
 fn main() -> eyre::Result<ExitCode> {
     let args: Args = argh::from_env();
     match args.command {
@@ -104,5 +138,14 @@
             is_release: !args.debug,
             keep_logs: args.keep_logs,
         }),
+        Command::Soak(args) => soak::run(&soak::Options {
+            program: args.program,
+            seeds: args.seed.into_iter().chain(args.seeds.into_iter().flatten()).collect(),
+            hosts: args.hosts,
+            seconds: args.seconds,
+            days: args.days,
+            cpu_share: args.cpu_share,
+            keep: args.keep,
+        }),
     }
 }
--- /dev/null
+++ b/xtask/src/soak/play.rs
@@ -0,0 +1,258 @@
+//! Plays one run: starts the store, the targets, the hosts and the clients, carries out
+//! the plan, and ends everything.
+
+use std::{
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::time;
+
+use super::{
+    addresses, clients,
+    hosts::Host,
+    ingress::{self, Ingress},
+    operator::{self, Operator, SERVICES, SHARDS},
+    plan::{self, Action, Days, Size, Timed},
+    quota,
+    record::{Place, Record, Recorder},
+    settings::{Bounds, DOMAINS},
+    store::{self, Store},
+    targets::{Service, Targets},
+};
+
+/// Limit on the time until all hosts are ready.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between the start of the hosts and that of the clients, after all are ready.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Requests per second of all clients, and their number.
+const REQUESTS_PER_S: f64 = 100.0;
+const CLIENTS: usize = 60;
+/// Targets of each single service and of each shard.
+const SERVICE_TARGETS: usize = 6;
+const SHARD_TARGETS: usize = 2;
+const SERVICE_WORK: Duration = Duration::from_millis(40);
+const SHARD_WORK: Duration = Duration::from_millis(10);
+
+/// One run of a program.
+pub struct Run<'a> {
+    pub program: &'a Path,
+    pub folder: &'a Path,
+    pub seed: u64,
+    pub hosts: usize,
+    pub time: Duration,
+    pub days: Days,
+    /// Share of a core that each host gets, or no limit.
+    pub cpu_share: Option<f64>,
+}
+
+/// All that a run has set up.
+struct Stage {
+    store: Store,
+    targets: Targets,
+    hosts: Vec<Arc<Host>>,
+    recorder: Recorder,
+    ingress: Ingress,
+    operator: Operator,
+    stop: Arc<AtomicBool>,
+}
+
+impl Run<'_> {
+    /// Plays the run; returns what was seen, and the names of the hosts.
+    pub async fn play(&self) -> eyre::Result<(Record, Vec<String>)> {
+        let stage = Arc::new(self.set_up().await?);
+        let played = self.play_on(&stage).await;
+        stage.stop.store(true, Ordering::Relaxed);
+        stage.hosts.iter().for_each(|it| it.end());
+        played?;
+        let names = stage.hosts.iter().map(|it| it.name.clone()).collect();
+        Ok((stage.recorder.snapshot(), names))
+    }
+
+    async fn set_up(&self) -> eyre::Result<Stage> {
+        let recorder = Recorder::new();
+        let store = Store::new(self.hosts);
+        for host in 0..self.hosts {
+            store::serve(store.clone(), host, addresses::store(host)).await?;
+        }
+        let domains = DOMAINS.map(str::to_owned);
+        let targets = Targets::new(store.clone(), recorder.clone(), Bounds::DRAIN, &domains);
+        for service in services() {
+            targets.add_service(&service).await?;
+        }
+        let hosts: eyre::Result<Vec<Arc<Host>>> = (0..self.hosts)
+            .map(|it| {
+                let domain = DOMAINS[it % DOMAINS.len()];
+                Host::new(it, domain, self.hosts, self.program, self.folder, &recorder)
+            })
+            .collect();
+        let hosts = hosts?;
+        let ingress = Ingress::start(&hosts, &recorder);
+        let operator = Operator::new(store.clone(), recorder.clone(), ingress.clone(), self.seed);
+        let stop = Arc::new(AtomicBool::new(false));
+        Ok(Stage { store, targets, hosts, recorder, ingress, operator, stop })
+    }
+
+    async fn play_on(&self, stage: &Arc<Stage>) -> eyre::Result<()> {
+        stage.operator.begin().await;
+        for host in &stage.hosts {
+            host.start()?;
+        }
+        if let Some(share) = self.cpu_share {
+            quota::spawn(stage.hosts.clone(), share, Arc::clone(&stage.stop));
+        }
+        stage.wait_ready().await?;
+        for host in &stage.hosts {
+            tokio::spawn(Arc::clone(host).watch());
+        }
+        time::sleep(SETTLE).await;
+        stage.recorder.note("clients begin".to_owned());
+        let load = clients::Load {
+            calls: Arc::new(operator::calls()),
+            ingress: stage.ingress.clone(),
+            recorder: stage.recorder.clone(),
+            stop: Arc::clone(&stage.stop),
+            pause: Duration::from_secs_f64(CLIENTS as f64 / REQUESTS_PER_S),
+        };
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|it| tokio::spawn(clients::run(load.clone(), self.seed, it)))
+            .collect();
+        self.carry_out(stage).await;
+        stage.stop.store(true, Ordering::Relaxed);
+        for client in clients {
+            client.await?;
+        }
+        Ok(())
+    }
+
+    async fn carry_out(&self, stage: &Arc<Stage>) {
+        let size = Size { hosts: self.hosts, targets: stage.targets.len(), time: self.time };
+        let begun = time::Instant::now();
+        for (at, action) in plan::draw(self.days, self.seed, size) {
+            time::sleep_until(begun + at).await;
+            let stage = Arc::clone(stage);
+            tokio::spawn(async move { stage.act((at, action)).await });
+        }
+        time::sleep_until(begun + self.time).await;
+    }
+}
+
+fn services() -> Vec<Service> {
+    let service = |name: &str, targets, work| Service { name: name.to_owned(), targets, work };
+    let single = SERVICES.iter().map(|it| service(it, SERVICE_TARGETS, SERVICE_WORK));
+    let shards = (0..SHARDS).map(|it| service(&operator::shard(it), SHARD_TARGETS, SHARD_WORK));
+    single.chain(shards).collect()
+}
+
+impl Stage {
+    async fn wait_ready(&self) -> eyre::Result<()> {
+        let until = time::Instant::now() + START_TIMEOUT;
+        while !self.ingress.are_all_ready() {
+            eyre::ensure!(time::Instant::now() < until, "the hosts are not ready in time");
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    async fn act(&self, (at, action): Timed) {
+        self.recorder.note(format!("plan, {:.3} s: {action:?}", at.as_secs_f64()));
+        if let Err(err) = self.carry_out(action).await {
+            self.recorder.note(format!("the action of {:.3} s failed: {err}", at.as_secs_f64()));
+        }
+    }
+
+    async fn carry_out(&self, action: Action) -> eyre::Result<()> {
+        match action {
+            Action::Configure(change) => self.operator.apply(change).await,
+            Action::SilenceStore(time) => {
+                self.disrupt_store("store silent", time, |it, begins| {
+                    if begins { it.begin_silence() } else { it.end_silence() }
+                })
+                .await;
+            }
+            Action::DelayStore { delay, time } => {
+                self.disrupt_store("store late", time, |it, begins| {
+                    if begins { it.begin_delay(delay) } else { it.end_delay(delay) }
+                })
+                .await;
+            }
+            Action::LoseAnswers { one_of, time } => {
+                self.disrupt_store("store loses answers", time, |it, begins| {
+                    if begins { it.begin_loss(one_of) } else { it.end_loss(one_of) }
+                })
+                .await;
+            }
+            Action::DropHistory => {
+                let place = Place::StorePartly;
+                let index = self.recorder.begin_disruption(place, "store drops history", false);
+                self.store.drop_history();
+                self.recorder.end_disruption(index);
+            }
+            Action::ShutOut { hosts, fault, time } => self.shut_out(&hosts, fault, time).await,
+            Action::StopHost(host) => self.hosts[host].stop_and_start().await?,
+            Action::KillHost(host, down) => self.hosts[host].kill_and_start(down).await?,
+            Action::FreezeHost(host, time) => self.hosts[host].freeze(time).await,
+            Action::HangUpHost(host) => self.hosts[host].hang_up(),
+            Action::FreezeReaders(count, time) => {
+                let readers = self.readers(count).await;
+                futures::future::join_all(readers.iter().map(|it| it.freeze(time))).await;
+            }
+            Action::KillReaders(count, down) => {
+                let readers = self.readers(count).await;
+                let killed = readers.iter().map(|it| it.kill_and_start(down));
+                futures::future::try_join_all(killed).await?;
+            }
+            Action::ReplaceTarget { place, how, reuses_address } => {
+                self.targets.replace(place, how, reuses_address).await?;
+            }
+            Action::CrashTarget { place, down, keeps_id } => {
+                self.targets.crash(place, down, keeps_id).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn disrupt_store(
+        &self,
+        what: &'static str,
+        time: Duration,
+        change: impl Fn(&mut store::Faults, bool),
+    ) {
+        let index = self.recorder.begin_disruption(Place::Store, what, false);
+        self.store.change_faults(|it| change(it, true));
+        time::sleep(time).await;
+        self.store.change_faults(|it| change(it, false));
+        self.recorder.end_disruption(index);
+    }
+
+    async fn shut_out(&self, hosts: &[usize], fault: store::HostFault, time: Duration) {
+        let mut begun: Vec<usize> = hosts
+            .iter()
+            .map(|it| self.recorder.begin_disruption(Place::Host(*it), "shut out", false))
+            .collect();
+        let place = Place::StorePartly;
+        begun.push(self.recorder.begin_disruption(place, "store shuts hosts out", false));
+        self.store.change_faults(|it| hosts.iter().for_each(|host| it.begin_host(*host, fault)));
+        time::sleep(time).await;
+        self.store.change_faults(|it| hosts.iter().for_each(|host| it.end_host(*host, fault)));
+        begun.into_iter().for_each(|it| self.recorder.end_disruption(it));
+    }
+
+    async fn readers(&self, count: usize) -> Vec<Arc<Host>> {
+        let asked = self
+            .hosts
+            .iter()
+            .map(|it| async move { ingress::reads_store(it).await.then(|| Arc::clone(it)) });
+        let readers = futures::future::join_all(asked).await;
+        readers.into_iter().flatten().take(count).collect()
+    }
+}
+
+/// Returns the folder of a run among those of `root`.
+pub fn folder(root: &Path, days: Days, seed: u64) -> PathBuf {
+    root.join(format!("{days:?}-{seed}").to_lowercase())
+}
--- /dev/null
+++ b/xtask/src/soak/record.rs
@@ -0,0 +1,176 @@
+//! What clients, targets, the store and the platform saw in a run, with the time since
+//! its start. The judge reads nothing else.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use super::configuration::Version;
+
+/// Index of a host among those of the run.
+pub type HostIndex = usize;
+
+/// One attempt of a client.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub id: String,
+    pub host: HostIndex,
+    pub path: String,
+    /// Whether the request was sent only to see which configuration is in force.
+    pub is_probe: bool,
+    pub is_idempotent: bool,
+    /// Whether the connection had carried a request before.
+    pub is_reused: bool,
+    pub sent: Duration,
+    pub ended: Duration,
+    pub end: AttemptEnd,
+}
+
+#[derive(Clone, Debug)]
+pub enum AttemptEnd {
+    Answered(Answer),
+    /// The host ended the connection without a complete answer.
+    Closed,
+    /// The host reset the connection.
+    Reset,
+    NotConnected,
+    /// The deadline of the client passed.
+    TimedOut,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub stamp: Option<String>,
+    pub part_stamps: Vec<String>,
+    pub body: Vec<u8>,
+}
+
+/// A request that a target began to work on.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub at: Duration,
+    /// Number of the target's process, which no other process of the run has.
+    pub process: usize,
+    pub target: String,
+    pub service: String,
+    pub stamp: String,
+    pub body: Vec<u8>,
+    /// Status of the target's answer; none if it did not answer.
+    pub status: Option<u16>,
+}
+
+/// A target that leaves: `draining`, or removed from the store.
+#[derive(Clone, Debug)]
+pub struct Leave {
+    /// Number of the target's process.
+    pub process: usize,
+    pub acked: Duration,
+}
+
+/// What a disruption affects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    Host(HostIndex),
+    /// The store was down, silent, slow, or lost answers.
+    Store,
+    /// The store served, but dropped its history or turned some hosts away.
+    StorePartly,
+    Target,
+}
+
+/// A span in which something was disrupted; starts and kills have no length.
+#[derive(Clone, Debug)]
+pub struct Disruption {
+    pub place: Place,
+    pub what: &'static str,
+    pub is_planned: bool,
+    pub from: Duration,
+    /// `Duration::MAX` while it lasts.
+    pub until: Duration,
+}
+
+/// A signal for planned work on a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    Terminate,
+    Hangup,
+}
+
+/// An event in the life of a host's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostEvent {
+    Started,
+    Signalled(Signal),
+    /// The process ended though the platform had not asked for it.
+    EndedByItself,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    pub attempts: Vec<Attempt>,
+    pub runs: Vec<Run>,
+    pub versions: Vec<Version>,
+    pub leaves: Vec<Leave>,
+    pub disruptions: Vec<Disruption>,
+    pub host_events: Vec<(HostIndex, Duration, HostEvent)>,
+    /// Lines for a person who reads the run.
+    pub notes: Vec<(Duration, String)>,
+}
+
+/// Takes down what happens.
+#[derive(Clone)]
+pub struct Recorder {
+    started: Instant,
+    record: Arc<Mutex<Record>>,
+}
+
+impl Recorder {
+    pub fn new() -> Self {
+        Recorder { started: Instant::now(), record: Arc::default() }
+    }
+
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, Record> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn note(&self, text: String) {
+        let now = self.now();
+        self.lock().notes.push((now, text));
+    }
+
+    pub fn host_event(&self, host: HostIndex, event: HostEvent) {
+        let now = self.now();
+        self.lock().host_events.push((host, now, event));
+    }
+
+    /// Records that a disruption begins; `end_disruption` takes the result.
+    pub fn begin_disruption(&self, place: Place, what: &'static str, is_planned: bool) -> usize {
+        let from = self.now();
+        let mut record = self.lock();
+        let until = Duration::MAX;
+        record.disruptions.push(Disruption { place, what, is_planned, from, until });
+        record.notes.push((from, format!("begins: {what} {place:?}")));
+        record.disruptions.len() - 1
+    }
+
+    pub fn end_disruption(&self, index: usize) {
+        let now = self.now();
+        let mut record = self.lock();
+        let Some(disruption) = record.disruptions.get_mut(index) else { return };
+        disruption.until = now;
+        let text = format!("ends: {} {:?}", disruption.what, disruption.place);
+        record.notes.push((now, text));
+    }
+
+    /// Returns the record as it is now.
+    pub fn snapshot(&self) -> Record {
+        self.lock().clone()
+    }
+}
