--- a/xtask/src/soak/judge/mod.rs
+++ b/xtask/src/soak/judge/mod.rs
@@ -7,6 +7,8 @@
 mod contact;
 mod drain;
 mod lost;
+#[cfg(test)]
+mod tests;
 
 use std::{collections::BTreeMap, fmt, time::Duration};
 
--- a/xtask/src/soak/plan.rs
+++ b/xtask/src/soak/plan.rs
@@ -12,6 +12,8 @@
 /// Which actions a run has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Days {
+    /// The configuration and the targets change, and nothing fails.
+    Changes,
     /// The store falls silent just after a change.
     Silence,
     /// The store answers late, while the configuration and targets change.
@@ -27,11 +29,12 @@
 
     fn from_str(text: &str) -> Result<Days, String> {
         match text {
+            "changes" => Ok(Days::Changes),
             "silence" => Ok(Days::Silence),
             "late" => Ok(Days::Late),
             "stops" => Ok(Days::Stops),
             "mixed" => Ok(Days::Mixed),
-            _ => Err(format!("`{text}` is none of silence, late, stops, mixed")),
+            _ => Err(format!("`{text}` is none of changes, silence, late, stops, mixed")),
         }
     }
 }
@@ -94,6 +97,10 @@
 pub fn draw(days: Days, seed: u64, size: Size) -> Vec<Timed> {
     let mut draft = Draft { rng: StdRng::seed_from_u64(seed), size, actions: Vec::new() };
     match days {
+        Days::Changes => {
+            draft.changes();
+            draft.target_changes();
+        }
         Days::Silence => draft.silences(),
         Days::Late => {
             draft.lateness();
