Vary the work of the soak's targets, and leave the end of a run out of its record

Change: one request in ten takes 1.3 s at a service and 100 ms at a shard, as long as the users' longest; the record is taken before the hosts end. The summary says how many attempts were made at hosts in touch.

--- a/xtask/src/soak/judge/mod.rs
+++ b/xtask/src/soak/judge/mod.rs
@@ -1,6 +1,9 @@
 //! Judges a run by its record: which rules of the platform were broken, when, at which
 //! host and by which request. Reads what clients, targets and the store saw, never what
 //! hosts say of themselves.
+//!
+//! Not judged are the rules on budgets, on cold targets, on evacuations and on places,
+//! CONFIG where it concerns times, and LOST beside a change of the configuration.
 
 mod answers;
 mod configuration;
@@ -147,6 +150,13 @@
     }
 }
 
+/// Returns how many attempts were made at hosts in touch, to which all rules apply.
+pub fn attempts_in_touch(record: &Record) -> usize {
+    let contact = Contact::new(&record.disruptions);
+    let attempts = record.attempts.iter();
+    attempts.filter(|it| contact.is_in_touch(it.host, it.sent, it.ended)).count()
+}
+
 /// Returns how many attempts ended in each way.
 pub fn ends(record: &Record) -> BTreeMap<String, usize> {
     let mut ends = BTreeMap::new();
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -139,7 +139,12 @@
 fn print(record: &Record, findings: &[Finding]) {
     let ends: Vec<String> =
         judge::ends(record).into_iter().map(|(end, count)| format!("{end} {count}")).collect();
-    println!("  attempts {}: {}", record.attempts.len(), ends.join(", "));
+    println!(
+        "  attempts {}, {} in touch: {}",
+        record.attempts.len(),
+        judge::attempts_in_touch(record),
+        ends.join(", ")
+    );
     println!(
         "  versions {}, disruptions {}, targets that left {}, runs {}",
         record.versions.len(),
--- a/xtask/src/soak/play.rs
+++ b/xtask/src/soak/play.rs
@@ -22,7 +22,7 @@
     record::{Place, Record, Recorder},
     settings::{Bounds, DOMAINS},
     store::{self, Store},
-    targets::{Service, Targets},
+    targets::{Service, Targets, Work},
 };
 
 /// Limit on the time until all hosts are ready.
@@ -35,8 +35,8 @@
 /// Targets of each single service and of each shard.
 const SERVICE_TARGETS: usize = 6;
 const SHARD_TARGETS: usize = 2;
-const SERVICE_WORK: Duration = Duration::from_millis(40);
-const SHARD_WORK: Duration = Duration::from_millis(10);
+const SERVICE_WORK: Work = Work::new(40, 1_300);
+const SHARD_WORK: Work = Work::new(10, 100);
 
 /// One run of a program.
 pub struct Run<'a> {
@@ -67,10 +67,12 @@
         let stage = Arc::new(self.set_up().await?);
         let played = self.play_on(&stage).await;
         stage.stop.store(true, Ordering::Relaxed);
+        // Requests that the end of the hosts cuts are not part of the record.
+        let record = stage.recorder.snapshot();
         stage.hosts.iter().for_each(|it| it.end());
         played?;
         let names = stage.hosts.iter().map(|it| it.name.clone()).collect();
-        Ok((stage.recorder.snapshot(), names))
+        Ok((record, names))
     }
 
     async fn set_up(&self) -> eyre::Result<Stage> {
--- a/xtask/src/soak/targets/mod.rs
+++ b/xtask/src/soak/targets/mod.rs
@@ -23,6 +23,8 @@
 
 /// Requests that a target runs at a time.
 const SLOTS: u32 = 6;
+/// One request in so many takes long.
+const LONG_ONE_IN: u64 = 10;
 /// Queue of new connections.
 const BACKLOG: u32 = 256;
 /// Attempts to bind an address that a target before has left, and the pause between.
@@ -36,7 +38,26 @@
 pub struct Service {
     pub name: String,
     pub targets: usize,
-    pub work: Duration,
+    pub work: Work,
+}
+
+/// Times that requests take: one in `LONG_ONE_IN` takes long.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    usual: Duration,
+    long: Duration,
+}
+
+impl Work {
+    pub const fn new(usual_ms: u64, long_ms: u64) -> Self {
+        let (usual, long) = (Duration::from_millis(usual_ms), Duration::from_millis(long_ms));
+        Work { usual, long }
+    }
+
+    /// Returns the time that the request of this number takes.
+    pub fn of(&self, number: u64) -> Duration {
+        if number % LONG_ONE_IN == LONG_ONE_IN - 1 { self.long } else { self.usual }
+    }
 }
 
 /// How a target leaves.
--- a/xtask/src/soak/targets/serve.rs
+++ b/xtask/src/soak/targets/serve.rs
@@ -142,7 +142,7 @@
             record.runs.push(run);
             record.runs.len() - 1
         };
-        let work = time::Instant::now() + self.service.work;
+        let work = time::Instant::now() + self.service.work.of(number);
         tokio::select! {
             () = time::sleep_until(work.min(deadline)) => {}
             () = wait_close(reader) => return None,
