Compare complete states of a feed by revision, and by time only without one

Cause: a complete state counted as behind if its reader had proved it earlier than the host its own state. A reader proves progress only with each answer of the source, so two hosts that know the same proved it up to 1.25 s apart. A host that the source rejects, or that lost it, then left each reader of its domain for 4 s as "behind" and followed nothing, with changes only through peers' state. Change: the revision is part of `FeedProgress`, where provenance and proof are, and `is_news` compares revisions where both are known: a state of the own revision or a later one is never older. State of peers, which names no revision, is compared by time as before. The flag for state that was replaced by a peer's goes: such state has no revision. A feed whose history is gone keeps its revision for the comparison and is read as a whole all the same.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -64,9 +64,20 @@
     delay: Duration,
 }
 
+/// How far a complete state of a feed reaches, as far as its origin says so.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reach {
+    /// Revision of the source that the state includes.
+    pub revision: Option<u64>,
+    /// Time until which the state includes all changes.
+    pub known_until: Option<Time>,
+}
+
 /// Progress of a host in a feed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FeedProgress {
+    /// Revision of the source from which on changes lead to its state.
+    revision: Option<u64>,
     /// All changes until then are known. An answer is needed to know: a call that waits
     /// may be one that is never answered.
     proven_until: Option<Time>,
@@ -146,10 +157,29 @@
         self.proven_until.map(|it| now.since(it))
     }
 
-    /// Returns whether state that is known until then may be later than what is known
-    /// here; `None` from a host that doesn't say.
-    pub fn is_news(&self, known_until: Option<Time>) -> bool {
-        known_until.is_none() || known_until >= self.proven_until
+    /// Returns the revision from which on changes are to be followed; `None` if the feed has
+    /// to be read as a whole.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Records the revision that is known now.
+    pub fn record_revision(&mut self, revision: u64) {
+        self.revision = Some(revision);
+    }
+
+    /// Records that changes after the own revision no longer lead to the source's state, or
+    /// are not to be had.
+    pub fn forget_revision(&mut self) {
+        self.revision = None;
+    }
+
+    /// Returns whether state that reaches so far may be later than what is known here. Times
+    /// are compared only if a revision is missing: an origin proves progress in steps, and
+    /// one that knows the same may have proved it somewhat earlier.
+    pub fn is_news(&self, state: Reach) -> bool {
+        let is_as_late = self.revision.is_some() && state.revision >= self.revision;
+        is_as_late || state.known_until.is_none() || state.known_until >= self.proven_until
     }
 
     /// Returns the largest age that a change may have which an answer, read now, tells
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use crate::{
     budget::RetryBudget,
-    feed::{FeedProgress, Provenance},
+    feed::{FeedProgress, Provenance, Reach},
     gather::{Gather, Verdict},
     latency::LatencyQuantile,
     placement::{Placement, Targets},
--- a/crates/forward/tests/feeds.rs
+++ b/crates/forward/tests/feeds.rs
@@ -6,7 +6,7 @@
 
 use base::{HashSet, ServiceName, TargetName};
 use fixture::{Fixture, LEAVING_FOR, at, report};
-use forward::{FeedProgress, Placement, Provenance, TargetReport};
+use forward::{FeedProgress, Placement, Provenance, Reach, TargetReport};
 
 /// Time for which calls are held.
 const WAIT: Duration = Duration::from_secs(2);
@@ -87,11 +87,27 @@
 /// behind.
 #[test]
 fn older_state_is_no_news() {
+    let known_until = |until| Reach { known_until: until, ..Reach::default() };
     let mut it = FeedProgress::default();
-    assert!(it.is_news(Some(at(10))) && it.is_news(None));
+    assert!(it.is_news(known_until(Some(at(10)))) && it.is_news(known_until(None)));
     it.record_complete(at(1_000), Provenance::Source);
-    assert!(!it.is_news(Some(at(999))));
-    assert!(it.is_news(Some(at(1_000))) && it.is_news(None));
+    assert!(!it.is_news(known_until(Some(at(999)))));
+    assert!(it.is_news(known_until(Some(at(1_000)))) && it.is_news(known_until(None)));
+}
+
+/// Guards against hosts that leave all readers, as these proved the same state earlier.
+#[test]
+fn state_of_the_same_revision_is_no_older() {
+    let reach = |revision| Reach { revision: Some(revision), known_until: Some(at(500)) };
+    let mut it = FeedProgress::default();
+    it.record_complete(at(1_000), Provenance::Source);
+    assert!(!it.is_news(reach(7)));
+    it.record_revision(7);
+    assert!(it.is_news(reach(7)) && it.is_news(reach(8)));
+    assert!(!it.is_news(reach(6)));
+    // State of a peer was applied, of an unknown revision.
+    it.forget_revision();
+    assert!(!it.is_news(reach(8)));
 }
 
 #[test]
--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{HashSet, TargetName, Time};
-use forward::{FeedProgress, readers::Origin};
+use forward::{FeedProgress, Reach, readers::Origin};
 
 use super::{
     Batch, Feed, Item, Means, Received,
@@ -12,29 +12,24 @@
 use crate::SharedCx;
 
 /// Applies an answer unless a later one was; returns whether it did.
-pub(super) fn take(
-    cx: &SharedCx,
-    feed: Feed,
-    origin: Origin,
-    revision: &mut Option<u64>,
-    answer: Answer,
-) -> bool {
+pub(super) fn take(cx: &SharedCx, feed: Feed, origin: Origin, answer: Answer) -> bool {
     let log = cx.change_logs.of(feed);
     let now = cx.clock.now();
     match answer.call {
         Call::Read => {
             let known_until = answer.called.ago(answer.batch.behind);
-            if !log.progress().is_news(Some(known_until)) {
+            let revision = answer.batch.revision;
+            let reach = Reach { revision: Some(revision), known_until: Some(known_until) };
+            if !log.progress().is_news(reach) {
                 return false;
             }
-            log.take_replaced();
-            *revision = Some(answer.batch.revision);
-            log.restart(answer.batch.revision);
+            log.update_progress(|it| it.record_revision(revision));
+            log.restart(revision);
             apply_all(cx, feed, origin, answer.batch);
             log.update_progress(|it| it.record_complete(known_until, origin.into()));
         }
         Call::Changes { after, .. } => {
-            if *revision != Some(after) || log.is_replaced() {
+            if log.progress().revision() != Some(after) {
                 return false;
             }
             let age = answer.batch.age.map(|it| it + answer.delay);
@@ -51,8 +46,10 @@
             let age = made.age.or_else(|| log.progress().age(now));
             let received = Received { from: origin.into(), by: Means::Changes, age };
             let known_until = proven_at.ago(changes.behind);
-            log.update_progress(|it| it.record_complete(known_until, origin.into()));
-            *revision = Some(next);
+            log.update_progress(|it| {
+                it.record_complete(known_until, origin.into());
+                it.record_revision(next);
+            });
             log.push(next, &changes.items, now.since(made.removed_since), now);
             changes.items.into_iter().for_each(|it| apply(cx, it, made, received));
         }
--- a/crates/front/src/follow/change_log.rs
+++ b/crates/front/src/follow/change_log.rs
@@ -31,9 +31,6 @@
     /// Whether this host reads the feed at the source.
     is_live: Cell<bool>,
     progress: Cell<FeedProgress>,
-    /// Whether state of a peer was applied, so that changes after the own revision do not
-    /// lead to the source's state.
-    is_replaced: Cell<bool>,
     changed: Notify,
 }
 
@@ -134,21 +131,12 @@
     /// Records that state of a `peer` was applied, whose changes are known until
     /// `known_until` if it says so.
     pub(crate) fn record_replaced(&self, peer: SocketAddr, known_until: Option<Time>) {
-        self.is_replaced.set(true);
+        self.update_progress(FeedProgress::forget_revision);
         if let Some(until) = known_until {
             self.update_progress(|it| it.record_complete(until, Provenance::Peer(peer)));
         }
     }
 
-    /// Returns whether state of a peer was applied since `take_replaced` was called last.
-    pub(super) fn is_replaced(&self) -> bool {
-        self.is_replaced.get()
-    }
-
-    pub(super) fn take_replaced(&self) -> bool {
-        self.is_replaced.take()
-    }
-
     pub(super) fn revision(&self) -> u64 {
         self.state.borrow().revision
     }
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -132,23 +132,19 @@
     state: &mut FollowState,
 ) -> Ended {
     let feed = calls.feed;
-    if cx.change_logs.of(feed).take_replaced() {
-        state.revision = None;
-    }
-    if state.was_lost || state.revision.is_none() {
-        if let Err(err) = read(cx, calls, origin, &mut state.revision).await {
+    if state.must_read || cx.change_logs.of(feed).progress().revision().is_none() {
+        if let Err(err) = read(cx, calls, origin).await {
             return Ended::Failed(err);
         }
-        state.was_lost = false;
+        state.must_read = false;
     }
     state.record_success(cx, feed, origin);
     feed.is_followed(cx).set(true);
     feed.set_read_directly(cx, origin == Origin::Source);
-    let FollowState { revision, lost, .. } = state;
     tokio::select! {
         biased;
-        err = follow_changes(cx, calls, origin, revision) => Ended::Failed(err),
-        () = superseded(cx, origin, lost) => Ended::Superseded,
+        err = follow_changes(cx, calls, origin) => Ended::Failed(err),
+        () = superseded(cx, origin, &state.lost) => Ended::Superseded,
     }
 }
 
@@ -178,14 +174,13 @@
     cx: &SharedCx,
     calls: &mut Calls<impl Source + 'static>,
     origin: Origin,
-    revision: &mut Option<u64>,
 ) -> Result<(), SourceError> {
     calls.make(Call::Read);
     let until = Instant::now() + cx.cfg.source_calls.read;
     loop {
         let answer = calls.next(until).await?;
         let is_late = answer.is_late;
-        if take(cx, calls.feed, origin, revision, answer) {
+        if take(cx, calls.feed, origin, answer) {
             return Ok(());
         }
         if !is_late {
@@ -194,13 +189,11 @@
     }
 }
 
-/// Applies changes until a call fails; returns its error. Keeps `revision` up to
-/// date.
+/// Applies changes until a call fails; returns its error.
 async fn follow_changes(
     cx: &SharedCx,
     calls: &mut Calls<impl Source + 'static>,
     origin: Origin,
-    revision: &mut Option<u64>,
 ) -> SourceError {
     let feed = calls.feed;
     loop {
@@ -208,8 +201,9 @@
         let delay = calls.delay();
         let wait = delay.hold(wait, limit);
         let log = cx.change_logs.of(feed);
+        let Some(after) = log.progress().revision() else { return SourceError::HistoryGone };
         log.update_progress(|it| it.record_call(cx.clock.now(), wait, delay.get()));
-        calls.make(Call::Changes { after: revision.unwrap_or_default(), wait });
+        calls.make(Call::Changes { after, wait });
         let until = Instant::now() + limit;
         loop {
             let answer = match calls.next(until).await {
@@ -217,7 +211,7 @@
                 Err(err) => return err,
             };
             let is_late = answer.is_late;
-            if take(cx, feed, origin, revision, answer) || !is_late {
+            if take(cx, feed, origin, answer) || !is_late {
                 break;
             }
         }
--- a/crates/front/src/follow/origin.rs
+++ b/crates/front/src/follow/origin.rs
@@ -22,11 +22,9 @@
 /// State of following one feed.
 #[derive(Debug)]
 pub(super) struct FollowState {
-    /// Revision that this host has got.
-    pub revision: Option<u64>,
-    /// Whether the source was lost since then. Entries may have lapsed, so the feed is read
-    /// again.
-    pub was_lost: bool,
+    /// Whether the feed is to be read as a whole: its history is gone, or the source was
+    /// lost, so that entries may have lapsed.
+    pub must_read: bool,
     pub lost: LostOrigins,
     calls: CallLimits,
     jitter: f64,
@@ -71,8 +69,7 @@
     /// `jitter` is the factor by which backoffs are multiplied.
     pub(super) fn new(calls: CallLimits, jitter: f64) -> FollowState {
         FollowState {
-            revision: None,
-            was_lost: false,
+            must_read: false,
             lost: LostOrigins::default(),
             calls,
             jitter,
@@ -96,7 +93,7 @@
                 Origin::Source | Origin::None => None,
             };
             info!(cx.log, "follow: origin changed"; "feed" => ?feed, "reader" => reader,
-                "revision" => self.revision);
+                "revision" => cx.change_logs.of(feed).progress().revision());
         }
         if let Some(since) = self.lost_since.take() {
             info!(cx.log, "follow: the source is back"; "feed" => ?feed,
@@ -134,7 +131,7 @@
     ) {
         if matches!(err, SourceError::HistoryGone) {
             info!(cx.log, "follow: reading the feed again"; "feed" => ?feed, "error" => %err);
-            self.revision = None;
+            self.must_read = true;
             sleep(self.calls.first_backoff.mul_f64(self.jitter)).await;
             return;
         }
@@ -147,7 +144,7 @@
             return;
         }
         self.record_lost(cx, feed, &err.to_string());
-        self.was_lost = true;
+        self.must_read = true;
         self.lost.source = Some(Instant::now());
         sleep(self.backoff.mul_f64(self.jitter)).await;
         self.backoff = (self.backoff * 2).min(self.calls.max_backoff);
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -5,7 +5,7 @@
 
 use base::{DomainName, HashSet, TargetName, Time};
 use bytes::Bytes;
-use forward::{Provenance, TargetReport, VersionLag};
+use forward::{Provenance, Reach, TargetReport, VersionLag};
 use http::{Request, StatusCode, header};
 use http_body_util::Empty;
 use hyper::client::conn::http1;
@@ -128,7 +128,7 @@
         );
     }
     let known_until = known_until(asked, state.operations_age_ms);
-    if !cx.follows_operations.get() && operations.progress().is_news(known_until) {
+    if !cx.follows_operations.get() && operations.progress().is_news(reach(known_until)) {
         let evacuated: HashSet<DomainName> =
             state.evacuated.into_iter().map(DomainName::from).collect();
         cx.set_evacuated(evacuated);
@@ -136,7 +136,7 @@
     }
     let targets = cx.change_logs.of(Feed::Targets);
     let known_until = self::known_until(asked, state.targets_age_ms);
-    if cx.follows_targets.get() || !targets.progress().is_news(known_until) {
+    if cx.follows_targets.get() || !targets.progress().is_news(reach(known_until)) {
         return;
     }
     let reports: Vec<TargetReport> = state.targets.into_iter().map(TargetReport::from).collect();
@@ -160,3 +160,8 @@
 fn known_until(asked: Time, age_ms: Option<u64>) -> Option<Time> {
     Some(asked.ago(Duration::from_millis(age_ms?)))
 }
+
+/// Returns how far a peer's state reaches, which names no revision.
+fn reach(known_until: Option<Time>) -> Reach {
+    Reach { known_until, ..Reach::default() }
+}
--- a/crates/front/tests/followers.rs
+++ b/crates/front/tests/followers.rs
@@ -143,3 +143,25 @@
         }
     });
 }
+
+/// Guards against hosts that leave the readers of their domain, as these proved somewhat
+/// earlier what the host knows itself, and then follow nothing.
+#[test]
+fn a_reader_that_the_source_rejects_follows_the_other_one() {
+    run(async {
+        let members = domain(&[]).await;
+        let readers = wait_for_readers(&members).await;
+        let readers = members.iter().zip(readers).filter(|(_, is_reader)| *is_reader);
+        let readers: Vec<&Member> = readers.map(|(it, _)| it).collect();
+        let age = |it: &Member| it.host.cx.configuration_age(it.host.cx.clock.now());
+        // The source's answers come to one of them somewhat later.
+        readers[1].source.set_delay(Duration::from_millis(200));
+        while age(readers[0]).map(|it| it + Duration::from_millis(200)) >= age(readers[1]) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        readers[0].source.set_unreachable(true);
+        // Calls for targets fail after the pause between them.
+        sleep(Duration::from_millis(1_800)).await;
+        assert_eq!(readers[0].host.gauge("front_follows_source").await, Some(1));
+    });
+}
