Answer callers who connected before a stop refuses new connections

Cause: when a planned stop ceased to accept, connections that the kernel had taken but the host had not accepted yet were reset, with their requests unread. On a host that runs late these are all that came since it ran last; their callers had sent requests up to 0.5 s before, longer than loss_slack_ms (LOST), and can't know that these were not run.

Change: the host accepts what waits before it closes the listener, and gives these connections the time that new ones have during a stop before it closes idle ones. Their requests are refused at once as not run, or served if they end in time.

--- a/crates/front/src/callers/connection.rs
+++ b/crates/front/src/callers/connection.rs
@@ -27,7 +27,7 @@
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Idle time after which a connection is closed during a shutdown.
-const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(200);
+pub(super) const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// State of a caller's connection with regard to requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/front/src/callers/stop.rs
+++ b/crates/front/src/callers/stop.rs
@@ -5,11 +5,14 @@
 
 use forward::stopping::Stop;
 use slog::info;
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{
+    net::TcpListener,
+    time::{sleep, timeout},
+};
 
 use super::{
-    accept,
-    connection::{self, Connections},
+    LISTEN_BACKLOG, accept,
+    connection::{self, Connections, SHUTDOWN_IDLE_TIMEOUT},
 };
 use crate::SharedCx;
 
@@ -42,19 +45,34 @@
         connections.close_idle(now);
         let is_idle = connections.len() == 0 && cx.in_progress.count() == 0;
         if is_idle && now.since(last_accepted) > QUIET_TIME {
-            return;
+            break;
         }
     }
-    // New connections are now refused at once, so that callers go to another
-    // host.
+    // New connections are now refused at once, so that callers go to another host. Those
+    // who have connected get an answer.
+    accept_waiting(cx, &callers, connections).await;
     drop(callers);
+    let closes_at = cx.clock.now() + SHUTDOWN_IDLE_TIMEOUT;
     let is_busy = || connections.len() > 0 || cx.in_progress.count() > 0;
     let mut is_over = false;
     while is_busy() && !is_over {
         // If the time passed while the process did not run, answers that are due are
         // sent in one more interval.
-        is_over = cx.clock.now() >= stop.exits_at();
-        connections.close_gracefully();
+        let now = cx.clock.now();
+        is_over = now >= stop.exits_at();
+        if now < closes_at {
+            connections.close_idle(now);
+        } else {
+            connections.close_gracefully();
+        }
         sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Accepts the connections that wait for it.
+async fn accept_waiting(cx: &SharedCx, callers: &TcpListener, connections: &Rc<Connections>) {
+    for _ in 0..LISTEN_BACKLOG {
+        let Ok(stream) = timeout(Duration::ZERO, accept(cx, callers)).await else { return };
+        connection::spawn(cx, stream, connections);
+    }
+}
