Keep ages of learned state that reach back to before the start of the process

Cause: a host that has just started took old state for no older than itself: the clock began at zero, and `Time::ago` ends there. A configuration that a peer had last known to be the newest one 1.6 s ago counted as 0.6 s old on a host of that age, so it answered 404 for a route that is there. The same held for all that is learned with an age: what a reader may be behind, since when targets are unlisted, when other hosts were last seen.

Nothing else compares a reading with zero.

Measured: crates/front/tests/unknown_routes.rs a_host_that_learns_an_old_configuration_from_a_peer_cannot_tell: before 404 (expected 503), after passed. clock.rs ages_reach_back_to_before_the_start is new.

Conclusion: hosts that start beside others that are behind know how old their state is. That ages of unlisted targets or of hosts last seen did harm was not shown.

--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -6,8 +6,8 @@
     time::Duration,
 };
 
-/// A reading of one process's monotonic clock, in microseconds since its
-/// start. Readings of different processes are not comparable.
+/// A reading of one process's monotonic clock, in microseconds. Readings of
+/// different processes are not comparable.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Time(u64);
 
@@ -31,8 +31,7 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
-    /// Returns the time `age` before `self`, but no earlier than the start of the
-    /// process.
+    /// Returns the time `age` before `self`, but no earlier than [`Time::ZERO`].
     pub fn ago(self, age: Duration) -> Time {
         let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
         Time(self.0.saturating_sub(micros))
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -9,6 +9,10 @@
 use rustix::time::{ClockId, Timespec, clock_gettime};
 use tokio::time::Instant;
 
+/// Reading at the start of the process. State that a host learns may be older than its
+/// process; such ages reach back to before the start.
+const START: Time = Time::from_millis(24 * 3_600 * 1_000);
+
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Duration,
@@ -20,7 +24,12 @@
     }
 
     pub fn now(&self) -> Time {
-        Time::ZERO + since_boot().saturating_sub(self.start)
+        START + self.uptime()
+    }
+
+    /// Returns the time since the start.
+    pub fn uptime(&self) -> Duration {
+        since_boot().saturating_sub(self.start)
     }
 
     /// Returns the runtime's instant for `time`, or the current instant if
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -229,7 +229,7 @@
         let follows = self.follows_targets.get() && self.follows_operations.get();
         let in_force = InForce::now(self);
         self.metrics.set_gauge(FrontGauge::ConfigurationVersion, in_force.version);
-        let age = in_force.age.unwrap_or_else(|| self.clock.now().since(Time::ZERO));
+        let age = in_force.age.unwrap_or_else(|| self.clock.uptime());
         self.metrics.set_gauge(FrontGauge::ConfigurationAge, age.as_millis() as u64);
         self.metrics
             .set_gauge(FrontGauge::Hosts, self.peers.borrow().count(self.clock.now()) as u64);
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -48,7 +48,7 @@
             },
         }
         let now = cx.clock.now();
-        let count = cx.peers.borrow().assumed_count(now, now.since(Time::ZERO));
+        let count = cx.peers.borrow().assumed_count(now, cx.clock.uptime());
         if count != last_count {
             last_count = count;
             cx.targets.borrow_mut().set_hosts(count);
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -78,7 +78,7 @@
 /// Returns the peer to fetch state from now, if there is need of one.
 fn peer_to_ask(cx: &SharedCx, lag: &mut VersionLag, last_learned: Time) -> Option<SocketAddr> {
     let now = cx.clock.now();
-    if now.since(Time::ZERO) < SOURCE_HEAD_START {
+    if cx.clock.uptime() < SOURCE_HEAD_START {
         return None;
     }
     let (peer, version) = cx.peers.borrow().peer_with_newest_version(now)?;
--- a/crates/front/tests/clock.rs
+++ b/crates/front/tests/clock.rs
@@ -28,3 +28,12 @@
     std::thread::sleep(Duration::from_millis(2));
     assert!(clock.instant(past) <= Instant::now());
 }
+
+/// Guards against old state that a host takes for no older than its own process.
+#[test]
+fn ages_reach_back_to_before_the_start() {
+    let clock = Clock::start();
+    let (now, age) = (clock.now(), Duration::from_secs(3_600));
+    assert_eq!(now.since(now.ago(age)), age);
+    assert!(clock.uptime() < age);
+}
--- a/crates/front/tests/unknown_routes.rs
+++ b/crates/front/tests/unknown_routes.rs
@@ -7,8 +7,12 @@
 
 use base::ServiceName;
 use forward::{Configuration, Destination, Repeat, Route};
-use support::{TestHost, header, own_address, run, source::ScriptedSource, status};
-use tokio::time::{Instant, sleep, sleep_until};
+use support::{TestHost, header, own_address, read_message, run, source::ScriptedSource, status};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{Instant, sleep, sleep_until},
+};
 
 /// Time within which a configuration is due on all hosts, and time within which hosts
 /// follow the source again.
@@ -91,3 +95,57 @@
         }
     });
 }
+
+/// Sends a request to the host as another host does that passes it on; returns its status
+/// and outcome.
+async fn pass_on(host: &TestHost, path: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(host.peers).await.expect("connected");
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: h\r\nx-id: q1\r\nrelay-age-us: 0\r\nrelay-version: 1\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("written");
+    let answer = read_message(&mut stream).await.unwrap_or_default();
+    (status(&answer), header(&answer, "relay-outcome").unwrap_or_default())
+}
+
+/// A sender that can't tell leaves the request to the next one; its 404 is final.
+#[test]
+fn a_sender_that_cannot_tell_whether_a_route_exists_says_that_it_did_not_run_the_request() {
+    run(async {
+        let source = Rc::new(ScriptedSource::default());
+        publish(&source, 1);
+        let host = host();
+        host.follow_configuration(&source);
+        wait_for_version(&host, 1).await;
+        assert_eq!(pass_on(&host, "/2/x").await, (404, "done".to_owned()));
+        source.cut_off();
+        publish(&source, 2);
+        sleep_until(Instant::now() + DUE + MARGIN).await;
+        assert_eq!(pass_on(&host, "/2/x").await, (503, "not-run".to_owned()));
+    });
+}
+
+/// Guards against requests refused with 404 on a host that has learned its configuration
+/// from one that is behind.
+#[test]
+fn a_host_that_learns_an_old_configuration_from_a_peer_cannot_tell() {
+    run(async {
+        let source = Rc::new(ScriptedSource::default());
+        publish(&source, 1);
+        let (old, new) = (own_address(), own_address());
+        let start = |own, seeds| {
+            TestHost::start_with(own, seeds, |it| {
+                it.source_recovery(RECOVERY).configuration_due(DUE)
+            })
+        };
+        let old_host = start(old, Vec::new());
+        old_host.follow_configuration(&source);
+        wait_for_version(&old_host, 1).await;
+        source.cut_off();
+        publish(&source, 2);
+        sleep_until(Instant::now() + DUE + MARGIN).await;
+        let host = start(new, vec![old]);
+        wait_for_version(&host, 1).await;
+        assert_eq!(status(&host.get("/2/x").await), 503);
+    });
+}
