Say 503, not 404, on a host that knows of a later version elsewhere

Cause: a host that had been told by a digest that another host has a later version still answered 404 for a route of that version: it went by its own table and by the time since that was last known to be the newest one.

Change: `UnknownRoute` takes the latest version that other hosts are known to have; a host whose own is earlier can't tell. The digests are looked through only when no route matches.

--- a/crates/forward/src/route/mod.rs
+++ b/crates/forward/src/route/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     table::{RouteEntry, RouteTable},
-    unknown::UnknownRoute,
+    unknown::{ConfigurationView, UnknownRoute},
 };
 
 /// A configuration as published by operators. A later version replaces it
--- a/crates/forward/src/route/unknown.rs
+++ b/crates/forward/src/route/unknown.rs
@@ -6,7 +6,7 @@
 //!
 //! Load pattern answered: routes are added in quick succession while some hosts hear nothing
 //! of the source: it is silent or out of reach, their reader is behind, or they have just
-//! started and learned from such a host.
+//! started and learned from such a host. Others hear of a version later than their neighbours.
 
 use std::time::Duration;
 
@@ -19,12 +19,22 @@
     Uncertain,
 }
 
+/// What a host knows of its configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigurationView {
+    pub version: u64,
+    /// Time since it was last known to be the newest one, if it ever was.
+    pub age: Option<Duration>,
+    /// Latest version that another host is known to have.
+    pub elsewhere: u64,
+}
+
 impl UnknownRoute {
-    /// `age` is the time since the configuration in force was last known to be the newest
-    /// one, if it ever was. A published configuration is `due` on all hosts after that time.
-    pub fn new(age: Option<Duration>, due: Duration) -> UnknownRoute {
-        match age {
-            Some(age) if age <= due => UnknownRoute::Absent,
+    /// A published configuration is `due` on all hosts after that time.
+    pub fn new(view: ConfigurationView, due: Duration) -> UnknownRoute {
+        let is_superseded = view.elsewhere > view.version;
+        match view.age {
+            Some(age) if age <= due && !is_superseded => UnknownRoute::Absent,
             Some(_) | None => UnknownRoute::Uncertain,
         }
     }
--- a/crates/forward/tests/unknown_routes.rs
+++ b/crates/forward/tests/unknown_routes.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use base::Time;
-use forward::{FeedProgress, Provenance, route::UnknownRoute};
+use forward::{
+    FeedProgress, Provenance,
+    route::{ConfigurationView, UnknownRoute},
+};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 const DUE: Duration = Duration::from_millis(3_000);
@@ -42,6 +45,13 @@
     cut_off_until_ms: u64,
 }
 
+impl Host {
+    /// What it knows if it hears of no other host's version.
+    fn view(&self, now: Time) -> ConfigurationView {
+        ConfigurationView { version: self.version, age: self.progress.age(now), elsewhere: 0 }
+    }
+}
+
 struct Run {
     rng: SmallRng,
     now_ms: u64,
@@ -170,7 +180,7 @@
     fn check(&mut self) {
         let now = self.now();
         for (host, it) in self.hosts.iter().enumerate() {
-            if UnknownRoute::new(it.progress.age(now), DUE) == UnknownRoute::Uncertain {
+            if UnknownRoute::new(it.view(now), DUE) == UnknownRoute::Uncertain {
                 self.uncertain += 1;
                 continue;
             }
@@ -205,9 +215,17 @@
         }
         run.now_ms += STEP_MS;
         let hosts = run.hosts[..READERS + FOLLOWERS].iter();
-        let ages = hosts.map(|it| it.progress.age(run.now()));
-        for age in ages.filter(|_| run.now_ms > DUE.as_millis() as u64) {
-            assert_eq!(UnknownRoute::new(age, DUE), UnknownRoute::Absent, "{age:?}");
+        let views = hosts.map(|it| it.view(run.now()));
+        for view in views.filter(|_| run.now_ms > DUE.as_millis() as u64) {
+            assert_eq!(UnknownRoute::new(view, DUE), UnknownRoute::Absent, "{view:?}");
         }
     }
 }
+
+#[test]
+fn a_later_version_elsewhere_may_have_the_route() {
+    let view = ConfigurationView { version: 7, age: Some(Duration::ZERO), elsewhere: 7 };
+    assert_eq!(UnknownRoute::new(view, DUE), UnknownRoute::Absent);
+    let view = ConfigurationView { elsewhere: 9, ..view };
+    assert_eq!(UnknownRoute::new(view, DUE), UnknownRoute::Uncertain);
+}
--- a/crates/front/src/callers/head.rs
+++ b/crates/front/src/callers/head.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use forward::route::{RouteEntry, UnknownRoute};
+use forward::route::{ConfigurationView, RouteEntry, UnknownRoute};
 use http::{HeaderMap, HeaderName, StatusCode, header, request::Parts};
 
 use super::{refusal::Refusal, request::UNAVAILABLE_WAIT};
@@ -75,17 +75,28 @@
     let host = without_port(host).to_ascii_lowercase();
     let entry = table.find(&host, path).cloned();
     entry.ok_or_else(|| {
-        let refusal = match UnknownRoute::new(in_force.age, cx.cfg.configuration_due) {
-            UnknownRoute::Absent => Refusal::new(StatusCode::NOT_FOUND, "no route matches"),
-            UnknownRoute::Uncertain => {
-                Refusal::not_run("the route may not be known yet", UNAVAILABLE_WAIT, left)
-            }
-        };
         let (all, of_host) = (table.routes().count(), table.routes_of(&host));
-        refusal.with_inputs(format!("{all} routes, {of_host} of this host name"))
+        let inputs = format!("{all} routes, {of_host} of this host name");
+        without_route(cx, in_force, left).with_inputs(inputs)
     })
 }
 
+/// Refuses a request for which the configuration in force has no route.
+fn without_route(cx: &SharedCx, in_force: InForce, left: Duration) -> Refusal {
+    let newest = cx.peers.borrow().peer_with_newest_version(cx.clock.now());
+    let view = ConfigurationView {
+        version: in_force.version,
+        age: in_force.age,
+        elsewhere: newest.map_or(0, |(_, version)| version),
+    };
+    match UnknownRoute::new(view, cx.cfg.configuration_due) {
+        UnknownRoute::Absent => Refusal::new(StatusCode::NOT_FOUND, "no route matches"),
+        UnknownRoute::Uncertain => {
+            Refusal::not_run("the route may not be known yet", UNAVAILABLE_WAIT, left)
+        }
+    }
+}
+
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|it| it.is_ascii_digit()) => name,
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -461,10 +461,20 @@
 
 /// Same as `announce`, for a host that may have lost its targets.
 pub async fn announce_as(to: SocketAddr, address: SocketAddr, has_lost_targets: bool) {
+    announce_with(to, address, has_lost_targets, 0).await;
+}
+
+/// Same as `announce`, for a host with this version of the configuration.
+pub async fn announce_version(to: SocketAddr, address: SocketAddr, version: u64) {
+    announce_with(to, address, false, version).await;
+}
+
+async fn announce_with(to: SocketAddr, address: SocketAddr, has_lost_targets: bool, version: u64) {
     let none: [(u16, u64); 0] = [];
     let no_hosts: [(WireHost, u64); 0] = [];
     let from = (address, 0_u16, LARGE, false, has_lost_targets);
-    let digest = (from, 0_u64, ["local"].to_vec(), no_hosts.to_vec(), none.to_vec(), none.to_vec());
+    let digest =
+        (from, version, ["local"].to_vec(), no_hosts.to_vec(), none.to_vec(), none.to_vec());
     let mut bytes = postcard::to_stdvec(&digest).expect("encoded");
     bytes.push(u8::from(false));
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
--- a/crates/front/tests/unknown_routes.rs
+++ b/crates/front/tests/unknown_routes.rs
@@ -7,7 +7,10 @@
 
 use base::ServiceName;
 use forward::{Configuration, Destination, Repeat, Route};
-use support::{TestHost, header, own_address, read_message, run, source::ScriptedSource, status};
+use support::{
+    Reply, TestHost, announce_version, header, own_address, read_message, run,
+    source::ScriptedSource, status, target,
+};
 use tokio::{
     io::AsyncWriteExt,
     net::TcpStream,
@@ -149,3 +152,23 @@
         assert_eq!(status(&host.get("/2/x").await), 503);
     });
 }
+
+/// Guards against requests refused with 404 for a route that has just been added: other
+/// hosts have its version, and this one knows that they do.
+#[test]
+fn a_host_that_knows_of_a_later_version_elsewhere_cannot_tell() {
+    run(async {
+        let source = Rc::new(ScriptedSource::default());
+        publish(&source, 1);
+        let host = host();
+        host.follow_configuration(&source);
+        wait_for_version(&host, 1).await;
+        let other = target(vec![Reply::Silence]).await;
+        announce_version(host.peers, other.address, 1).await;
+        host.wait_for_hosts(2).await;
+        assert_eq!(status(&host.get("/2/x").await), 404);
+        announce_version(host.peers, other.address, 2).await;
+        sleep(MARGIN).await;
+        assert_eq!(status(&host.get("/2/x").await), 503);
+    });
+}
