Close connections that were opened under a lower limit on heads

Cause: a caller's connection keeps the limit on heads with which it was opened. After operators raised `max_header_bytes`, requests within the new limit got 431 on connections that were kept, for as long as these lived.

A lower limit closes nothing. The limit on bodies was always that of the configuration which decided the request.

Conclusion: limits of callers hold for connections that are open, too.

--- a/crates/front/src/callers/connection.rs
+++ b/crates/front/src/callers/connection.rs
@@ -54,6 +54,8 @@
     /// Whether the head states the body's length both by `Content-Length` and
     /// by `Transfer-Encoding`.
     pub has_ambiguous_length: Cell<bool>,
+    /// Limit on a request's head, which holds for as long as the connection.
+    head_bytes: usize,
     close: Cell<Option<Close>>,
     wake: Notify,
 }
@@ -70,10 +72,15 @@
         self.states.borrow().len()
     }
 
-    /// Closes connections that exceed the idle or the header timeout.
+    /// Closes connections that exceed the idle or the header timeout, and those that were
+    /// opened under a lower limit on heads.
     pub(super) fn close_expired(&self, now: Time, limits: &CallerLimits) {
+        let head_bytes = head_buffer_bytes(limits);
         for state in &*self.states.borrow() {
             match state.phase.get() {
+                Phase::Idle(_) | Phase::Serving if state.head_bytes < head_bytes => {
+                    state.close(Close::Graceful);
+                }
                 Phase::Idle(since) if now.since(since) > limits.idle_timeout => {
                     state.close(Close::Graceful);
                 }
@@ -133,6 +140,10 @@
     }
 }
 
+fn head_buffer_bytes(limits: &CallerLimits) -> usize {
+    limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES)
+}
+
 /// Serves a caller's connection in a task of its own.
 pub(super) fn spawn(cx: &SharedCx, stream: TcpStream, connections: &Rc<Connections>) {
     if let Err(err) = socket::set_options(&stream) {
@@ -143,6 +154,7 @@
     let state = Rc::new(ConnectionState {
         phase: Cell::new(Phase::Idle(cx.clock.now())),
         has_ambiguous_length: Cell::new(false),
+        head_bytes: head_buffer_bytes(&cx.limits.get()),
         close: Cell::new(None),
         wake: Notify::new(),
     });
@@ -165,10 +177,9 @@
             Ok::<_, Infallible>(answer)
         }
     });
-    let head_bytes = cx.limits.get().header_bytes.max(MIN_HEAD_BUFFER_BYTES);
     let connection = http1::Builder::new()
         .half_close(false)
-        .max_buf_size(head_bytes)
+        .max_buf_size(state.head_bytes)
         .max_headers(MAX_HEADER_FIELDS)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
--- a/crates/front/tests/proper_requests.rs
+++ b/crates/front/tests/proper_requests.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use forward::Repeat;
+use forward::{CallerLimits, Repeat};
 use support::{Reply, Target, TestHost, header, ok, read_message, run, status, target};
 use tokio::{
     io::AsyncWriteExt,
@@ -140,3 +140,27 @@
         });
     }
 }
+
+/// Guards against requests refused with 431 on connections that were opened before the
+/// limit was raised.
+#[test]
+fn a_kept_connection_gets_the_limits_of_the_configuration_in_force() {
+    let field = "a".repeat(12_000);
+    let long = format!("GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q\r\nx-a: {field}\r\n\r\n");
+    let short = "GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q\r\n\r\n";
+    run(async {
+        let (mut host, _one) = served().await;
+        let mut stream = host.connect().await;
+        stream.write_all(short.as_bytes()).await.expect("written");
+        assert_eq!(status(&read_message(&mut stream).await.unwrap_or_default()), 200);
+        host.change_limits(CallerLimits { header_bytes: 32_768, ..CallerLimits::default() });
+        // Callers leave connections that are closed.
+        sleep(Duration::from_millis(300)).await;
+        if stream.write_all(long.as_bytes()).await.is_ok()
+            && let Some(answer) = read_message(&mut stream).await
+        {
+            assert_eq!(status(&answer), 200, "{answer}");
+        }
+        assert_eq!(status(&host.exchange(&long).await), 200);
+    });
+}
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -346,6 +346,21 @@
             destination,
             regions: Vec::new(),
         });
+        let limits = CallerLimits {
+            header_bytes: 8_192,
+            body_bytes: 1_000,
+            header_timeout: Duration::from_millis(300),
+            idle_timeout: Duration::from_millis(800),
+        };
+        self.publish(limits);
+    }
+
+    /// Applies a configuration with the same routes and other limits.
+    pub fn change_limits(&mut self, limits: CallerLimits) {
+        self.publish(limits);
+    }
+
+    fn publish(&mut self, limits: CallerLimits) {
         self.version += 1;
         let service = Service {
             health_path: Arc::from("/health"),
@@ -355,12 +370,6 @@
         };
         let services = self.routes.iter().flat_map(|it| it.destination.services());
         let services = services.map(|it| (it.clone(), service.clone())).collect();
-        let limits = CallerLimits {
-            header_bytes: 8_192,
-            body_bytes: 1_000,
-            header_timeout: Duration::from_millis(300),
-            idle_timeout: Duration::from_millis(800),
-        };
         let (version, routes) = (self.version, self.routes.clone());
         self.cx.apply_configuration(&Configuration { version, routes, services, limits });
     }
