Take requests whose target is an absolute URI

Cause: such a request was refused with 400, "the request target is not a path". HTTP/1.1 (RFC 9112, 3.2.2) has every server take it. Found by the list of 3xx and 4xx of our own; the users' clients don't send this form.

Change: the target is replaced by its path, and `Host` by its host, which goes before the field, before the route is looked up; targets and other hosts get the usual form. Other schemes, user names in the host, `CONNECT` and `OPTIONS *` are refused with 400 as before.

Measured: crates/front/tests/proper_requests.rs a_request_with_an_absolute_target_is_served: before 400 (expected 200), after passed, with requests and refusals.

--- a/crates/front/src/callers/read.rs
+++ b/crates/front/src/callers/read.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, header, request::Parts, uri::Scheme,
+};
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
@@ -50,6 +52,23 @@
     found
 }
 
+/// Replaces an absolute target by its path; its host then goes before that of the field.
+pub(super) fn use_origin_form(head: &mut Parts) {
+    if head.uri.scheme() != Some(&Scheme::HTTP) {
+        return;
+    }
+    let (Some(authority), Some(path)) = (head.uri.authority(), head.uri.path_and_query()) else {
+        return;
+    };
+    if authority.as_str().contains('@') {
+        return;
+    }
+    let Ok(host) = HeaderValue::from_str(authority.as_str()) else { return };
+    let uri = Uri::from(path.clone());
+    head.headers.insert(header::HOST, host);
+    head.uri = uri;
+}
+
 pub(super) async fn read_body(
     body: Incoming,
     max_bytes: usize,
--- a/crates/front/src/callers/request.rs
+++ b/crates/front/src/callers/request.rs
@@ -22,7 +22,7 @@
     connection::{ConnectionState, Phase},
     head::{Accepted, accept},
     log_line::{self, LogLine, request_id},
-    read::{discard, read_body, strip_hop_headers},
+    read::{discard, read_body, strip_hop_headers, use_origin_form},
     refusal::Refusal,
 };
 use crate::{
@@ -98,7 +98,8 @@
     req: Request<Incoming>,
     origin: Origin,
 ) -> Result<Answer, Refusal> {
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
+    use_origin_form(&mut head);
     let accepted = match accept(cx, &head) {
         Ok(accepted) => accepted,
         Err(refusal) => {
--- a/crates/front/tests/proper_requests.rs
+++ b/crates/front/tests/proper_requests.rs
@@ -61,6 +61,28 @@
     });
 }
 
+/// Guards against requests refused with 400 whose target is an absolute URI, which every
+/// server has to take (RFC 9112, 3.2.2). Its host goes before the field `Host`.
+#[test]
+fn a_request_with_an_absolute_target_is_served() {
+    run(async {
+        let (host, one) = served().await;
+        for (target, field) in [
+            ("http://h/one/x?a=b", "h"),
+            ("http://H:8104/one/x?a=b", "nobody"),
+            ("HTTP://h/one/x?a=b", "h"),
+        ] {
+            let request = format!("GET {target} HTTP/1.1\r\nhost: {field}\r\nx-id: q\r\n\r\n");
+            let answer = host.exchange(&request).await;
+            assert_eq!(status(&answer), 200, "{request}{answer}");
+            let received = one.received.borrow().last().cloned().unwrap_or_default();
+            assert!(received.starts_with("GET /one/x?a=b HTTP/1.1\r\n"), "{received}");
+            let named = header(&received, "host").unwrap_or_default().to_ascii_lowercase();
+            assert!(named == "h" || named == "h:8104", "{received}");
+        }
+    });
+}
+
 /// Guards against requests refused with 431 though their head is within its limit: they have
 /// more fields than the HTTP library takes by default. From a host that passes it on, a
 /// request has the same fields and some more.
