Derive the followers' wait for configurations from the time by which these are due

Cause: a follower's call to its reader was held for 2 s whatever the bounds are, beside 1 s of the reader's own call and the pause after it. A follower whose configuration is the newest one knew so up to 3.15 s late; with `config_ms` 3000 it could then not tell whether a route exists, and refused requests without a route with 503 instead of 404 for a moment in each two seconds.

Change: `source_calls::follower_wait` is a third of the time by which a configuration is due (250 ms to 2 s); calls for targets are held as before.

Measured: crates/forward/tests/unknown_routes.rs a_host_that_hears_from_the_source_can_tell_that_a_route_is_unknown, with the waits of the product: with a wait of 2 s it failed ("age: Some(3.01s)"), after passed.

Followers call once a second for the configuration where `config_ms` is 3000, as before where it is 6000 or more. The waits at the source follow `contact_ms` alone: with a `config_ms` below 0.6 of it hosts would not always be able to tell.

--- a/crates/forward/src/source_calls.rs
+++ b/crates/forward/src/source_calls.rs
@@ -28,6 +28,16 @@
 /// call that has failed still counts.
 const LATE_FACTOR: u32 = 2;
 
+/// Part of the time within which a configuration is due for which a follower's call to its
+/// reader is held. As much again and the pause between calls may have passed since the
+/// reader's last answer.
+const FOLLOWER_SHARE: f64 = 1.0 / 3.0;
+
+/// Range of that time: a shorter one would have followers call all the time, and by a longer
+/// one they would be late to notice that a reader is lost.
+const MIN_FOLLOWER_WAIT: Duration = Duration::from_millis(250);
+const MAX_FOLLOWER_WAIT: Duration = Duration::from_millis(2_000);
+
 /// Limit on the backoff after the first failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(200);
 
@@ -35,6 +45,13 @@
 pub const MIN_JITTER: f64 = 0.7;
 pub const MAX_JITTER: f64 = 1.3;
 
+/// Returns the time that a reader may hold a follower's call for changes of the
+/// configuration, which is `due` on all hosts after that time. By the answer the follower
+/// knows that nothing changed.
+pub fn follower_wait(due: Duration) -> Duration {
+    due.mul_f64(FOLLOWER_SHARE).clamp(MIN_FOLLOWER_WAIT, MAX_FOLLOWER_WAIT)
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallLimits {
     /// Time that the source may hold a call for changes.
--- a/crates/forward/tests/unknown_routes.rs
+++ b/crates/forward/tests/unknown_routes.rs
@@ -8,6 +8,7 @@
 use forward::{
     FeedProgress, Provenance,
     route::{ConfigurationView, UnknownRoute},
+    source_calls::{CallLimits, follower_wait},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -25,12 +26,14 @@
 const FOLLOWERS: usize = 3;
 const LEARNERS: usize = 2;
 
-/// Time that an origin holds a call without news, and time from one call to the next.
-const WAIT_MS: u64 = 1_000;
+/// Time within which hosts follow the source again after its return.
+const RECOVERY: Duration = Duration::from_millis(4_000);
+
+/// Time from one call to the next.
 const PAUSE_MS: u64 = 250;
 
-/// Time after which a call that is lost is given up.
-const LIMIT_MS: u64 = 1_250;
+/// Time after its wait after which a call that is lost is given up.
+const SLACK_MS: u64 = 250;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Host {
@@ -52,6 +55,16 @@
     }
 }
 
+/// Returns the time for which a call without news is held.
+fn wait_ms(host: usize) -> u64 {
+    let wait = if host < READERS {
+        CallLimits::new(RECOVERY).for_reader().wait
+    } else {
+        follower_wait(DUE)
+    };
+    wait.as_millis() as u64
+}
+
 struct Run {
     rng: SmallRng,
     now_ms: u64,
@@ -132,7 +145,7 @@
         };
         let it = self.hosts[host];
         if it.is_lost {
-            if now_ms >= called_ms + LIMIT_MS {
+            if now_ms >= called_ms + wait_ms(host) + SLACK_MS {
                 self.hosts[host].progress.record_failure(now);
                 self.end_call(host);
             }
@@ -141,7 +154,7 @@
         let (version, behind, provenance) = self.offer(it.origin);
         // State of a host is not waited for.
         let is_asked_for_state = host >= READERS + FOLLOWERS;
-        if version <= it.version && now_ms < called_ms + WAIT_MS && !is_asked_for_state {
+        if version <= it.version && now_ms < called_ms + wait_ms(host) && !is_asked_for_state {
             return;
         }
         if let Some(behind) = behind {
@@ -159,7 +172,7 @@
         };
         let (now_ms, now) = (self.now_ms, self.now());
         let it = &mut self.hosts[host];
-        it.progress.record_call(now, Duration::from_millis(WAIT_MS), Duration::ZERO);
+        it.progress.record_call(now, Duration::from_millis(wait_ms(host)), Duration::ZERO);
         (it.origin, it.called_ms) = (origin, Some(now_ms));
         it.is_lost = now_ms < it.cut_off_until_ms;
     }
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -31,7 +31,7 @@
 use forward::{
     peers::DIGEST_INTERVAL,
     readers::{Origin, has_followers},
-    source_calls::{MAX_JITTER, MIN_JITTER},
+    source_calls::{MAX_JITTER, MIN_JITTER, follower_wait},
 };
 use rustc_hash::FxHasher;
 use tokio::time::{Instant, sleep};
@@ -50,9 +50,9 @@
 };
 use crate::SharedCx;
 
-/// Time that a reader may hold one call for changes, and time beyond it after which the
-/// call has failed; short enough that the loss of a reader is noticed before changes are
-/// late.
+/// Time that a reader may hold one call for changes of targets, and time beyond it after
+/// which any call has failed; short enough that the loss of a reader is noticed before
+/// changes are late.
 const HOST_CHANGES_WAIT: Duration = Duration::from_millis(2_000);
 const HOST_CHANGES_SLACK: Duration = Duration::from_millis(500);
 
@@ -197,7 +197,7 @@
 ) -> SourceError {
     let feed = calls.feed;
     loop {
-        let (wait, limit) = limits_of_changes(cx, origin);
+        let (wait, limit) = limits_of_changes(cx, feed, origin);
         let delay = calls.delay();
         let wait = delay.hold(wait, limit);
         let log = cx.change_logs.of(feed);
@@ -222,9 +222,13 @@
 }
 
 /// Returns the longest wait for changes, and the time after which the call has failed.
-fn limits_of_changes(cx: &SharedCx, origin: Origin) -> (Duration, Duration) {
+fn limits_of_changes(cx: &SharedCx, feed: Feed, origin: Origin) -> (Duration, Duration) {
     if let Origin::Host(_) = origin {
-        return (HOST_CHANGES_WAIT, HOST_CHANGES_WAIT + HOST_CHANGES_SLACK);
+        let wait = match feed {
+            Feed::Targets => HOST_CHANGES_WAIT,
+            Feed::Operations => follower_wait(cx.cfg.configuration_due),
+        };
+        return (wait, wait + HOST_CHANGES_SLACK);
     }
     let calls = cx.cfg.source_calls;
     let calls =
