Cut the soak's index anew, and let its load be chosen

Cause: the gather route always named the same six shards, and the load was fixed, so that neither a new cut of the index nor a load like that of a deployment of six hosts could be played.

Change: a change of the configuration sends the gather route to another set of shards; options for the rate, the number of shards and the weight of the gather route. The judge asks that a gathered answer accounts for all shards of one version and holds min_share of them.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -118,6 +118,15 @@
     /// quota of a core for each host, such as 0.25
     #[argh(option)]
     cpu_share: Option<f64>,
+    /// requests per second of all clients, at most 400
+    #[argh(option, default = "100.0")]
+    rate: f64,
+    /// shards of the gather route, 1 to 40
+    #[argh(option, default = "6")]
+    shards: usize,
+    /// weight of the gather route beside that of the others, 24
+    #[argh(option, default = "2")]
+    gather_weight: u32,
     /// folder for the records and logs of all runs; else those of broken runs
     /// are in target/soak
     #[argh(option)]
@@ -145,6 +154,11 @@
             seconds: args.seconds,
             days: args.days,
             cpu_share: args.cpu_share,
+            load: soak::LoadSize {
+                per_s: args.rate,
+                shards: args.shards,
+                gather_weight: args.gather_weight,
+            },
             keep: args.keep,
         }),
     }
--- a/xtask/src/soak/clients.rs
+++ b/xtask/src/soak/clients.rs
@@ -183,6 +183,10 @@
             status: message.status(),
             stamp: message.header("x-server-stamp").map(str::to_owned),
             part_stamps: message.list("x-part-stamps"),
+            missing_parts: message
+                .number("x-missing-parts")
+                .and_then(|it| usize::try_from(it).ok())
+                .unwrap_or(0),
             body: message.body,
         }
     }
--- a/xtask/src/soak/judge/answers.rs
+++ b/xtask/src/soak/judge/answers.rs
@@ -3,7 +3,7 @@
 
 use super::{Evidence, Finding, Rule};
 use crate::soak::{
-    configuration::TOP,
+    configuration::{Destination, MIN_SHARE, TOP, Version},
     record::{Answer, Attempt, AttemptEnd, Run},
 };
 
@@ -12,10 +12,11 @@
 
 pub fn judge(evidence: &Evidence<'_>) -> Vec<Finding> {
     let attempts = evidence.record.attempts.iter();
-    attempts.flat_map(|it| judge_attempt(it, evidence.runs(it))).collect()
+    let versions = &evidence.record.versions;
+    attempts.flat_map(|it| judge_attempt(it, evidence.runs(it), versions)).collect()
 }
 
-fn judge_attempt(attempt: &Attempt, runs: &[&Run]) -> Vec<Finding> {
+fn judge_attempt(attempt: &Attempt, runs: &[&Run], versions: &[Version]) -> Vec<Finding> {
     let mut findings = Vec::new();
     let mut add = |rule, detail: String| findings.push(Finding::new(rule, attempt, detail));
     if !attempt.is_idempotent && runs.len() > 1 {
@@ -26,7 +27,7 @@
     if !attempt.is_idempotent && says_not_run && !runs.is_empty() && answer.stamp.is_none() {
         add(Rule::Refused, format!("answered with {} though it ran", answer.status));
     }
-    if (200..300).contains(&answer.status) && !is_answer_of(answer, runs) {
+    if (200..300).contains(&answer.status) && !is_answer_of(attempt, answer, runs, versions) {
         let detail = format!(
             "a success that is no answer of its targets: stamp {:?}, parts {:?}, {} bytes",
             answer.stamp,
@@ -38,7 +39,7 @@
     findings
 }
 
-fn is_answer_of(answer: &Answer, runs: &[&Run]) -> bool {
+fn is_answer_of(attempt: &Attempt, answer: &Answer, runs: &[&Run], versions: &[Version]) -> bool {
     let run_of = |stamp: &String| runs.iter().find(|it| it.stamp == *stamp);
     if let Some(stamp) = &answer.stamp {
         return run_of(stamp).is_some_and(|it| it.body == answer.body);
@@ -52,5 +53,22 @@
         parts.iter().flat_map(|it| it.body.chunks_exact(RECORD_BYTES)).collect();
     records.sort_unstable_by(|a, b| b.cmp(a));
     records.truncate(TOP);
-    services.len() == parts.len() && records.concat() == answer.body
+    let sent = versions.iter().filter(|it| it.sent <= attempt.ended);
+    services.len() == parts.len()
+        && records.concat() == answer.body
+        && sent.filter_map(|it| shards(it, attempt)).any(|it| is_cover(it, &services, answer))
+}
+
+fn shards<'a>(version: &'a Version, attempt: &Attempt) -> Option<&'a [String]> {
+    match &version.route(&attempt.path)?.destination {
+        Destination::Gather(shards) => Some(shards),
+        Destination::Service(_) => None,
+    }
+}
+
+/// Returns whether an answer accounts for all these shards and holds enough of them.
+fn is_cover(shards: &[String], services: &[&str], answer: &Answer) -> bool {
+    services.iter().all(|service| shards.iter().any(|it| it == service))
+        && services.len() + answer.missing_parts == shards.len()
+        && services.len() as f64 >= shards.len() as f64 * MIN_SHARE
 }
--- a/xtask/src/soak/judge/tests.rs
+++ b/xtask/src/soak/judge/tests.rs
@@ -24,6 +24,11 @@
     }
 }
 
+fn gather_route(prefix: &str, shards: &[&str]) -> Route {
+    let shards = shards.iter().map(|it| (*it).to_owned()).collect();
+    Route { destination: Destination::Gather(shards), ..route(prefix, OLD) }
+}
+
 fn version(number: u64, acked: u64, routes: Vec<Route>) -> Version {
     Version { number, sent: ms(acked), acked: ms(acked), routes }
 }
@@ -317,25 +322,43 @@
     assert_eq!(count(&record, Rule::Mixed), 1);
 }
 
-#[test]
-fn a_gathered_answer_must_hold_one_part_of_each_service() {
+/// A gathered answer with a part of each of two shards, of which one version names
+/// `shards`.
+fn gathered_record(shards: &[&str], missing_parts: usize) -> Record {
     let mut record = record();
-    let mut gathered = attempt("a", "/core/1", 1_000, 200);
+    record.versions[0].routes.push(gather_route("/gather/", shards));
+    let mut gathered = attempt("a", "/gather/1", 1_000, 200);
     let part_stamps = vec!["s1".to_owned(), "s2".to_owned()];
     let body = [[9; 16], [1; 16]].concat();
-    gathered.end = AttemptEnd::Answered(Answer { status: 200, stamp: None, part_stamps, body });
+    gathered.end =
+        AttemptEnd::Answered(Answer { status: 200, stamp: None, part_stamps, missing_parts, body });
     record.attempts.push(gathered);
-    for (stamp, service, byte) in [("s1", OLD, 1), ("s2", NEW, 9)] {
+    for (stamp, service, byte) in [("s1", "p1", 1), ("s2", "p2", 9)] {
         let mut part = run("a", service, 1_005);
         part.stamp = stamp.to_owned();
         part.body = vec![byte; 16];
         record.runs.push(part);
     }
+    record
+}
+
+#[test]
+fn a_gathered_answer_must_hold_one_part_of_each_service() {
+    let mut record = gathered_record(&["p1", "p2"], 0);
     assert_eq!(count(&record, Rule::Mixed), 0);
-    record.runs[1].service = OLD.to_owned();
+    record.runs[1].service = "p1".to_owned();
     assert_eq!(count(&record, Rule::Mixed), 1);
 }
 
+#[test]
+fn a_gathered_answer_must_account_for_all_shards_of_one_version() {
+    let all = ["p1", "p2", "p3"];
+    // Two of three are fewer than the route asks for.
+    assert_eq!(count(&gathered_record(&all, 1), Rule::Mixed), 1);
+    assert_eq!(count(&gathered_record(&all[..2], 1), Rule::Mixed), 1);
+    assert_eq!(count(&gathered_record(&all[1..], 0), Rule::Mixed), 1);
+}
+
 #[test]
 fn a_request_that_may_run_once_must_not_run_twice_or_after_a_refusal() {
     let mut record = record();
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -39,7 +39,7 @@
 };
 use crate::deployment::workspace_folder;
 
-pub use self::plan::Days;
+pub use self::{plan::Days, play::LoadSize};
 
 /// Hosts of a run, which the loopback addresses and the machine bear.
 const HOSTS: RangeInclusive<usize> = 1..=90;
@@ -49,6 +49,9 @@
 const MAX_SEEDS: usize = 500;
 /// Threads of the platform's side.
 const WORKERS: usize = 2;
+/// Requests per second, and shards, that a run bears.
+const MAX_PER_S: f64 = 400.0;
+const MAX_SHARDS: usize = 40;
 /// Findings of a rule that are printed.
 const PRINTED: usize = 3;
 
@@ -59,6 +62,7 @@
     pub seconds: u64,
     pub days: Days,
     pub cpu_share: Option<f64>,
+    pub load: LoadSize,
     /// Folder for logs and records, also of runs that broke no rule.
     pub keep: Option<PathBuf>,
 }
@@ -73,6 +77,10 @@
         eyre::ensure!(self.seeds.len() <= MAX_SEEDS, "more than {MAX_SEEDS} seeds");
         let is_share = self.cpu_share.is_none_or(|it| it > 0.0 && it <= 1.0);
         eyre::ensure!(is_share, "--cpu-share must be above 0 and at most 1");
+        let LoadSize { per_s, shards, .. } = self.load;
+        eyre::ensure!(per_s > 0.0 && per_s <= MAX_PER_S, "--rate must be at most {MAX_PER_S}");
+        let is_count = (1..=MAX_SHARDS).contains(&shards);
+        eyre::ensure!(is_count, "--shards must be within 1..={MAX_SHARDS}");
         Ok(())
     }
 }
@@ -118,6 +126,7 @@
         time: Duration::from_secs(options.seconds),
         days: options.days,
         cpu_share: options.cpu_share,
+        load: options.load,
     };
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(WORKERS).enable_all().build()?;
--- a/xtask/src/soak/operator.rs
+++ b/xtask/src/soak/operator.rs
@@ -16,9 +16,9 @@
 
 /// Services of the single routes, between which routes move.
 pub const SERVICES: [&str; 2] = ["kafi81c", "galu17b"];
-/// Number of routes that move, and of shards of a gather route.
+/// Number of routes that move.
 const MOVING_ROUTES: usize = 4;
-pub const SHARDS: usize = 6;
+const GATHER_PREFIX: &str = "/gather/";
 /// Added routes that stay at most.
 const MAX_ADDED: usize = 24;
 const IDLE_TIMEOUTS_MS: [u64; 3] = [15_000, 12_000, 20_000];
@@ -41,6 +41,8 @@
     MovesOne,
     AddsRoutes(usize),
     RemovesRoutes(usize),
+    /// The gather route goes to the other set of shards.
+    Reshards,
     /// Times and limits change, no route.
     Limits,
 }
@@ -50,9 +52,30 @@
     store: Store,
     recorder: Recorder,
     ingress: Ingress,
+    shards: ShardSets,
     state: Arc<Mutex<State>>,
 }
 
+/// The two sets of shards into which the index is cut.
+#[derive(Clone, Debug)]
+pub struct ShardSets {
+    first: Vec<String>,
+    second: Vec<String>,
+}
+
+impl ShardSets {
+    /// Cuts the index into `count` shards, and into half as many again.
+    pub fn new(count: usize) -> Self {
+        let first = (0..count).map(|it| format!("shard{it}")).collect();
+        let second = (0..count + count.div_ceil(2)).map(|it| format!("piece{it}")).collect();
+        ShardSets { first, second }
+    }
+
+    pub fn names(&self) -> impl Iterator<Item = &String> {
+        self.first.iter().chain(&self.second)
+    }
+}
+
 struct State {
     rng: StdRng,
     number: u64,
@@ -61,8 +84,9 @@
     added: u64,
 }
 
-/// Returns the routes that are there all the time, to which clients send.
-pub fn calls() -> Vec<(u32, Call)> {
+/// Returns the routes that are there all the time, to which clients send, with the
+/// weight of each; `gather_weight` is that of the gather route.
+pub fn calls(gather_weight: u32) -> Vec<(u32, Call)> {
     let call = |prefix: String, is_idempotent, deadline| Call {
         prefix,
         is_idempotent,
@@ -71,17 +95,13 @@
     let mut calls = vec![
         (8, call("/core/".to_owned(), true, 5_000)),
         (2, call("/once/".to_owned(), false, 5_000)),
-        (2, call("/gather/".to_owned(), true, 1_200)),
+        (gather_weight, call(GATHER_PREFIX.to_owned(), true, 1_200)),
     ];
     let moving = (0..MOVING_ROUTES).map(|it| (3, call(moving_prefix(it), true, 5_000)));
     calls.extend(moving);
     calls
 }
 
-pub fn shard(number: usize) -> String {
-    format!("shard{number}")
-}
-
 fn moving_prefix(number: usize) -> String {
     format!("/move{number}/")
 }
@@ -95,13 +115,13 @@
     }
 }
 
-fn first_routes() -> Vec<Route> {
+fn first_routes(shards: &ShardSets) -> Vec<Route> {
     let [first, _] = SERVICES;
     let gather = Route {
-        prefix: "/gather/".to_owned(),
+        prefix: GATHER_PREFIX.to_owned(),
         is_idempotent: true,
         timeout_ms: 1_200,
-        destination: Destination::Gather((0..SHARDS).map(shard).collect()),
+        destination: Destination::Gather(shards.first.clone()),
     };
     let mut routes = vec![
         to_service("/core/".to_owned(), first, true),
@@ -113,15 +133,21 @@
 }
 
 impl Operator {
-    pub fn new(store: Store, recorder: Recorder, ingress: Ingress, seed: u64) -> Self {
+    pub fn new(
+        store: Store,
+        recorder: Recorder,
+        ingress: Ingress,
+        shards: ShardSets,
+        seed: u64,
+    ) -> Self {
         let state = State {
             rng: StdRng::seed_from_u64(seed),
             number: 6,
-            routes: first_routes(),
+            routes: first_routes(&shards),
             idle_timeout_ms: IDLE_TIMEOUTS_MS[0],
             added: 0,
         };
-        Operator { store, recorder, ingress, state: Arc::new(Mutex::new(state)) }
+        Operator { store, recorder, ingress, shards, state: Arc::new(Mutex::new(state)) }
     }
 
     /// Writes the version with which the run begins.
@@ -134,7 +160,7 @@
     pub async fn apply(&self, change: Change) {
         let changed = {
             let mut state = self.state.lock().await;
-            let changed = state.change(change);
+            let changed = state.change(change, &self.shards);
             self.write(&mut state);
             changed
         };
@@ -147,8 +173,8 @@
 
     fn write(&self, state: &mut State) {
         state.number += state.rng.random_range(1..5);
-        let services: Vec<String> =
-            SERVICES.iter().map(|it| (*it).to_owned()).chain((0..SHARDS).map(shard)).collect();
+        let single = SERVICES.iter().map(|it| (*it).to_owned());
+        let services: Vec<String> = single.chain(self.shards.names().cloned()).collect();
         let text = document(state.number, &state.routes, &services, state.idle_timeout_ms);
         let sent = self.recorder.now();
         let index = {
@@ -186,7 +212,7 @@
 
 impl State {
     /// Changes the routes; returns the prefixes to probe.
-    fn change(&mut self, change: Change) -> Vec<String> {
+    fn change(&mut self, change: Change, shards: &ShardSets) -> Vec<String> {
         match change {
             Change::MovesAll => {
                 (0..MOVING_ROUTES).for_each(|it| self.move_route(&moving_prefix(it)));
@@ -199,6 +225,10 @@
             }
             Change::AddsRoutes(count) => self.add_routes(count),
             Change::RemovesRoutes(count) => self.remove_routes(count),
+            Change::Reshards => {
+                self.reshard(shards);
+                vec![GATHER_PREFIX.to_owned()]
+            }
             Change::Limits => {
                 let &idle = IDLE_TIMEOUTS_MS.choose(&mut self.rng).unwrap_or(&IDLE_TIMEOUTS_MS[0]);
                 self.idle_timeout_ms = idle;
@@ -219,6 +249,14 @@
         route.destination = Destination::Service(next.to_owned());
     }
 
+    fn reshard(&mut self, shards: &ShardSets) {
+        let gather = self.routes.iter_mut().find(|it| it.prefix == GATHER_PREFIX);
+        let Some(route) = gather else { return };
+        let is_first = route.destination == Destination::Gather(shards.first.clone());
+        let next = if is_first { &shards.second } else { &shards.first };
+        route.destination = Destination::Gather(next.clone());
+    }
+
     fn add_routes(&mut self, count: usize) -> Vec<String> {
         let mut added = Vec::new();
         for _ in 0..count {
--- a/xtask/src/soak/plan.rs
+++ b/xtask/src/soak/plan.rs
@@ -175,7 +175,8 @@
     fn change(&mut self) -> Change {
         match self.rng.random_range(0..10) {
             0..2 => Change::MovesAll,
-            2..5 => Change::MovesOne,
+            2..4 => Change::MovesOne,
+            4 => Change::Reshards,
             5..8 => Change::AddsRoutes(self.rng.random_range(1..6)),
             8 => Change::RemovesRoutes(self.rng.random_range(1..4)),
             _ => Change::Limits,
--- a/xtask/src/soak/play.rs
+++ b/xtask/src/soak/play.rs
@@ -16,7 +16,7 @@
     addresses, clients,
     hosts::Host,
     ingress::{self, Ingress},
-    operator::{self, Operator, SERVICES, SHARDS},
+    operator::{self, Operator, SERVICES, ShardSets},
     plan::{self, Action, Days, Size, Timed},
     quota,
     record::{Place, Record, Recorder},
@@ -29,8 +29,7 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between the start of the hosts and that of the clients, after all are ready.
 const SETTLE: Duration = Duration::from_secs(3);
-/// Requests per second of all clients, and their number.
-const REQUESTS_PER_S: f64 = 100.0;
+/// Number of clients.
 const CLIENTS: usize = 60;
 /// Targets of each single service and of each shard.
 const SERVICE_TARGETS: usize = 6;
@@ -48,6 +47,18 @@
     pub days: Days,
     /// Share of a core that each host gets, or no limit.
     pub cpu_share: Option<f64>,
+    pub load: LoadSize,
+}
+
+/// How much the clients of a run ask for.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadSize {
+    /// Requests per second of all clients.
+    pub per_s: f64,
+    /// Number of shards of the gather route.
+    pub shards: usize,
+    /// Weight of the gather route beside that of the others, which is 24 in all.
+    pub gather_weight: u32,
 }
 
 /// All that a run has set up.
@@ -83,7 +94,8 @@
         }
         let domains = DOMAINS.map(str::to_owned);
         let targets = Targets::new(store.clone(), recorder.clone(), Bounds::DRAIN, &domains);
-        for service in services() {
+        let shards = ShardSets::new(self.load.shards);
+        for service in services(&shards) {
             targets.add_service(&service).await?;
         }
         let hosts: eyre::Result<Vec<Arc<Host>>> = (0..self.hosts)
@@ -94,7 +106,8 @@
             .collect();
         let hosts = hosts?;
         let ingress = Ingress::start(&hosts, &recorder);
-        let operator = Operator::new(store.clone(), recorder.clone(), ingress.clone(), self.seed);
+        let operator =
+            Operator::new(store.clone(), recorder.clone(), ingress.clone(), shards, self.seed);
         let stop = Arc::new(AtomicBool::new(false));
         Ok(Stage { store, targets, hosts, recorder, ingress, operator, stop })
     }
@@ -114,11 +127,11 @@
         time::sleep(SETTLE).await;
         stage.recorder.note("clients begin".to_owned());
         let load = clients::Load {
-            calls: Arc::new(operator::calls()),
+            calls: Arc::new(operator::calls(self.load.gather_weight)),
             ingress: stage.ingress.clone(),
             recorder: stage.recorder.clone(),
             stop: Arc::clone(&stage.stop),
-            pause: Duration::from_secs_f64(CLIENTS as f64 / REQUESTS_PER_S),
+            pause: Duration::from_secs_f64(CLIENTS as f64 / self.load.per_s),
         };
         let clients: Vec<_> = (0..CLIENTS)
             .map(|it| tokio::spawn(clients::run(load.clone(), self.seed, it)))
@@ -143,10 +156,10 @@
     }
 }
 
-fn services() -> Vec<Service> {
+fn services(shards: &ShardSets) -> Vec<Service> {
     let service = |name: &str, targets, work| Service { name: name.to_owned(), targets, work };
     let single = SERVICES.iter().map(|it| service(it, SERVICE_TARGETS, SERVICE_WORK));
-    let shards = (0..SHARDS).map(|it| service(&operator::shard(it), SHARD_TARGETS, SHARD_WORK));
+    let shards = shards.names().map(|it| service(it, SHARD_TARGETS, SHARD_WORK));
     single.chain(shards).collect()
 }
 
--- a/xtask/src/soak/record.rs
+++ b/xtask/src/soak/record.rs
@@ -44,6 +44,8 @@
     pub status: u16,
     pub stamp: Option<String>,
     pub part_stamps: Vec<String>,
+    /// Number of shards that the answer leaves out.
+    pub missing_parts: usize,
     pub body: Vec<u8>,
 }
 
