Stop hosts of one failure domain in a row, and have targets leave after a silence

Cause: hosts that follow each other were in different failure domains, so that fewer than half of a domain's hosts were seldom out of rotation, which is when clients reach a stopping host late; most clients kept their connections.

--- a/xtask/src/soak/clients.rs
+++ b/xtask/src/soak/clients.rs
@@ -33,6 +33,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Chance that a client leaves its connection after an answer.
 const LEAVE_CHANCE: f64 = 0.03;
+/// One client in so many opens a connection for each request.
+const LEAVING_ONE_IN: usize = 3;
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
@@ -66,7 +68,9 @@
 /// Runs one client until the load stops.
 pub async fn run(load: Load, seed: u64, number: usize) {
     let mut rng = StdRng::seed_from_u64(seed ^ (number as u64) << 32);
-    let domain = DOMAINS[number % DOMAINS.len()];
+    let domain = DOMAINS[number / LEAVING_ONE_IN % DOMAINS.len()];
+    let is_leaving = number.is_multiple_of(LEAVING_ONE_IN);
+    let leave_chance = if is_leaving { 1.0 } else { LEAVE_CHANCE };
     let mut connection = None;
     while !load.stop.load(Ordering::Relaxed) {
         let pause = load.pause.mul_f64(rng.random_range(0.2..1.8));
@@ -82,7 +86,7 @@
         let Some(open) = connection.take() else { continue };
         let (attempt, open) = open.send(call, false, &load.recorder).await;
         load.recorder.lock().attempts.push(attempt);
-        connection = open.filter(|_| !rng.random_bool(LEAVE_CHANCE));
+        connection = open.filter(|_| !rng.random_bool(leave_chance));
     }
 }
 
--- a/xtask/src/soak/plan.rs
+++ b/xtask/src/soak/plan.rs
@@ -9,6 +9,9 @@
 /// Calm before the first action, and at the end of the run.
 pub const CALM: Duration = Duration::from_secs(6);
 
+/// Targets that leave after each silence of the store.
+const LEAVING_TARGETS: usize = 4;
+
 /// Which actions a run has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Days {
@@ -131,7 +134,8 @@
 }
 
 impl Draft {
-    /// Every 24 s a change, a silence at once after it, and a change after the silence.
+    /// Every 24 s a change, a silence at once after it, and after the silence changes, and
+    /// targets that leave.
     fn silences(&mut self) {
         let mut at = CALM;
         while at < self.size.time {
@@ -143,6 +147,11 @@
             self.add(next, Action::Configure(Change::MovesAll));
             let later = next + self.millis(200, 600);
             self.add(later, Action::Configure(Change::AddsRoutes(3)));
+            for _ in 0..LEAVING_TARGETS {
+                let place = self.rng.random_range(0..self.size.targets);
+                let how = Departure::Withdraws;
+                self.add(later, Action::ReplaceTarget { place, how, reuses_address: false });
+            }
             at += Duration::from_secs(24);
         }
     }
--- a/xtask/src/soak/play.rs
+++ b/xtask/src/soak/play.rs
@@ -20,7 +20,7 @@
     plan::{self, Action, Days, Size, Timed},
     quota,
     record::{Place, Record, Recorder},
-    settings::{Bounds, DOMAINS},
+    settings::{self, Bounds, DOMAINS},
     store::{self, Store},
     targets::{Service, Targets, Work},
 };
@@ -100,8 +100,14 @@
         }
         let hosts: eyre::Result<Vec<Arc<Host>>> = (0..self.hosts)
             .map(|it| {
-                let domain = DOMAINS[it % DOMAINS.len()];
-                Host::new(it, domain, self.hosts, self.program, self.folder, &recorder)
+                Host::new(
+                    it,
+                    settings::domain(it),
+                    self.hosts,
+                    self.program,
+                    self.folder,
+                    &recorder,
+                )
             })
             .collect();
         let hosts = hosts?;
--- a/xtask/src/soak/settings.rs
+++ b/xtask/src/soak/settings.rs
@@ -4,9 +4,12 @@
 
 use super::{addresses, record::HostIndex};
 
-/// Failure domains of a run, which have about as many hosts each.
+/// Failure domains of a run.
 pub const DOMAINS: [&str; 3] = ["bajio-a", "bajio-b", "bajio-c"];
 
+/// Domains of six hosts, one after the other, as indices.
+const DOMAINS_OF_HOSTS: [usize; 6] = [0, 0, 0, 1, 1, 2];
+
 /// Hosts that are named as seeds.
 const SEEDS: usize = 3;
 
@@ -23,6 +26,11 @@
     pub const SKEW_MAX: Duration = Duration::from_millis(12_000);
 }
 
+/// Returns the failure domain of a host.
+pub fn domain(host: HostIndex) -> &'static str {
+    DOMAINS[DOMAINS_OF_HOSTS[host % DOMAINS_OF_HOSTS.len()]]
+}
+
 /// Returns the settings of a host.
 pub fn text(name: &str, domain: &str, index: HostIndex, hosts: usize) -> String {
     let ip = addresses::host(index);
