--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -127,6 +127,9 @@
     /// weight of the gather route beside that of the others, 24
     #[argh(option, default = "2")]
     gather_weight: u32,
+    /// one request in so many takes 1.3 s
+    #[argh(option, default = "10")]
+    long_one_in: u64,
     /// folder for the records and logs of all runs; else those of broken runs
     /// are in target/soak
     #[argh(option)]
@@ -158,6 +161,7 @@
                 per_s: args.rate,
                 shards: args.shards,
                 gather_weight: args.gather_weight,
+                long_one_in: args.long_one_in,
             },
             keep: args.keep,
         }),
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -20,6 +20,8 @@
 mod settings;
 mod store;
 mod targets;
+#[cfg(test)]
+mod tests;
 
 use std::{
     collections::BTreeMap,
@@ -81,6 +83,7 @@
         eyre::ensure!(per_s > 0.0 && per_s <= MAX_PER_S, "--rate must be at most {MAX_PER_S}");
         let is_count = (1..=MAX_SHARDS).contains(&shards);
         eyre::ensure!(is_count, "--shards must be within 1..={MAX_SHARDS}");
+        eyre::ensure!(self.load.long_one_in > 0, "--long-one-in must be above 0");
         Ok(())
     }
 }
--- a/xtask/src/soak/play.rs
+++ b/xtask/src/soak/play.rs
@@ -34,8 +34,9 @@
 /// Targets of each single service and of each shard.
 const SERVICE_TARGETS: usize = 6;
 const SHARD_TARGETS: usize = 2;
-const SERVICE_WORK: Work = Work::new(40, 1_300);
-const SHARD_WORK: Work = Work::new(10, 100);
+/// Times of a request, usual and long, in milliseconds.
+const SERVICE_WORK_MS: (u64, u64) = (40, 1_300);
+const SHARD_WORK: Work = Work::new(10, 100, 10);
 
 /// One run of a program.
 pub struct Run<'a> {
@@ -59,6 +60,8 @@
     pub shards: usize,
     /// Weight of the gather route beside that of the others, which is 24 in all.
     pub gather_weight: u32,
+    /// One request of a single route in so many takes long.
+    pub long_one_in: u64,
 }
 
 /// All that a run has set up.
@@ -95,7 +98,7 @@
         let domains = DOMAINS.map(str::to_owned);
         let targets = Targets::new(store.clone(), recorder.clone(), Bounds::DRAIN, &domains);
         let shards = ShardSets::new(self.load.shards);
-        for service in services(&shards) {
+        for service in services(&shards, self.load.long_one_in) {
             targets.add_service(&service).await?;
         }
         let hosts: eyre::Result<Vec<Arc<Host>>> = (0..self.hosts)
@@ -162,9 +165,11 @@
     }
 }
 
-fn services(shards: &ShardSets) -> Vec<Service> {
+fn services(shards: &ShardSets, long_one_in: u64) -> Vec<Service> {
+    let (usual, long) = SERVICE_WORK_MS;
+    let work = Work::new(usual, long, long_one_in);
     let service = |name: &str, targets, work| Service { name: name.to_owned(), targets, work };
-    let single = SERVICES.iter().map(|it| service(it, SERVICE_TARGETS, SERVICE_WORK));
+    let single = SERVICES.iter().map(|it| service(it, SERVICE_TARGETS, work));
     let shards = shards.names().map(|it| service(it, SHARD_TARGETS, SHARD_WORK));
     single.chain(shards).collect()
 }
--- a/xtask/src/soak/store/mod.rs
+++ b/xtask/src/soak/store/mod.rs
@@ -3,6 +3,8 @@
 
 mod faults;
 mod server;
+#[cfg(test)]
+mod tests;
 
 use std::{
     collections::{BTreeMap, VecDeque},
--- a/xtask/src/soak/targets/mod.rs
+++ b/xtask/src/soak/targets/mod.rs
@@ -23,8 +23,6 @@
 
 /// Requests that a target runs at a time.
 const SLOTS: u32 = 6;
-/// One request in so many takes long.
-const LONG_ONE_IN: u64 = 10;
 /// Queue of new connections.
 const BACKLOG: u32 = 256;
 /// Attempts to bind an address that a target before has left, and the pause between.
@@ -41,22 +39,24 @@
     pub work: Work,
 }
 
-/// Times that requests take: one in `LONG_ONE_IN` takes long.
+/// Times that requests take.
 #[derive(Clone, Copy, Debug)]
 pub struct Work {
     usual: Duration,
     long: Duration,
+    /// One request in so many takes long.
+    long_one_in: u64,
 }
 
 impl Work {
-    pub const fn new(usual_ms: u64, long_ms: u64) -> Self {
+    pub const fn new(usual_ms: u64, long_ms: u64, long_one_in: u64) -> Self {
         let (usual, long) = (Duration::from_millis(usual_ms), Duration::from_millis(long_ms));
-        Work { usual, long }
+        Work { usual, long, long_one_in }
     }
 
     /// Returns the time that the request of this number takes.
     pub fn of(&self, number: u64) -> Duration {
-        if number % LONG_ONE_IN == LONG_ONE_IN - 1 { self.long } else { self.usual }
+        if number.is_multiple_of(self.long_one_in) { self.long } else { self.usual }
     }
 }
 
