--- a/xtask/src/soak/plan.rs
+++ b/xtask/src/soak/plan/draft.rs
@@ -1,142 +1,38 @@
-//! The timeline of a run, drawn from its seed.
+//! Draws the actions of each kind of days.
 
-use std::{str::FromStr, time::Duration};
+use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::{operator::Change, record::HostIndex, store::HostFault, targets::Departure};
-
-/// Calm before the first action, and at the end of the run.
-pub const CALM: Duration = Duration::from_secs(6);
+use super::{Action, CALM, Size, Timed};
+use crate::soak::{operator::Change, store::HostFault, targets::Departure};
 
 /// Targets that leave after each silence of the store.
 const LEAVING_TARGETS: usize = 4;
 
-/// Which actions a run has.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Days {
-    /// The configuration and the targets change, and nothing fails.
-    Changes,
-    /// The store falls silent just after a change.
-    Silence,
-    /// The store answers late, while the configuration and targets change.
-    Late,
-    /// Hosts are stopped in turn, while the configuration changes.
-    Stops,
-    /// Everything overlaps.
-    Mixed,
-}
-
-impl FromStr for Days {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Days, String> {
-        match text {
-            "changes" => Ok(Days::Changes),
-            "silence" => Ok(Days::Silence),
-            "late" => Ok(Days::Late),
-            "stops" => Ok(Days::Stops),
-            "mixed" => Ok(Days::Mixed),
-            _ => Err(format!("`{text}` is none of changes, silence, late, stops, mixed")),
-        }
-    }
-}
-
-/// What is done at a moment of the run.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    Configure(Change),
-    /// Calls get no answer.
-    SilenceStore(Duration),
-    /// All answers wait for `delay`.
-    DelayStore {
-        delay: Duration,
-        time: Duration,
-    },
-    /// One of so many answers is lost.
-    LoseAnswers {
-        one_of: u64,
-        time: Duration,
-    },
-    DropHistory,
-    /// The store treats some hosts badly.
-    ShutOut {
-        hosts: Vec<HostIndex>,
-        fault: HostFault,
-        time: Duration,
-    },
-    StopHost(HostIndex),
-    KillHost(HostIndex, Duration),
-    FreezeHost(HostIndex, Duration),
-    HangUpHost(HostIndex),
-    /// So many of the hosts that read the store then are frozen.
-    FreezeReaders(usize, Duration),
-    /// So many of the hosts that read the store then are killed.
-    KillReaders(usize, Duration),
-    ReplaceTarget {
-        place: usize,
-        how: Departure,
-        reuses_address: bool,
-    },
-    CrashTarget {
-        place: usize,
-        down: Duration,
-        keeps_id: bool,
-    },
-}
-
-/// An action and the time from the start of the load at which it begins.
-pub type Timed = (Duration, Action);
-
-/// Sizes that a plan has to know.
-#[derive(Clone, Copy, Debug)]
-pub struct Size {
-    pub hosts: usize,
-    pub targets: usize,
-    pub time: Duration,
-}
-
-/// Draws the timeline of a run.
-pub fn draw(days: Days, seed: u64, size: Size) -> Vec<Timed> {
-    let mut draft = Draft { rng: StdRng::seed_from_u64(seed), size, actions: Vec::new() };
-    match days {
-        Days::Changes => {
-            draft.changes();
-            draft.target_changes();
-        }
-        Days::Silence => draft.silences(),
-        Days::Late => {
-            draft.lateness();
-            draft.changes();
-            draft.target_changes();
-        }
-        Days::Stops => {
-            draft.stops();
-            draft.changes();
-        }
-        Days::Mixed => {
-            draft.changes();
-            draft.target_changes();
-            draft.store_faults();
-            draft.host_faults();
-        }
-    }
-    let end = size.time.saturating_sub(CALM);
-    draft.actions.retain(|(at, _)| *at < end);
-    draft.actions.sort_by_key(|(at, _)| *at);
-    draft.actions
-}
-
-struct Draft {
+/// A timeline that is being drawn.
+pub struct Draft {
     rng: StdRng,
     size: Size,
     actions: Vec<Timed>,
 }
 
 impl Draft {
+    pub fn new(seed: u64, size: Size) -> Self {
+        Draft { rng: StdRng::seed_from_u64(seed), size, actions: Vec::new() }
+    }
+
+    /// Returns the actions in the order of time, without those at the end of the run.
+    pub fn finish(mut self) -> Vec<Timed> {
+        let end = self.size.time.saturating_sub(CALM);
+        self.actions.retain(|(at, _)| *at < end);
+        self.actions.sort_by_key(|(at, _)| *at);
+        self.actions
+    }
+
     /// Every 24 s a change, a silence at once after it, and after the silence changes, and
     /// targets that leave.
-    fn silences(&mut self) {
+    pub fn silences(&mut self) {
         let mut at = CALM;
         while at < self.size.time {
             let silent = self.millis(3_000, 6_000);
@@ -157,7 +53,7 @@
     }
 
     /// Spans in which answers wait, some longer than calls do.
-    fn lateness(&mut self) {
+    pub fn lateness(&mut self) {
         let mut at = CALM;
         while at < self.size.time {
             let delay =
@@ -169,7 +65,7 @@
     }
 
     /// Single changes of the configuration, and some that come in quick succession.
-    fn changes(&mut self) {
+    pub fn changes(&mut self) {
         let mut at = self.millis(2_000, 5_000);
         while at < self.size.time {
             let count = if self.rng.random_bool(0.2) { self.rng.random_range(4..12) } else { 1 };
@@ -192,7 +88,7 @@
         }
     }
 
-    fn target_changes(&mut self) {
+    pub fn target_changes(&mut self) {
         let mut at = self.millis(3_000, 6_000);
         while at < self.size.time {
             let place = self.rng.random_range(0..self.size.targets);
@@ -215,7 +111,7 @@
         }
     }
 
-    fn store_faults(&mut self) {
+    pub fn store_faults(&mut self) {
         let mut at = CALM;
         while at < self.size.time {
             let time = self.millis(1_000, 6_000);
@@ -235,6 +131,25 @@
         }
     }
 
+    pub fn readers(&mut self) {
+        let mut at = CALM;
+        while at < self.size.time {
+            let count = self.rng.random_range(1..5);
+            let time = self.millis(2_000, 12_000);
+            let action = match self.rng.random_range(0..6) {
+                0 => Action::FreezeReaders(count, time),
+                1 => Action::KillReaders(count, time),
+                2 => Action::CutReaders { count, fault: HostFault::Refused, time },
+                3 => Action::CutReaders { count, fault: HostFault::Cut, time },
+                _ => Action::CutReaders { count, fault: HostFault::Silent, time },
+            };
+            self.add(at, action);
+            let soon = at + self.millis(100, 1_500);
+            self.add(soon, Action::Configure(Change::MovesAll));
+            at += self.millis(5_000, 15_000);
+        }
+    }
+
     fn shut_out(&mut self, time: Duration) -> Action {
         let share = self.rng.random_range(0.1..0.4);
         let hosts = (0..self.size.hosts).filter(|_| self.rng.random_bool(share)).collect();
@@ -242,7 +157,7 @@
         Action::ShutOut { hosts, fault: faults[self.rng.random_range(0..3)], time }
     }
 
-    fn host_faults(&mut self) {
+    pub fn host_faults(&mut self) {
         let mut at = CALM;
         while at < self.size.time {
             let host = self.rng.random_range(0..self.size.hosts);
@@ -261,7 +176,7 @@
     }
 
     /// All hosts are stopped in turn, and again after a pause.
-    fn stops(&mut self) {
+    pub fn stops(&mut self) {
         let mut at = CALM;
         while at < self.size.time {
             for host in 0..self.size.hosts {
--- /dev/null
+++ b/xtask/src/soak/plan/mod.rs
@@ -0,0 +1,138 @@
+//! The timeline of a run, drawn from its seed.
+
+mod draft;
+
+use std::{str::FromStr, time::Duration};
+
+use super::{operator::Change, record::HostIndex, store::HostFault, targets::Departure};
+use draft::Draft;
+
+/// Calm before the first action, and at the end of the run.
+pub const CALM: Duration = Duration::from_secs(6);
+
+/// Which actions a run has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Days {
+    /// The configuration and the targets change, and nothing fails.
+    Changes,
+    /// The store falls silent just after a change.
+    Silence,
+    /// The store answers late, while the configuration and targets change.
+    Late,
+    /// Hosts that read the store for others are cut off, frozen and killed, while the
+    /// configuration and targets change.
+    Readers,
+    /// Hosts are stopped in turn, while the configuration changes.
+    Stops,
+    /// Everything overlaps.
+    Mixed,
+}
+
+impl FromStr for Days {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Days, String> {
+        match text {
+            "changes" => Ok(Days::Changes),
+            "silence" => Ok(Days::Silence),
+            "late" => Ok(Days::Late),
+            "readers" => Ok(Days::Readers),
+            "stops" => Ok(Days::Stops),
+            "mixed" => Ok(Days::Mixed),
+            _ => Err(format!("`{text}` is none of changes, silence, late, readers, stops, mixed")),
+        }
+    }
+}
+
+/// What is done at a moment of the run.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Configure(Change),
+    /// Calls get no answer.
+    SilenceStore(Duration),
+    /// All answers wait for `delay`.
+    DelayStore {
+        delay: Duration,
+        time: Duration,
+    },
+    /// One of so many answers is lost.
+    LoseAnswers {
+        one_of: u64,
+        time: Duration,
+    },
+    DropHistory,
+    /// The store treats some hosts badly.
+    ShutOut {
+        hosts: Vec<HostIndex>,
+        fault: HostFault,
+        time: Duration,
+    },
+    StopHost(HostIndex),
+    KillHost(HostIndex, Duration),
+    FreezeHost(HostIndex, Duration),
+    HangUpHost(HostIndex),
+    /// So many of the hosts that read the store then are frozen.
+    FreezeReaders(usize, Duration),
+    /// So many of the hosts that read the store then are killed.
+    KillReaders(usize, Duration),
+    /// So many of the hosts that read the store then are cut off from it.
+    CutReaders {
+        count: usize,
+        fault: HostFault,
+        time: Duration,
+    },
+    ReplaceTarget {
+        place: usize,
+        how: Departure,
+        reuses_address: bool,
+    },
+    CrashTarget {
+        place: usize,
+        down: Duration,
+        keeps_id: bool,
+    },
+}
+
+/// An action and the time from the start of the load at which it begins.
+pub type Timed = (Duration, Action);
+
+/// Sizes that a plan has to know.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub hosts: usize,
+    pub targets: usize,
+    pub time: Duration,
+}
+
+/// Draws the timeline of a run.
+pub fn draw(days: Days, seed: u64, size: Size) -> Vec<Timed> {
+    let mut draft = Draft::new(seed, size);
+    match days {
+        Days::Changes => {
+            draft.changes();
+            draft.target_changes();
+        }
+        Days::Silence => draft.silences(),
+        Days::Late => {
+            draft.lateness();
+            draft.changes();
+            draft.target_changes();
+        }
+        Days::Readers => {
+            draft.readers();
+            draft.changes();
+            draft.target_changes();
+        }
+        Days::Stops => {
+            draft.stops();
+            draft.changes();
+        }
+        Days::Mixed => {
+            draft.changes();
+            draft.target_changes();
+            draft.store_faults();
+            draft.host_faults();
+        }
+    }
+    draft.finish()
+}
--- a/xtask/src/soak/play.rs
+++ b/xtask/src/soak/play/mod.rs
@@ -1,25 +1,29 @@
 //! Plays one run: starts the store, the targets, the hosts and the clients, carries out
 //! the plan, and ends everything.
 
+mod stage;
+
 use std::{
     path::{Path, PathBuf},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
 
+use rand::{SeedableRng, rngs::StdRng};
 use tokio::time;
 
+use self::stage::Stage;
 use super::{
     addresses, clients,
     hosts::Host,
-    ingress::{self, Ingress},
+    ingress::Ingress,
     operator::{self, Operator, SERVICES, ShardSets},
-    plan::{self, Action, Days, Size, Timed},
+    plan::{self, Days, Size},
     quota,
-    record::{Place, Record, Recorder},
+    record::{Record, Recorder},
     settings::{self, Bounds, DOMAINS},
     store::{self, Store},
     targets::{Service, Targets, Work},
@@ -64,17 +68,6 @@
     pub long_one_in: u64,
 }
 
-/// All that a run has set up.
-struct Stage {
-    store: Store,
-    targets: Targets,
-    hosts: Vec<Arc<Host>>,
-    recorder: Recorder,
-    ingress: Ingress,
-    operator: Operator,
-    stop: Arc<AtomicBool>,
-}
-
 impl Run<'_> {
     /// Plays the run; returns what was seen, and the names of the hosts.
     pub async fn play(&self) -> eyre::Result<(Record, Vec<String>)> {
@@ -118,7 +111,8 @@
         let operator =
             Operator::new(store.clone(), recorder.clone(), ingress.clone(), shards, self.seed);
         let stop = Arc::new(AtomicBool::new(false));
-        Ok(Stage { store, targets, hosts, recorder, ingress, operator, stop })
+        let rng = Mutex::new(StdRng::seed_from_u64(self.seed));
+        Ok(Stage { store, targets, hosts, recorder, ingress, operator, rng, stop })
     }
 
     async fn play_on(&self, stage: &Arc<Stage>) -> eyre::Result<()> {
@@ -174,110 +168,6 @@
     single.chain(shards).collect()
 }
 
-impl Stage {
-    async fn wait_ready(&self) -> eyre::Result<()> {
-        let until = time::Instant::now() + START_TIMEOUT;
-        while !self.ingress.are_all_ready() {
-            eyre::ensure!(time::Instant::now() < until, "the hosts are not ready in time");
-            time::sleep(Duration::from_millis(50)).await;
-        }
-        Ok(())
-    }
-
-    async fn act(&self, (at, action): Timed) {
-        self.recorder.note(format!("plan, {:.3} s: {action:?}", at.as_secs_f64()));
-        if let Err(err) = self.carry_out(action).await {
-            self.recorder.note(format!("the action of {:.3} s failed: {err}", at.as_secs_f64()));
-        }
-    }
-
-    async fn carry_out(&self, action: Action) -> eyre::Result<()> {
-        match action {
-            Action::Configure(change) => self.operator.apply(change).await,
-            Action::SilenceStore(time) => {
-                self.disrupt_store("store silent", time, |it, begins| {
-                    if begins { it.begin_silence() } else { it.end_silence() }
-                })
-                .await;
-            }
-            Action::DelayStore { delay, time } => {
-                self.disrupt_store("store late", time, |it, begins| {
-                    if begins { it.begin_delay(delay) } else { it.end_delay(delay) }
-                })
-                .await;
-            }
-            Action::LoseAnswers { one_of, time } => {
-                self.disrupt_store("store loses answers", time, |it, begins| {
-                    if begins { it.begin_loss(one_of) } else { it.end_loss(one_of) }
-                })
-                .await;
-            }
-            Action::DropHistory => {
-                let place = Place::StorePartly;
-                let index = self.recorder.begin_disruption(place, "store drops history", false);
-                self.store.drop_history();
-                self.recorder.end_disruption(index);
-            }
-            Action::ShutOut { hosts, fault, time } => self.shut_out(&hosts, fault, time).await,
-            Action::StopHost(host) => self.hosts[host].stop_and_start().await?,
-            Action::KillHost(host, down) => self.hosts[host].kill_and_start(down).await?,
-            Action::FreezeHost(host, time) => self.hosts[host].freeze(time).await,
-            Action::HangUpHost(host) => self.hosts[host].hang_up(),
-            Action::FreezeReaders(count, time) => {
-                let readers = self.readers(count).await;
-                futures::future::join_all(readers.iter().map(|it| it.freeze(time))).await;
-            }
-            Action::KillReaders(count, down) => {
-                let readers = self.readers(count).await;
-                let killed = readers.iter().map(|it| it.kill_and_start(down));
-                futures::future::try_join_all(killed).await?;
-            }
-            Action::ReplaceTarget { place, how, reuses_address } => {
-                self.targets.replace(place, how, reuses_address).await?;
-            }
-            Action::CrashTarget { place, down, keeps_id } => {
-                self.targets.crash(place, down, keeps_id).await?;
-            }
-        }
-        Ok(())
-    }
-
-    async fn disrupt_store(
-        &self,
-        what: &'static str,
-        time: Duration,
-        change: impl Fn(&mut store::Faults, bool),
-    ) {
-        let index = self.recorder.begin_disruption(Place::Store, what, false);
-        self.store.change_faults(|it| change(it, true));
-        time::sleep(time).await;
-        self.store.change_faults(|it| change(it, false));
-        self.recorder.end_disruption(index);
-    }
-
-    async fn shut_out(&self, hosts: &[usize], fault: store::HostFault, time: Duration) {
-        let mut begun: Vec<usize> = hosts
-            .iter()
-            .map(|it| self.recorder.begin_disruption(Place::Host(*it), "shut out", false))
-            .collect();
-        let place = Place::StorePartly;
-        begun.push(self.recorder.begin_disruption(place, "store shuts hosts out", false));
-        self.store.change_faults(|it| hosts.iter().for_each(|host| it.begin_host(*host, fault)));
-        time::sleep(time).await;
-        self.store.change_faults(|it| hosts.iter().for_each(|host| it.end_host(*host, fault)));
-        begun.into_iter().for_each(|it| self.recorder.end_disruption(it));
-    }
-
-    async fn readers(&self, count: usize) -> Vec<Arc<Host>> {
-        let asked = self
-            .hosts
-            .iter()
-            .map(|it| async move { ingress::reads_store(it).await.then(|| Arc::clone(it)) });
-        let readers = futures::future::join_all(asked).await;
-        readers.into_iter().flatten().take(count).collect()
-    }
-}
-
 /// Returns the folder of a run among those of `root`.
 pub fn folder(root: &Path, days: Days, seed: u64) -> PathBuf {
     root.join(format!("{days:?}-{seed}").to_lowercase())
