End the soak's hosts when the soak is told to stop

Cause: hosts outlived a soak that was ended by SIGTERM, and a restart that was under way at the end of a run could start a host after it.

Change: SIGTERM and SIGINT end the run in order; a host does not start once the run is over.

Conclusion: only SIGKILL of the soak itself leaves hosts behind.

--- a/xtask/src/soak/hosts.rs
+++ b/xtask/src/soak/hosts.rs
@@ -46,6 +46,8 @@
     frozen: u32,
     /// Whether an action that stops the process is under way.
     is_ending: bool,
+    /// Whether the run is over, so that nothing may start any more.
+    is_over: bool,
 }
 
 impl Host {
@@ -82,8 +84,12 @@
         command
             .args(["--metrics-port", &addresses::METRICS_PORT.to_string()])
             .env("GODWITYARD_NODE_FILE", &self.settings);
-        let process = Process::spawn(&self.name, &mut command, &self.log)?;
-        self.lock().process = Some(process);
+        let mut state = self.lock();
+        if state.is_over {
+            return Ok(());
+        }
+        state.process = Some(Process::spawn(&self.name, &mut command, &self.log)?);
+        drop(state);
         self.recorder.host_event(self.index, HostEvent::Started);
         Ok(())
     }
@@ -178,6 +184,7 @@
     pub fn end(&self) {
         let mut state = self.lock();
         state.is_ending = true;
+        state.is_over = true;
         state.process = None;
     }
 
--- a/xtask/src/soak/play/mod.rs
+++ b/xtask/src/soak/play/mod.rs
@@ -13,7 +13,10 @@
 };
 
 use rand::{SeedableRng, rngs::StdRng};
-use tokio::time;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time,
+};
 
 use self::stage::Stage;
 use super::{
@@ -72,7 +75,10 @@
     /// Plays the run; returns what was seen, and the names of the hosts.
     pub async fn play(&self) -> eyre::Result<(Record, Vec<String>)> {
         let stage = Arc::new(self.set_up().await?);
-        let played = self.play_on(&stage).await;
+        let played = tokio::select! {
+            played = self.play_on(&stage) => played,
+            stopped = wait_stop_signal() => stopped,
+        };
         stage.stop.store(true, Ordering::Relaxed);
         // Requests that the end of the hosts cuts are not part of the record.
         let record = stage.recorder.snapshot();
@@ -168,6 +174,17 @@
     single.chain(shards).collect()
 }
 
+/// Waits for a signal to stop, on which the hosts must end as well.
+async fn wait_stop_signal() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    eyre::bail!("stopped by a signal")
+}
+
 /// Returns the folder of a run among those of `root`.
 pub fn folder(root: &Path, days: Days, seed: u64) -> PathBuf {
     root.join(format!("{days:?}-{seed}").to_lowercase())
