Learn the version by which another host handled a request

Cause: callers saw a host go back to an older configuration. A request that is passed on is handled by the sender's configuration, which may be later than that of the host that passed it on, and that host didn't learn so: its next request was refused with 404 or run by the old version. Change: a sender names the version by which it handles a request in its answer. The host that passed the request on records it, and if it is later than its own, asks that sender for its configuration at once (a new call, for the configuration alone; senders of older builds answer it with all of their state). Hosts of older builds let the new field pass to the caller. Conclusion: what a caller was shown is known to the host that it talks to, at the latest one call later.

--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -164,6 +164,11 @@
         newest.map(|(peer, (version, _))| (*peer, *version))
     }
 
+    /// Records the version of the configuration that a peer named beside its digests.
+    pub fn record_version(&mut self, peer: SocketAddr, version: u64, now: Time) {
+        self.versions.insert(peer, (version, now));
+    }
+
     /// Learns from a peer's digest. If it asks for a reply, a digest is to be sent to
     /// its sender.
     pub fn receive(&mut self, digest: &Digest, now: Time) {
--- a/crates/forward/tests/version_lag.rs
+++ b/crates/forward/tests/version_lag.rs
@@ -37,3 +37,20 @@
         assert!(!lag.is_late(at(now)), "version {version}");
     }
 }
+
+/// Guards against hosts that go back to an old version, as callers see it: a request was
+/// passed on and handled by a later one.
+#[test]
+fn a_host_whose_callers_were_shown_a_later_version_is_late_at_once() {
+    let mut lag = VersionLag::new(BOUND);
+    lag.record(5, 5, at(0));
+    lag.record_shown(5);
+    assert!(!lag.is_late(at(0)));
+    lag.record_shown(6);
+    assert!(lag.is_late(at(0)));
+    lag.record_shown(4);
+    lag.record(5, 5, at(300));
+    assert!(lag.is_late(at(300)));
+    lag.record(6, 6, at(600));
+    assert!(!lag.is_late(at(600)));
+}
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -25,6 +25,7 @@
     Clock, FrontSettings,
     follow::{ChangeLogs, Feed},
     in_force::InForce,
+    relay::ShownVersion,
     scatter::{Event, Waiter},
     targets::Pools,
 };
@@ -69,6 +70,7 @@
     pub(crate) suspects: RefCell<Suspects>,
     /// Time that requests passed on to senders and their answers are on the way.
     pub(crate) relay_transit: RefCell<LatencyQuantile>,
+    pub(crate) shown_version: ShownVersion,
 }
 
 /// Quantile of the time on the way that senders are told to expect.
@@ -126,6 +128,7 @@
             in_progress: InProgress::default(),
             suspects: RefCell::new(Suspects::default()),
             relay_transit: RefCell::new(LatencyQuantile::new(TRANSIT_QUANTILE)),
+            shown_version: ShownVersion::default(),
         }))
     }
 
--- a/crates/front/src/relay/answer.rs
+++ b/crates/front/src/relay/answer.rs
@@ -19,7 +19,7 @@
 /// as not run, so that it goes to another sender.
 pub(crate) async fn answer(cx: &SharedCx, relay: Relay, mut req: Request<Incoming>) -> Answer {
     let _guard = cx.in_progress.enter();
-    let started = cx.clock.now();
+    let (started, version) = (cx.clock.now(), cx.version());
     Relay::remove(req.headers_mut());
     let id = request_id(cx, req.headers());
     let id_header = req.headers().get(&cx.cfg.names.request_id).cloned();
@@ -39,6 +39,7 @@
         }
     };
     outcome.write(answer.headers_mut());
+    headers::write_version(answer.headers_mut(), version);
     headers::write_took(answer.headers_mut(), cx.clock.now().since(started));
     if let Some(id) = id_header {
         answer.headers_mut().insert(cx.cfg.names.request_id.clone(), id);
--- a/crates/front/src/relay/headers.rs
+++ b/crates/front/src/relay/headers.rs
@@ -9,7 +9,7 @@
 /// Time since the caller's request was received, in microseconds.
 const AGE: HeaderName = HeaderName::from_static("relay-age-us");
 
-/// Version of the configuration by which the request was passed on.
+/// Version of the configuration by which the request was passed on, or handled in an answer.
 const VERSION: HeaderName = HeaderName::from_static("relay-version");
 
 /// Time that the request and its answer are expected to spend on the way, in
@@ -57,6 +57,17 @@
     }
 }
 
+/// Adds the version by which the sender handled the request to its answer. Hosts of older
+/// builds let this field pass to the caller.
+pub(super) fn write_version(headers: &mut HeaderMap, version: u64) {
+    headers.insert(VERSION, HeaderValue::from(version));
+}
+
+/// Removes and returns the version by which the sender handled the request, if it says so.
+pub(super) fn take_version(headers: &mut HeaderMap) -> Option<u64> {
+    headers.remove(VERSION)?.to_str().ok()?.parse().ok()
+}
+
 /// Adds the time that the sender took to its answer.
 pub(super) fn write_took(headers: &mut HeaderMap, took: Duration) {
     headers.insert(TOOK, HeaderValue::from(took.as_micros() as u64));
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -5,15 +5,15 @@
 
 use base::{DomainName, HashSet, TargetName, Time};
 use bytes::Bytes;
-use forward::{Provenance, Reach, TargetReport, VersionLag};
-use http::{Request, StatusCode, header};
+use forward::{Configuration, Provenance, Reach, TargetReport, VersionLag};
+use http::{Request, StatusCode, Uri, header};
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use slog::{info, warn};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use super::wire::WireState;
+use super::{Part, wire::WireState};
 use crate::{
     MessageKind, SharedCx,
     body::{BodyError, BodyLimits, read_body},
@@ -61,10 +61,17 @@
     let mut last_learned = Time::ZERO;
     let mut lag = VersionLag::new(cx.cfg.configuration_due);
     loop {
-        ticks.tick().await;
-        let Some(peer) = peer_to_ask(&cx, &mut lag, last_learned) else { continue };
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = cx.shown_version.changed() => {}
+        }
+        let Some((peer, part)) = peer_to_ask(&cx, &mut lag, last_learned) else { continue };
         let asked = cx.clock.now();
-        match timeout(ANSWER_TIMEOUT, fetch(&cx, peer)).await.map_err(LearnError::from).flatten() {
+        let fetched = timeout(ANSWER_TIMEOUT, fetch(&cx, peer, part)).await;
+        match fetched.map_err(LearnError::from).flatten() {
+            Ok(state) if part == Part::Configuration => {
+                apply_configuration(&cx, peer, &Configuration::from(state.configuration));
+            }
             Ok(state) => {
                 last_learned = cx.clock.now();
                 apply(&cx, peer, state, asked);
@@ -76,27 +83,34 @@
 }
 
 /// Returns the peer to fetch state from now, if there is need of one.
-fn peer_to_ask(cx: &SharedCx, lag: &mut VersionLag, last_learned: Time) -> Option<SocketAddr> {
+fn peer_to_ask(
+    cx: &SharedCx,
+    lag: &mut VersionLag,
+    last_learned: Time,
+) -> Option<(SocketAddr, Part)> {
     let now = cx.clock.now();
     if cx.clock.uptime() < SOURCE_HEAD_START {
         return None;
     }
     let (peer, version) = cx.peers.borrow().peer_with_newest_version(now)?;
     lag.record(cx.version(), version, now);
+    lag.record_shown(cx.shown_version.get());
     if cx.follows_operations.get() && cx.follows_targets.get() {
-        return (version > cx.version() && lag.is_late(now)).then_some(peer);
+        let is_needed = version > cx.version() && lag.is_late(now);
+        return is_needed.then_some((peer, Part::Configuration));
     }
     let needs_targets = !cx.follows_targets.get() && now.since(last_learned) >= TARGETS_INTERVAL;
-    (version > cx.version() || needs_targets && version > 0).then_some(peer)
+    (version > cx.version() || needs_targets && version > 0).then_some((peer, Part::All))
 }
 
-async fn fetch(cx: &SharedCx, peer: SocketAddr) -> Result<WireState, LearnError> {
+async fn fetch(cx: &SharedCx, peer: SocketAddr, part: Part) -> Result<WireState, LearnError> {
     let stream = socket::connect(peer).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let exchange = async {
         let mut request = Request::new(Empty::<Bytes>::new());
         let host = header::HeaderValue::from_static("peer");
         request.headers_mut().insert(header::HOST, host);
+        *request.uri_mut() = Uri::from_static(part.path());
         let answer = sender.send_request(request).await?;
         if answer.status() != StatusCode::OK {
             return Err(LearnError::Status(answer.status()));
@@ -114,19 +128,22 @@
     }
 }
 
+/// Puts the configuration of a peer in force, if it is later than the own one.
+fn apply_configuration(cx: &SharedCx, peer: SocketAddr, cfg: &Configuration) {
+    if cfg.version > cx.version() {
+        let age = cx.configuration_age(cx.clock.now());
+        let received = Received { from: Provenance::Peer(peer), by: Means::State, age };
+        cx.apply_configuration_of(cfg, received);
+    }
+}
+
 /// Applies the state of a peer that was asked for it at `asked`.
 fn apply(cx: &SharedCx, peer: SocketAddr, state: WireState, asked: Time) {
-    let cfg = forward::Configuration::from(state.configuration);
+    let cfg = Configuration::from(state.configuration);
     info!(cx.log, "state: learned from a peer"; "peer" => %peer, "version" => cfg.version,
         "targets" => state.targets.len(), "from_source" => state.follows_source);
+    apply_configuration(cx, peer, &cfg);
     let operations = cx.change_logs.of(Feed::Operations);
-    if cfg.version > cx.version() {
-        let age = operations.progress().age(cx.clock.now());
-        cx.apply_configuration_of(
-            &cfg,
-            Received { from: Provenance::Peer(peer), by: Means::State, age },
-        );
-    }
     let known_until = known_until(asked, state.operations_age_ms);
     if !cx.follows_operations.get() && operations.progress().is_news(reach(known_until)) {
         let evacuated: HashSet<DomainName> =
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -12,3 +12,24 @@
 pub(crate) mod wire;
 
 pub(crate) use self::{learn::learn, serve::serve};
+
+/// What a host asks a peer for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    All,
+    /// The configuration alone. Hosts of older builds answer with all.
+    Configuration,
+}
+
+impl Part {
+    const fn path(self) -> &'static str {
+        match self {
+            Part::All => "/",
+            Part::Configuration => "/configuration",
+        }
+    }
+
+    fn of(path: &str) -> Part {
+        if path == Part::Configuration.path() { Part::Configuration } else { Part::All }
+    }
+}
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -10,7 +10,10 @@
 use slog::warn;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::wire::{WireConfiguration, WireState, WireTarget, WireUnlisted, ms};
+use super::{
+    Part,
+    wire::{WireConfiguration, WireState, WireTarget, WireUnlisted, ms},
+};
 use crate::{
     MessageKind, SharedCx,
     callers::{MAX_HEADER_FIELDS, accept},
@@ -38,7 +41,7 @@
                 Some(relay) => relay::answer(&cx, relay, req).await,
                 None => match follow::answer(&cx, req.uri().path()).await {
                     Some(answer) => answer,
-                    None => state(&cx),
+                    None => state(&cx, Part::of(req.uri().path())),
                 },
             };
             Ok::<_, Infallible>(answer)
@@ -52,7 +55,7 @@
         .await;
 }
 
-fn state(cx: &SharedCx) -> Response<Full<Bytes>> {
+fn state(cx: &SharedCx, part: Part) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(Bytes::new()));
     let encoded = {
         let cfg = cx.configuration.borrow();
@@ -66,14 +69,19 @@
             let known_until = cx.change_logs.of(feed).progress().proven_until();
             known_until.map(|it| ms(now.since(it)))
         };
-        serde_json::to_vec(&WireState {
-            configuration: WireConfiguration::from(&**cfg),
+        let configuration = WireConfiguration::from(&**cfg);
+        let all = |configuration| WireState {
+            configuration,
             follows_source: cx.follows_targets.get(),
             targets: targets.listed_reports(now).map(|it| WireTarget::from(&it)).collect(),
             targets_age_ms: age_ms(Feed::Targets),
             operations_age_ms: age_ms(Feed::Operations),
             unlisted: targets.unlisted(now).map(WireUnlisted::from).collect(),
             evacuated: targets.evacuated().iter().map(ToString::to_string).collect(),
+        };
+        serde_json::to_vec(&match part {
+            Part::All => all(configuration),
+            Part::Configuration => WireState::of_configuration(configuration),
         })
     };
     match encoded {
--- a/crates/front/src/state/wire.rs
+++ b/crates/front/src/state/wire.rs
@@ -29,6 +29,21 @@
     pub evacuated: Vec<String>,
 }
 
+impl WireState {
+    /// Returns a state that says nothing of targets and evacuations.
+    pub(super) fn of_configuration(configuration: WireConfiguration) -> WireState {
+        WireState {
+            configuration,
+            follows_source: false,
+            targets: Vec::new(),
+            targets_age_ms: None,
+            operations_age_ms: None,
+            unlisted: Vec::new(),
+            evacuated: Vec::new(),
+        }
+    }
+}
+
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct WireUnlisted {
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -24,6 +24,7 @@
     SharedCx,
     body::{BodyLimits, read_body},
     callers::log_line::request_id,
+    relay,
 };
 
 type TargetConnection = Connection<TokioIo<TcpStream>, Full<Bytes>>;
@@ -148,7 +149,7 @@
     cx: &SharedCx,
     name: &TargetName,
     job: &Job,
-    answer: TargetAnswer,
+    mut answer: TargetAnswer,
     is_open: bool,
 ) -> Ended {
     let is_relayed = job.request.relay.is_some();
@@ -160,7 +161,9 @@
         Verdict::NotRun(result) | Verdict::Report(result) => (result, false),
         Verdict::Forwardable(result) => (result, true),
     };
-    if !is_relayed {
+    if is_relayed {
+        relay::record_version(cx, job.send.target, &mut answer.headers);
+    } else {
         record_state(cx, job, &answer.headers);
         record_limit(cx, job, &answer.headers, result);
         record_pause(cx, job, &answer);
--- a/crates/front/tests/relays.rs
+++ b/crates/front/tests/relays.rs
@@ -2,13 +2,13 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use forward::Repeat;
+use forward::{Configuration, Repeat};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use support::{
     Reply, Target, TestHost, announce, body, done, header, not_run, ok, own_address, relayed, run,
-    status, target,
+    source::ScriptedSource, status, target,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -340,6 +340,67 @@
     });
 }
 
+/// Guards against hosts that go back to an old configuration, as callers see it: a request is
+/// passed on and handled by a later version, and the next one is not.
+#[test]
+fn a_host_learns_the_version_by_which_another_one_handled_its_request() {
+    run(async {
+        let source = Rc::new(ScriptedSource::default());
+        let version = |version| Configuration { version, ..Configuration::default() };
+        source.publish(version(1));
+        let answer = relayed("200 OK", "done", "later");
+        let answer = answer.replace("relay-outcome", "relay-version: 2\r\nrelay-outcome");
+        let sender = target(vec![Reply::Bytes(answer)]).await;
+        let other = target(vec![not_run()]).await;
+        let mut host = TestHost::start_with(own_address(), Vec::new(), |it| {
+            // Without the answer, no peer would be asked for a long time.
+            it.capacity(SMALL).configuration_due(Duration::from_secs(120))
+        });
+        host.wait_for_hosts(1).await;
+        announce(host.peers, sender.address).await;
+        announce(host.peers, other.address).await;
+        host.wait_for_hosts(3).await;
+        host.follow_configuration(&source);
+        host.follow_targets(&source);
+        host.max_connections = 1;
+        host.single(Repeat::Idempotent);
+        sleep(CHOICE_TIME).await;
+        while sender.requests() == 0 {
+            let answer = host.get("/one/x").await;
+            assert_eq!(header(&answer, "relay-version"), None);
+        }
+        let is_question = |it: &String| it.starts_with("GET /configuration ");
+        while !sender.received.borrow().iter().any(is_question) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+/// The sender names the version, and gives its configuration to a host that asks for it.
+#[test]
+fn a_sender_names_its_version_and_gives_its_configuration() {
+    run(async {
+        let leaf = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let mut sender = TestHost::start();
+        sender.single(Repeat::AtMostOnce);
+        sender.list("s", "t1", &leaf);
+        wait_until_listening(sender.peers).await;
+        let ask = async |head: &str| {
+            let mut stream = TcpStream::connect(sender.peers).await.expect("listening");
+            stream.write_all(head.as_bytes()).await.expect("written");
+            support::read_message(&mut stream).await.expect("an answer")
+        };
+        let relayed = "GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q7\r\nx-deadline: 500\r\n\
+                       relay-age-us: 0\r\nrelay-version: 1\r\n\r\n";
+        assert_eq!(header(&ask(relayed).await, "relay-version").as_deref(), Some("1"));
+        let answer = ask("GET /configuration HTTP/1.1\r\nhost: h\r\n\r\n").await;
+        assert!(body(&answer).contains("/one/"), "{answer}");
+        assert!(!body(&answer).contains("t1"), "{answer}");
+        let answer = ask("GET / HTTP/1.1\r\nhost: h\r\n\r\n").await;
+        assert!(body(&answer).contains("t1"), "{answer}");
+    });
+}
+
 async fn leaf_and(reply: Reply) -> (Target, Target) {
     (target(vec![Reply::Bytes(ok("sig", "direct"))]).await, target(vec![reply]).await)
 }
