Leave readers that have fallen silent before a call to them fails

Cause: a follower noticed a frozen reader by its call for changes only, which fails after 2.5 s. If both readers of a domain froze, it noticed one after the other: 5 s, and the wait for another reader. The bound for configurations is 3 s (5 s on larger sites), and the hosts that follow are in touch all the while; targets that leave in that time were used too long as well. Change: `forward::peers::silence` notices a reader of the own domain of which the digests of others bring no later sign: for the time that counts for unreachable domains, and for a number of digests, which grows with the domain. Digests are counted so that hosts that are all late, or a host that was frozen itself, miss nobody. A silent reader isn't followed, and all silent ones are noticed at once. The limits of calls stay, for readers that gossip but don't answer. A host may miss one of two readers that go on, and then follows the other.

--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -8,12 +8,14 @@
 //!   size, whatever the number of hosts. A digest lists some hosts, in turn.
 
 mod digest;
+mod silence;
 
 use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use base::{DomainName, HashMap, HashSet, Time};
 
 pub use self::digest::{Digest, Host, ListedHost, SeenDomain};
+use self::silence::Silence;
 use crate::{
     senders::{MAX_SENDER_AGE, candidates, rank},
     suspects::Strike,
@@ -68,6 +70,8 @@
     domains_last_seen: HashMap<DomainName, Time>,
     /// Configuration version in each peer's last digest, and when that came.
     versions: HashMap<SocketAddr, (u64, Time)>,
+    /// Signs of the readers of the own domain, which all its hosts list.
+    readers: Silence,
     /// Indexes of the next peer to gossip to, before wrapping.
     next_local: usize,
     next_remote: usize,
@@ -97,6 +101,7 @@
             known: HashMap::default(),
             domains_last_seen: HashMap::default(),
             versions: HashMap::default(),
+            readers: Silence::default(),
             next_local: first_turn,
             next_remote: first_turn,
             next_candidate: first_turn,
@@ -181,6 +186,16 @@
         for it in digest.hosts.iter().filter(|it| it.age < HOST_RETENTION) {
             self.record_seen(&it.host, now.ago(it.age));
         }
+        if digest.from.domain == self.own.domain {
+            let readers = self.known.values().filter(|it| is_reader_in(it, &self.own.domain));
+            readers.for_each(|it| self.readers.record_digest(it.host.address, it.last_seen));
+        }
+    }
+
+    /// Returns whether a reader of the own domain has fallen silent.
+    pub fn is_silent(&self, reader: SocketAddr, now: Time) -> bool {
+        let since = now.ago(self.unreachable_after());
+        self.readers.is_silent(reader, self.locals(), since)
     }
 
     /// Returns the current digest and the peers to send it to. Peers take turns.
@@ -192,6 +207,7 @@
     ) -> (Digest, Vec<SocketAddr>) {
         self.known.retain(|_, it| now.since(it.last_seen) < HOST_RETENTION);
         self.versions.retain(|_, (_, at)| now.since(*at) < HOST_RETENTION);
+        self.readers.retain(|it| self.known.contains_key(it));
         let to = self.next_receivers();
         self.rounds = self.rounds.saturating_add(1);
         let mut digest = self.digest(now, version, MAX_LISTED_HOSTS);
@@ -224,12 +240,15 @@
     /// domain, a digest from another one reaches a few hosts, and their word takes
     /// some rounds to reach the others.
     fn unreachable_after(&self) -> Duration {
-        let is_local = |it: &&KnownHost| it.host.domain == self.own.domain;
-        let locals = self.known.values().filter(is_local).count();
-        let rounds = (locals / FANOUT).checked_ilog2().map_or(0, |it| it + 1);
+        let rounds = (self.locals() / FANOUT).checked_ilog2().map_or(0, |it| it + 1);
         UNREACHABLE_AFTER + DIGEST_INTERVAL * rounds
     }
 
+    /// Returns the number of other hosts in the own domain.
+    fn locals(&self) -> usize {
+        self.known.values().filter(|it| it.host.domain == self.own.domain).count()
+    }
+
     fn next_receivers(&mut self) -> Vec<SocketAddr> {
         let (local, mut remote): (Vec<&KnownHost>, Vec<&KnownHost>) =
             self.known.values().partition(|it| it.host.domain == self.own.domain);
@@ -276,7 +295,7 @@
     }
 
     fn local_readers(&self, now: Time) -> Vec<SocketAddr> {
-        let is_reader = |it: &&KnownHost| it.host.reads_source && it.host.domain == self.own.domain;
+        let is_reader = |it: &&KnownHost| is_reader_in(it, &self.own.domain);
         self.live(now).filter(is_reader).map(|it| it.host.address).collect()
     }
 
@@ -315,6 +334,10 @@
     }
 }
 
+fn is_reader_in(known: &KnownHost, domain: &DomainName) -> bool {
+    known.host.reads_source && known.host.domain == *domain
+}
+
 /// Returns the next `count` of `all`, which take turns.
 fn take_turns<T: Copy>(all: &[T], next: &mut usize, count: usize) -> Vec<T> {
     let taken = (0..count).map(|i| all[next.wrapping_add(i) % all.len()]).collect();
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -144,18 +144,23 @@
     tokio::select! {
         biased;
         err = follow_changes(cx, calls, origin) => Ended::Failed(err),
-        () = superseded(cx, origin, &state.lost) => Ended::Superseded,
+        ended = superseded(cx, origin, &state.lost) => ended,
     }
 }
 
-/// Completes when another origin is to be followed. One that answers is kept while
-/// no other is known.
-async fn superseded(cx: &SharedCx, origin: Origin, lost: &LostOrigins) {
+/// Completes when another origin is to be followed, or none for now. One that answers is
+/// kept while no other is known.
+async fn superseded(cx: &SharedCx, origin: Origin, lost: &LostOrigins) -> Ended {
     loop {
         sleep(CHOICE_INTERVAL).await;
         let next = lost.choose(cx, Duration::ZERO);
         if next != origin && next != Origin::None {
-            return;
+            return Ended::Superseded;
+        }
+        if let Origin::Host(reader) = origin
+            && cx.peers.borrow().is_silent(reader, cx.clock.now())
+        {
+            return Ended::Failed(SourceError::Unavailable("the reader is silent".to_owned()));
         }
     }
 }
--- a/crates/front/src/follow/origin.rs
+++ b/crates/front/src/follow/origin.rs
@@ -58,8 +58,10 @@
         let peers = cx.peers.borrow();
         let own = peers.own();
         let is_lost = |at: &Instant| at.elapsed() < LOST_FOR;
-        let lost: Vec<SocketAddr> =
+        let mut lost: Vec<SocketAddr> =
             self.hosts.iter().filter(|(_, at)| is_lost(at)).map(|(it, _)| *it).collect();
+        let now = cx.clock.now();
+        lost.extend(local.iter().map(|it| it.address).filter(|it| peers.is_silent(*it, now)));
         let is_source_lost = self.source.as_ref().is_some_and(is_lost);
         ReaderView { own, local: &local, lost: &lost, is_source_lost, waited }.choose()
     }
