Never let a list of an older revision replace later state

Cause: a complete list counted as news if its revision was no older or its time was later, so a list that was overtaken by changes passed by its time: targets that left, and evacuations, came back until the next changes. Change: revisions are compared wherever both are known, times only without one. The list of a reader of a lower revision is not applied and is no failure: its changes are followed from the own revision. Conclusion: one comparison, which an older fact never passes.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -178,8 +178,10 @@
     /// are compared only if a revision is missing: an origin proves progress in steps, and
     /// one that knows the same may have proved it somewhat earlier.
     pub fn is_news(&self, state: Reach) -> bool {
-        let is_as_late = self.revision.is_some() && state.revision >= self.revision;
-        is_as_late || state.known_until.is_none() || state.known_until >= self.proven_until
+        match (self.revision, state.revision) {
+            (Some(own), Some(other)) => other >= own,
+            _ => state.known_until.is_none() || state.known_until >= self.proven_until,
+        }
     }
 
     /// Returns the largest age that a change may have which an answer, read now, tells
--- a/crates/forward/tests/feeds.rs
+++ b/crates/forward/tests/feeds.rs
@@ -105,6 +105,9 @@
     it.record_revision(7);
     assert!(it.is_news(reach(7)) && it.is_news(reach(8)));
     assert!(!it.is_news(reach(6)));
+    // Also if it was asked for later: its answer was overtaken.
+    let overtaken = Reach { known_until: Some(at(1_500)), ..reach(6) };
+    assert!(!it.is_news(overtaken));
     // State of a peer was applied, of an unknown revision.
     it.forget_revision();
     assert!(!it.is_news(reach(8)));
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -188,9 +188,13 @@
         if take(cx, calls.feed, origin, answer) {
             return Ok(());
         }
-        if !is_late {
-            return Err(SourceError::Unavailable("the reader is behind".to_owned()));
+        if is_late {
+            continue;
         }
+        // The reader's state is older. Its changes are followed from the own revision on.
+        let has_revision = cx.change_logs.of(calls.feed).progress().revision().is_some();
+        let is_behind = || SourceError::Unavailable("the reader is behind".to_owned());
+        return if has_revision { Ok(()) } else { Err(is_behind()) };
     }
 }
 
--- a/crates/front/tests/gaps.rs
+++ b/crates/front/tests/gaps.rs
@@ -333,3 +333,42 @@
         assert_ne!(status(&host.get("/one/x").await), 200);
     });
 }
+
+/// Guards against targets that come back by a list that was read before the changes in force.
+#[test]
+fn a_late_list_does_not_replace_later_changes() {
+    run(async {
+        let one = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let source = Rc::new(ScriptedSource::default());
+        source.list(report("s", "t1", one.address));
+        source.list(report("other", "t2", one.address));
+        source.list(report("other", "t3", one.address));
+        let mut host =
+            TestHost::start_with(own_address(), Vec::new(), |it| it.source_recovery(RECOVERY));
+        host.cx.set_limits(Limits { leaving_for: Duration::from_millis(100), ..limits() });
+        host.single(Repeat::Idempotent);
+        host.follow_targets(&source);
+        while status(&host.get("/one/x").await) != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        // The source works off the next call for changes only after a list, which then is
+        // long on its way.
+        source.hold_changes(Duration::from_millis(1_150));
+        let lists = source.lists();
+        source.set_list_delay(Duration::from_millis(750));
+        while source.lists() == lists {
+            sleep(Duration::from_millis(5)).await;
+        }
+        source.remove("t1");
+        source.set_list_delay(Duration::ZERO);
+        let mut is_gone = false;
+        let until = tokio::time::Instant::now() + RECOVERY * 5;
+        while tokio::time::Instant::now() < until {
+            let is_used = status(&host.get("/one/x").await) == 200;
+            assert!(!(is_gone && is_used), "it came back");
+            is_gone |= !is_used;
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert!(is_gone);
+    });
+}
--- a/crates/front/tests/support/source.rs
+++ b/crates/front/tests/support/source.rs
@@ -29,6 +29,10 @@
     is_cut_off: Cell<bool>,
     /// Time that each answer is on its way.
     delay: Cell<Duration>,
+    /// Time for which the next call for changes is left lying.
+    hold: Cell<Duration>,
+    list_delay: Cell<Duration>,
+    lists: Cell<usize>,
     changed: Notify,
     answers: Cell<usize>,
 }
@@ -72,6 +76,20 @@
         self.delay.set(delay);
     }
 
+    /// Works off the next call for changes only after `time`.
+    pub fn hold_changes(&self, time: Duration) {
+        self.hold.set(time);
+    }
+
+    /// Delays complete lists that are made from now on.
+    pub fn set_list_delay(&self, delay: Duration) {
+        self.list_delay.set(delay);
+    }
+
+    pub fn lists(&self) -> usize {
+        self.lists.get()
+    }
+
     /// Forgets all changes until now.
     pub fn drop_history(&self) {
         self.dropped.set(self.revision());
@@ -119,7 +137,8 @@
             Feed::Operations => vec![Item::Configuration(self.configuration.borrow().clone())],
         };
         let batch = batch(items, self.revision());
-        sleep(self.delay.get()).await;
+        self.lists.set(self.lists.get() + 1);
+        sleep(self.delay.get() + self.list_delay.get()).await;
         Ok(batch)
     }
 
@@ -130,6 +149,7 @@
         wait: Duration,
     ) -> Result<Batch, SourceError> {
         self.accept().await;
+        sleep(self.hold.take()).await;
         let changed = self.changed.notified();
         if self.revision() == revision && !self.is_unreachable.get() {
             let _ = timeout(wait, changed).await;
