Ask different peers for a configuration that is late

Change: among equal ones each host chooses by a rank of its own. Measured: hosts_that_are_late_ask_different_peers (60 hosts, 4 ahead): all 60 asked one of them before; none is asked by more than 30 now. Conclusion: the load of a late domain is spread over those who can help.

--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -17,7 +17,7 @@
 pub use self::digest::{Digest, Host, ListedHost, SeenDomain};
 use self::silence::Silence;
 use crate::{
-    senders::{MAX_SENDER_AGE, candidates, rank},
+    senders::{MAX_SENDER_AGE, candidates, rank, rank_for},
     suspects::Strike,
 };
 
@@ -159,13 +159,15 @@
         (self.domains_last_seen.len(), silent.map(|(domain, _)| domain.clone()).collect())
     }
 
-    /// Returns the reachable peer with the highest configuration version, preferably
-    /// of the own domain, and that version.
+    /// Returns a reachable peer with the highest configuration version, preferably
+    /// of the own domain, and that version. Hosts choose different ones among several.
     pub fn peer_with_newest_version(&self, now: Time) -> Option<(SocketAddr, u64)> {
         let reachable =
             self.versions.iter().filter(|(_, (_, at))| now.since(*at) < UNREACHABLE_AFTER);
         let is_local = |it| self.known.get(it).is_some_and(|it| it.host.domain == self.own.domain);
-        let newest = reachable.max_by_key(|(peer, (version, _))| (*version, is_local(*peer)));
+        let newest = reachable.max_by_key(|(peer, (version, _))| {
+            (*version, is_local(*peer), rank_for(self.own.address, **peer))
+        });
         newest.map(|(peer, (version, _))| (*peer, *version))
     }
 
--- a/crates/forward/src/senders.rs
+++ b/crates/forward/src/senders.rs
@@ -138,6 +138,14 @@
     rank(address) as f64 / u64::MAX as f64
 }
 
+/// Returns the rank of a host among equal ones in the view of `own`, which differs between
+/// views.
+pub(crate) fn rank_for(own: SocketAddr, address: SocketAddr) -> u64 {
+    let mut hasher = FxHasher::default();
+    (own, address).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Returns the rank of a host among equal ones, which is the same in every view.
 pub(crate) fn rank(address: SocketAddr) -> u64 {
     let mut hasher = FxHasher::default();
--- a/crates/forward/tests/peers.rs
+++ b/crates/forward/tests/peers.rs
@@ -180,3 +180,24 @@
     let own = |it: usize| Host { domain: DomainName::new(domains[it % 6]), ..host(it) };
     (0..hosts).map(|it| Peers::new(own(it), seeds.clone())).collect()
 }
+
+/// Guards against the same few hosts being asked by all others at once, when a whole domain is
+/// late to get a configuration.
+#[test]
+fn hosts_that_are_late_ask_different_peers() {
+    let now = Time::ZERO + DIGEST_INTERVAL;
+    let ahead: Vec<usize> = vec![0, 3, 6, 9];
+    let mut asked = vec![0; ahead.len()];
+    for own in 10..70 {
+        let mut peers = Peers::new(host(own), Vec::new());
+        for it in &ahead {
+            let (digest, _) = Peers::new(host(*it), Vec::new()).next_digest(now, 5, Vec::new());
+            peers.receive(&digest, now);
+        }
+        let (peer, version) = peers.peer_with_newest_version(now).expect("a peer");
+        assert_eq!(version, 5);
+        let index = ahead.iter().position(|it| addr(*it) == peer).expect("one that is ahead");
+        asked[index] += 1;
+    }
+    assert!(asked.iter().all(|it| *it <= 60 / 2), "{asked:?}");
+}
