Take the time of an answer from its arrival, and give up calls that it overtook

Cause: an answer that came while the host paused between two calls counted as late by the pause. With a wait no longer than the pause the host then stayed one call behind for good: each answer was late, proved less than it could, and the source was asked to hold calls for less and less time. Found by the review in a trace with a recovery time of 1 s. Change: the moment of arrival is taken in the call itself; once an answer is applied, the other open calls are given up, as they can bring nothing that the next one doesn't. Conclusion: kept; the delay of a source is that of its answers.

--- a/crates/front/src/follow/calls.rs
+++ b/crates/front/src/follow/calls.rs
@@ -41,6 +41,7 @@
 struct Ended {
     call: Call,
     called: Time,
+    arrived: Time,
     result: Result<Batch, SourceError>,
 }
 
@@ -89,11 +90,12 @@
     /// Makes a call. If too many are open, the oldest one is given up.
     pub(super) fn make(&mut self, call: Call) {
         let (source, feed, limit) = (self.source.clone(), self.feed, self.give_up);
-        let called = self.clock.now();
+        let clock = self.clock;
+        let called = clock.now();
         let handle = self.open.spawn_local(async move {
             let result = timeout(limit, exchange(&*source, feed, call)).await;
             let result = result.unwrap_or_else(|_| Err(no_answer()));
-            Ended { call, called, result }
+            Ended { call, called, arrived: clock.now(), result }
         });
         self.last = Some(handle.id());
         self.handles.retain(|it| !it.is_finished());
@@ -114,10 +116,10 @@
             // An error means that the call was given up.
             let Ok((id, ended)) = next else { continue };
             let is_late = self.last != Some(id);
-            let Ended { call, called, result } = ended;
+            let Ended { call, called, arrived, result } = ended;
             match result {
                 Ok(batch) => {
-                    let took = self.clock.now().since(called);
+                    let took = arrived.since(called);
                     self.delay.record(call.wait(), took, !batch.items.is_empty());
                     let delay = self.delay.get();
                     return Ok(Answer { call, called, is_late, delay, batch });
@@ -128,7 +130,7 @@
         }
     }
 
-    /// Gives up all calls.
+    /// Gives up all calls, as what they may bring is known.
     pub(super) fn abandon(&mut self) {
         self.open = JoinSet::new();
         self.handles.clear();
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -186,6 +186,7 @@
         let answer = calls.next(until).await?;
         let is_late = answer.is_late;
         if take(cx, calls.feed, origin, answer) {
+            calls.abandon();
             return Ok(());
         }
         if is_late {
@@ -220,7 +221,11 @@
                 Err(err) => return err,
             };
             let is_late = answer.is_late;
-            if take(cx, feed, origin, answer) || !is_late {
+            if take(cx, feed, origin, answer) {
+                calls.abandon();
+                break;
+            }
+            if !is_late {
                 break;
             }
         }
