Judge in the soak whether routes that were added are served

Change: requests at hosts in touch on added routes that are due are counted against those on the first routes; below a quarter of their share the rule is broken, and single refusals are printed as suspected.

Conclusion: a host can't hide behind a 503 that it is behind.

--- a/xtask/src/soak/judge/configuration.rs
+++ b/xtask/src/soak/judge/configuration.rs
@@ -149,7 +149,7 @@
 
 /// Returns whether all versions of the run allow a request, and whether all do that may be
 /// in force at its host.
-fn is_allowed(evidence: &Evidence<'_>, attempt: &Attempt) -> (bool, bool) {
+pub fn is_allowed(evidence: &Evidence<'_>, attempt: &Attempt) -> (bool, bool) {
     let versions = &evidence.record.versions;
     let has_route = |it: &Version| it.route(&attempt.path).is_some();
     let due = due(evidence, attempt, attempt.ended).map_or(0, |it| it.number);
--- a/xtask/src/soak/judge/mod.rs
+++ b/xtask/src/soak/judge/mod.rs
@@ -5,6 +5,7 @@
 //! Not judged are the rules on budgets, on cold targets, on evacuations and on places,
 //! CONFIG where it concerns times, and LOST beside a change of the configuration.
 
+mod added;
 mod answers;
 mod configuration;
 mod contact;
@@ -27,6 +28,8 @@
     Config,
     /// A host went back to an older configuration.
     Regress,
+    /// Routes that were added are refused though they are due.
+    Unserved,
     /// A proper request was refused as wrong.
     Denied,
     /// A request reached a target that had left.
@@ -49,7 +52,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Certainty {
     Shown,
-    /// Another host, which the request may have passed, was out of touch.
+    /// Another host, which the request may have passed, was out of touch, or the rule
+    /// needs more cases.
     Suspected,
 }
 
@@ -91,6 +95,7 @@
     let evidence = Evidence::new(record);
     let mut findings = configuration::judge(&evidence);
     findings.extend(configuration::judge_regress(&evidence));
+    findings.extend(added::judge(&evidence));
     findings.extend(drain::judge(&evidence));
     findings.extend(lost::judge(&evidence));
     findings.extend(answers::judge(&evidence));
@@ -138,6 +143,7 @@
         f.write_str(match self {
             Rule::Config => "CONFIG",
             Rule::Regress => "CONFIG (regress)",
+            Rule::Unserved => "CONFIG (unserved)",
             Rule::Denied => "DENIED",
             Rule::Drain => "DRAIN",
             Rule::Lost => "LOST",
--- a/xtask/src/soak/judge/tests.rs
+++ b/xtask/src/soak/judge/tests.rs
@@ -172,6 +172,41 @@
     assert_eq!(count(&record, Rule::Denied), 11);
 }
 
+fn add_503(record: &mut Record, count: usize, path: &str, sent: u64) {
+    for number in 0..count {
+        record.attempts.push(attempt(&format!("u{number}"), path, sent, 503));
+    }
+}
+
+/// A host that says 503 in place of 404 must not hide that it is behind.
+#[test]
+fn added_routes_that_are_refused_though_due_break_config() {
+    let mut record = record();
+    add_served(&mut record, "a", "/core/1", OLD, 13_000);
+    add_503(&mut record, 19, "/added/1", 13_100);
+    let is_shown = |record: &Record| {
+        judge(record).iter().any(|it| it.rule == Rule::Unserved && it.certainty == Certainty::Shown)
+    };
+    assert_eq!(count(&record, Rule::Unserved), 19);
+    assert!(!is_shown(&record));
+    add_503(&mut record, 1, "/added/1", 13_100);
+    assert!(is_shown(&record));
+    for number in 0..7 {
+        add_served(&mut record, &format!("s{number}"), "/added/1", NEW, 13_100);
+    }
+    assert!(!is_shown(&record));
+}
+
+#[test]
+fn a_503_where_an_older_version_may_be_in_force_breaks_no_rule() {
+    let mut record = record();
+    add_served(&mut record, "a", "/core/1", OLD, 12_000);
+    add_503(&mut record, 30, "/added/1", 12_900);
+    disrupt(&mut record, Place::Store, 13_000, 14_000);
+    add_503(&mut record, 30, "/added/1", 17_900);
+    assert!(judge(&record).is_empty());
+}
+
 #[test]
 fn a_host_that_goes_back_to_an_older_version_regresses() {
     let mut record = record();
