Leave requests that a full target rejected out of the soak's suspected cases

Change: targets record what they reject; such a request is not suspected.

Conclusion: what is printed as suspected is a refusal by the host itself.

--- a/xtask/src/soak/judge/added.rs
+++ b/xtask/src/soak/judge/added.rs
@@ -55,7 +55,10 @@
         );
         Finding { certainty, ..Finding::new(Rule::Unserved, attempt, detail) }
     };
-    let is_refused = |it: &&Attempt| status(it) == Some(503) && evidence.runs(it).is_empty();
+    let is_refused = |it: &&Attempt| {
+        let has_reached_target = !evidence.runs(it).is_empty() || record.rejected.contains(&it.id);
+        status(it) == Some(503) && !has_reached_target
+    };
     unserved.into_iter().filter(|it| is_shown || is_refused(it)).map(finding).collect()
 }
 
--- a/xtask/src/soak/judge/tests.rs
+++ b/xtask/src/soak/judge/tests.rs
@@ -188,6 +188,8 @@
         judge(record).iter().any(|it| it.rule == Rule::Unserved && it.certainty == Certainty::Shown)
     };
     assert_eq!(count(&record, Rule::Unserved), 19);
+    record.rejected.insert("u0".to_owned());
+    assert_eq!(count(&record, Rule::Unserved), 18);
     assert!(!is_shown(&record));
     add_503(&mut record, 1, "/added/1", 13_100);
     assert!(is_shown(&record));
--- a/xtask/src/soak/record.rs
+++ b/xtask/src/soak/record.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use base::HashSet;
+
 use super::configuration::Version;
 
 /// Index of a host among those of the run.
@@ -114,6 +116,8 @@
 pub struct Record {
     pub attempts: Vec<Attempt>,
     pub runs: Vec<Run>,
+    /// Ids of requests that a full target rejected.
+    pub rejected: HashSet<String>,
     pub versions: Vec<Version>,
     pub leaves: Vec<Leave>,
     pub disruptions: Vec<Disruption>,
--- a/xtask/src/soak/targets/serve.rs
+++ b/xtask/src/soak/targets/serve.rs
@@ -97,14 +97,14 @@
             return Some(Answer::not_run(421));
         }
         if self.waiting.load(Ordering::Relaxed) >= QUEUE {
-            return Some(Answer::not_run(503));
+            return Some(self.reject(request));
         }
         let deadline_ms = request.number("x-deadline-ms").unwrap_or(DEFAULT_DEADLINE_MS);
         let deadline = time::Instant::now() + Duration::from_millis(deadline_ms);
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let slot = time::timeout_at(deadline, self.slots.acquire()).await;
         self.waiting.fetch_sub(1, Ordering::Relaxed);
-        let Ok(Ok(_slot)) = slot else { return Some(Answer::not_run(503)) };
+        let Ok(Ok(_slot)) = slot else { return Some(self.reject(request)) };
         if request.word(1) == "/healthz" {
             time::sleep(HEALTH_WORK).await;
             let is_leaving = self.is_leaving.load(Ordering::Relaxed);
@@ -116,6 +116,13 @@
         self.run(request, deadline, reader).await
     }
 
+    fn reject(&self, request: &Message) -> Answer {
+        if let Some(id) = request.header("x-request-id") {
+            self.recorder.lock().rejected.insert(id.to_owned());
+        }
+        Answer::not_run(503)
+    }
+
     /// Runs a request; returns `None` if its connection closes meanwhile.
     async fn run(
         &self,
