Name constants of the soak, and drop a function that stood twice

Cause: read as a newcomer, some numbers had no name and one function only called another.

Change: names only.

Conclusion: no change of what the soak does.

--- a/xtask/src/soak/clients.rs
+++ b/xtask/src/soak/clients.rs
@@ -80,7 +80,7 @@
             let Some(host) = load.ingress.choose(domain, rng.random()) else { continue };
             connection = Connection::open(&host).await;
             if connection.is_none() {
-                load.recorder.lock().attempts.push(not_connected(&host, call, &load.recorder));
+                load.recorder.lock().attempts.push(attempt(&host, call, &load.recorder));
             }
         }
         let Some(open) = connection.take() else { continue };
@@ -160,6 +160,7 @@
     }
 }
 
+/// Returns an attempt that begins now, and that has not connected yet.
 fn attempt(host: &Host, call: &Call, recorder: &Recorder) -> Attempt {
     let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
     let id = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
@@ -177,10 +178,6 @@
     }
 }
 
-fn not_connected(host: &Host, call: &Call, recorder: &Recorder) -> Attempt {
-    attempt(host, call, recorder)
-}
-
 impl From<Message> for Answer {
     fn from(message: Message) -> Answer {
         Answer {
--- a/xtask/src/soak/hosts.rs
+++ b/xtask/src/soak/hosts.rs
@@ -18,8 +18,10 @@
 };
 use crate::deployment::Process;
 
-/// Pause between two looks whether a process has ended.
+/// Pause between two looks whether a process that is stopped has ended.
 const POLL: Duration = Duration::from_millis(10);
+/// Pause between two looks whether a process has ended by itself.
+const WATCH_PERIOD: Duration = Duration::from_millis(100);
 /// Time after which an ended process is started again.
 const RESTART_AFTER: Duration = Duration::from_secs(1);
 
@@ -35,7 +37,6 @@
     settings: PathBuf,
     log: PathBuf,
     recorder: Recorder,
-    grace: Duration,
     state: Mutex<State>,
 }
 
@@ -74,7 +75,6 @@
             settings,
             name,
             recorder: recorder.clone(),
-            grace: Bounds::GRACE,
             state: Mutex::default(),
         }))
     }
@@ -102,7 +102,7 @@
         let disruption = self.begin("is stopped", true);
         self.recorder.host_event(self.index, HostEvent::Signalled(Signal::Terminate));
         self.signal(libc::SIGTERM);
-        let until = time::Instant::now() + self.grace;
+        let until = time::Instant::now() + Bounds::GRACE;
         while time::Instant::now() < until && !self.has_exited() {
             time::sleep(POLL).await;
         }
@@ -154,7 +154,7 @@
     /// Starts the process again if it ended by itself.
     pub async fn watch(self: Arc<Self>) {
         loop {
-            time::sleep(POLL * 10).await;
+            time::sleep(WATCH_PERIOD).await;
             if self.lock().is_ending || !self.has_exited() || !self.begin_ending() {
                 continue;
             }
--- a/xtask/src/soak/operator.rs
+++ b/xtask/src/soak/operator.rs
@@ -16,6 +16,8 @@
 
 /// Services of the single routes, between which routes move.
 pub const SERVICES: [&str; 2] = ["kafi81c", "galu17b"];
+/// Version numbers begin above it.
+const NUMBER_BEFORE_FIRST: u64 = 6;
 /// Number of routes that move.
 const MOVING_ROUTES: usize = 4;
 const GATHER_PREFIX: &str = "/gather/";
@@ -142,7 +144,7 @@
     ) -> Self {
         let state = State {
             rng: StdRng::seed_from_u64(seed),
-            number: 6,
+            number: NUMBER_BEFORE_FIRST,
             routes: first_routes(&shards),
             idle_timeout_ms: IDLE_TIMEOUTS_MS[0],
             added: 0,
--- a/xtask/src/soak/plan/mod.rs
+++ b/xtask/src/soak/plan/mod.rs
@@ -4,8 +4,8 @@
 
 use std::{str::FromStr, time::Duration};
 
+use self::draft::Draft;
 use super::{operator::Change, record::HostIndex, store::HostFault, targets::Departure};
-use draft::Draft;
 
 /// Calm before the first action, and at the end of the run.
 pub const CALM: Duration = Duration::from_secs(6);
--- a/xtask/src/soak/targets/mod.rs
+++ b/xtask/src/soak/targets/mod.rs
@@ -7,7 +7,10 @@
     collections::BTreeSet,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -28,6 +31,8 @@
 /// Attempts to bind an address that a target before has left, and the pause between.
 const BIND_ATTEMPTS: u32 = 50;
 const BIND_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which the address of a target that ended is used again: `addr_reuse_s`.
+const ADDRESS_REUSED_AFTER: Duration = Duration::from_secs(2);
 /// Prefix of the targets' keys in the store.
 const PREFIX: &str = "servers/";
 
@@ -185,7 +190,7 @@
         let Some(target) = target else { return Ok(()) };
         match how {
             Departure::Drains => {
-                target.is_leaving.store(true, std::sync::atomic::Ordering::Relaxed);
+                target.is_leaving.store(true, Ordering::Relaxed);
                 self.cx.put(&target, true);
                 self.cx.record_leave(&target, "drains");
             }
@@ -200,7 +205,7 @@
         time::sleep(self.cx.drain).await;
         target.task.abort();
         self.cx.recorder.note(format!("target {} has ended", target.id));
-        time::sleep(Duration::from_secs(2)).await;
+        time::sleep(ADDRESS_REUSED_AFTER).await;
         let addr = reuses_address.then_some(target.addr);
         self.start(place, target.service, None, addr).await
     }
