Count a change that comes after a wait as old as its call

Cause: an answer to a call that waited counted as sent just now. It may have been sent at any time since the call and have been on its way since: a source that gets no processor, or a network that holds data, need not have shown it before. A leaving target then counts as younger by that time and is used after drain_ms (DRAIN).

Change: such a change counts as made at the call. What may be missing then is the pause before the call: it is at most a fifth of the time for which leaving targets are used, so that both together (0.96 of drain_ms) stay under drain_ms however late an answer is. Two figures of feeds.rs get stricter (0 to 700 ms, 700 to 1200 ms): they stated that the time on the way is known.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -185,12 +185,12 @@
     }
 
     /// Returns the largest age that a change may have which an answer, read now, tells
-    /// of; `None` if that is more than `limit`. The answer to a call that waited came at
-    /// the first change.
+    /// of; `None` if that is more than `limit`. The answer to a call that waited tells of
+    /// changes since the call. It may have been on its way for any part of that time.
     pub fn max_age(&self, limit: Duration, now: Time) -> Option<Duration> {
         let sent_after = self.sent_after(now);
         let has_waited = |it: &Called| sent_after.since(it.at) >= IMMEDIATE_ANSWER;
-        let waited = self.called.filter(has_waited).map(|_| sent_after);
+        let waited = self.called.filter(has_waited).map(|it| it.at);
         let known_until = waited.max(self.proven_until);
         let age = now.since(known_until?);
         (age <= limit).then_some(age)
--- a/crates/forward/tests/feeds.rs
+++ b/crates/forward/tests/feeds.rs
@@ -24,7 +24,7 @@
     // An answer at once, and one to a call that waited.
     it.record_call(at(1_000), WAIT, Duration::ZERO);
     assert_eq!(age(it, 1_005), Some(905));
-    assert_eq!(age(it, 1_700), Some(0));
+    assert_eq!(age(it, 1_700), Some(700));
     it.record_complete(at(1_700), Provenance::Source);
     // The next call fails; what a later one brings may have been made at any time
     // since.
@@ -46,7 +46,7 @@
     it.record_complete(at(1_000), Provenance::Source);
     it.record_call(at(1_000), WAIT, late);
     assert_eq!(age(it, 1_900), Some(900));
-    assert_eq!(age(it, 2_200), Some(700));
+    assert_eq!(age(it, 2_200), Some(1_200));
     it.record_call(at(1_000), Duration::ZERO, late);
     assert_eq!(age(it, 2_200), Some(1_200));
 }
@@ -156,8 +156,9 @@
 const WAIT_MS: u64 = 2_000;
 
 /// Returns the time since which a change counts that the source acknowledges at
-/// `changed_at`, at a host that does not run in `stall`.
-fn known_since(changed_at: u64, stall: &std::ops::Range<u64>) -> u64 {
+/// `changed_at`, at a host that does not run in `stall`. The answer that tells of it is on
+/// its way for `late` longer than others.
+fn known_since(changed_at: u64, late: u64, stall: &std::ops::Range<u64>) -> u64 {
     let mut it = FeedProgress::default();
     it.record_complete(at(0), Provenance::Source);
     let (mut called, mut next_call, mut last_sign) = (None, PAUSE_MS, 0);
@@ -173,11 +174,11 @@
             }
             continue;
         };
-        if now >= changed_at.max(begun) + ANSWER_MS {
+        if now >= changed_at.max(begun) + ANSWER_MS + late {
             let age = it.max_age(Duration::from_secs(60), at(now)).expect("a known age");
             return now - age.as_millis() as u64;
         }
-        if now >= begun + WAIT_MS + ANSWER_MS {
+        if now >= begun + WAIT_MS + ANSWER_MS && changed_at > begun + WAIT_MS {
             it.record_complete(it.sent_after(at(now)), Provenance::Source);
             (called, next_call) = (None, now + PAUSE_MS);
         }
@@ -193,9 +194,22 @@
         for stalled_at in (10..7_000).step_by(97) {
             for stall_ms in [0, 150, 450, 700, 1_900] {
                 let stall = stalled_at..stalled_at + stall_ms;
-                let since = known_since(changed_at, &stall);
+                let since = known_since(changed_at, 0, &stall);
                 assert!(since <= changed_at + ANSWER_MS, "{changed_at} {stall:?}: {since}");
             }
         }
     }
 }
+
+/// Guards against requests to targets that left, as the answer that tells of it was long on
+/// its way: it is not known whether it is that or was held. The pause before the call
+/// remains, which is short for that reason.
+#[test]
+fn a_change_is_no_younger_than_the_pause_however_late_its_answer_comes() {
+    for changed_at in (20..7_000).step_by(31) {
+        for late in [150, 450, 700, 1_900] {
+            let since = known_since(changed_at, late, &(0..0));
+            assert!(since <= changed_at + PAUSE_MS + ANSWER_MS, "{changed_at} {late}: {since}");
+        }
+    }
+}
--- a/crates/front/src/follow/source.rs
+++ b/crates/front/src/follow/source.rs
@@ -11,6 +11,10 @@
 /// cost one call. A target that leaves stays usable for longer than this, and
 /// a crash is detected by the target's connections.
 const TARGETS_PAUSE: Duration = Duration::from_millis(1_000);
+/// Limit on the pause, as a share of the time for which a leaving target is used. A change
+/// that is made in the pause may count as younger by it.
+const PAUSE_SHARE: f64 = 0.2;
+
 const OPERATIONS_PAUSE: Duration = Duration::from_millis(250);
 
 /// Same as `TARGETS_PAUSE` if any service has a rate limit for cold targets,
@@ -55,7 +59,10 @@
     pub(super) fn pause(self, cx: &SharedCx) -> Duration {
         match self {
             Feed::Targets if cx.targets.borrow().limits_cold_targets() => COLD_TARGETS_PAUSE,
-            Feed::Targets => TARGETS_PAUSE,
+            Feed::Targets => {
+                let leaving_for = cx.targets.borrow().leaving_for();
+                TARGETS_PAUSE.min(leaving_for.mul_f64(PAUSE_SHARE))
+            }
             Feed::Operations => OPERATIONS_PAUSE,
         }
     }
--- a/crates/front/tests/gaps.rs
+++ b/crates/front/tests/gaps.rs
@@ -372,3 +372,31 @@
         assert!(is_gone);
     });
 }
+
+/// Guards against targets that are used too long as the answer that tells of their leave was on
+/// its way: it came within the limit of its call.
+#[test]
+fn a_target_is_used_no_longer_by_an_answer_that_was_long_on_its_way() {
+    run(async {
+        let one = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let source = Rc::new(ScriptedSource::default());
+        source.list(report("s", "t1", one.address));
+        source.list(report("other", "t2", one.address));
+        source.list(report("other", "t3", one.address));
+        let mut host =
+            TestHost::start_with(own_address(), Vec::new(), |it| it.source_recovery(RECOVERY * 4));
+        host.cx.set_limits(limits());
+        host.single(Repeat::Idempotent);
+        host.follow_targets(&source);
+        while status(&host.get("/one/x").await) != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        // A call waits.
+        sleep(Duration::from_millis(500)).await;
+        source.set_delay(Duration::from_millis(1_700));
+        source.remove("t1");
+        let left = tokio::time::Instant::now();
+        sleep_until(left + LEAVING_FOR + MARGIN).await;
+        assert_ne!(status(&host.get("/one/x").await), 200);
+    });
+}
