--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -186,7 +186,7 @@
 
     /// Returns the largest age that a change may have which an answer, read now, tells
     /// of; `None` if that is more than `limit`. The answer to a call that waited tells of
-    /// changes since the call. It may have been on its way for any part of that time.
+    /// changes since the call. Any part of that time may be network delay.
     pub fn max_age(&self, limit: Duration, now: Time) -> Option<Duration> {
         let sent_after = self.sent_after(now);
         let has_waited = |it: &Called| sent_after.since(it.at) >= IMMEDIATE_ANSWER;
--- a/crates/forward/tests/unknown_routes.rs
+++ b/crates/forward/tests/unknown_routes.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// Returns the time for which a call without news is held.
+/// Returns how long an origin waits before it answers a call without changes.
 fn wait_ms(host: usize) -> u64 {
     let wait = if host < READERS {
         CallLimits::new(RECOVERY).for_reader().wait
--- a/crates/front/tests/gaps.rs
+++ b/crates/front/tests/gaps.rs
@@ -352,7 +352,7 @@
             sleep(Duration::from_millis(20)).await;
         }
         // The source works off the next call for changes only after a list, which then is
-        // long on its way.
+        // delayed.
         source.hold_changes(Duration::from_millis(1_150));
         let lists = source.lists();
         source.set_list_delay(Duration::from_millis(750));
--- a/crates/front/tests/proper_requests.rs
+++ b/crates/front/tests/proper_requests.rs
@@ -1,5 +1,5 @@
-//! Proper requests in all the forms that callers may choose: none is turned away as if it
-//! were wrong.
+//! Proper requests in all the forms that callers may choose: none is refused as
+//! malformed.
 
 mod support;
 
--- a/crates/front/tests/support/source.rs
+++ b/crates/front/tests/support/source.rs
@@ -27,7 +27,7 @@
     is_unreachable: Cell<bool>,
     is_silent: Cell<bool>,
     is_cut_off: Cell<bool>,
-    /// Time that each answer is on its way.
+    /// Delay of each answer.
     delay: Cell<Duration>,
     /// Time for which the next call for changes is left lying.
     hold: Cell<Duration>,
