Put what the parts of front tell each other below them

Cause: callers, scatter, targets, relay and the context referred to each other in a circle: each had types that the others needed (`Event`, `Waiter`, `Collected` and `Note` in scatter; `Job`, `Outgoing`, `Outcome` and `TargetAnswer` in targets; `Relay` and `RelayOutcome` in relay), and `InForce` and the context needed each other.

Change: These types move, unchanged, to a module `messages` that refers to none of the others. `InForce` is plain data; `Cx::in_force` makes one. Nothing behaves differently.

The crate's tests pass.

Conclusion: A first step; the rest of the circle follows.

--- a/crates/front/src/callers/answer.rs
+++ b/crates/front/src/callers/answer.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 
 use super::read::strip_hop_headers;
-use crate::{HeaderNames, targets::TargetAnswer};
+use crate::{HeaderNames, messages::TargetAnswer};
 
 pub(crate) type Answer = Response<Full<Bytes>>;
 
--- a/crates/front/src/callers/head.rs
+++ b/crates/front/src/callers/head.rs
@@ -34,7 +34,7 @@
         return Err(Refusal::bad_request("the request has no id"));
     }
     let deadline = deadline(&head.headers, &names.deadline_ms)?;
-    let in_force = InForce::now(cx);
+    let in_force = cx.in_force();
     let entry = find_route(cx, in_force, head, deadline)?;
     let left = deadline.map_or(entry.route.timeout, |it| it.min(entry.route.timeout));
     if cx.in_progress.count() > MAX_REQUESTS_IN_PROGRESS {
--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/callers/log_line.rs
@@ -12,8 +12,7 @@
 use crate::{
     SharedCx,
     in_force::InForce,
-    scatter::{Collected, Note},
-    targets::Outgoing,
+    messages::{Collected, Note, Outgoing},
 };
 
 /// Values of a request's log line, taken before the answer consumes them.
@@ -103,7 +102,7 @@
 /// Logs a request that this tier refused.
 pub(crate) fn refused(cx: &SharedCx, id: &str, refusal: &Refusal) {
     cx.metrics.record_refusal(refusal.reason);
-    info!(cx.log, "request: refused"; InForce::now(cx), "id" => id, "status" => refusal.status.as_u16(),
+    info!(cx.log, "request: refused"; cx.in_force(), "id" => id, "status" => refusal.status.as_u16(),
         "reason" => refusal.reason, "inputs" => refusal.inputs.as_deref(),
         "retry_after_ms" => refusal.retry_after.map(|it| it.as_millis() as u64));
 }
--- a/crates/front/src/callers/request.rs
+++ b/crates/front/src/callers/request.rs
@@ -29,9 +29,9 @@
     SharedCx,
     in_force::InForce,
     isolation::{Unservable, check_servable, check_targets, needed_helpers},
-    relay::{self, Relay},
-    scatter::{Collected, scatter},
-    targets::Outgoing,
+    messages::{Collected, Outgoing, Relay},
+    relay,
+    scatter::scatter,
 };
 
 /// Time after which callers may retry while this host cannot serve them: it has
--- a/crates/front/src/configuration.rs
+++ b/crates/front/src/configuration.rs
@@ -10,6 +10,7 @@
 use crate::{
     Cx,
     follow::{Feed, Means, Received},
+    in_force::InForce,
 };
 
 impl Cx {
@@ -29,6 +30,12 @@
         self.change_logs.of(Feed::Operations).progress().provenance()
     }
 
+    /// Returns the configuration in force now, for log lines.
+    pub(crate) fn in_force(&self) -> InForce {
+        let age = self.configuration_age(self.clock.now());
+        InForce { version: self.version(), age, provenance: self.configuration_provenance() }
+    }
+
     /// Puts `cfg` of this program in force unless the same or a later version already is.
     pub fn apply_configuration(&self, cfg: &Configuration) {
         self.change_logs.of(Feed::Operations).update_progress(FeedProgress::record_local);
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -24,9 +24,8 @@
 use crate::{
     Clock, FrontSettings,
     follow::{ChangeLogs, Feed},
-    in_force::InForce,
+    messages::{Event, Waiter},
     relay::ShownVersion,
-    scatter::{Event, Waiter},
     targets::Pools,
 };
 
@@ -230,7 +229,7 @@
     pub(crate) fn encode_metrics(&self) -> Result<String, MetricsError> {
         let targets = self.targets.borrow();
         let follows = self.follows_targets.get() && self.follows_operations.get();
-        let in_force = InForce::now(self);
+        let in_force = self.in_force();
         self.metrics.set_gauge(FrontGauge::ConfigurationVersion, in_force.version);
         let age = in_force.age.unwrap_or_else(|| self.clock.uptime());
         self.metrics.set_gauge(FrontGauge::ConfigurationAge, age.as_millis() as u64);
--- a/crates/front/src/in_force.rs
+++ b/crates/front/src/in_force.rs
@@ -7,8 +7,6 @@
 use forward::Provenance;
 use slog::{KV, Record, Serializer};
 
-use crate::Cx;
-
 /// The configuration in force at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct InForce {
@@ -20,13 +18,6 @@
     pub provenance: Provenance,
 }
 
-impl InForce {
-    pub(crate) fn now(cx: &Cx) -> InForce {
-        let age = cx.configuration_age(cx.clock.now());
-        InForce { version: cx.version(), age, provenance: cx.configuration_provenance() }
-    }
-}
-
 impl KV for InForce {
     fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
         serializer.emit_u64("version", self.version)?;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod follow;
 mod in_force;
 mod isolation;
+mod messages;
 mod names;
 mod peer_keys;
 mod peers;
--- a/crates/front/src/scatter/event.rs
+++ b/crates/front/src/messages/event.rs
@@ -1,11 +1,12 @@
 //! Events that a running query receives, and its result.
 
 use base::TargetName;
-use forward::{Verdict, placement::Send};
+use bytes::Bytes;
+use forward::{Verdict, placement::Send, target::SendResult};
+use http::{HeaderMap, StatusCode};
 use tokio::sync::mpsc;
 
 use super::Note;
-use crate::targets::{Outcome, TargetAnswer};
 
 /// Event for a running query; `index` is the shard's position in its plan.
 #[derive(Debug)]
@@ -16,6 +17,21 @@
     Place { index: usize },
 }
 
+/// Outcome of a send.
+#[derive(Debug)]
+pub(crate) struct Outcome {
+    pub result: SendResult,
+    pub answer: Option<TargetAnswer>,
+}
+
+/// A target's answer, read completely.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
 /// A part that waits for a connection, with the channel that wakes its query.
 #[derive(Debug)]
 pub(crate) struct Waiter {
--- /dev/null
+++ b/crates/front/src/messages/outgoing.rs
@@ -0,0 +1,59 @@
+//! A request as it goes to targets or to another host.
+
+use std::{cell::Cell, rc::Rc};
+
+use base::Time;
+use bytes::Bytes;
+use forward::{placement::Send, suspects::Fingerprint};
+use http::{HeaderMap, Method, Uri};
+use tokio::sync::mpsc;
+
+use super::{Event, Relay};
+use crate::in_force::InForce;
+
+/// A request to one target, with the channel for its outcome.
+pub(crate) struct Job {
+    pub request: Rc<Outgoing>,
+    pub send: Send,
+    /// Position of the shard in the query.
+    pub index: usize,
+    pub tx: mpsc::UnboundedSender<Event>,
+}
+
+/// The request as sent to each target.
+pub(crate) struct Outgoing {
+    pub method: Method,
+    pub uri: Uri,
+    /// End-to-end headers of the caller.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Deadline of the request.
+    pub deadline: Time,
+    pub is_idempotent: bool,
+    /// Configuration by which the request is served.
+    pub in_force: InForce,
+    pub fingerprint: Fingerprint,
+    /// Set if the request is passed on to another host.
+    pub relay: Option<Relay>,
+    /// Whether the query has its verdict. Sends still in flight then run to
+    /// their end instead of being cancelled.
+    pub is_answered: Cell<bool>,
+}
+
+impl Outgoing {
+    /// Returns the same request, to be sent to targets from here.
+    pub(crate) fn without_relay(&self) -> Outgoing {
+        Outgoing {
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            deadline: self.deadline,
+            is_idempotent: self.is_idempotent,
+            in_force: self.in_force,
+            fingerprint: self.fingerprint,
+            relay: None,
+            is_answered: Cell::new(false),
+        }
+    }
+}
--- a/crates/front/src/relay/headers.rs
+++ b/crates/front/src/messages/relay.rs
@@ -59,22 +59,22 @@
 
 /// Adds the version by which the sender handled the request to its answer. Hosts of older
 /// builds let this field pass to the caller.
-pub(super) fn write_version(headers: &mut HeaderMap, version: u64) {
+pub(crate) fn write_version(headers: &mut HeaderMap, version: u64) {
     headers.insert(VERSION, HeaderValue::from(version));
 }
 
 /// Removes and returns the version by which the sender handled the request, if it says so.
-pub(super) fn take_version(headers: &mut HeaderMap) -> Option<u64> {
+pub(crate) fn take_version(headers: &mut HeaderMap) -> Option<u64> {
     headers.remove(VERSION)?.to_str().ok()?.parse().ok()
 }
 
 /// Adds the time that the sender took to its answer.
-pub(super) fn write_took(headers: &mut HeaderMap, took: Duration) {
+pub(crate) fn write_took(headers: &mut HeaderMap, took: Duration) {
     headers.insert(TOOK, HeaderValue::from(took.as_micros() as u64));
 }
 
 /// Removes and returns the time that the sender took.
-pub(super) fn take_took(headers: &mut HeaderMap) -> Option<Duration> {
+pub(crate) fn take_took(headers: &mut HeaderMap) -> Option<Duration> {
     let us = headers.remove(TOOK)?.to_str().ok()?.parse().ok()?;
     Some(Duration::from_micros(us))
 }
@@ -97,7 +97,7 @@
         }
     }
 
-    pub(super) fn write(self, headers: &mut HeaderMap) {
+    pub(crate) fn write(self, headers: &mut HeaderMap) {
         headers.insert(OUTCOME, HeaderValue::from_static(self.as_str()));
     }
 
@@ -109,7 +109,7 @@
         all.into_iter().find(|it| stated == it.as_str().as_bytes())
     }
 
-    pub(super) fn remove(headers: &mut HeaderMap) {
+    pub(crate) fn remove(headers: &mut HeaderMap) {
         headers.remove(OUTCOME);
     }
 }
--- a/crates/front/src/relay/answer.rs
+++ b/crates/front/src/relay/answer.rs
@@ -3,7 +3,6 @@
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 
-use super::{Relay, RelayOutcome, headers};
 use crate::{
     SharedCx,
     callers::{
@@ -13,6 +12,7 @@
         refusal::Refusal,
         request::{Origin, UNAVAILABLE_WAIT, implies_not_run, respond},
     },
+    messages::{Relay, RelayOutcome, relay},
 };
 
 /// Serves a request for another host. One that this host should not run is refused
@@ -39,8 +39,8 @@
         }
     };
     outcome.write(answer.headers_mut());
-    headers::write_version(answer.headers_mut(), version);
-    headers::write_took(answer.headers_mut(), cx.clock.now().since(started));
+    relay::write_version(answer.headers_mut(), version);
+    relay::write_took(answer.headers_mut(), cx.clock.now().since(started));
     if let Some(id) = id_header {
         answer.headers_mut().insert(cx.cfg.names.request_id.clone(), id);
     }
--- a/crates/front/src/relay/mod.rs
+++ b/crates/front/src/relay/mod.rs
@@ -8,13 +8,11 @@
 //! on targets.
 
 mod answer;
-mod headers;
 mod pass_on;
 mod shown;
 
 pub(crate) use self::{
     answer::answer,
-    headers::{Relay, RelayOutcome},
     pass_on::{has_responsive_host, pass_on, pass_on_to_helpers},
     shown::{ShownVersion, record_version},
 };
--- a/crates/front/src/relay/pass_on.rs
+++ b/crates/front/src/relay/pass_on.rs
@@ -11,7 +11,6 @@
 };
 use http::StatusCode;
 
-use super::{Relay, RelayOutcome, headers};
 use crate::{
     SharedCx,
     callers::{
@@ -20,8 +19,8 @@
         refusal::Refusal,
         request::{UNAVAILABLE_WAIT, implies_not_run, run_here},
     },
-    scatter::{Collected, scatter},
-    targets::{Outgoing, TargetAnswer},
+    messages::{Collected, Outgoing, Relay, RelayOutcome, TargetAnswer, relay},
+    scatter::scatter,
 };
 
 /// Passes a request on to one of `senders` and returns its answer. If none can be
@@ -118,7 +117,7 @@
 /// Records how long the request and the answer of the first sender were on the way.
 fn record_transit(cx: &SharedCx, collected: &mut Collected, passed_on: Time) {
     let answers = collected.parts.iter_mut().chain(&mut collected.failure);
-    let took = answers.filter_map(|it| headers::take_took(&mut it.headers)).last();
+    let took = answers.filter_map(|it| relay::take_took(&mut it.headers)).last();
     if let Some(took) = took.filter(|_| collected.notes.is_empty()) {
         let all = cx.clock.now().since(passed_on);
         cx.relay_transit.borrow_mut().record(all.saturating_sub(took));
--- a/crates/front/src/relay/shown.rs
+++ b/crates/front/src/relay/shown.rs
@@ -6,8 +6,7 @@
 use http::HeaderMap;
 use tokio::sync::{Notify, futures::Notified};
 
-use super::headers;
-use crate::SharedCx;
+use crate::{SharedCx, messages::relay};
 
 /// The latest version that callers of this host were shown by an answer of another host.
 #[derive(Debug)]
@@ -37,7 +36,7 @@
 
 /// Records the version that the answer of another host names, and removes it there.
 pub(crate) fn record_version(cx: &SharedCx, host: TargetKey, headers: &mut HeaderMap) {
-    let Some(version) = headers::take_version(headers) else { return };
+    let Some(version) = relay::take_version(headers) else { return };
     let address = cx.targets.borrow().target(host).map(|it| it.report.address);
     let Some(address) = address else { return };
     cx.peers.borrow_mut().record_version(address, version, cx.clock.now());
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -1,7 +1,6 @@
 //! Runs one query: passes its sends to connections, reports their results back
 //! to it, and collects its parts.
 
-mod event;
 mod notes;
 
 use std::rc::Rc;
@@ -18,12 +17,8 @@
 use crate::{
     SharedCx,
     callers::log_line::caller_left,
-    targets::{Job, Outcome, Outgoing, TargetAnswer, submit},
-};
-
-pub(crate) use self::{
-    event::{Collected, Event, Waiter},
-    notes::Note,
+    messages::{Collected, Event, Job, Note, Outcome, Outgoing, TargetAnswer, Waiter},
+    targets::submit,
 };
 
 struct Scatter<'a> {
--- a/crates/front/src/scatter/notes.rs
+++ b/crates/front/src/scatter/notes.rs
@@ -1,27 +1,13 @@
 //! Notes on failed sends and missing parts, for the log line of a request.
 
-use std::time::Duration;
-
-use base::{ServiceName, TargetName};
 use forward::{gather::PartState, placement::TargetKey};
 
 use super::Scatter;
+use crate::messages::Note;
 
 /// Limit on the notes kept for one request.
 const MAX_NOTES: usize = 12;
 
-/// A send that did not return a part, or a part that is missing.
-#[derive(Clone, Debug)]
-pub(crate) struct Note {
-    pub service: ServiceName,
-    pub target: Option<TargetName>,
-    pub reason: &'static str,
-    /// Number of targets that the part was sent to.
-    pub sends: usize,
-    /// Time since the request was received.
-    pub after: Duration,
-}
-
 impl Scatter<'_> {
     pub(super) fn record_note(
         &mut self,
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -18,8 +18,8 @@
     MessageKind, SharedCx,
     callers::{MAX_HEADER_FIELDS, accept},
     follow::{self, Feed},
-    relay::{self, Relay},
-    socket,
+    messages::Relay,
+    relay, socket,
 };
 
 pub(crate) async fn serve(cx: SharedCx, listener: TcpListener) {
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -12,12 +12,15 @@
 use tokio::{net::TcpStream, sync::mpsc};
 
 use super::{
-    Job, Outcome,
     exchange::exchange,
     finish,
     pool::{Assignment, Handle},
 };
-use crate::{SharedCx, socket};
+use crate::{
+    SharedCx,
+    messages::{Job, Outcome},
+    socket,
+};
 
 /// Limit on the time to connect to another host, which takes a round trip if it is
 /// in reach. The request then still has time for the next one.
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -16,7 +16,6 @@
 };
 
 use super::{
-    Job, Outcome, TargetAnswer,
     judge::{Verdict, judge},
     stated::{record_leaving, record_limit, record_pause, record_state},
 };
@@ -24,6 +23,7 @@
     SharedCx,
     body::{BodyLimits, read_body},
     callers::log_line::request_id,
+    messages::{Job, Outcome, TargetAnswer},
     relay,
 };
 
--- a/crates/front/src/targets/health.rs
+++ b/crates/front/src/targets/health.rs
@@ -8,8 +8,10 @@
 use http::{HeaderMap, HeaderValue, Method, Uri, header};
 use tokio::sync::mpsc;
 
-use super::{Job, Outgoing};
-use crate::{SharedCx, in_force::InForce};
+use crate::{
+    SharedCx,
+    messages::{Job, Outgoing},
+};
 
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -47,7 +49,7 @@
         body: Bytes::new(),
         deadline: cx.clock.now() + HEALTH_TIMEOUT,
         is_idempotent: true,
-        in_force: InForce::now(cx),
+        in_force: cx.in_force(),
         fingerprint: 0,
         relay: None,
         // No caller waits for the answer.
--- a/crates/front/src/targets/judge.rs
+++ b/crates/front/src/targets/judge.rs
@@ -8,8 +8,10 @@
 use forward::target::SendResult;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 
-use super::TargetAnswer;
-use crate::{HeaderNames, relay::RelayOutcome};
+use crate::{
+    HeaderNames,
+    messages::{RelayOutcome, TargetAnswer},
+};
 
 /// Verdict on an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/front/src/targets/pool.rs
+++ b/crates/front/src/targets/pool.rs
@@ -6,7 +6,7 @@
 use forward::placement::TargetKey;
 use tokio::{sync::mpsc, time::Instant};
 
-use super::Job;
+use crate::messages::Job;
 
 /// Limit on the idle time of a connection for a request that is not retried if it
 /// is lost: a non-idempotent one, or one that is passed on to another host. The
--- a/crates/front/src/targets/stated.rs
+++ b/crates/front/src/targets/stated.rs
@@ -7,8 +7,10 @@
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use slog::{debug, info};
 
-use super::{Job, TargetAnswer};
-use crate::SharedCx;
+use crate::{
+    SharedCx,
+    messages::{Job, TargetAnswer},
+};
 
 /// Value by which a target says that it leaves.
 const LEAVING: &[u8] = b"1";
