Make the modules of front refer to each other in one direction

Cause: the context had to know the follow of the feeds, relay and targets for the state that it holds of them, and they the context; callers started all parts and was called by those that serve other hosts; relay ran requests by callers, which passed them on by relay.

Change: code moves, none changes. Below the context: `feeds` (items, batches, the log of changes), `pool`, `shown_version`, beside `messages`. Above it: `answer` (answers and refusals), `log_line`, `query` (runs a request at targets), `peer_server` (the address for other hosts, with the requests passed on to it), `pages`, and `run`, which starts all parts. `accept` gets the log in place of the context.

--- a/crates/front/src/callers/refusal.rs
+++ b/crates/front/src/answer/refusal.rs
@@ -7,7 +7,11 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 
-use super::answer::Answer;
+use super::Answer;
+
+/// Time after which callers may retry while this host cannot serve them: it has
+/// no configuration, has reached its limit, or no target takes the request.
+pub(crate) const UNAVAILABLE_WAIT: Duration = Duration::from_millis(300);
 
 /// An error answer of this tier, as opposed to one forwarded from a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/front/src/callers/connection.rs
+++ b/crates/front/src/callers/connection.rs
@@ -63,18 +63,18 @@
 /// All open connections from callers to this host.
 #[derive(Debug)]
 #[derive(Default)]
-pub(super) struct Connections {
+pub(crate) struct Connections {
     states: RefCell<Vec<Rc<ConnectionState>>>,
 }
 
 impl Connections {
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.states.borrow().len()
     }
 
     /// Closes connections that exceed the idle or the header timeout, and those that were
     /// opened under a lower limit on heads.
-    pub(super) fn close_expired(&self, now: Time, limits: &CallerLimits) {
+    pub(crate) fn close_expired(&self, now: Time, limits: &CallerLimits) {
         let head_bytes = head_buffer_bytes(limits);
         for state in &*self.states.borrow() {
             match state.phase.get() {
@@ -145,7 +145,7 @@
 }
 
 /// Serves a caller's connection in a task of its own.
-pub(super) fn spawn(cx: &SharedCx, stream: TcpStream, connections: &Rc<Connections>) {
+pub(crate) fn spawn(cx: &SharedCx, stream: TcpStream, connections: &Rc<Connections>) {
     if let Err(err) = socket::set_options(&stream) {
         slog::debug!(cx.log, "front: cannot set socket options on a caller's connection";
             "error" => %err);
--- a/crates/front/src/callers/head.rs
+++ b/crates/front/src/callers/head.rs
@@ -6,8 +6,11 @@
 use forward::route::{ConfigurationView, RouteEntry, UnknownRoute};
 use http::{HeaderMap, HeaderName, StatusCode, header, request::Parts};
 
-use super::{refusal::Refusal, request::UNAVAILABLE_WAIT};
-use crate::{SharedCx, in_force::InForce};
+use crate::{
+    SharedCx,
+    answer::{Refusal, UNAVAILABLE_WAIT},
+    in_force::InForce,
+};
 
 /// Same as `UNAVAILABLE_WAIT` on a host that is stopping: other hosts serve at once.
 const STOPPING_WAIT: Duration = Duration::ZERO;
--- a/crates/front/src/callers/read.rs
+++ b/crates/front/src/callers/read.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{
-    HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, header, request::Parts, uri::Scheme,
-};
+use http::{HeaderMap, HeaderValue, StatusCode, Uri, header, request::Parts, uri::Scheme};
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
-use super::refusal::Refusal;
-use crate::body::{self, BodyError, BodyLimits};
+use crate::{
+    answer::Refusal,
+    body::{self, BodyError, BodyLimits},
+};
 
 /// Result of [`framing_fields`] for a head with both fields that state a body's
 /// length.
@@ -22,18 +22,6 @@
 /// Limit on the time in which the body of a refused request is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Headers that apply to one connection only.
-const HOP_HEADERS: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// Returns the bits of the fields in a piece of a head that state a body's
 /// length.
 pub(super) fn framing_fields(bytes: &[u8]) -> usize {
@@ -112,25 +100,3 @@
 fn too_large() -> Refusal {
     Refusal::closing(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
 }
-
-/// Removes headers that apply only to the connection on which the message was
-/// received, and `Content-Length`, which hyper sets for the body that is sent.
-pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
-    if headers.contains_key(header::CONNECTION) {
-        strip_named(headers);
-    }
-    for name in &HOP_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove(header::CONTENT_LENGTH);
-}
-
-/// Removes the headers listed in `Connection`.
-fn strip_named(headers: &mut HeaderMap) {
-    let values: Vec<HeaderValue> = headers.get_all(header::CONNECTION).iter().cloned().collect();
-    for value in values.iter().filter_map(|it| it.to_str().ok()) {
-        for name in value.split(',').map(str::trim) {
-            headers.remove(name);
-        }
-    }
-}
--- a/crates/front/src/callers/stop.rs
+++ b/crates/front/src/callers/stop.rs
@@ -10,11 +10,11 @@
     time::{sleep, timeout},
 };
 
-use super::{
-    LISTEN_BACKLOG, accept,
-    connection::{self, Connections, SHUTDOWN_IDLE_TIMEOUT},
+use super::connection::{self, Connections, SHUTDOWN_IDLE_TIMEOUT};
+use crate::{
+    SharedCx,
+    socket::{LISTEN_BACKLOG, accept},
 };
-use crate::SharedCx;
 
 /// Time without new connections after which the balancer is taken to have
 /// stopped sending callers. It may go on sending them while too few other hosts
@@ -24,7 +24,7 @@
 /// Time between two checks of open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-pub(super) async fn drain(cx: &SharedCx, callers: TcpListener, connections: &Rc<Connections>) {
+pub(crate) async fn drain(cx: &SharedCx, callers: TcpListener, connections: &Rc<Connections>) {
     let begun = cx.clock.now();
     let stop = Stop::new(begun, cx.cfg.shutdown_timeout);
     cx.begin_stop(stop);
@@ -32,7 +32,7 @@
     let mut last_accepted = begun;
     while cx.clock.now() < stop.accepts_until() {
         tokio::select! {
-            stream = accept(cx, &callers) => {
+            stream = accept(&cx.log, &callers) => {
                 last_accepted = cx.clock.now();
                 connection::spawn(cx, stream, connections);
             }
@@ -72,7 +72,7 @@
 /// Accepts the connections that wait for it.
 async fn accept_waiting(cx: &SharedCx, callers: &TcpListener, connections: &Rc<Connections>) {
     for _ in 0..LISTEN_BACKLOG {
-        let Ok(stream) = timeout(Duration::ZERO, accept(cx, callers)).await else { return };
+        let Ok(stream) = timeout(Duration::ZERO, accept(&cx.log, callers)).await else { return };
         connection::spawn(cx, stream, connections);
     }
 }
--- a/crates/front/src/configuration.rs
+++ b/crates/front/src/configuration.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Cx,
-    follow::{Feed, Means, Received},
+    feeds::{Feed, Means, Received},
     in_force::InForce,
 };
 
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -18,15 +18,15 @@
     target::SendResult,
 };
 use slog::{Logger, info, warn};
-use telemetry::{FrontGauge, FrontMetrics, metrics::MetricsError};
+use telemetry::{FrontMetrics, metrics::MetricsError};
 use tokio::sync::Notify;
 
 use crate::{
     Clock, FrontSettings,
-    follow::{ChangeLogs, Feed},
+    feeds::{ChangeLogs, Feed},
     messages::{Event, Waiter},
-    relay::ShownVersion,
-    targets::Pools,
+    pool::Pools,
+    shown_version::ShownVersion,
 };
 
 /// Reference-counted [`Cx`]; all tasks of a host run on one thread.
@@ -225,34 +225,6 @@
         self.stop.get().is_some()
     }
 
-    /// Updates the gauges and returns all metrics as text.
-    pub(crate) fn encode_metrics(&self) -> Result<String, MetricsError> {
-        let targets = self.targets.borrow();
-        let follows = self.follows_targets.get() && self.follows_operations.get();
-        let in_force = self.in_force();
-        self.metrics.set_gauge(FrontGauge::ConfigurationVersion, in_force.version);
-        let age = in_force.age.unwrap_or_else(|| self.clock.uptime());
-        self.metrics.set_gauge(FrontGauge::ConfigurationAge, age.as_millis() as u64);
-        self.metrics
-            .set_gauge(FrontGauge::Hosts, self.peers.borrow().count(self.clock.now()) as u64);
-        self.metrics.set_gauge(FrontGauge::Targets, targets.target_count() as u64);
-        self.metrics.set_gauge(FrontGauge::TargetsDown, targets.down_count() as u64);
-        self.metrics.set_gauge(FrontGauge::TargetsLimited, targets.limited_count() as u64);
-        let has_lost_targets = u64::from(targets.has_lost_targets());
-        self.metrics.set_gauge(FrontGauge::HasLostTargets, has_lost_targets);
-        self.metrics.set_gauge(FrontGauge::RequestsInProgress, self.in_progress.count() as u64);
-        self.metrics.set_gauge(FrontGauge::PartsWaiting, targets.waiting_count() as u64);
-        self.metrics.set_gauge(FrontGauge::IsReady, u64::from(self.is_ready()));
-        self.metrics.set_gauge(FrontGauge::FollowsSource, u64::from(follows));
-        let role = targets.sender_role();
-        let reads_source = self.change_logs.are_live();
-        self.metrics.set_gauge(FrontGauge::ReadsSource, u64::from(reads_source));
-        self.metrics.set_gauge(FrontGauge::Senders, role.senders as u64);
-        self.metrics.set_gauge(FrontGauge::IsSender, u64::from(role.is_sender));
-        self.metrics.set_gauge(FrontGauge::InvariantsBroken, base::invariant::broken_count());
-        self.metrics.encode()
-    }
-
     /// Wakes the next part that waits for a connection to `service`. Waiters
     /// whose query has ended are skipped.
     pub(crate) fn wake_waiting(&self, service: ServiceKey) {
--- a/crates/front/src/follow/change_log.rs
+++ b/crates/front/src/feeds/change_log.rs
@@ -85,13 +85,13 @@
 
 impl ChangeLog {
     /// Drops all changes; the feed was read completely at `revision`.
-    pub(super) fn restart(&self, revision: u64) {
+    pub(crate) fn restart(&self, revision: u64) {
         *self.state.borrow_mut() = State { start: revision, revision, ..State::default() };
         self.changed.notify_waiters();
     }
 
     /// Adds changes that lead to `revision` and are at most `age` old.
-    pub(super) fn push(&self, revision: u64, items: &[Item], age: Duration, now: Time) {
+    pub(crate) fn push(&self, revision: u64, items: &[Item], age: Duration, now: Time) {
         let mut state = self.state.borrow_mut();
         state.revision = state.revision.max(revision);
         if items.is_empty() {
@@ -108,7 +108,7 @@
         self.changed.notify_waiters();
     }
 
-    pub(super) fn set_live(&self, is_live: bool) {
+    pub(crate) fn set_live(&self, is_live: bool) {
         if self.is_live.replace(is_live) != is_live {
             self.changed.notify_waiters();
         }
@@ -137,17 +137,17 @@
         }
     }
 
-    pub(super) fn revision(&self) -> u64 {
+    pub(crate) fn revision(&self) -> u64 {
         self.state.borrow().revision
     }
 
     /// Completes at the next change of this log.
-    pub(super) fn changed(&self) -> Notified<'_> {
+    pub(crate) fn changed(&self) -> Notified<'_> {
         self.changed.notified()
     }
 
     /// Returns the changes after `revision`.
-    pub(super) fn after(&self, revision: u64, now: Time) -> Changes {
+    pub(crate) fn after(&self, revision: u64, now: Time) -> Changes {
         let state = self.state.borrow();
         if revision < state.start {
             return Changes::Gone;
--- /dev/null
+++ b/crates/front/src/feeds/mod.rs
@@ -0,0 +1,84 @@
+//! Feeds, their items, and where they come from, with the latest changes of each.
+
+mod change_log;
+mod received;
+
+use std::{future::Future, time::Duration};
+
+use base::{DomainName, TargetName};
+use forward::{Configuration, TargetReport};
+
+pub(crate) use self::{
+    change_log::{ChangeLogs, Changes},
+    received::{Means, Received},
+};
+
+/// A set of items that is read and followed as one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Feed {
+    Targets,
+    /// The configuration and evacuations.
+    Operations,
+}
+
+impl Feed {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Feed::Targets => "targets",
+            Feed::Operations => "operations",
+        }
+    }
+
+    pub(crate) fn from_str(name: &str) -> Option<Feed> {
+        [Feed::Targets, Feed::Operations].into_iter().find(|it| it.as_str() == name)
+    }
+}
+
+/// A decoded item of a feed.
+#[derive(Clone, Debug)]
+pub enum Item {
+    Target(TargetReport),
+    TargetRemoved(TargetName),
+    Configuration(Configuration),
+    Evacuated(DomainName),
+    EvacuationEnded(DomainName),
+}
+
+/// Items of a feed, all of them or those that changed, and the revision that
+/// includes them.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    pub items: Vec<Item>,
+    pub revision: u64,
+    /// Largest age of the changes, if the source states it.
+    pub age: Option<Duration>,
+    /// Time by which changes may be missing that are known at their origin: none for the
+    /// origin itself.
+    pub behind: Duration,
+}
+
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum SourceError {
+    #[error("the source no longer holds the requested history")]
+    HistoryGone,
+    #[error("the source is unavailable: {0}")]
+    Unavailable(String),
+    #[error("cannot read the source's data: {0}")]
+    Unreadable(String),
+}
+
+/// Publisher of the feeds. Implementations do not retry calls.
+pub trait Source {
+    /// Returns all items of a feed.
+    fn read(&self, feed: Feed) -> impl Future<Output = Result<Batch, SourceError>>;
+
+    /// Returns the items that changed after `revision` as soon as there are
+    /// any, or an empty batch after `wait`.
+    fn changes(
+        &self,
+        feed: Feed,
+        revision: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Batch, SourceError>>;
+}
--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -5,11 +5,11 @@
 use base::{HashSet, TargetName, Time};
 use forward::{FeedProgress, Reach, readers::Origin};
 
-use super::{
-    Batch, Feed, Item, Means, Received,
-    calls::{Answer, Call},
+use super::calls::{Answer, Call};
+use crate::{
+    SharedCx,
+    feeds::{Batch, Feed, Item, Means, Received},
 };
-use crate::SharedCx;
 
 /// Applies an answer unless a later one was; returns whether it did.
 pub(super) fn take(cx: &SharedCx, feed: Feed, origin: Origin, answer: Answer) -> bool {
--- a/crates/front/src/follow/calls.rs
+++ b/crates/front/src/follow/calls.rs
@@ -13,8 +13,10 @@
     time::{Instant, timeout, timeout_at},
 };
 
-use super::{Batch, Feed, Source, SourceError};
-use crate::Clock;
+use crate::{
+    Clock,
+    feeds::{Batch, Feed, Source, SourceError},
+};
 
 /// Limit on calls without an answer, the last one included.
 const MAX_OPEN: usize = 4;
--- a/crates/front/src/follow/host.rs
+++ b/crates/front/src/follow/host.rs
@@ -8,10 +8,11 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 
-use super::{Batch, Feed, Source, SourceError, wire};
+use super::wire;
 use crate::{
     MessageKind, PeerKeys,
     body::{BodyLimits, read_body},
+    feeds::{Batch, Feed, Source, SourceError},
     socket,
 };
 
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -12,12 +12,10 @@
 
 mod apply;
 mod calls;
-mod change_log;
+mod feed;
 mod host;
 mod origin;
-mod received;
 mod serve;
-mod source;
 #[cfg(test)]
 mod tests;
 mod wire;
@@ -36,19 +34,15 @@
 use rustc_hash::FxHasher;
 use tokio::time::{Instant, sleep};
 
-pub use self::source::{Batch, Feed, Item, Source, SourceError};
+pub(crate) use self::serve::answer;
 use self::{
     apply::take,
     calls::{Call, Calls},
     host::HostSource,
     origin::{FollowState, LostOrigins},
 };
-pub(crate) use self::{
-    change_log::ChangeLogs,
-    received::{Means, Received},
-    serve::answer,
-};
 use crate::SharedCx;
+pub use crate::feeds::{Batch, Feed, Item, Source, SourceError};
 
 /// Time that a reader may hold one call for changes of targets, and time beyond it after
 /// which any call has failed; short enough that the loss of a reader is noticed before
--- a/crates/front/src/follow/origin.rs
+++ b/crates/front/src/follow/origin.rs
@@ -12,8 +12,10 @@
 use slog::{info, warn};
 use tokio::time::{Instant, sleep};
 
-use super::{Feed, SourceError};
-use crate::SharedCx;
+use crate::{
+    SharedCx,
+    feeds::{Feed, SourceError},
+};
 
 /// Time for which a reader that failed is not asked again, and for which a source
 /// that failed is left to the readers.
--- a/crates/front/src/follow/serve.rs
+++ b/crates/front/src/follow/serve.rs
@@ -8,8 +8,11 @@
 use slog::warn;
 use tokio::time::{Instant, sleep_until};
 
-use super::{Batch, Feed, Item, change_log::Changes, wire};
-use crate::{MessageKind, SharedCx};
+use super::wire;
+use crate::{
+    MessageKind, SharedCx,
+    feeds::{Batch, Changes, Feed, Item},
+};
 
 /// Limit on the time that a host may have a call for changes held.
 const MAX_WAIT: Duration = Duration::from_secs(30);
--- a/crates/front/src/follow/wire.rs
+++ b/crates/front/src/follow/wire.rs
@@ -8,8 +8,10 @@
 use forward::{Configuration, TargetReport};
 use serde::{Deserialize, Serialize};
 
-use super::{Batch, Item};
-use crate::state::wire::{WireConfiguration, WireTarget};
+use crate::{
+    feeds::{Batch, Item},
+    state::wire::{WireConfiguration, WireTarget},
+};
 
 /// Wire format of a [`Batch`].
 #[derive(Debug)]
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -12,7 +12,7 @@
 };
 use slog::warn;
 
-use crate::{SharedCx, relay};
+use crate::SharedCx;
 
 /// Limit on the services listed when a route cannot be served.
 const MAX_LISTED_SERVICES: usize = 5;
@@ -137,7 +137,16 @@
     let is_needed = has_lost_targets
         || check_targets(cx, entry, now).is_err() && !entry.is_refused_by_helpers(now);
     let helpers = cx.targets.borrow().helpers().filter(|_| is_needed)?;
-    relay::has_responsive_host(cx, entry, helpers).then_some(helpers)
+    has_responsive_host(cx, entry, helpers).then_some(helpers)
+}
+
+/// Returns whether any of the hosts is expected to answer.
+pub(crate) fn has_responsive_host(cx: &SharedCx, entry: &RouteEntry, hosts: ServiceKey) -> bool {
+    let regions = &entry.route.regions;
+    let request =
+        PlacementRequest { service: hosts, class: entry.relay_class, tried: &[], regions };
+    let targets = cx.targets.borrow();
+    targets.has_responsive_target(&request, &cx.separated.borrow(), cx.clock.now())
 }
 
 /// Checks that a sender is in reach.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,33 +7,40 @@
 //! is read completely, and each answer is checked completely before its first
 //! byte is sent.
 
+mod answer;
 mod body;
 mod callers;
 mod clock;
 mod configuration;
 mod cx;
+mod feeds;
 pub mod follow;
 mod in_force;
 mod isolation;
+mod log_line;
 mod messages;
 mod names;
+mod pages;
 mod peer_keys;
+mod peer_server;
 mod peers;
+mod pool;
+mod query;
 mod relay;
 mod run;
 mod scatter;
 mod settings;
+mod shown_version;
 mod socket;
 mod state;
 mod targets;
 
 pub use crate::{
-    callers::{serve, serve_until},
     clock::Clock,
     cx::{Cx, SharedCx},
     names::HeaderNames,
     peer_keys::{MessageKind, PeerKeys, PeerKeysError},
-    run::run,
+    run::{run, serve, serve_until},
     settings::{FrontSettings, FrontSettingsBuilder},
     socket::connect,
 };
--- a/crates/front/src/callers/log_line.rs
+++ b/crates/front/src/log_line.rs
@@ -8,9 +8,9 @@
 use http::{HeaderMap, StatusCode};
 use slog::info;
 
-use super::refusal::Refusal;
 use crate::{
     SharedCx,
+    answer::Refusal,
     in_force::InForce,
     messages::{Collected, Note, Outgoing},
 };
--- a/crates/front/src/relay/answer.rs
+++ b/crates/front/src/peer_server/relayed.rs
@@ -5,19 +5,15 @@
 
 use crate::{
     SharedCx,
-    callers::{
-        answer::Answer,
-        log_line::{self, request_id},
-        read::discard,
-        refusal::Refusal,
-        request::{Origin, UNAVAILABLE_WAIT, implies_not_run, respond},
-    },
+    answer::{Answer, Refusal, UNAVAILABLE_WAIT, implies_not_run},
+    callers::{Origin, discard, respond},
+    log_line::{self, request_id},
     messages::{Relay, RelayOutcome, relay},
 };
 
 /// Serves a request for another host. One that this host should not run is refused
 /// as not run, so that it goes to another sender.
-pub(crate) async fn answer(cx: &SharedCx, relay: Relay, mut req: Request<Incoming>) -> Answer {
+pub(super) async fn answer(cx: &SharedCx, relay: Relay, mut req: Request<Incoming>) -> Answer {
     let _guard = cx.in_progress.enter();
     let (started, version) = (cx.clock.now(), cx.version());
     Relay::remove(req.headers_mut());
--- a/crates/front/src/targets/pool.rs
+++ b/crates/front/src/pool.rs
@@ -15,10 +15,10 @@
 
 /// Sends work to a connection's task. The connection closes when its handle is
 /// dropped.
-pub(super) type Handle = mpsc::UnboundedSender<Assignment>;
+pub(crate) type Handle = mpsc::UnboundedSender<Assignment>;
 
 /// Work for a connection, with the handle that returns it to the pool.
-pub(super) struct Assignment {
+pub(crate) struct Assignment {
     pub job: Job,
     pub handle: Handle,
 }
@@ -35,18 +35,18 @@
 }
 
 impl Pools {
-    pub(super) fn idle_count(&self, target: TargetKey) -> usize {
+    pub(crate) fn idle_count(&self, target: TargetKey) -> usize {
         self.idle.get(&target).map_or(0, Vec::len)
     }
 
-    pub(super) fn put(&mut self, target: TargetKey, handle: Handle) {
+    pub(crate) fn put(&mut self, target: TargetKey, handle: Handle) {
         let connection = IdleConnection { handle, since: Instant::now() };
         self.idle.entry(target).or_default().push(connection);
     }
 
     /// Assigns `job` to the most recently used idle connection of its target;
     /// returns it as an error if there is none that it may use.
-    pub(super) fn assign(&mut self, mut job: Job) -> Result<(), Job> {
+    pub(crate) fn assign(&mut self, mut job: Job) -> Result<(), Job> {
         let target = job.send.target;
         while let Some(connection) = self.take(target) {
             let must_be_fresh = !job.request.is_idempotent || job.request.relay.is_some();
@@ -63,7 +63,7 @@
     }
 
     /// Removes the target's connections whose tasks have ended.
-    pub(super) fn remove_closed(&mut self, target: TargetKey) {
+    pub(crate) fn remove_closed(&mut self, target: TargetKey) {
         let Some(idle) = self.idle.get_mut(&target) else { return };
         idle.retain(|it| !it.handle.is_closed());
         if idle.is_empty() {
--- a/crates/front/src/relay/pass_on.rs
+++ b/crates/front/src/relay.rs
@@ -1,25 +1,25 @@
-//! Passes requests on to senders.
+//! Requests that one host passes on to another, a sender, which sends them to
+//! targets.
+//!
+//! A request travels as one HTTP message on the address for other hosts, with the
+//! caller's own headers and body. Its answer is the caller's answer. A request is
+//! passed on to another sender only if the first one certainly did not run it: it
+//! could not be reached, or said so. The sender spends the attempts of the request
+//! on targets.
 
 use std::{rc::Rc, time::Duration};
 
 use base::Time;
-use forward::{
-    QueryPlan, Verdict,
-    gather::Schedule,
-    placement::{PlacementRequest, ServiceKey},
-    route::RouteEntry,
-};
+use forward::{QueryPlan, Verdict, gather::Schedule, placement::ServiceKey, route::RouteEntry};
 use http::StatusCode;
 
 use crate::{
     SharedCx,
-    callers::{
-        answer::{self, Answer},
-        log_line::LogLine,
-        refusal::Refusal,
-        request::{UNAVAILABLE_WAIT, implies_not_run, run_here},
-    },
+    answer::{self, Answer, Refusal, UNAVAILABLE_WAIT, implies_not_run},
+    isolation::has_responsive_host,
+    log_line::LogLine,
     messages::{Collected, Outgoing, Relay, RelayOutcome, TargetAnswer, relay},
+    query::run_here,
     scatter::scatter,
 };
 
@@ -105,15 +105,6 @@
     (Some(answered), request)
 }
 
-/// Returns whether any of the hosts is expected to answer.
-pub(crate) fn has_responsive_host(cx: &SharedCx, entry: &RouteEntry, hosts: ServiceKey) -> bool {
-    let regions = &entry.route.regions;
-    let request =
-        PlacementRequest { service: hosts, class: entry.relay_class, tried: &[], regions };
-    let targets = cx.targets.borrow();
-    targets.has_responsive_target(&request, &cx.separated.borrow(), cx.clock.now())
-}
-
 /// Records how long the request and the answer of the first sender were on the way.
 fn record_transit(cx: &SharedCx, collected: &mut Collected, passed_on: Time) {
     let answers = collected.parts.iter_mut().chain(&mut collected.failure);
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     SharedCx,
-    callers::log_line::caller_left,
+    log_line::caller_left,
     messages::{Collected, Event, Job, Note, Outcome, Outgoing, TargetAnswer, Waiter},
     targets::submit,
 };
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -17,7 +17,7 @@
 use crate::{
     MessageKind, SharedCx,
     body::{BodyError, BodyLimits, read_body},
-    follow::{Feed, Means, Received},
+    feeds::{Feed, Means, Received},
     socket,
 };
 
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -1,7 +1,6 @@
 //! Transfer of the configuration, targets and evacuations between hosts, so
 //! that a host that reaches neither the source nor a reader learns them from its
-//! peers. The address for other hosts is served here, with what hosts follow
-//! (`follow`) and pass on (`relay`).
+//! peers.
 //!
 //! A host that follows both feeds asks a peer only for a configuration that it is late to
 //! get. Otherwise it asks the peer with the newest configuration: at once if that is later
@@ -11,7 +10,7 @@
 mod serve;
 pub(crate) mod wire;
 
-pub(crate) use self::{learn::learn, serve::serve};
+pub(crate) use self::{learn::learn, serve::answer};
 
 /// What a host asks a peer for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -1,61 +1,19 @@
 //! Serves this host's state to peers.
 
-use std::convert::Infallible;
-
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
-use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
 use slog::warn;
-use tokio::net::{TcpListener, TcpStream};
 
 use super::{
     Part,
     wire::{WireConfiguration, WireState, WireTarget, WireUnlisted, ms},
 };
-use crate::{
-    MessageKind, SharedCx,
-    callers::{MAX_HEADER_FIELDS, accept},
-    follow::{self, Feed},
-    messages::Relay,
-    relay, socket,
-};
-
-pub(crate) async fn serve(cx: SharedCx, listener: TcpListener) {
-    loop {
-        let stream = accept(&cx, &listener).await;
-        tokio::task::spawn_local(answer(cx.clone(), stream));
-    }
-}
-
-async fn answer(cx: SharedCx, stream: TcpStream) {
-    if socket::set_options(&stream).is_err() {
-        return;
-    }
-    let service = service_fn(|req| {
-        let cx = cx.clone();
-        async move {
-            let relayed = Relay::read(req.headers(), cx.clock.now());
-            let answer = match relayed {
-                Some(relay) => relay::answer(&cx, relay, req).await,
-                None => match follow::answer(&cx, req.uri().path()).await {
-                    Some(answer) => answer,
-                    None => state(&cx, Part::of(req.uri().path())),
-                },
-            };
-            Ok::<_, Infallible>(answer)
-        }
-    });
-    // An error means that the peer closed the connection; it will retry.
-    let _ = http1::Builder::new()
-        .half_close(false)
-        .max_headers(MAX_HEADER_FIELDS)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-}
+use crate::{MessageKind, SharedCx, feeds::Feed};
 
-fn state(cx: &SharedCx, part: Part) -> Response<Full<Bytes>> {
+/// Returns the part of this host's state that `path` names.
+pub(crate) fn answer(cx: &SharedCx, path: &str) -> Response<Full<Bytes>> {
+    let part = Part::of(path);
     let mut answer = Response::new(Full::new(Bytes::new()));
     let encoded = {
         let cfg = cx.configuration.borrow();
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -11,14 +11,11 @@
 use slog::{info, warn};
 use tokio::{net::TcpStream, sync::mpsc};
 
-use super::{
-    exchange::exchange,
-    finish,
-    pool::{Assignment, Handle},
-};
+use super::{exchange::exchange, finish};
 use crate::{
     SharedCx,
     messages::{Job, Outcome},
+    pool::{Assignment, Handle},
     socket,
 };
 
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -17,14 +17,13 @@
 
 use super::{
     judge::{Verdict, judge},
-    stated::{record_leaving, record_limit, record_pause, record_state},
+    stated::{record_leaving, record_limit, record_pause, record_state, record_version},
 };
 use crate::{
     SharedCx,
     body::{BodyLimits, read_body},
-    callers::log_line::request_id,
+    log_line::request_id,
     messages::{Job, Outcome, TargetAnswer},
-    relay,
 };
 
 type TargetConnection = Connection<TokioIo<TcpStream>, Full<Bytes>>;
@@ -162,7 +161,7 @@
         Verdict::Forwardable(result) => (result, true),
     };
     if is_relayed {
-        relay::record_version(cx, job.send.target, &mut answer.headers);
+        record_version(cx, job.send.target, &mut answer.headers);
     } else {
         record_state(cx, job, &answer.headers);
         record_limit(cx, job, &answer.headers, result);
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -5,10 +5,9 @@
 mod exchange;
 mod health;
 mod judge;
-mod pool;
 mod stated;
 
-pub(crate) use self::{health::check_health, pool::Pools};
+pub(crate) use self::health::check_health;
 
 use forward::target::SendResult;
 
--- a/crates/front/src/targets/stated.rs
+++ b/crates/front/src/targets/stated.rs
@@ -1,15 +1,19 @@
 //! What targets state of themselves in the headers of their answers: load, warm-up, a
-//! limit of requests, a pause, and that they leave.
+//! limit of requests, a pause, and that they leave; and what other hosts state: the version
+//! of their configuration.
 
 use std::time::Duration;
 
-use forward::target::{ReportedLoad, SendResult};
+use forward::{
+    placement::TargetKey,
+    target::{ReportedLoad, SendResult},
+};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use slog::{debug, info};
 
 use crate::{
     SharedCx,
-    messages::{Job, TargetAnswer},
+    messages::{Job, TargetAnswer, relay},
 };
 
 /// Value by which a target says that it leaves.
@@ -105,6 +109,17 @@
     }
 }
 
+/// Records the version that the answer of another host names, and removes it there.
+pub(super) fn record_version(cx: &SharedCx, host: TargetKey, headers: &mut HeaderMap) {
+    let Some(version) = relay::take_version(headers) else { return };
+    let address = cx.targets.borrow().target(host).map(|it| it.report.address);
+    let Some(address) = address else { return };
+    cx.peers.borrow_mut().record_version(address, version, cx.clock.now());
+    if version > cx.version() {
+        cx.shown_version.record(version);
+    }
+}
+
 /// Returns the requests per second that a target takes.
 fn parse_limit(value: &HeaderValue) -> Option<f64> {
     let limit: f64 = value.to_str().ok()?.trim().parse().ok()?;
