Make the modules of owner refer to each other in one direction

Cause: the actor and the recorder took `OwnerCx` and `deliver` from the handle, which starts the actor.

Change: `OwnerCx` has a module of its own, and `deliver` stands with the actor. Nothing behaves differently.

The crate's tests pass.

--- a/crates/owner/src/actor/mod.rs
+++ b/crates/owner/src/actor/mod.rs
@@ -16,11 +16,7 @@
 };
 
 use self::connections::ConnectionTable;
-use crate::{
-    handle::{OwnerCx, deliver},
-    protocol::TargetProtocol,
-    recorder::Recorder,
-};
+use crate::{cx::OwnerCx, protocol::TargetProtocol, recorder::Recorder};
 
 /// Time between ticks while work is queued or in flight.
 const BUSY_TICK: Duration = Duration::from_millis(5);
@@ -211,3 +207,13 @@
         }
     }
 }
+
+/// Sends a part without blocking. If the channel is full, a task waits for
+/// space.
+pub(crate) fn deliver(parts: &mpsc::Sender<Part>, part: Part) {
+    let Err(mpsc::error::TrySendError::Full(part)) = parts.try_send(part) else { return };
+    let parts = parts.clone();
+    tokio::spawn(async move {
+        let _ = parts.send(part).await;
+    });
+}
--- a/crates/owner/src/handle.rs
+++ b/crates/owner/src/handle.rs
@@ -2,30 +2,20 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{AttemptId, HostName, Missing, Outcome, PoolName, RequestId, Share, TargetName, Time};
-use documents::{Configuration, model::PolicySettings};
+use base::{AttemptId, Missing, Outcome, PoolName, RequestId, Share, TargetName};
+use documents::Configuration;
 use policy::message::{Batch, Part, PartResult, Subquery, TargetStatus};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
-    actor::{Actor, Command},
+    actor::{Actor, Command, deliver},
+    cx::OwnerCx,
     protocol::{HttpProtocol, TargetProtocol},
 };
 
 /// Capacity of the actor's command queue. Batches that exceed it are refused.
 const MAX_QUEUED_COMMANDS: usize = 4_096;
 
-/// Settings and dependencies that the host passes to the owner.
-#[derive(Clone)]
-pub struct OwnerCx {
-    pub host: HostName,
-    pub policy: PolicySettings,
-    pub log: slog::Logger,
-    pub metrics: telemetry::Metrics,
-    pub clock: fn() -> Time,
-    pub seed: u64,
-}
-
 /// Handle of the owner's actor, which ends when the last handle is dropped.
 #[derive(Clone, Debug)]
 pub struct OwnerHandle {
@@ -99,16 +89,6 @@
     }
 }
 
-/// Sends a part without blocking. If the channel is full, a task waits for
-/// space.
-pub(crate) fn deliver(parts: &mpsc::Sender<Part>, part: Part) {
-    let Err(mpsc::error::TrySendError::Full(part)) = parts.try_send(part) else { return };
-    let parts = parts.clone();
-    tokio::spawn(async move {
-        let _ = parts.send(part).await;
-    });
-}
-
 fn refused_part(subquery: Subquery) -> Part {
     Part {
         attempt: subquery.attempt,
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -8,11 +8,13 @@
 //! before the first byte is sent, and that each subquery gets exactly one part.
 
 mod actor;
+mod cx;
 mod handle;
 mod protocol;
 mod recorder;
 
 pub use crate::{
-    handle::{OwnerCx, OwnerHandle},
+    cx::OwnerCx,
+    handle::OwnerHandle,
     protocol::{HttpConnection, HttpProtocol, ProtocolError, Query, TargetProtocol},
 };
--- a/crates/owner/src/recorder.rs
+++ b/crates/owner/src/recorder.rs
@@ -10,7 +10,7 @@
 use slog::{Logger, debug, info, o, warn};
 use telemetry::{Metrics, metrics::label};
 
-use crate::handle::OwnerCx;
+use crate::cx::OwnerCx;
 
 pub(crate) struct Recorder {
     log: Logger,
