Make the modules of entry refer to each other in one direction

Cause: the context held the requests in flight, the rounds of status calls and the recent requests of modules that themselves use the context, and had the function `lock` that all of them use.

Change: `lock`, `in_flight` and `rounds` (when status calls are due, formerly in `learn`) are modules below the context. Nothing behaves differently.

The crate's tests pass.

--- a/crates/entry/src/cx/builder.rs
+++ b/crates/entry/src/cx/builder.rs
@@ -11,10 +11,10 @@
 
 use super::{EntryCx, Inner};
 use crate::{
-    execute::{Executions, InFlight},
+    in_flight::{Executions, InFlight},
     interfaces::{Owners, State},
-    learn::Learning,
     recent::RecentRequests,
+    rounds::Learning,
 };
 
 /// Builds an [`EntryCx`].
--- a/crates/entry/src/cx/mod.rs
+++ b/crates/entry/src/cx/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -20,10 +20,11 @@
 use tokio::{sync::Notify, time};
 
 use crate::{
-    execute::{Executions, InFlight},
+    in_flight::{Executions, InFlight},
     interfaces::{Owners, State},
-    learn::Learning,
+    lock::lock,
     recent::RecentRequests,
+    rounds::Learning,
 };
 
 pub use self::builder::EntryBuilder;
@@ -208,10 +209,3 @@
         Some((route.primary, route.standby))
     }
 }
-
-/// Locks `mutex`, also after a panic of another holder. The data is still
-/// consistent then: each critical section is a single step of a state machine
-/// that reports broken invariants itself.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/entry/src/entropy/mod.rs
+++ b/crates/entry/src/entropy/mod.rs
@@ -8,7 +8,7 @@
     rngs::{SmallRng, StdRng},
 };
 
-use crate::cx::lock;
+use crate::lock::lock;
 
 static RNG: LazyLock<Mutex<StdRng>> = LazyLock::new(|| Mutex::new(StdRng::from_os_rng()));
 
--- a/crates/entry/src/execute/mod.rs
+++ b/crates/entry/src/execute/mod.rs
@@ -4,7 +4,6 @@
 //! to another host interrupts it. Requests that present its ticket meanwhile wait
 //! for its recorded reply.
 
-mod in_flight;
 mod run;
 
 use std::time::Duration;
@@ -23,8 +22,6 @@
     interfaces::{LinkError, Owners, State},
 };
 
-pub(crate) use self::in_flight::{Executions, InFlight, InFlightGuard};
-
 /// Time allowed for a minter's reply to arrive after the deadline of the run.
 const REDEEM_MARGIN: Duration = Duration::from_millis(20);
 
--- a/crates/entry/src/execute/run.rs
+++ b/crates/entry/src/execute/run.rs
@@ -7,11 +7,11 @@
 };
 use slog::info;
 
-use super::InFlightGuard;
 use crate::{
     cx::{EntryCx, PoolViews},
     filter,
     http::{self, Reply},
+    in_flight::InFlightGuard,
     interfaces::{Owners, State},
     scatter,
     wire::AnswerBody,
--- a/crates/entry/src/filter/mod.rs
+++ b/crates/entry/src/filter/mod.rs
@@ -17,9 +17,9 @@
 
 use crate::{
     cx::{EntryCx, PoolViews},
-    execute::InFlightGuard,
     fingerprint::request_fingerprint,
     http,
+    in_flight::InFlightGuard,
     interfaces::{Owners, State},
 };
 
--- a/crates/entry/src/execute/in_flight.rs
+++ b/crates/entry/src/in_flight/mod.rs
@@ -6,7 +6,7 @@
 use base::{HashMap, ServiceName};
 use tokio::sync::watch;
 
-use crate::cx::lock;
+use crate::lock::lock;
 
 /// Runs of tickets that are in flight, by ticket secret.
 #[derive(Debug, Default)]
--- a/crates/entry/src/learn/mod.rs
+++ b/crates/entry/src/learn/mod.rs
@@ -4,31 +4,23 @@
 //! the last known status, and start a new round of status calls in the background
 //! once it is old. Owners in other failure domains are polled less often.
 
-use std::{sync::Mutex, time::Duration};
+use std::time::Duration;
 
-use base::{HashMap, HashSet, HostName, PoolName, Time};
+use base::{HashSet, HostName, PoolName, Time};
 use documents::{Configuration, Target};
 use futures::{StreamExt, stream::FuturesUnordered};
 use policy::request::{Pin, PoolView, choose_snapshot};
 use tokio::{sync::watch, time};
 
 use crate::{
-    cx::{EntryCx, PoolViews, lock},
+    cx::{EntryCx, PoolViews},
     interfaces::{Owners, State},
+    lock::lock,
+    rounds::{Due, INITIAL_INTERVAL, Knowledge, Progress, REMOTE_INTERVAL, Rounds},
 };
 
-/// Minimum interval between rounds for targets in this failure domain while all
-/// shards can be served.
-const LOCAL_INTERVAL: Duration = Duration::from_secs(1);
-/// Minimum interval between rounds for targets in other failure domains while all
-/// shards can be served.
-const REMOTE_INTERVAL: Duration = Duration::from_secs(4);
 /// Minimum average time between status calls to owners in other failure domains.
 const REMOTE_STATUS_SPACING: Duration = Duration::from_millis(250);
-/// Minimum interval between rounds while some shard cannot be served.
-const URGENT_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum interval between rounds while no snapshot is known.
-const INITIAL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum time for which unknown targets delay the readiness of a starting
 /// host.
 const READINESS_TIMEOUT: Duration = Duration::from_secs(10);
@@ -37,46 +29,6 @@
 /// Timeout of one status call to an owner.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Rounds of status calls, by pool.
-#[derive(Debug, Default)]
-pub(crate) struct Learning {
-    pools: Mutex<HashMap<PoolName, Rounds>>,
-}
-
-#[derive(Debug)]
-struct Rounds {
-    local_at: Option<Time>,
-    remote_at: Option<Time>,
-    /// Grows with the number of owners polled, which bounds the rate of calls.
-    remote_interval: Duration,
-    /// Changes with each owner's reply and at the end of a round.
-    progress: watch::Sender<Progress>,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Progress {
-    replies: u64,
-    ended_rounds: u64,
-}
-
-/// How many shards of a pool can be served, in ascending order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Knowledge {
-    None,
-    /// Some shards can be served.
-    Partial,
-    Complete,
-}
-
-/// Status calls that are due.
-#[derive(Clone, Copy, Debug, Default)]
-struct Due {
-    local: bool,
-    remote: bool,
-    /// Targets whose status is younger than this need no status call.
-    fresh_for: Duration,
-}
-
 /// Starts rounds that are due, and waits if too few shards can be served by what
 /// is known, for at most half of the time until `deadline`.
 pub(crate) async fn ensure_targets_known<S: State, O: Owners>(
@@ -242,35 +194,3 @@
     }
     !status.is_empty()
 }
-
-impl Rounds {
-    fn new() -> Self {
-        let (progress, _) = watch::channel(Progress::default());
-        Rounds { local_at: None, remote_at: None, remote_interval: REMOTE_INTERVAL, progress }
-    }
-
-    fn take_due(&mut self, now: Time, knowledge: Knowledge) -> Due {
-        let (local, remote) = match knowledge {
-            Knowledge::Complete => (LOCAL_INTERVAL, self.remote_interval),
-            Knowledge::Partial => (URGENT_INTERVAL, URGENT_INTERVAL),
-            Knowledge::None => (INITIAL_INTERVAL, INITIAL_INTERVAL),
-        };
-        let fresh_for = local.saturating_sub(URGENT_INTERVAL);
-        let due = Due {
-            fresh_for,
-            local: is_due(self.local_at, now, local),
-            remote: is_due(self.remote_at, now, remote),
-        };
-        if due.local {
-            self.local_at = Some(now);
-        }
-        if due.remote {
-            self.remote_at = Some(now);
-        }
-        due
-    }
-}
-
-fn is_due(last: Option<Time>, now: Time, interval: Duration) -> bool {
-    last.is_none_or(|it| now.since(it) >= interval)
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,9 +13,12 @@
 mod filter;
 mod fingerprint;
 mod http;
+mod in_flight;
 pub mod interfaces;
 mod learn;
+mod lock;
 mod recent;
+mod rounds;
 mod scatter;
 mod wire;
 
--- a/crates/entry/src/recent/mod.rs
+++ b/crates/entry/src/recent/mod.rs
@@ -10,7 +10,7 @@
 use base::{AttemptId, HashMap, Outcome, Reason, RequestId, ServiceName, ShardId, Snapshot, Time};
 use policy::request::{Attempt, Coverage, Query, Verdict};
 
-use crate::cx::lock;
+use crate::lock::lock;
 
 /// Maximum number of finished requests that are kept.
 const MAX_DECISIONS: usize = 256;
