--- a/crates/fleet/src/assignment/mod.rs
+++ b/crates/fleet/src/assignment/mod.rs
@@ -14,15 +14,12 @@
     groups::{Group, Groups},
     voters::{ADMISSION_GROUP, VoterSets, Voters, admission_voters},
 };
+pub use crate::message::GroupId;
 use crate::{
     hash,
     membership::{Table, host_hash},
 };
 
-/// Identifies a group of targets that are assigned together.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct GroupId(pub u64);
-
 /// Hosts that a group is assigned to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Route {
--- a/crates/fleet/src/configuration/mod.rs
+++ b/crates/fleet/src/configuration/mod.rs
@@ -9,6 +9,7 @@
 mod reader;
 mod store;
 
+pub use self::reader::IndexEntry;
 pub(crate) use self::{
     reader::{Rate, Reader, Request},
     store::Store,
--- a/crates/fleet/src/configuration/reader.rs
+++ b/crates/fleet/src/configuration/reader.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, rngs::SmallRng};
 
 use super::Store;
-use crate::{message::DocumentRecord, node::IndexEntry};
+use crate::message::DocumentRecord;
 
 /// Time for which a watcher's long poll waits for changes; short, because a
 /// connection may become silent during the poll.
@@ -37,6 +37,14 @@
 /// Maximum number of unused calls that accumulate for a burst.
 const BURST_CALLS: f64 = 8.0;
 
+/// An entry of the platform's index of documents.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IndexEntry {
+    pub key: Arc<str>,
+    pub revision: Revision,
+    pub is_deleted: bool,
+}
+
 /// Determines whether and how often this host calls the platform.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Rate {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,8 +20,9 @@
 mod hash;
 
 pub use crate::{
+    configuration::IndexEntry,
     membership::{Member, MemberState},
     message::Message,
-    node::{Action, IndexEntry, Input, ListedHost, Node, NotReady},
+    node::{Action, Input, ListedHost, Node, NotReady},
     settings::{NodeSettings, NodeSettingsBuilder},
 };
--- a/crates/fleet/src/membership/mod.rs
+++ b/crates/fleet/src/membership/mod.rs
@@ -19,25 +19,11 @@
     probe::{Probe, Prober},
     table::{Table, host_hash, placeholder},
 };
+pub use crate::message::MemberState;
 
 /// Time between two probes that a host sends within its domain.
 pub const PROBE_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
 
-/// State of a host. Among records of the same incarnation and epoch, a later
-/// state supersedes an earlier one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum MemberState {
-    Alive,
-    /// Does not answer probes; still counted as running.
-    Suspect,
-    /// Did not refute the suspicion in time, or was never reached.
-    Dead,
-    /// Announced that it left.
-    Left,
-    /// Ended long ago; no longer counted among the voters. Kept as a tombstone.
-    Forgotten,
-}
-
 /// A host as known to this node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
--- a/crates/fleet/src/message/mod.rs
+++ b/crates/fleet/src/message/mod.rs
@@ -8,8 +8,6 @@
 
 use base::{DomainName, HostName, Incarnation, Revision};
 
-use crate::{assignment::GroupId, membership::MemberState};
-
 /// Maximum number of membership records in one datagram.
 pub const MAX_RECORDS_PER_DATAGRAM: usize = 8;
 
@@ -111,6 +109,21 @@
     pub revisions: Vec<HostRevision>,
 }
 
+/// State of a host. Among records of the same incarnation and epoch, a later
+/// state supersedes an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MemberState {
+    Alive,
+    /// Does not answer probes; still counted as running.
+    Suspect,
+    /// Did not refute the suspicion in time, or was never reached.
+    Dead,
+    /// Announced that it left.
+    Left,
+    /// Ended long ago; no longer counted among the voters. Kept as a tombstone.
+    Forgotten,
+}
+
 /// State of one host as known to the sender. Supersedes records of the same
 /// host with a lower (incarnation, epoch, state).
 #[derive(Clone, Debug, PartialEq)]
@@ -169,6 +182,10 @@
     pub text: Option<Arc<str>>,
 }
 
+/// Identifies a group of targets that are assigned together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct GroupId(pub u64);
+
 /// One of the two rights to a group of targets. The shares of the two rights
 /// are disjoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/fleet/src/node/api.rs
+++ b/crates/fleet/src/node/api.rs
@@ -4,7 +4,7 @@
 
 use base::{DomainName, HostName, Revision};
 
-use crate::message::Message;
+use crate::{configuration::IndexEntry, message::Message};
 
 /// Event that the driver reports to the node.
 #[derive(Clone, Debug)]
@@ -57,14 +57,6 @@
     Left,
 }
 
-/// An entry of the platform's index of documents.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct IndexEntry {
-    pub key: Arc<str>,
-    pub revision: Revision,
-    pub is_deleted: bool,
-}
-
 /// Entry of the platform's list of hosts, which may lag.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedHost {
--- a/crates/fleet/src/node/mod.rs
+++ b/crates/fleet/src/node/mod.rs
@@ -12,7 +12,7 @@
 use documents::Configuration;
 use rand::{SeedableRng, rngs::SmallRng};
 
-pub use self::api::{Action, IndexEntry, Input, ListedHost, NotReady};
+pub use self::api::{Action, Input, ListedHost, NotReady};
 use self::{admission::Admission, configuration::PullState, rights::Rights};
 use crate::{
     assignment::{Groups, Routes},
--- a/crates/peer/src/links/link.rs
+++ b/crates/peer/src/links/link.rs
@@ -22,8 +22,7 @@
 use crate::{
     generated::peer_capnp::{gate, host},
     identity::Identity,
-    server::message_limits,
-    wire,
+    wire::{self, message_limits},
 };
 
 /// Time limit for opening a link, including the handshake.
--- a/crates/peer/src/server/mod.rs
+++ b/crates/peer/src/server/mod.rs
@@ -19,15 +19,11 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use self::gate::Gate;
-use crate::{generated::peer_capnp, identity::Identity};
+use crate::{generated::peer_capnp, identity::Identity, wire::message_limits};
 
 /// Maximum number of accepted links that are open at once.
 const MAX_LINKS: usize = 4_096;
 
-/// Largest message, in words of 8 bytes; bounds the memory that a peer can make
-/// this host use.
-const MAX_MESSAGE_WORDS: usize = 4 << 20;
-
 /// Handles the calls that peers make to this host.
 pub trait HostService: Clone + Send + 'static {
     /// Runs a batch and sends exactly one part for each subquery to `parts`.
@@ -106,11 +102,3 @@
     let client: peer_capnp::gate::Client = capnp_rpc::new_client(gate);
     RpcSystem::new(Box::new(network), Some(client.client)).await
 }
-
-/// Returns the limits for reading a message from a peer.
-pub(crate) fn message_limits() -> capnp::message::ReaderOptions {
-    let mut limits = capnp::message::ReaderOptions::new();
-    limits.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
-    limits.nesting_limit(16);
-    limits
-}
--- a/crates/peer/src/wire/fleet/mod.rs
+++ b/crates/peer/src/wire/fleet/mod.rs
@@ -10,8 +10,8 @@
 use capnp::{message, serialize_packed};
 use fleet::{Message, message::Body};
 
-use super::{Result, malformed, name, text};
-use crate::{generated::fleet_capnp::message as wire, server::message_limits};
+use super::{Result, malformed, message_limits, name, text};
+use crate::generated::fleet_capnp::message as wire;
 
 /// Appends a fleet message to `buf`.
 pub(crate) fn encode(buf: &mut Vec<u8>, it: &Message) {
--- a/crates/peer/src/wire/mod.rs
+++ b/crates/peer/src/wire/mod.rs
@@ -27,6 +27,18 @@
 /// Largest body accepted from a peer, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 8 << 20;
 
+/// Largest message, in words of 8 bytes; bounds the memory that a peer can make
+/// this host use.
+const MAX_MESSAGE_WORDS: usize = 4 << 20;
+
+/// Returns the limits for reading a message from a peer.
+pub(crate) fn message_limits() -> capnp::message::ReaderOptions {
+    let mut limits = capnp::message::ReaderOptions::new();
+    limits.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    limits.nesting_limit(16);
+    limits
+}
+
 pub(crate) fn malformed(what: &str) -> capnp::Error {
     capnp::Error::failed(format!("malformed message: {what}"))
 }
--- a/crates/peer/src/wire/suspects.rs
+++ b/crates/peer/src/wire/suspects.rs
@@ -6,11 +6,8 @@
 use capnp::{message, serialize_packed};
 use policy::request::{Death, SuspectNote};
 
-use super::{Result, micros, name};
-use crate::{
-    generated::peer_capnp::{death, suspect_note, suspect_notes},
-    server::message_limits,
-};
+use super::{Result, message_limits, micros, name};
+use crate::generated::peer_capnp::{death, suspect_note, suspect_notes};
 
 /// Appends notes to `buf`.
 pub(crate) fn encode(buf: &mut Vec<u8>, notes: &[SuspectNote]) {
--- a/crates/telemetry/src/exporter.rs
+++ b/crates/telemetry/src/exporter.rs
@@ -6,11 +6,18 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::metrics::MetricsError;
-
 /// OpenTelemetry instrumentation scope of all instruments.
 const INSTRUMENTATION_SCOPE: &str = "godwityard";
 
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum MetricsError {
+    #[error("cannot start the metrics exporter: {0}")]
+    Exporter(String),
+    #[error("cannot encode the metrics: {0}")]
+    Encoding(String),
+}
+
 #[derive(Clone)]
 pub(crate) struct Exporter {
     registry: Registry,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::exporter::Exporter;
+pub use crate::exporter::MetricsError;
 
 /// Bucket bounds of latency histograms, in milliseconds.
 pub(crate) const LATENCY_BOUNDS_MS: [f64; 14] =
@@ -39,15 +40,6 @@
     pub invariants_broken: Gauge<u64>,
 }
 
-#[derive(Debug)]
-#[derive(thiserror::Error)]
-pub enum MetricsError {
-    #[error("cannot start the metrics exporter: {0}")]
-    Exporter(String),
-    #[error("cannot encode the metrics: {0}")]
-    Encoding(String),
-}
-
 impl Metrics {
     pub fn new() -> Result<Self, MetricsError> {
         let exporter = Exporter::new()?;
