Play in the soak what targets state in their answers

The record has each arrival at a target with its connection, by which a host is told, health checks included. DRAIN counts a request that a client sent later than `drain_ms` after its host had passed such an answer on, until a restart or freeze; what only a refusal told is suspected. BUDGET counts more than two arrivals in a pause, from half a second on. A host's path to the store is a place of its own, as its cut excuses the one and not the other.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -112,7 +112,7 @@
     /// length of a run, 15 to 600
     #[argh(option, default = "60")]
     seconds: u64,
-    /// what happens: changes, silence, late, readers, stops, mixed
+    /// what happens: changes, silence, late, readers, stops, stated, mixed
     #[argh(option, default = "soak::Days::Mixed")]
     days: soak::Days,
     /// quota of a core for each host, such as 0.25
--- a/xtask/src/soak/judge/contact.rs
+++ b/xtask/src/soak/judge/contact.rs
@@ -25,12 +25,24 @@
 
     /// Returns whether a host itself, and its path to the store, were undisturbed.
     pub fn is_host_calm(&self, host: HostIndex, from: Duration, until: Duration) -> bool {
-        self.is_free(from, until, |it| it == Place::Host(host))
+        self.is_free(from, until, |it| it == Place::Host(host) || it == Place::StorePath(host))
     }
 
     /// Returns whether no host was disturbed.
     pub fn are_hosts_calm(&self, from: Duration, until: Duration) -> bool {
-        self.is_free(from, until, |it| matches!(it, Place::Host(_)))
+        self.is_free(from, until, |it| matches!(it, Place::Host(_) | Place::StorePath(_)))
+    }
+
+    /// Returns whether the process of a host was neither stopped, killed nor frozen.
+    pub fn has_run(&self, host: HostIndex, from: Duration, until: Duration) -> bool {
+        self.is_undisturbed(from, until, |it| it == Place::Host(host))
+    }
+
+    /// Returns whether the process of a host has run, and its path to the store was whole.
+    pub fn has_run_with_store(&self, host: HostIndex, from: Duration, until: Duration) -> bool {
+        self.is_undisturbed(from, until, |it| {
+            it == Place::Host(host) || it == Place::StorePath(host)
+        })
     }
 
     /// Returns whether the store was neither down nor slow and lost no answers.
@@ -54,7 +66,15 @@
     }
 
     fn is_free(&self, from: Duration, until: Duration, is_meant: impl Fn(Place) -> bool) -> bool {
-        let from = from.saturating_sub(Bounds::CONTACT);
+        self.is_undisturbed(from.saturating_sub(Bounds::CONTACT), until, is_meant)
+    }
+
+    fn is_undisturbed(
+        &self,
+        from: Duration,
+        until: Duration,
+        is_meant: impl Fn(Place) -> bool,
+    ) -> bool {
         !self.disruptions.iter().any(|it| is_meant(it.place) && overlaps(it, from, until))
     }
 }
--- a/xtask/src/soak/judge/mod.rs
+++ b/xtask/src/soak/judge/mod.rs
@@ -2,7 +2,7 @@
 //! host and by which request. Reads what clients, targets and the store saw, never what
 //! hosts say of themselves.
 //!
-//! Not judged are the rules on budgets, on cold targets, on evacuations and on places,
+//! Not judged are the rules on budgets but for pauses, on cold targets, on evacuations and on places,
 //! CONFIG where it concerns times, and LOST beside a change of the configuration.
 
 mod added;
@@ -10,7 +10,10 @@
 mod configuration;
 mod contact;
 mod drain;
+mod leaving;
 mod lost;
+mod pauses;
+mod senders;
 #[cfg(test)]
 mod tests;
 
@@ -18,7 +21,7 @@
 
 use base::HashMap;
 
-use self::contact::Contact;
+use self::{contact::Contact, senders::Senders};
 use super::record::{Attempt, AttemptEnd, HostEvent, HostIndex, Record, Run};
 
 /// A rule of the platform.
@@ -34,6 +37,10 @@
     Denied,
     /// A request reached a target that had left.
     Drain,
+    /// A request reached a target that had said in an answer that it leaves.
+    Leaving,
+    /// Requests reached a target in a pause for which it had asked.
+    Pause,
     /// An accepted request got no answer.
     Lost,
     /// An answer is not the target's, or not to this request.
@@ -74,6 +81,7 @@
     record: &'a Record,
     contact: Contact<'a>,
     runs: HashMap<&'a str, Vec<&'a Run>>,
+    senders: Senders<'a>,
 }
 
 impl<'a> Evidence<'a> {
@@ -82,7 +90,8 @@
         for run in &record.runs {
             runs.entry(&run.id).or_default().push(run);
         }
-        Evidence { record, contact: Contact::new(&record.disruptions), runs }
+        let (contact, senders) = (Contact::new(&record.disruptions), Senders::new(record));
+        Evidence { record, contact, runs, senders }
     }
 
     fn runs(&self, attempt: &Attempt) -> &[&'a Run] {
@@ -97,6 +106,8 @@
     findings.extend(configuration::judge_regress(&evidence));
     findings.extend(added::judge(&evidence));
     findings.extend(drain::judge(&evidence));
+    findings.extend(leaving::judge(&evidence));
+    findings.extend(pauses::judge(&evidence));
     findings.extend(lost::judge(&evidence));
     findings.extend(answers::judge(&evidence));
     findings.extend(own_ends(record));
@@ -146,6 +157,8 @@
             Rule::Unserved => "CONFIG (unserved)",
             Rule::Denied => "DENIED",
             Rule::Drain => "DRAIN",
+            Rule::Leaving => "DRAIN (stated)",
+            Rule::Pause => "BUDGET (pause)",
             Rule::Lost => "LOST",
             Rule::Mixed => "MIXED",
             Rule::Twice => "TWICE",
--- a/xtask/src/soak/judge/tests.rs
+++ b/xtask/src/soak/judge/tests/mod.rs
@@ -1,3 +1,5 @@
+mod stated;
+
 use std::time::Duration;
 
 use super::{Certainty, Rule, judge};
--- a/xtask/src/soak/plan/draft.rs
+++ b/xtask/src/soak/plan/draft.rs
@@ -5,11 +5,20 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::{Action, CALM, Size, Timed};
-use crate::soak::{operator::Change, store::HostFault, targets::Departure};
+use crate::soak::{
+    operator::Change,
+    store::HostFault,
+    targets::{Departure, Pause},
+};
 
 /// Targets that leave after each silence of the store.
 const LEAVING_TARGETS: usize = 4;
 
+/// Targets that say at once that they leave, at most: as many as a shard has.
+const STATED_LEAVES: usize = 2;
+/// Targets that ask for a pause at once, at most: as many as a service has.
+const STATED_PAUSES: usize = 6;
+
 /// A timeline that is being drawn.
 pub struct Draft {
     rng: StdRng,
@@ -189,6 +198,33 @@
         }
     }
 
+    /// Targets that say in their answers that they leave, and that they want a pause.
+    pub fn stated(&mut self) {
+        let mut at = CALM;
+        while at < self.size.time {
+            if self.rng.random_bool(0.4) {
+                for place in self.places(STATED_LEAVES) {
+                    let how = Departure::States;
+                    self.add(at, Action::ReplaceTarget { place, how, reuses_address: false });
+                }
+            } else {
+                let places = self.places(STATED_PAUSES);
+                let one_of = [1, 1, 3][self.rng.random_range(0..3)];
+                let pause = Pause { length: self.millis(500, 5_000), one_of };
+                let time = self.millis(500, 4_000);
+                self.add(at, Action::PauseTargets { places, pause, time });
+            }
+            at += self.millis(1_000, 4_000);
+        }
+    }
+
+    /// Returns places that follow each other, mostly one.
+    fn places(&mut self, limit: usize) -> Vec<usize> {
+        let count = if self.rng.random_bool(0.6) { 1 } else { self.rng.random_range(2..=limit) };
+        let first = self.rng.random_range(0..self.size.targets);
+        (first..self.size.targets).take(count).collect()
+    }
+
     fn add(&mut self, at: Duration, action: Action) {
         self.actions.push((at, action));
     }
--- a/xtask/src/soak/plan/mod.rs
+++ b/xtask/src/soak/plan/mod.rs
@@ -5,7 +5,12 @@
 use std::{str::FromStr, time::Duration};
 
 use self::draft::Draft;
-use super::{operator::Change, record::HostIndex, store::HostFault, targets::Departure};
+use super::{
+    operator::Change,
+    record::HostIndex,
+    store::HostFault,
+    targets::{Departure, Pause},
+};
 
 /// Calm before the first action, and at the end of the run.
 pub const CALM: Duration = Duration::from_secs(6);
@@ -24,6 +29,9 @@
     Readers,
     /// Hosts are stopped in turn, while the configuration changes.
     Stops,
+    /// Targets say in their answers that they leave or want a pause, while the
+    /// configuration changes and the store fails.
+    Stated,
     /// Everything overlaps.
     Mixed,
 }
@@ -38,8 +46,11 @@
             "late" => Ok(Days::Late),
             "readers" => Ok(Days::Readers),
             "stops" => Ok(Days::Stops),
+            "stated" => Ok(Days::Stated),
             "mixed" => Ok(Days::Mixed),
-            _ => Err(format!("`{text}` is none of changes, silence, late, readers, stops, mixed")),
+            _ => Err(format!(
+                "`{text}` is none of changes, silence, late, readers, stops, stated, mixed"
+            )),
         }
     }
 }
@@ -86,6 +97,12 @@
         how: Departure,
         reuses_address: bool,
     },
+    /// Targets ask for a pause, as they reject requests.
+    PauseTargets {
+        places: Vec<usize>,
+        pause: Pause,
+        time: Duration,
+    },
     CrashTarget {
         place: usize,
         down: Duration,
@@ -127,11 +144,17 @@
             draft.stops();
             draft.changes();
         }
+        Days::Stated => {
+            draft.stated();
+            draft.changes();
+            draft.store_faults();
+        }
         Days::Mixed => {
             draft.changes();
             draft.target_changes();
             draft.store_faults();
             draft.host_faults();
+            draft.stated();
         }
     }
     draft.finish()
--- a/xtask/src/soak/play/stage.rs
+++ b/xtask/src/soak/play/stage.rs
@@ -98,6 +98,9 @@
             Action::ReplaceTarget { place, how, reuses_address } => {
                 self.targets.replace(place, how, reuses_address).await?;
             }
+            Action::PauseTargets { places, pause, time } => {
+                self.targets.pause(&places, pause, time).await;
+            }
             Action::CrashTarget { place, down, keeps_id } => {
                 self.targets.crash(place, down, keeps_id).await?;
             }
@@ -121,7 +124,7 @@
     async fn shut_out(&self, hosts: &[HostIndex], fault: HostFault, time: Duration) {
         let mut begun: Vec<usize> = hosts
             .iter()
-            .map(|it| self.recorder.begin_disruption(Place::Host(*it), "shut out", false))
+            .map(|it| self.recorder.begin_disruption(Place::StorePath(*it), "shut out", false))
             .collect();
         // A host whose path is cut leaves the store as it is for the others.
         if fault == HostFault::Refused {
--- a/xtask/src/soak/record.rs
+++ b/xtask/src/soak/record.rs
@@ -66,6 +66,32 @@
     pub status: Option<u16>,
 }
 
+/// A request that reached a target, whether it ran or not, health checks included.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Id of the request; a health check has none.
+    pub id: Option<String>,
+    pub at: Duration,
+    /// Number of the target's process.
+    pub process: usize,
+    pub target: String,
+    /// Number of the connection, which no other connection of the run has.
+    pub connection: u64,
+    pub reply: Option<Reply>,
+}
+
+/// What a target answered.
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    pub at: Duration,
+    pub status: u16,
+    pub stamp: Option<String>,
+    /// Whether it says that the target leaves.
+    pub is_leaving: bool,
+    /// Pause that it asks for.
+    pub pause: Option<Duration>,
+}
+
 /// A target that leaves: `draining`, or removed from the store.
 #[derive(Clone, Debug)]
 pub struct Leave {
@@ -77,7 +103,10 @@
 /// What a disruption affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
+    /// The process of a host.
     Host(HostIndex),
+    /// The path between a host and the store.
+    StorePath(HostIndex),
     /// The store was down, silent, slow, or lost answers.
     Store,
     /// The store served, but dropped its history or turned some hosts away.
@@ -116,6 +145,7 @@
 pub struct Record {
     pub attempts: Vec<Attempt>,
     pub runs: Vec<Run>,
+    pub arrivals: Vec<Arrival>,
     /// Ids of requests that a full target rejected.
     pub rejected: HashSet<String>,
     pub versions: Vec<Version>,
--- a/xtask/src/soak/targets/mod.rs
+++ b/xtask/src/soak/targets/mod.rs
@@ -2,28 +2,28 @@
 //! and start again.
 
 mod serve;
+mod stated;
 
 use std::{
     collections::BTreeSet,
     io,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use serde_json::json;
 use tokio::{net::TcpSocket, task::JoinHandle, time};
 
-use self::serve::Serving;
+use self::{serve::Serving, stated::StatedCell};
 use super::{
     addresses,
     record::{Leave, Place, Recorder},
     store::Store,
 };
 
+pub use self::stated::Pause;
+
 /// Requests that a target runs at a time.
 const SLOTS: u32 = 6;
 /// Queue of new connections.
@@ -33,6 +33,8 @@
 const BIND_PAUSE: Duration = Duration::from_millis(20);
 /// Time after which the address of a target that ended is used again: `addr_reuse_s`.
 const ADDRESS_REUSED_AFTER: Duration = Duration::from_secs(2);
+/// Time for which a target is listed as ready that says in its answers that it leaves.
+const STATED_FOR: Duration = Duration::from_secs(14);
 /// Prefix of the targets' keys in the store.
 const PREFIX: &str = "servers/";
 
@@ -72,6 +74,9 @@
     Drains,
     /// Its entry is removed without a word; it serves on for the drain time.
     Withdraws,
+    /// It says so in its answers only, on connections that stay open, and is listed as
+    /// ready for `STATED_FOR`.
+    States,
 }
 
 /// All targets of a run; clones share them.
@@ -105,7 +110,7 @@
     domain: String,
     addr: SocketAddr,
     born_ms: u64,
-    is_leaving: Arc<AtomicBool>,
+    stated: Arc<StatedCell>,
     task: JoinHandle<()>,
 }
 
@@ -163,6 +168,18 @@
         restarted
     }
 
+    /// The targets of `places` ask for a pause for `time`, as they reject requests.
+    pub async fn pause(&self, places: &[usize], pause: Pause, time: Duration) {
+        let cells: Vec<Arc<StatedCell>> = {
+            let state = self.cx.lock();
+            let running = places.iter().filter_map(|it| state.places.get(*it)?.as_ref());
+            running.map(|it| Arc::clone(&it.stated)).collect()
+        };
+        cells.iter().for_each(|it| it.set_pause(Some(pause)));
+        time::sleep(time).await;
+        cells.iter().for_each(|it| it.set_pause(None));
+    }
+
     async fn restart_later(
         &self,
         place: usize,
@@ -190,7 +207,7 @@
         let Some(target) = target else { return Ok(()) };
         match how {
             Departure::Drains => {
-                target.is_leaving.store(true, Ordering::Relaxed);
+                target.stated.leave(true);
                 self.cx.put(&target, true);
                 self.cx.record_leave(&target, "drains");
             }
@@ -198,6 +215,13 @@
                 self.cx.remove(&target);
                 self.cx.record_leave(&target, "is withdrawn");
             }
+            Departure::States => {
+                target.stated.leave(false);
+                self.cx.note(&target, "says in its answers that it leaves");
+                time::sleep(STATED_FOR).await;
+                self.cx.remove(&target);
+                self.cx.record_leave(&target, "is withdrawn");
+            }
         }
         // Longer than the rule asks for, so that the target sees who comes late.
         time::sleep(self.cx.drain * 2).await;
@@ -225,19 +249,19 @@
             state.processes
         };
         let id = id.unwrap_or_else(|| format!("i-{process:08x}"));
-        let is_leaving = Arc::new(AtomicBool::new(false));
+        let stated = Arc::new(StatedCell::default());
         let addr = listener.local_addr()?;
         let serving = Serving::new(
             process,
             id.clone(),
             service.clone(),
             self.cx.recorder.clone(),
-            Arc::clone(&is_leaving),
+            Arc::clone(&stated),
         );
         let domain = self.cx.domains[place % self.cx.domains.len()].clone();
         let born_ms = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
         let task = tokio::spawn(serving.accept(listener));
-        let target = Target { process, id, service, domain, addr, born_ms, is_leaving, task };
+        let target = Target { process, id, service, domain, addr, born_ms, stated, task };
         self.cx.put(&target, false);
         if let Some(entry) = self.cx.lock().places.get_mut(place) {
             *entry = Some(target);
@@ -265,7 +289,11 @@
         let acked = self.recorder.now();
         let leave = Leave { process: target.process, acked };
         self.recorder.lock().leaves.push(leave);
-        self.recorder.note(format!("target {} of {} {how}", target.id, target.service.name));
+        self.note(target, how);
+    }
+
+    fn note(&self, target: &Target, what: &str) {
+        self.recorder.note(format!("target {} of {} {what}", target.id, target.service.name));
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/xtask/src/soak/targets/serve.rs
+++ b/xtask/src/soak/targets/serve.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -19,10 +19,13 @@
     time,
 };
 
-use super::{SLOTS, Service};
+use super::{
+    SLOTS, Service,
+    stated::{Stated, StatedCell},
+};
 use crate::soak::{
     http::{self, Kind, Message},
-    record::{Recorder, Run},
+    record::{Arrival, Recorder, Reply, Run},
 };
 
 /// Requests that wait for a slot at most.
@@ -34,6 +37,9 @@
 /// Records of an answer, and the length of one in bytes.
 const RECORDS: u64 = 20;
 const RECORD_BYTES: usize = 16;
+const HEALTH_PATH: &str = "/healthz";
+
+static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
 
 #[derive(Clone)]
 pub struct Serving {
@@ -41,7 +47,7 @@
     id: Arc<str>,
     service: Arc<Service>,
     recorder: Recorder,
-    is_leaving: Arc<AtomicBool>,
+    stated: Arc<StatedCell>,
     slots: Arc<Semaphore>,
     waiting: Arc<AtomicU64>,
     runs: Arc<AtomicU64>,
@@ -53,14 +59,14 @@
         id: String,
         service: Service,
         recorder: Recorder,
-        is_leaving: Arc<AtomicBool>,
+        stated: Arc<StatedCell>,
     ) -> Self {
         Serving {
             process,
             id: id.into(),
             service: Arc::new(service),
             recorder,
-            is_leaving,
+            stated,
             slots: Arc::new(Semaphore::new(SLOTS as usize)),
             waiting: Arc::default(),
             runs: Arc::default(),
@@ -80,14 +86,31 @@
         let _ = stream.set_nodelay(true);
         let (read, mut write) = stream.into_split();
         let mut reader = BufReader::new(read);
+        let connection = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
         while let Ok(Some(request)) = http::read(&mut reader, Kind::Request).await {
+            let arrival = self.record_arrival(&request, connection);
             let Some(answer) = self.answer(&request, &mut reader).await else { return };
-            if !self.write(&request, answer, &mut write).await {
+            if !self.write(&request, answer, arrival, &mut write).await {
                 return;
             }
         }
     }
 
+    /// Records that a request has come; returns its index in the record.
+    fn record_arrival(&self, request: &Message, connection: u64) -> usize {
+        let arrival = Arrival {
+            id: request.header("x-request-id").map(str::to_owned),
+            at: self.recorder.now(),
+            process: self.process,
+            target: self.id.to_string(),
+            connection,
+            reply: None,
+        };
+        let mut record = self.recorder.lock();
+        record.arrivals.push(arrival);
+        record.arrivals.len() - 1
+    }
+
     async fn answer(
         &self,
         request: &Message,
@@ -96,6 +119,9 @@
         if request.header("x-expect-instance").is_some_and(|it| it != &*self.id) {
             return Some(Answer::not_run(421));
         }
+        if let Some(pause) = self.stated.take_pause() {
+            return Some(Answer { pause: Some(pause), ..self.reject(request) });
+        }
         if self.waiting.load(Ordering::Relaxed) >= QUEUE {
             return Some(self.reject(request));
         }
@@ -105,13 +131,10 @@
         let slot = time::timeout_at(deadline, self.slots.acquire()).await;
         self.waiting.fetch_sub(1, Ordering::Relaxed);
         let Ok(Ok(_slot)) = slot else { return Some(self.reject(request)) };
-        if request.word(1) == "/healthz" {
+        if request.word(1) == HEALTH_PATH {
             time::sleep(HEALTH_WORK).await;
-            let is_leaving = self.is_leaving.load(Ordering::Relaxed);
-            return Some(Answer {
-                status: if is_leaving { 503 } else { 200 },
-                ..Answer::default()
-            });
+            let status = if self.stated.get().is_leaving { 503 } else { 200 };
+            return Some(Answer { status, ..Answer::default() });
         }
         self.run(request, deadline, reader).await
     }
@@ -159,11 +182,34 @@
             run.status = Some(status);
         }
         let body = if status == 200 { body } else { Vec::new() };
-        Some(Answer { status, stamp: Some(stamp), is_run: true, body })
+        Some(Answer { status, stamp: Some(stamp), is_run: true, body, pause: None })
     }
 
     /// Writes an answer; returns false if the connection is over.
-    async fn write(&self, request: &Message, answer: Answer, write: &mut OwnedWriteHalf) -> bool {
+    async fn write(
+        &self,
+        request: &Message,
+        answer: Answer,
+        arrival: usize,
+        write: &mut OwnedWriteHalf,
+    ) -> bool {
+        let stated = self.stated.get();
+        let mut bytes = self.head(request, &answer, stated).into_bytes();
+        bytes.extend_from_slice(&answer.body);
+        let reply = Reply {
+            at: self.recorder.now(),
+            status: answer.status,
+            stamp: answer.stamp,
+            is_leaving: stated.is_leaving,
+            pause: answer.pause,
+        };
+        if let Some(arrival) = self.recorder.lock().arrivals.get_mut(arrival) {
+            arrival.reply = Some(reply);
+        }
+        write.write_all(&bytes).await.is_ok() && !stated.closes_connections
+    }
+
+    fn head(&self, request: &Message, answer: &Answer, stated: Stated) -> String {
         let running = SLOTS as usize - self.slots.available_permits();
         let waiting = self.waiting.load(Ordering::Relaxed);
         let mut head = format!(
@@ -181,14 +227,17 @@
         } else if !answer.is_run && answer.status != 200 {
             head.push_str("X-Not-Run: 1\r\n");
         }
-        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
-        if is_leaving {
-            head.push_str("Server-Leaving: 1\r\nConnection: close\r\n");
+        if let Some(pause) = answer.pause {
+            head.push_str(&format!("Retry-After: {}\r\n", pause.as_secs_f64()));
+        }
+        if stated.is_leaving {
+            head.push_str("Server-Leaving: 1\r\n");
+        }
+        if stated.closes_connections {
+            head.push_str("Connection: close\r\n");
         }
         head.push_str("\r\n");
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(&answer.body);
-        write.write_all(&bytes).await.is_ok() && !is_leaving
+        head
     }
 }
 
@@ -198,6 +247,8 @@
     stamp: Option<String>,
     is_run: bool,
     body: Vec<u8>,
+    /// Pause that the target asks for.
+    pause: Option<Duration>,
 }
 
 impl Answer {
--- a/xtask/src/soak/tests.rs
+++ b/xtask/src/soak/tests.rs
@@ -9,8 +9,15 @@
 
 #[test]
 fn a_seed_draws_the_same_timeline_again_and_another_seed_another_one() {
-    for days in [Days::Changes, Days::Silence, Days::Late, Days::Readers, Days::Stops, Days::Mixed]
-    {
+    for days in [
+        Days::Changes,
+        Days::Silence,
+        Days::Late,
+        Days::Readers,
+        Days::Stops,
+        Days::Stated,
+        Days::Mixed,
+    ] {
         let drawn = plan::draw(days, 7, SIZE);
         assert!(!drawn.is_empty(), "{days:?}");
         assert_eq!(drawn, plan::draw(days, 7, SIZE), "{days:?}");
