State the format in digests, feeds and states, and skip what is unknown

Cause: hosts said nothing of the format of their messages, so nothing could be added behind a digest or a batch but by trial, and a message that a host can't read left no count but for digests.

Change: behind a digest and behind a batch stands a tail: the format as a number (1), and fields, each a kind and bytes. A state has `format` as a field. A later format is refused, an unknown field skipped; both are counted (front_rejected_messages, front_skipped_fields) and logged. What stands before the tail is fixed from here on.

Two tests of batches compared with bytes that they cut themselves; they compare with the recorded ones now, with one more place at which a cut batch is one of an earlier build.

Conclusion: hosts of all three read each other, and a later build has a place for what it adds.

--- a/crates/front/src/follow/host.rs
+++ b/crates/front/src/follow/host.rs
@@ -7,10 +7,11 @@
 use http_body_util::Empty;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use slog::debug;
 
 use super::wire;
 use crate::{
-    MessageKind, PeerKeys,
+    MessageKind, SharedCx,
     body::{BodyLimits, read_body},
     feeds::{Batch, Feed, Source, SourceError},
     socket,
@@ -21,14 +22,14 @@
 
 /// A reader, with a connection that is kept between calls.
 pub(super) struct HostSource {
+    cx: SharedCx,
     address: SocketAddr,
-    keys: PeerKeys,
     connection: RefCell<Option<SendRequest<Empty<Bytes>>>>,
 }
 
 impl HostSource {
-    pub(super) fn new(address: SocketAddr, keys: PeerKeys) -> HostSource {
-        HostSource { address, keys, connection: RefCell::new(None) }
+    pub(super) fn new(cx: SharedCx, address: SocketAddr) -> HostSource {
+        HostSource { cx, address, connection: RefCell::new(None) }
     }
 
     async fn call(&self, path: String) -> Result<Batch, SourceError> {
@@ -45,9 +46,25 @@
         let limits = BodyLimits::bytes(MAX_ANSWER_BYTES);
         let body = read_body(answer.into_body(), limits).await.map_err(unavailable)?;
         self.connection.replace(Some(sender));
-        let batch = self.keys.verify(MessageKind::Feed, &body);
-        let batch = batch.ok_or_else(|| unreadable("no key made the MAC of the body"))?;
-        wire::decode(batch).map_err(unreadable)
+        self.decode(&body)
+    }
+
+    fn decode(&self, body: &[u8]) -> Result<Batch, SourceError> {
+        let metrics = &self.cx.metrics;
+        let Some(batch) = self.cx.cfg.peer_keys.verify(MessageKind::Feed, body) else {
+            metrics.record_rejected_message("feed", "not authentic");
+            return Err(unreadable("no key made the MAC of the body"));
+        };
+        let (batch, tail) = wire::decode(batch).map_err(|err| {
+            metrics.record_rejected_message("feed", err.reason());
+            unreadable(err)
+        })?;
+        for kind in tail.unknown_kinds() {
+            metrics.record_skipped_field("feed");
+            debug!(self.cx.log, "follow: skipped a field of a batch"; "kind" => kind,
+                "reader" => %self.address);
+        }
+        Ok(batch)
     }
 
     /// Returns the kept connection, or a new one.
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -70,7 +70,7 @@
         let ended = match origin {
             Origin::Source => follow_origin(&cx, &mut calls, origin, &mut state).await,
             Origin::Host(address) => {
-                let host = Rc::new(HostSource::new(address, cx.cfg.peer_keys.clone()));
+                let host = Rc::new(HostSource::new(cx.clone(), address));
                 let mut calls = Calls::new(host, feed, cx.clock, limits.give_up);
                 follow_origin(&cx, &mut calls, origin, &mut state).await
             }
--- a/crates/front/src/follow/tests.rs
+++ b/crates/front/src/follow/tests.rs
@@ -1,24 +1,39 @@
 use std::time::Duration;
 
-use base::TargetName;
+use assert_matches::assert_matches;
+use base::{DomainName, TargetName};
 
 use super::{Batch, Item, wire};
+use crate::{
+    format::{FORMAT, FormatError},
+    tests::{
+        recorded::{C916687, FFD147A, FORMAT_1, Recorded, bytes},
+        samples,
+    },
+};
 
-/// The format of versions that don't say by how much a reader may be behind.
-fn without_lag(batch: &Batch) -> Vec<u8> {
-    let mut bytes =
-        wire::encode(&Batch { behind: Duration::ZERO, ..batch.clone() }).expect("encoded");
-    assert_eq!(bytes.pop(), Some(0));
-    bytes
+/// Returns the batch of a build.
+type Pick = fn(&Recorded) -> &'static str;
+
+/// The batches that are recorded, and how to get them.
+fn batches() -> [(Batch, Pick); 3] {
+    let targets = samples::targets().into_iter().map(Item::Target);
+    let removed = Item::TargetRemoved(TargetName::new("t3"));
+    let operations = vec![
+        Item::Configuration(samples::configuration()),
+        Item::Evacuated(DomainName::new("bajio-c")),
+        Item::EvacuationEnded(DomainName::new("bajio-b")),
+    ];
+    [
+        (batch(targets.chain([removed]).collect()), |it| it.targets),
+        (batch(operations), |it| it.operations),
+        (batch(Vec::new()), |it| it.nothing),
+    ]
 }
 
-fn batch() -> Batch {
-    Batch {
-        items: vec![Item::TargetRemoved(TargetName::new("t1"))],
-        revision: 7,
-        age: Some(Duration::from_millis(40)),
-        behind: Duration::from_millis(1_700),
-    }
+fn batch(items: Vec<Item>) -> Batch {
+    let (age, behind) = (Some(Duration::from_millis(40)), Duration::from_millis(1_700));
+    Batch { items, revision: 41, age, behind }
 }
 
 fn assert_same(one: &Batch, other: &Batch) {
@@ -28,27 +43,64 @@
 
 #[test]
 fn a_batch_says_by_how_much_its_reader_may_be_behind() {
-    let read = wire::decode(&wire::encode(&batch()).expect("encoded")).expect("decoded");
-    assert_same(&read, &batch());
-    assert_eq!(read.behind, batch().behind);
+    for (batch, recorded) in batches() {
+        for build in [FFD147A, FORMAT_1] {
+            let (read, tail) = wire::decode(&bytes(recorded(&build))).expect("decoded");
+            assert_same(&read, &batch);
+            assert_eq!(read.behind, batch.behind);
+            assert_eq!(tail.unknown_kinds().count(), 0);
+        }
+    }
+}
+
+/// Guards against fleets of two builds that don't read each other's feeds.
+#[test]
+fn a_batch_of_an_older_build_is_read_as_before() {
+    for (batch, recorded) in batches() {
+        let (read, _) = wire::decode(&bytes(recorded(&C916687))).expect("decoded");
+        assert_same(&read, &batch);
+        assert_eq!(read.behind, Duration::ZERO);
+    }
+}
+
+/// Hosts of earlier builds decode what stands at the beginning, and ignore the rest.
+#[test]
+fn a_batch_begins_as_those_of_earlier_builds() {
+    for (batch, recorded) in batches() {
+        let encoded = wire::encode(&batch).expect("encoded");
+        assert_eq!(encoded, bytes(recorded(&FORMAT_1)));
+        for earlier in [C916687, FFD147A] {
+            assert!(encoded.starts_with(&bytes(recorded(&earlier))));
+        }
+    }
+}
+
+#[test]
+fn fields_that_a_later_build_adds_to_a_batch_are_skipped() {
+    for (batch, recorded) in batches() {
+        let tail = [1, 1, 200, 1, 2, 7, 8, 9];
+        let later = [&bytes(recorded(&FFD147A))[..], &tail].concat();
+        let (read, tail) = wire::decode(&later).expect("decoded");
+        assert_same(&read, &batch);
+        assert_eq!(tail.unknown_kinds().collect::<Vec<_>>(), [200]);
+    }
 }
 
-/// Guards against fleets of two versions that don't read each other's feeds.
 #[test]
-fn a_batch_of_an_older_version_is_read_as_before() {
-    let read = wire::decode(&without_lag(&batch())).expect("decoded");
-    assert_same(&read, &batch());
-    assert_eq!(read.behind, Duration::ZERO);
-    // What an older version doesn't read comes behind all that it does.
-    let new = wire::encode(&batch()).expect("encoded");
-    assert!(new.starts_with(&without_lag(&batch())));
+fn a_batch_of_a_format_that_is_not_known_is_refused() {
+    let format = FORMAT as u8 + 1;
+    let later = [&bytes(FFD147A.targets)[..], &[format, 255]].concat();
+    assert_matches!(wire::decode(&later), Err(FormatError::UnknownFormat(it)) if it == FORMAT + 1);
 }
 
+/// Cut where a part begins that earlier builds don't have, it is one of theirs.
 #[test]
 fn a_batch_that_is_cut_off_is_an_error() {
-    let whole = wire::encode(&batch()).expect("encoded");
-    let lag = whole.len() - without_lag(&batch()).len();
-    for cut in (0..whole.len()).filter(|it| *it != whole.len() - lag) {
-        assert!(wire::decode(&whole[..cut]).is_err(), "{cut}");
+    for (_, recorded) in batches() {
+        let whole = bytes(recorded(&FORMAT_1));
+        let earlier = [C916687, FFD147A].map(|it| bytes(recorded(&it)).len());
+        for cut in (0..whole.len()).filter(|it| !earlier.contains(it)) {
+            assert!(wire::decode(&whole[..cut]).is_err(), "{cut}");
+        }
     }
 }
--- a/crates/front/src/follow/wire.rs
+++ b/crates/front/src/follow/wire.rs
@@ -1,6 +1,6 @@
-//! Binary format of the batches that a reader sends: a [`WireBatch`] and, behind it, by how
-//! many milliseconds the reader may be behind. Readers of older versions don't send the
-//! latter, and followers of older versions don't read it.
+//! Binary format of the batches that a reader sends: a [`WireBatch`], by how many milliseconds
+//! the reader may be behind, and a [`Tail`]. Readers of older builds don't send the second or
+//! the third part, and followers of older builds don't read them.
 
 use std::time::Duration;
 
@@ -10,10 +10,11 @@
 
 use crate::{
     feeds::{Batch, Item},
+    format::{FormatError, Tail},
     state::wire::{WireConfiguration, WireTarget},
 };
 
-/// Wire format of a [`Batch`].
+/// Wire format of a [`Batch`]. It is fixed: hosts of other builds read it.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 struct WireBatch {
@@ -34,13 +35,16 @@
 
 pub(super) fn encode(batch: &Batch) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_stdvec(&WireBatch::from(batch))?;
-    postcard::to_extend(&(batch.behind.as_millis() as u64), bytes)
+    let bytes = postcard::to_extend(&(batch.behind.as_millis() as u64), bytes)?;
+    Tail::own().append_to(bytes)
 }
 
-pub(super) fn decode(bytes: &[u8]) -> Result<Batch, postcard::Error> {
+pub(super) fn decode(bytes: &[u8]) -> Result<(Batch, Tail), FormatError> {
     let (wire, rest) = postcard::take_from_bytes::<WireBatch>(bytes)?;
-    let behind_ms = if rest.is_empty() { 0 } else { postcard::from_bytes(rest)? };
-    Ok(Batch { behind: Duration::from_millis(behind_ms), ..wire.into() })
+    let (behind_ms, rest) =
+        if rest.is_empty() { (0, rest) } else { postcard::take_from_bytes(rest)? };
+    let tail = Tail::decode(rest)?;
+    Ok((Batch { behind: Duration::from_millis(behind_ms), ..wire.into() }, tail))
 }
 
 impl From<&Batch> for WireBatch {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -15,6 +15,7 @@
 mod cx;
 mod feeds;
 pub mod follow;
+mod format;
 mod in_force;
 mod isolation;
 mod log_line;
@@ -34,6 +35,8 @@
 mod socket;
 mod state;
 mod targets;
+#[cfg(test)]
+mod tests;
 
 pub use crate::{
     clock::Clock,
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -1,5 +1,7 @@
 //! UDP gossip by which hosts discover each other.
 
+#[cfg(test)]
+mod tests;
 mod wire;
 
 use std::{net::SocketAddr, time::Duration};
@@ -12,7 +14,6 @@
     time::{MissedTickBehavior, interval},
 };
 
-use self::wire::WireDigest;
 use crate::{MessageKind, SharedCx};
 
 /// Size of the receive buffer; longer datagrams are truncated.
@@ -71,7 +72,7 @@
 }
 
 async fn send_digest(cx: &SharedCx, socket: &UdpSocket, digest: &Digest, peer: SocketAddr) {
-    let sent = match postcard::to_stdvec(&WireDigest::from(digest)) {
+    let sent = match wire::encode(digest) {
         Ok(mut bytes) => {
             cx.cfg.peer_keys.sign(MessageKind::Digest, &mut bytes);
             socket.send_to(&bytes, peer).await.map(|_| ()).map_err(|it| it.to_string())
@@ -90,15 +91,19 @@
         debug!(cx.log, "front: no key made the MAC of a digest");
         return None;
     };
-    let decoded = postcard::from_bytes::<WireDigest>(bytes).map_err(|err| err.to_string());
-    let digest = match decoded.and_then(Digest::try_from) {
-        Ok(digest) => digest,
+    let (digest, tail) = match wire::decode(bytes) {
+        Ok(decoded) => decoded,
         Err(err) => {
-            cx.metrics.record_rejected_digest("unreadable");
-            debug!(cx.log, "front: cannot decode a digest"; "error" => err);
+            cx.metrics.record_rejected_digest(err.reason());
+            debug!(cx.log, "front: cannot decode a digest"; "error" => %err);
             return None;
         }
     };
+    for kind in tail.unknown_kinds() {
+        cx.metrics.record_skipped_field("digest");
+        debug!(cx.log, "front: skipped a field of a digest"; "kind" => kind,
+            "peer" => %digest.from.address);
+    }
     let now = cx.clock.now();
     cx.suspects.borrow_mut().merge(&digest.strikes, now);
     let mut peers = cx.peers.borrow_mut();
--- a/crates/front/src/peers/wire.rs
+++ b/crates/front/src/peers/wire.rs
@@ -1,4 +1,5 @@
-//! Binary format of digests. Domains are listed once and referred to by index.
+//! Binary format of digests: a [`WireDigest`] and a [`Tail`]. Domains are listed once and
+//! referred to by index.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -9,10 +10,12 @@
 };
 use serde::{Deserialize, Serialize};
 
-/// Wire format of a [`Digest`].
+use crate::format::{FormatError, Tail};
+
+/// Wire format of a [`Digest`]. It is fixed: hosts of other builds read it.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
-pub(super) struct WireDigest {
+struct WireDigest {
     from: WireHost,
     version: u64,
     domains: Vec<String>,
@@ -44,6 +47,17 @@
     age.as_millis() as u64
 }
 
+pub(super) fn encode(digest: &Digest) -> Result<Vec<u8>, postcard::Error> {
+    let bytes = postcard::to_stdvec(&WireDigest::from(digest))?;
+    Tail::own().append_to(bytes)
+}
+
+pub(super) fn decode(bytes: &[u8]) -> Result<(Digest, Tail), FormatError> {
+    let (wire, rest) = postcard::take_from_bytes::<WireDigest>(bytes)?;
+    let tail = Tail::decode(rest)?;
+    Ok((wire.try_into()?, tail))
+}
+
 impl From<&Digest> for WireDigest {
     fn from(digest: &Digest) -> Self {
         let mut domains = Vec::new();
@@ -81,13 +95,13 @@
 }
 
 impl TryFrom<WireDigest> for Digest {
-    type Error = String;
+    type Error = FormatError;
 
-    fn try_from(wire: WireDigest) -> Result<Digest, String> {
+    fn try_from(wire: WireDigest) -> Result<Digest, FormatError> {
         let domains: Vec<DomainName> = wire.domains.into_iter().map(DomainName::from).collect();
         let domain = |index: DomainIndex| {
             let found = domains.get(usize::from(index)).cloned();
-            found.ok_or_else(|| format!("no domain has the index {index}"))
+            found.ok_or(FormatError::UnknownDomain(index))
         };
         let host = |it: WireHost| {
             domain(it.domain).map(|domain| Host {
--- a/crates/front/src/state/learn.rs
+++ b/crates/front/src/state/learn.rs
@@ -10,14 +10,18 @@
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use super::{Part, wire::WireState};
+use super::{
+    Part,
+    wire::{self, WireState},
+};
 use crate::{
     MessageKind, SharedCx,
     body::{BodyError, BodyLimits, read_body},
     feeds::{Feed, Means, Received},
+    format::FormatError,
     socket,
 };
 
@@ -47,14 +51,25 @@
     Status(StatusCode),
     #[error("cannot read the body: {0}")]
     Body(#[from] BodyError<hyper::Error>),
-    #[error("cannot decode the body: {0}")]
-    Decode(#[from] serde_json::Error),
+    #[error(transparent)]
+    Message(#[from] FormatError),
     #[error("no key made the MAC of the body")]
     NotAuthentic,
     #[error("no answer in time")]
     Timeout(#[from] tokio::time::error::Elapsed),
 }
 
+impl LearnError {
+    /// Returns why the peer's message was rejected, as metrics name it, if one came.
+    fn rejection(&self) -> Option<&'static str> {
+        match self {
+            LearnError::Message(err) => Some(err.reason()),
+            LearnError::NotAuthentic => Some("not authentic"),
+            _ => None,
+        }
+    }
+}
+
 pub(crate) async fn learn(cx: SharedCx) {
     let mut ticks = interval(CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -68,7 +83,9 @@
         let Some((peer, part)) = peer_to_ask(&cx, &mut lag, last_learned) else { continue };
         let asked = cx.clock.now();
         let fetched = timeout(ANSWER_TIMEOUT, fetch(&cx, peer, part)).await;
-        match fetched.map_err(LearnError::from).flatten() {
+        let learned = fetched.map_err(LearnError::from).flatten();
+        learned.iter().for_each(|it| count_skipped(&cx, peer, it));
+        match learned {
             Ok(state) if part == Part::Configuration => {
                 apply_configuration(&cx, peer, &Configuration::from(state.configuration));
             }
@@ -76,8 +93,12 @@
                 last_learned = cx.clock.now();
                 apply(&cx, peer, state, asked);
             }
-            Err(err) => warn!(cx.log, "state: cannot learn from a peer";
-                "peer" => %peer, "error" => %err),
+            Err(err) => {
+                if let Some(reason) = err.rejection() {
+                    cx.metrics.record_rejected_message("state", reason);
+                }
+                warn!(cx.log, "state: cannot learn from a peer"; "peer" => %peer, "error" => %err);
+            }
         }
     }
 }
@@ -117,7 +138,8 @@
         }
         let body = read_body(answer.into_body(), BodyLimits::bytes(MAX_ANSWER_BYTES)).await?;
         let state = cx.cfg.peer_keys.verify(MessageKind::State, &body);
-        Ok(serde_json::from_slice(state.ok_or(LearnError::NotAuthentic)?)?)
+        let state = state.ok_or(LearnError::NotAuthentic)?;
+        Ok(wire::decode(state)?)
     };
     let mut exchange = std::pin::pin!(exchange);
     tokio::select! {
@@ -128,6 +150,13 @@
     }
 }
 
+fn count_skipped(cx: &SharedCx, peer: SocketAddr, state: &WireState) {
+    for field in state.unknown.keys() {
+        cx.metrics.record_skipped_field("state");
+        debug!(cx.log, "state: skipped a field"; "field" => field, "peer" => %peer);
+    }
+}
+
 /// Puts the configuration of a peer in force, if it is later than the own one.
 fn apply_configuration(cx: &SharedCx, peer: SocketAddr, cfg: &Configuration) {
     if cfg.version > cx.version() {
--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -8,6 +8,8 @@
 
 mod learn;
 mod serve;
+#[cfg(test)]
+mod tests;
 pub(crate) mod wire;
 
 pub(crate) use self::{learn::learn, serve::answer};
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -1,5 +1,6 @@
 //! Serves this host's state to peers.
 
+use base::HashMap;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
@@ -9,7 +10,7 @@
     Part,
     wire::{WireConfiguration, WireState, WireTarget, WireUnlisted, ms},
 };
-use crate::{MessageKind, SharedCx, feeds::Feed};
+use crate::{MessageKind, SharedCx, feeds::Feed, format::FORMAT};
 
 /// Returns the part of this host's state that `path` names.
 pub(crate) fn answer(cx: &SharedCx, path: &str) -> Response<Full<Bytes>> {
@@ -29,6 +30,7 @@
         };
         let configuration = WireConfiguration::from(&**cfg);
         let all = |configuration| WireState {
+            format: FORMAT,
             configuration,
             follows_source: cx.follows_targets.get(),
             targets: targets.listed_reports(now).map(|it| WireTarget::from(&it)).collect(),
@@ -36,6 +38,7 @@
             operations_age_ms: age_ms(Feed::Operations),
             unlisted: targets.unlisted(now).map(WireUnlisted::from).collect(),
             evacuated: targets.evacuated().iter().map(ToString::to_string).collect(),
+            unknown: HashMap::default(),
         };
         serde_json::to_vec(&match part {
             Part::All => all(configuration),
--- a/crates/front/src/state/wire.rs
+++ b/crates/front/src/state/wire.rs
@@ -1,4 +1,5 @@
-//! Wire format of the state that hosts exchange.
+//! Wire format of the state that hosts exchange, in JSON. A field that came later is absent
+//! from hosts of older builds, and one that this build doesn't know is skipped.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -7,32 +8,55 @@
     CallerLimits, Configuration, Destination, Lifecycle, Repeat, Route, Service, TargetReport,
     route::GatherSpec,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::IgnoredAny};
+
+use crate::format::{FORMAT, FormatError, check_format};
 
 /// State of a host, as sent to a peer.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct WireState {
+    /// [`FORMAT`] of the sender.
+    #[serde(default)]
+    pub format: u32,
     pub configuration: WireConfiguration,
     /// Whether the sender follows the targets feed at the source.
     pub follows_source: bool,
     pub targets: Vec<WireTarget>,
-    /// Age of the list of targets; none from a host of an older version.
+    /// Age of the list of targets.
     #[serde(default)]
     pub targets_age_ms: Option<u64>,
-    /// Age of the evacuations; none from a host of an older version.
+    /// Age of the evacuations.
     #[serde(default)]
     pub operations_age_ms: Option<u64>,
-    /// Targets that the source lists no more; none from a host of an older version.
+    /// Targets that the source lists no more.
     #[serde(default)]
     pub unlisted: Vec<WireUnlisted>,
     pub evacuated: Vec<String>,
+    /// Fields that this build doesn't know.
+    #[serde(flatten, skip_serializing)]
+    pub unknown: HashMap<String, IgnoredAny>,
+}
+
+/// What is read before the rest, which may look different in a later format.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct WireFormat {
+    #[serde(default)]
+    format: u32,
+}
+
+pub(super) fn decode(bytes: &[u8]) -> Result<WireState, FormatError> {
+    let WireFormat { format } = serde_json::from_slice(bytes)?;
+    check_format(format)?;
+    Ok(serde_json::from_slice(bytes)?)
 }
 
 impl WireState {
     /// Returns a state that says nothing of targets and evacuations.
     pub(super) fn of_configuration(configuration: WireConfiguration) -> WireState {
         WireState {
+            format: FORMAT,
             configuration,
             follows_source: false,
             targets: Vec::new(),
@@ -40,6 +64,7 @@
             operations_age_ms: None,
             unlisted: Vec::new(),
             evacuated: Vec::new(),
+            unknown: HashMap::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/front/tests/builds.rs
@@ -0,0 +1,159 @@
+//! Hosts beside hosts of other builds, whose messages are recorded.
+
+mod support;
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use forward::Provenance;
+use support::{TestHost, announce, own_address, read_message, run, source::ScriptedSource};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, UdpSocket},
+    task::spawn_local,
+    time::sleep,
+};
+
+/// Address in the recorded digests.
+const RECORDED_IP: [u8; 4] = [127, 1, 2, 3];
+
+/// Messages of a host of one build.
+struct Recorded {
+    build: &'static str,
+    digest: &'static str,
+    operations: &'static str,
+    state: &'static str,
+}
+
+macro_rules! recorded {
+    ($build:literal) => {
+        Recorded {
+            build: $build,
+            digest: include_str!(concat!("recorded/", $build, "/digest.hex")),
+            operations: include_str!(concat!("recorded/", $build, "/operations.hex")),
+            state: include_str!(concat!("recorded/", $build, "/state.json")),
+        }
+    };
+}
+
+const ALL: [Recorded; 3] = [recorded!("c916687"), recorded!("ffd147a"), recorded!("format-1")];
+
+/// The beginning of a digest as all builds decode it, without its lists of other hosts.
+type DigestBegin = ((SocketAddr, u16, u32, bool, bool), u64, Vec<String>);
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<u32> = hex.chars().filter_map(|it| it.to_digit(16)).collect();
+    digits.chunks(2).map(|it| it.iter().fold(0, |byte, digit| byte << 4 | *digit as u8)).collect()
+}
+
+/// Returns the recorded digest as if the host at `address` had sent it.
+fn digest_from(recorded: &Recorded, address: SocketAddr) -> Vec<u8> {
+    let SocketAddr::V4(address) = address else { panic!("the address is of version 4") };
+    let mut digest = bytes(recorded.digest);
+    // The kind of the address stands before it.
+    assert_eq!(digest[1..5], RECORDED_IP);
+    digest[1..5].copy_from_slice(&address.ip().octets());
+    digest
+}
+
+/// Starts a host that answers calls for these paths, and all others with 503.
+async fn scripted_host(address: SocketAddr, answers: Vec<(&'static str, Vec<u8>)>) {
+    let listener = TcpListener::bind(address).await.expect("a free address");
+    let answers = Rc::new(answers);
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answers = Rc::clone(&answers);
+            spawn_local(async move {
+                while let Some(call) = read_message(&mut stream).await {
+                    let path = call.split(' ').nth(1).unwrap_or_default();
+                    let found = answers.iter().find(|(it, _)| *it == path);
+                    let (status, body) =
+                        found.map_or(("503 No", &[][..]), |(_, body)| ("200 OK", body));
+                    let head =
+                        format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n", body.len());
+                    let answer = [head.as_bytes(), body].concat();
+                    stream.write_all(&answer).await.expect("written");
+                }
+            });
+        }
+    });
+}
+
+/// Guards against hosts that don't see each other, or learn nothing of each other, while a
+/// fleet is upgraded.
+#[test]
+fn hosts_of_all_builds_find_each_other_and_give_their_state() {
+    for recorded in ALL {
+        run(async move {
+            let (own, other) = (own_address(), own_address());
+            let socket = UdpSocket::bind(other).await.expect("a free address");
+            scripted_host(other, vec![("/", recorded.state.trim_end().into())]).await;
+            let host = TestHost::start_with_seeds(own, Vec::new());
+            host.wait_for_hosts(1).await;
+            let digest = digest_from(&recorded, other);
+            socket.send_to(&digest, own).await.expect("sent");
+            // It asks for a reply, and names a third host.
+            let mut buf = [0; 4_096];
+            let (len, _) = socket.recv_from(&mut buf).await.expect("received");
+            let reply: DigestBegin = postcard::from_bytes(&buf[..len]).expect("decoded");
+            assert_eq!(reply.0.0, own, "{}", recorded.build);
+            host.wait_for_hosts(3).await;
+            while host.cx.version() < 7 {
+                sleep(Duration::from_millis(20)).await;
+                socket.send_to(&digest, own).await.expect("sent");
+            }
+            while host.gauge("front_targets").await != Some(2) {
+                sleep(Duration::from_millis(20)).await;
+            }
+            assert_eq!(host.gauge("front_rejected_digests_total").await, None);
+            assert_eq!(host.gauge("front_rejected_messages_total").await, None);
+        });
+    }
+}
+
+/// Guards against followers that leave a reader of another build, and then read the source.
+#[test]
+fn a_host_follows_readers_of_all_builds() {
+    for recorded in ALL {
+        run(async move {
+            let (own, reader) = (own_address(), own_address());
+            let answers = vec![("/items/operations", bytes(recorded.operations))];
+            scripted_host(reader, answers).await;
+            let host = TestHost::start_with_seeds(own, Vec::new());
+            host.wait_for_hosts(1).await;
+            let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+            let others: Vec<SocketAddr> = (0..4).map(|_| own_address()).collect();
+            let source = Rc::new(ScriptedSource::default());
+            source.set_unreachable(true);
+            host.follow_configuration(&source);
+            let digest = digest_from(&recorded, reader);
+            while host.cx.configuration_provenance() != Provenance::Reader(reader) {
+                socket.send_to(&digest, own).await.expect("sent");
+                for it in &others {
+                    announce(own, *it).await;
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+            assert_eq!(host.cx.version(), 7, "{}", recorded.build);
+        });
+    }
+}
+
+#[test]
+fn digests_of_a_later_build_are_read_and_those_of_another_format_counted() {
+    run(async {
+        let host = TestHost::start();
+        host.wait_for_hosts(1).await;
+        let [c916687, ..] = ALL;
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        let digest = digest_from(&c916687, own_address());
+        socket.send_to(&[&digest[..], &[9]].concat(), host.peers).await.expect("sent");
+        while host.gauge("front_rejected_digests_total").await != Some(1) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(host.gauge("front_hosts").await, Some(1));
+        let field = [1, 1, 200, 1, 2, 7, 8];
+        socket.send_to(&[&digest[..], &field].concat(), host.peers).await.expect("sent");
+        host.wait_for_hosts(3).await;
+        assert_eq!(host.gauge("front_skipped_fields_total").await, Some(1));
+    });
+}
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -27,6 +27,8 @@
     missing_parts: Counter<u64>,
     refusals: Counter<u64>,
     rejected_digests: Counter<u64>,
+    rejected_messages: Counter<u64>,
+    skipped_fields: Counter<u64>,
     sends: Arc<[AtomicU64]>,
     gauges: Arc<[AtomicU64; GAUGES.len()]>,
 }
@@ -96,6 +98,8 @@
             missing_parts: meter.u64_counter("front_missing_parts").build(),
             refusals: meter.u64_counter("front_refusals").build(),
             rejected_digests: meter.u64_counter("front_rejected_digests").build(),
+            rejected_messages: meter.u64_counter("front_rejected_messages").build(),
+            skipped_fields: meter.u64_counter("front_skipped_fields").build(),
             sends,
             gauges,
             exporter,
@@ -128,6 +132,17 @@
         self.rejected_digests.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a message of another host, beside datagrams, from which nothing was taken.
+    pub fn record_rejected_message(&self, message: &'static str, reason: &'static str) {
+        let labels = [KeyValue::new("message", message), KeyValue::new("reason", reason)];
+        self.rejected_messages.add(1, &labels);
+    }
+
+    /// Counts a field of another host's message that this build doesn't know.
+    pub fn record_skipped_field(&self, message: &'static str) {
+        self.skipped_fields.add(1, &[KeyValue::new("message", message)]);
+    }
+
     /// Counts parts that are missing from a successful answer.
     pub fn record_missing_parts(&self, count: usize) {
         self.missing_parts.add(count as u64, &[]);
