Refuse requests of other hosts that cannot be read, and keep headers to the hop

Cause: a request passed on whose numbers could not be read counted as a call for state: it got this host's state with 200, which states no outcome, so that the host that passed it on took it for one that may have run.

Change: a request with headers of another host that can't be read, or of a later format, is refused as not run, with a count and a line; the host that passed it on tries the next one.

Measured (before, after): `a_request_of_a_later_build_that_cannot_be_read _is_refused_as_not_run` failed with "left: 200, right: 503"; `a_sender_serves_requests_of_hosts_of_all_builds` with "left: None, right: Some("relay-version")" in `Connection`; both pass.

--- a/crates/front/src/format.rs
+++ b/crates/front/src/format.rs
@@ -5,6 +5,7 @@
 //! without tails decode a message from its beginning and ignore what follows. The others skip
 //! fields of a kind that they don't know.
 
+use http::HeaderName;
 use serde::{Deserialize, Serialize};
 
 /// Version of what hosts tell each other. It rises only with a format that hosts which skip
@@ -36,6 +37,8 @@
     Json(#[from] serde_json::Error),
     #[error("no domain has the index {0}")]
     UnknownDomain(u16),
+    #[error("the header {0} is missing or no number")]
+    Header(HeaderName),
     #[error("the message has format {0}, later than {FORMAT}")]
     UnknownFormat(u32),
 }
@@ -45,9 +48,10 @@
     pub(crate) fn reason(&self) -> &'static str {
         match self {
             FormatError::UnknownFormat(_) => "unknown format",
-            FormatError::Decode(_) | FormatError::Json(_) | FormatError::UnknownDomain(_) => {
-                "unreadable"
-            }
+            FormatError::Decode(_)
+            | FormatError::Json(_)
+            | FormatError::UnknownDomain(_)
+            | FormatError::Header(_) => "unreadable",
         }
     }
 }
--- a/crates/front/src/messages/mod.rs
+++ b/crates/front/src/messages/mod.rs
@@ -6,6 +6,8 @@
 mod note;
 mod outgoing;
 pub(crate) mod relay;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use self::{
     event::{Collected, Event, Outcome, TargetAnswer, Waiter},
--- a/crates/front/src/messages/relay.rs
+++ b/crates/front/src/messages/relay.rs
@@ -1,10 +1,18 @@
-//! Headers of requests and answers between hosts.
+//! Headers of requests and answers between hosts, which may be of other builds.
+//!
+//! Hosts of all builds read and remove the age, the version, the transit and the time taken.
+//! Every other header is also named in `Connection`, as belonging to this one hop: a host that
+//! doesn't know it removes it, so that neither targets nor callers see it.
 
-use std::time::Duration;
+use std::{str::FromStr, time::Duration};
 
 use base::Time;
 use forward::target::SendResult;
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use slog::{Logger, debug};
+use telemetry::FrontMetrics;
+
+use crate::format::{FORMAT as OWN_FORMAT, FormatError, check_format};
 
 /// Time since the caller's request was received, in microseconds.
 const AGE: HeaderName = HeaderName::from_static("relay-age-us");
@@ -22,6 +30,15 @@
 /// What is known of the request's run, in an answer.
 const OUTCOME: HeaderName = HeaderName::from_static("relay-outcome");
 
+/// Format of the request, none from a host of an older build.
+const FORMAT: HeaderName = HeaderName::from_static("relay-format");
+
+/// Headers that this build knows.
+const KNOWN: [HeaderName; 6] = [AGE, VERSION, TRANSIT, TOOK, OUTCOME, FORMAT];
+
+/// How the names of all headers between hosts begin.
+const PREFIX: &str = "relay-";
+
 /// What a host tells the one that it passes a request on to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Relay {
@@ -40,14 +57,24 @@
         headers.insert(AGE, HeaderValue::from(age));
         headers.insert(TRANSIT, HeaderValue::from(self.transit.as_micros() as u64));
         headers.insert(VERSION, HeaderValue::from(self.version));
+        insert_for_hop(headers, FORMAT, HeaderValue::from(OWN_FORMAT));
     }
 
     /// Returns what the headers say, or `None` if the request was not passed on.
-    pub(crate) fn read(headers: &HeaderMap, now: Time) -> Option<Relay> {
-        let number = |name| headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
-        let age = Duration::from_micros(number(AGE)?);
-        let transit = Duration::from_micros(number(TRANSIT).unwrap_or(0));
-        Some(Relay { received: now.ago(age), version: number(VERSION)?, transit })
+    pub(crate) fn read(headers: &HeaderMap, now: Time) -> Option<Result<Relay, FormatError>> {
+        let is_relayed = [AGE, VERSION].iter().any(|it| headers.contains_key(it));
+        is_relayed.then(|| Relay::decode(headers, now))
+    }
+
+    fn decode(headers: &HeaderMap, now: Time) -> Result<Relay, FormatError> {
+        if is_for_hop(headers, &FORMAT) {
+            check_format(number(headers, FORMAT)?)?;
+        }
+        let age = Duration::from_micros(number(headers, AGE)?);
+        let is_transit_stated = headers.contains_key(TRANSIT);
+        let transit_us = if is_transit_stated { number(headers, TRANSIT)? } else { 0 };
+        let transit = Duration::from_micros(transit_us);
+        Ok(Relay { received: now.ago(age), version: number(headers, VERSION)?, transit })
     }
 
     pub(crate) fn remove(headers: &mut HeaderMap) {
@@ -57,10 +84,51 @@
     }
 }
 
-/// Adds the version by which the sender handled the request to its answer. Hosts of older
-/// builds let this field pass to the caller.
+fn number<T: FromStr>(headers: &HeaderMap, name: HeaderName) -> Result<T, FormatError> {
+    let value = headers.get(&name).and_then(|it| it.to_str().ok()?.parse().ok());
+    value.ok_or(FormatError::Header(name))
+}
+
+/// Adds a header that belongs to this hop only.
+fn insert_for_hop(headers: &mut HeaderMap, name: HeaderName, value: HeaderValue) {
+    headers.append(header::CONNECTION, HeaderValue::from(name.clone()));
+    headers.insert(name, value);
+}
+
+/// Returns the names of the headers that belong to this hop only.
+fn names_for_hop(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    let values = headers.get_all(header::CONNECTION).iter().filter_map(|it| it.to_str().ok());
+    values.flat_map(|it| it.split(',')).map(str::trim)
+}
+
+/// Returns whether a header comes from the other host, not from a caller through a host that
+/// doesn't know it.
+fn is_for_hop(headers: &HeaderMap, name: &HeaderName) -> bool {
+    names_for_hop(headers).any(|it| it.eq_ignore_ascii_case(name.as_str()))
+}
+
+/// Returns the headers of another host that this build doesn't know.
+pub(super) fn unknown_names(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    names_for_hop(headers)
+        .filter(|it| it.starts_with(PREFIX) && KNOWN.iter().all(|known| known != it))
+}
+
+/// Counts headers of another host that this build doesn't know. They go no further.
+pub(crate) fn count_skipped(
+    metrics: &FrontMetrics,
+    log: &Logger,
+    message: &'static str,
+    headers: &HeaderMap,
+) {
+    for name in unknown_names(headers) {
+        metrics.record_skipped_field(message);
+        debug!(log, "relay: skipped a header"; "message" => message, "header" => name);
+    }
+}
+
+/// Adds the version by which the sender handled the request to its answer.
 pub(crate) fn write_version(headers: &mut HeaderMap, version: u64) {
-    headers.insert(VERSION, HeaderValue::from(version));
+    insert_for_hop(headers, VERSION, HeaderValue::from(version));
 }
 
 /// Removes and returns the version by which the sender handled the request, if it says so.
--- a/crates/front/src/peer_server/relayed.rs
+++ b/crates/front/src/peer_server/relayed.rs
@@ -7,20 +7,26 @@
     SharedCx,
     answer::{Answer, Refusal, UNAVAILABLE_WAIT, implies_not_run},
     callers::{Origin, discard, respond},
+    format::FormatError,
     log_line::{self, request_id},
     messages::{Relay, RelayOutcome, relay},
 };
 
 /// Serves a request for another host. One that this host should not run is refused
 /// as not run, so that it goes to another sender.
-pub(super) async fn answer(cx: &SharedCx, relay: Relay, mut req: Request<Incoming>) -> Answer {
+pub(super) async fn answer(
+    cx: &SharedCx,
+    relay: Result<Relay, FormatError>,
+    mut req: Request<Incoming>,
+) -> Answer {
     let _guard = cx.in_progress.enter();
     let (started, version) = (cx.clock.now(), cx.version());
+    relay::count_skipped(&cx.metrics, &cx.log, "request", req.headers());
     Relay::remove(req.headers_mut());
     let id = request_id(cx, req.headers());
     let id_header = req.headers().get(&cx.cfg.names.request_id).cloned();
     let answered = match check(cx, relay) {
-        Ok(()) => respond(cx, relay.received, req, Origin::Host(relay)).await,
+        Ok(relay) => respond(cx, relay.received, req, Origin::Host(relay)).await,
         Err(refusal) => {
             let (head, body) = req.into_parts();
             Err(discard(refusal, &head.headers, body, cx.limits.get().body_bytes).await)
@@ -43,7 +49,14 @@
     answer
 }
 
-fn check(cx: &SharedCx, relay: Relay) -> Result<(), Refusal> {
+/// Returns what the other host says of its request, if it can be served.
+fn check(cx: &SharedCx, relay: Result<Relay, FormatError>) -> Result<Relay, Refusal> {
+    let relay = relay.map_err(|err| {
+        cx.metrics.record_rejected_message("request", err.reason());
+        let reason = "the headers of another host cannot be read";
+        let refusal = Refusal::not_run(reason, UNAVAILABLE_WAIT, UNAVAILABLE_WAIT);
+        refusal.with_inputs(err.to_string())
+    })?;
     if cx.is_stopping() {
         return Err(Refusal::not_run("this host is stopping", UNAVAILABLE_WAIT, UNAVAILABLE_WAIT));
     }
@@ -55,7 +68,7 @@
         let reason = "an older configuration is in force at the sender";
         return Err(Refusal::not_run(reason, UNAVAILABLE_WAIT, UNAVAILABLE_WAIT));
     }
-    Ok(())
+    Ok(relay)
 }
 
 /// Returns what a refusal by this tier says of the request's run.
--- a/crates/front/src/targets/stated.rs
+++ b/crates/front/src/targets/stated.rs
@@ -111,6 +111,7 @@
 
 /// Records the version that the answer of another host names, and removes it there.
 pub(super) fn record_version(cx: &SharedCx, host: TargetKey, headers: &mut HeaderMap) {
+    relay::count_skipped(&cx.metrics, &cx.log, "answer", headers);
     let Some(version) = relay::take_version(headers) else { return };
     let address = cx.targets.borrow().target(host).map(|it| it.report.address);
     let Some(address) = address else { return };
--- a/crates/front/tests/builds.rs
+++ b/crates/front/tests/builds.rs
@@ -4,11 +4,14 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use forward::Provenance;
-use support::{TestHost, announce, own_address, read_message, run, source::ScriptedSource};
+use forward::{Provenance, Repeat};
+use support::{
+    Reply, Target, TestHost, announce, body, header, ok, own_address, read_message, relayed, run,
+    source::ScriptedSource, status, target,
+};
 use tokio::{
     io::AsyncWriteExt,
-    net::{TcpListener, UdpSocket},
+    net::{TcpListener, TcpStream, UdpSocket},
     task::spawn_local,
     time::sleep,
 };
@@ -16,12 +19,18 @@
 /// Address in the recorded digests.
 const RECORDED_IP: [u8; 4] = [127, 1, 2, 3];
 
+/// Capacity of a host that passes requests on.
+const SMALL: u32 = 100;
+
 /// Messages of a host of one build.
 struct Recorded {
     build: &'static str,
     digest: &'static str,
     operations: &'static str,
     state: &'static str,
+    request: &'static str,
+    answer: &'static str,
+    refusal: &'static str,
 }
 
 macro_rules! recorded {
@@ -31,6 +40,9 @@
             digest: include_str!(concat!("recorded/", $build, "/digest.hex")),
             operations: include_str!(concat!("recorded/", $build, "/operations.hex")),
             state: include_str!(concat!("recorded/", $build, "/state.json")),
+            request: include_str!(concat!("recorded/", $build, "/request.txt")),
+            answer: include_str!(concat!("recorded/", $build, "/answer.txt")),
+            refusal: include_str!(concat!("recorded/", $build, "/refusal.txt")),
         }
     };
 }
@@ -138,6 +150,100 @@
     }
 }
 
+/// Guards against requests that are lost, or run twice, between hosts of two builds.
+#[test]
+fn a_sender_serves_requests_of_hosts_of_all_builds() {
+    for recorded in ALL {
+        run(async move {
+            let leaf = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+            let sender = sender(&leaf).await;
+            let answer = ask(sender.peers, recorded.request).await;
+            assert_eq!((status(&answer), body(&answer)), (200, "yes"), "{}", recorded.build);
+            assert_eq!(header(&answer, "relay-outcome").as_deref(), Some("done"));
+            assert_eq!(header(&answer, "relay-version").as_deref(), Some("1"));
+            assert_eq!(header(&answer, "connection").as_deref(), Some("relay-version"));
+            let received = leaf.received.borrow();
+            assert!(!received[0].contains("relay-"), "{}", received[0]);
+            assert_eq!(header(&received[0], "connection"), None);
+        });
+    }
+}
+
+/// An answer that closes its connection names its headers for the hop as well.
+#[test]
+fn an_answer_that_closes_the_connection_names_what_hosts_of_earlier_builds_drop() {
+    run(async {
+        let leaf = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let sender = sender(&leaf).await;
+        let request = "POST /one/x HTTP/1.1\r\nhost: h\r\nx-id: q7\r\nx-deadline: 500\r\n\
+                       relay-age-us: 0\r\nrelay-version: 1\r\ncontent-length: 100000\r\n\r\n";
+        let answer = ask(sender.peers, request).await;
+        assert_eq!(status(&answer), 413, "{answer}");
+        let lines: Vec<&str> = answer.lines().filter(|it| it.starts_with("connection:")).collect();
+        assert!(lines.iter().any(|it| it.contains("close")), "{answer}");
+        assert!(lines.iter().any(|it| it.contains("relay-version")), "{answer}");
+    });
+}
+
+#[test]
+fn callers_get_the_answers_of_senders_of_all_builds_without_their_headers() {
+    for recorded in ALL {
+        run(async move {
+            let answer = recorded.answer.replace("q7", "{id}");
+            let sender = target(vec![Reply::Bytes(answer)]).await;
+            let refuses = target(vec![Reply::Bytes(recorded.refusal.replace("q7", "{id}"))]).await;
+            let host = entry(&sender, &refuses).await;
+            for _ in 0..4 {
+                let answer = host.get("/one/x").await;
+                assert_eq!((status(&answer), body(&answer)), (200, "yes"), "{}", recorded.build);
+                assert!(!answer.contains("relay-"), "{answer}");
+            }
+        });
+    }
+}
+
+#[test]
+fn headers_that_a_sender_of_a_later_build_adds_reach_no_caller() {
+    run(async {
+        let later = "connection: relay-later\r\nrelay-later: 1\r\nrelay-outcome";
+        let answer = relayed("200 OK", "done", "yes").replace("relay-outcome", later);
+        let one = target(vec![Reply::Bytes(answer.clone())]).await;
+        let other = target(vec![Reply::Bytes(answer)]).await;
+        let host = entry(&one, &other).await;
+        let answer = host.get("/one/x").await;
+        assert_eq!((status(&answer), body(&answer)), (200, "yes"));
+        assert!(!answer.contains("relay-"), "{answer}");
+        let skipped = host.gauge("front_skipped_fields_total").await;
+        assert!(skipped >= Some(1), "{skipped:?}");
+    });
+}
+
+/// Guards against a request that is taken for a call for state, whose answer says nothing of
+/// the request, so that it counts as one that may have run.
+#[test]
+fn a_request_of_a_later_build_that_cannot_be_read_is_refused_as_not_run() {
+    run(async {
+        let leaf = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let sender = sender(&leaf).await;
+        for fields in [
+            "relay-age-us: soon\r\nrelay-version: 1\r\n",
+            "relay-age-us: 0\r\nrelay-version: 99999999999999999999\r\n",
+            "relay-age-us: 0\r\n",
+            "relay-age-us: 0\r\nrelay-version: 1\r\nconnection: relay-format\r\nrelay-format: 9\r\n",
+        ] {
+            let request = format!(
+                "GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q7\r\nx-deadline: 500\r\n{fields}\r\n"
+            );
+            let answer = ask(sender.peers, &request).await;
+            assert_eq!(status(&answer), 503, "{answer}");
+            assert_eq!(header(&answer, "relay-outcome").as_deref(), Some("not-run"));
+            assert_eq!(header(&answer, "x-id").as_deref(), Some("q7"));
+        }
+        assert_eq!(leaf.requests(), 0);
+        assert!(sender.gauge("front_rejected_messages_total").await.is_some());
+    });
+}
+
 #[test]
 fn digests_of_a_later_build_are_read_and_those_of_another_format_counted() {
     run(async {
@@ -157,3 +263,36 @@
         assert_eq!(host.gauge("front_skipped_fields_total").await, Some(1));
     });
 }
+
+/// Returns a host that serves requests for the service `s`, and listens.
+async fn sender(leaf: &Target) -> TestHost {
+    let mut sender = TestHost::start();
+    sender.single(Repeat::AtMostOnce);
+    sender.list("s", "t1", leaf);
+    while TcpStream::connect(sender.peers).await.is_err() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    sender
+}
+
+/// Returns a host that passes requests for the service `s` on to these senders.
+async fn entry(one: &Target, other: &Target) -> TestHost {
+    let leaf = target(vec![Reply::Close]).await;
+    let mut host = TestHost::start_with_capacity(own_address(), Vec::new(), SMALL);
+    host.wait_for_hosts(1).await;
+    announce(host.peers, one.address).await;
+    announce(host.peers, other.address).await;
+    host.max_connections = 1;
+    host.single(Repeat::Idempotent);
+    host.list("s", "t1", &leaf);
+    while host.gauge("front_senders").await.is_none_or(|it| it == 0) {
+        sleep(Duration::from_millis(20)).await;
+    }
+    host
+}
+
+async fn ask(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("listening");
+    stream.write_all(request.as_bytes()).await.expect("written");
+    read_message(&mut stream).await.expect("an answer")
+}
