Answer calls of other hosts for unknown paths with 404

Cause: a call for a path that this build doesn't know, or with numbers that can't be read, got this host's whole state with 200, whatever was asked for. A later build that asks for something new could not tell.

Change: `/` and `/configuration` are state, `/items` and `/changes` are feeds, anything else is 404, with a count and a line.

Conclusion: a call gets what it asks for, or nothing.

--- a/crates/front/src/state/mod.rs
+++ b/crates/front/src/state/mod.rs
@@ -30,7 +30,7 @@
         }
     }
 
-    fn of(path: &str) -> Part {
-        if path == Part::Configuration.path() { Part::Configuration } else { Part::All }
+    fn of(path: &str) -> Option<Part> {
+        [Part::All, Part::Configuration].into_iter().find(|it| it.path() == path)
     }
 }
--- a/crates/front/src/state/serve.rs
+++ b/crates/front/src/state/serve.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
-use slog::warn;
+use slog::{debug, warn};
 
 use super::{
     Part,
@@ -12,9 +12,19 @@
 };
 use crate::{MessageKind, SharedCx, feeds::Feed, format::FORMAT};
 
-/// Returns the part of this host's state that `path` names.
+/// Answers a call for state. A path that this build doesn't know is not found.
 pub(crate) fn answer(cx: &SharedCx, path: &str) -> Response<Full<Bytes>> {
-    let part = Part::of(path);
+    let Some(part) = Part::of(path) else {
+        cx.metrics.record_rejected_message("call", "unknown path");
+        debug!(cx.log, "state: another host asks for what is unknown here"; "path" => path);
+        let mut answer = Response::new(Full::new(Bytes::new()));
+        *answer.status_mut() = StatusCode::NOT_FOUND;
+        return answer;
+    };
+    state(cx, part)
+}
+
+fn state(cx: &SharedCx, part: Part) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(Bytes::new()));
     let encoded = {
         let cfg = cx.configuration.borrow();
--- a/crates/front/src/state/tests.rs
+++ b/crates/front/src/state/tests.rs
@@ -3,7 +3,10 @@
 use forward::{Configuration, TargetReport};
 use std::time::Duration;
 
-use super::wire::{self, WireConfiguration, WireState, WireTarget, WireUnlisted};
+use super::{
+    Part,
+    wire::{self, WireConfiguration, WireState, WireTarget, WireUnlisted},
+};
 use crate::{
     format::{FORMAT, FormatError},
     tests::{
@@ -77,3 +80,10 @@
     assert_ne!(later, C916687.state);
     assert_matches!(wire::decode(later.as_bytes()), Err(FormatError::Json(_)));
 }
+
+#[test]
+fn hosts_ask_for_state_as_those_of_earlier_builds() {
+    assert_eq!(Part::of("/"), Some(Part::All));
+    assert_eq!(Part::of("/configuration"), Some(Part::Configuration));
+    assert_eq!(Part::of("/later"), None);
+}
--- a/crates/front/tests/builds.rs
+++ b/crates/front/tests/builds.rs
@@ -244,6 +244,20 @@
     });
 }
 
+/// Guards against a call of a later build that gets something else than it asks for.
+#[test]
+fn a_call_of_a_later_build_for_what_is_unknown_is_not_found() {
+    run(async {
+        let leaf = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let host = sender(&leaf).await;
+        for path in ["/later", "/items/later", "/changes/targets/x/0"] {
+            let call = format!("GET {path} HTTP/1.1\r\nhost: peer\r\n\r\n");
+            assert_eq!(status(&ask(host.peers, &call).await), 404, "{path}");
+        }
+        assert_eq!(host.gauge("front_rejected_messages_total").await, Some(3));
+    });
+}
+
 #[test]
 fn digests_of_a_later_build_are_read_and_those_of_another_format_counted() {
     run(async {
