Remember which incarnations of targets said that they leave

Cause: that a target leaves, by its own answer, was kept with the entry alone. Once the entry was removed (unlisted or leaving for four times leaving_for) or moved to another address, a later list that still calls the target sound made it new again.

Change: hosts remember name and start time of such an incarnation for an hour, whether or not its entry is known, and at most 4,096 of them. An entry that is added counts as leaving since then. A later start time under the same name, or a count that begins anew where there is none, is another incarnation. What another host tells of such a target (`learn_leaving`) counts from the time at which that host learned it.

--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -44,6 +44,7 @@
         }
         if let Some(old) = known {
             self.retire(old);
+            self.leaving.forget_unborn(&report.name);
         }
         self.add(report, now)
     }
@@ -59,12 +60,6 @@
         key
     }
 
-    /// Records that an answer of the target says that it leaves; returns whether that is
-    /// new.
-    pub fn record_leaving(&mut self, target: TargetKey, now: Time) -> bool {
-        self.targets.get_mut(&target).is_some_and(|it| it.mark_draining(now))
-    }
-
     /// Records that the platform no longer lists the target, since `since` at the
     /// latest. An entry that lapsed during an outage of the platform comes back, so
     /// the target stays for a while as a fallback.
@@ -79,6 +74,7 @@
     /// `leaving_for`. One with sends in flight gets no more and is removed when the
     /// last of them ends.
     pub fn remove_unlisted(&mut self, now: Time) {
+        self.leaving.remove_expired(now);
         let limit = self.limits.leaving_for;
         let is_over = |it: &Target| it.leaving_since().is_some_and(|at| now.since(at) > limit * 4);
         let over: Vec<TargetKey> =
@@ -294,6 +290,9 @@
         // If its first report says that the target is draining, it is unknown since
         // when.
         target.mark_leave_time_unknown();
+        if let Some(since) = self.leaving.since(&target.report.name, target.report.born) {
+            target.mark_draining(since);
+        }
         self.targets.insert(key, target);
         key
     }
--- /dev/null
+++ b/crates/forward/src/placement/leaving.rs
@@ -0,0 +1,115 @@
+//! Targets that say themselves that they leave.
+//!
+//! Load pattern answered: targets that are emptied while the source still lists them as
+//! sound, as it is lost or late. Work moves to others with the first answer that says so,
+//! at each host that hears of it, and neither a list, a lapse nor a long gap takes it
+//! back. Another incarnation of the same name, or at the same address, is not affected.
+
+use std::time::Duration;
+
+use base::{HashMap, TargetName, Time};
+
+use super::{TargetKey, Targets};
+
+/// Time for which it is remembered that an incarnation leaves. It has ended by then.
+const RETENTION: Duration = Duration::from_secs(3_600);
+
+/// Limit of incarnations that are remembered.
+const MAX_REMEMBERED: usize = 4_096;
+
+/// An incarnation of a target that says that it leaves, as hosts tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingTarget {
+    pub name: TargetName,
+    /// Start time of the incarnation, if it states one.
+    pub born: Option<u64>,
+    /// Time since an answer first said so.
+    pub age: Duration,
+}
+
+/// The incarnations that said that they leave, whether or not their targets are known.
+#[derive(Debug)]
+#[derive(Default)]
+pub(super) struct LeavingTargets {
+    /// The latest such incarnation of each name.
+    known: HashMap<TargetName, Leave>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Leave {
+    born: Option<u64>,
+    since: Time,
+}
+
+impl LeavingTargets {
+    /// Records that an incarnation has been leaving since `since`; returns whether that is
+    /// new.
+    fn record(&mut self, name: &TargetName, born: Option<u64>, since: Time) -> bool {
+        if let Some(known) = self.known.get_mut(name) {
+            if known.born == born {
+                known.since = known.since.min(since);
+                return false;
+            }
+            if known.born > born {
+                return false;
+            }
+        } else if self.known.len() >= MAX_REMEMBERED {
+            self.forget_earliest();
+        }
+        self.known.insert(name.clone(), Leave { born, since });
+        true
+    }
+
+    /// Returns since when the incarnation has been leaving, if it said so.
+    pub(super) fn since(&self, name: &TargetName, born: Option<u64>) -> Option<Time> {
+        self.known.get(name).filter(|it| it.born == born).map(|it| it.since)
+    }
+
+    /// Forgets an incarnation without a start time, as another one has its name.
+    pub(super) fn forget_unborn(&mut self, name: &TargetName) {
+        if self.known.get(name).is_some_and(|it| it.born.is_none()) {
+            self.known.remove(name);
+        }
+    }
+
+    pub(super) fn remove_expired(&mut self, now: Time) {
+        self.known.retain(|_, it| now.since(it.since) < RETENTION);
+    }
+
+    fn forget_earliest(&mut self) {
+        let earliest = self.known.iter().min_by_key(|(_, it)| it.since);
+        if let Some(name) = earliest.map(|(name, _)| name.clone()) {
+            self.known.remove(&name);
+        }
+    }
+}
+
+impl<W> Targets<W> {
+    /// Records that an answer of the target says that it leaves; returns whether that is
+    /// new.
+    pub fn record_leaving(&mut self, target: TargetKey, now: Time) -> bool {
+        let Some(it) = self.targets.get_mut(&target) else { return false };
+        self.leaving.record(&it.report.name, it.report.born, now);
+        it.mark_draining(now)
+    }
+
+    /// Records that another host says that a target leaves; returns whether that is new.
+    pub fn learn_leaving(&mut self, leaving: &LeavingTarget, now: Time) -> bool {
+        let LeavingTarget { name, born, age } = leaving;
+        let since = now.ago(*age);
+        let is_new = self.leaving.record(name, *born, since);
+        let key = self.target_keys.get(name).filter(|it| !self.is_host(**it));
+        let target = key.copied().and_then(|it| self.targets.get_mut(&it));
+        if let Some(target) = target.filter(|it| it.report.born == *born) {
+            target.mark_draining(since);
+        }
+        is_new
+    }
+
+    /// Returns what to tell other hosts of a target that said that it leaves.
+    pub fn stated_leaving(&self, target: TargetKey, now: Time) -> Option<LeavingTarget> {
+        let report = &self.targets.get(&target)?.report;
+        let since = self.leaving.since(&report.name, report.born)?;
+        Some(LeavingTarget { name: report.name.clone(), born: report.born, age: now.since(since) })
+    }
+}
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -15,6 +15,7 @@
 mod admission;
 mod choice;
 mod directory;
+mod leaving;
 mod limits;
 mod queue;
 mod reach;
@@ -28,12 +29,14 @@
 use self::{
     admission::DrainRate,
     choice::{Candidate, Purpose},
+    leaving::LeavingTargets,
     queue::Queue,
     reach::Reach,
 };
 pub use self::{
     admission::{Admission, Arrival},
     choice::Placement,
+    leaving::LeavingTarget,
     queue::Waiting,
     senders::SenderRole,
 };
@@ -98,6 +101,7 @@
     targets: HashMap<TargetKey, Target>,
     next_target: u64,
     next_send: u64,
+    leaving: LeavingTargets,
     evacuated: HashSet<DomainName>,
     class_keys: HashMap<std::sync::Arc<str>, ClassKey>,
     classes: Vec<LatencyQuantile>,
@@ -168,6 +172,7 @@
             targets: HashMap::default(),
             next_target: 0,
             next_send: 0,
+            leaving: LeavingTargets::default(),
             evacuated: HashSet::default(),
             class_keys: HashMap::default(),
             classes: Vec::new(),
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -1,6 +1,7 @@
 //! State of one target: its latest report, the sends in flight, its speed, and
 //! whether it may get more sends.
 
+mod leaving;
 mod pause;
 mod probes;
 mod report;
@@ -115,14 +116,6 @@
         }
     }
 
-    /// Records that the target itself says that it leaves; returns whether that is new.
-    /// No later report takes it back.
-    pub fn mark_draining(&mut self, now: Time) -> bool {
-        let before = std::mem::replace(&mut self.report.lifecycle, Lifecycle::Draining);
-        self.leaving_since.get_or_insert(now);
-        before != Lifecycle::Draining
-    }
-
     /// Records that it is unknown since when the target is draining, if it is. Such
     /// a target gets no more sends.
     pub fn mark_leave_time_unknown(&mut self) {
