Name leaving targets in answers to requests passed on

Cause: a host that passes a request on gets an answer that says that its target leaves, but not which target that is. It has then passed such an answer on to its caller, and went on to send requests to the target itself, for as long as the source listed it as sound.

Change: a sender names in its answer the targets that the request was sent to and that said that they leave: `relay-leaving`, a list of name, start time and age. The field is named in `Connection`, so that a host of an older build, which doesn't know it, removes it before the caller gets the answer. The host that passed the request on records them with their incarnation, whether or not it knows their entries, and removes the field. What is not readable is logged and says nothing. The target's own header passes to the caller as before.

Measured: two new tests failed before. `a_host_learns_from_a_sender_which_targets_leave`: "left: (200, 1) right: (503, 0)", the request reached the target (it now asserts the requests that reach the target, as hosts that cannot send themselves ask others); `a_sender_names_the_targets_that_said_ that_they_leave`: no such field. Both pass after.

A sender of an older build names no target: what it passes on is learned from the next answer of the target itself, or from the source.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,6 +18,7 @@
 mod format;
 mod in_force;
 mod isolation;
+mod leaving;
 mod log_line;
 mod messages;
 mod names;
--- a/crates/front/src/messages/event.rs
+++ b/crates/front/src/messages/event.rs
@@ -2,7 +2,11 @@
 
 use base::TargetName;
 use bytes::Bytes;
-use forward::{Verdict, placement::Send, target::SendResult};
+use forward::{
+    Verdict,
+    placement::{LeavingTarget, Send},
+    target::SendResult,
+};
 use http::{HeaderMap, StatusCode};
 use tokio::sync::mpsc;
 
@@ -52,6 +56,8 @@
     pub extra_sends: u32,
     /// Last place that the first part was sent to.
     pub last_target: Option<TargetName>,
+    /// Targets that the query was sent to and that said that they leave.
+    pub leaving: Vec<LeavingTarget>,
     /// Failed sends and missing parts, for the log.
     pub notes: Vec<Note>,
 }
--- a/crates/front/src/messages/relay.rs
+++ b/crates/front/src/messages/relay.rs
@@ -30,11 +30,14 @@
 /// What is known of the request's run, in an answer.
 const OUTCOME: HeaderName = HeaderName::from_static("relay-outcome");
 
+/// Targets whose answers to the request say that they leave, in an answer.
+const LEAVING: HeaderName = HeaderName::from_static("relay-leaving");
+
 /// Format of the request, none from a host of an older build.
 const FORMAT: HeaderName = HeaderName::from_static("relay-format");
 
 /// Headers that this build knows.
-const KNOWN: [HeaderName; 6] = [AGE, VERSION, TRANSIT, TOOK, OUTCOME, FORMAT];
+const KNOWN: [HeaderName; 7] = [AGE, VERSION, TRANSIT, TOOK, OUTCOME, FORMAT, LEAVING];
 
 /// How the names of all headers between hosts begin.
 const PREFIX: &str = "relay-";
@@ -147,6 +150,16 @@
     Some(Duration::from_micros(us))
 }
 
+/// Adds the targets that said that they leave to the sender's answer.
+pub(crate) fn write_leaving(headers: &mut HeaderMap, leaving: HeaderValue) {
+    insert_for_hop(headers, LEAVING, leaving);
+}
+
+/// Removes and returns the targets that said that they leave.
+pub(crate) fn take_leaving(headers: &mut HeaderMap) -> Option<HeaderValue> {
+    headers.remove(LEAVING)
+}
+
 /// What an answer says of the request's run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RelayOutcome {
--- a/crates/front/src/peer_server/relayed.rs
+++ b/crates/front/src/peer_server/relayed.rs
@@ -8,6 +8,7 @@
     answer::{Answer, Refusal, UNAVAILABLE_WAIT, implies_not_run},
     callers::{Origin, discard, respond},
     format::FormatError,
+    leaving::write_leaving,
     log_line::{self, request_id},
     messages::{Relay, RelayOutcome, relay},
 };
@@ -41,6 +42,7 @@
         }
     };
     outcome.write(answer.headers_mut());
+    write_leaving(cx, &mut answer);
     relay::write_version(answer.headers_mut(), version);
     relay::write_took(answer.headers_mut(), cx.clock.now().since(started));
     if let Some(id) = id_header {
--- a/crates/front/src/query.rs
+++ b/crates/front/src/query.rs
@@ -12,6 +12,7 @@
     SharedCx,
     answer::{self, Answer, Refusal, UNAVAILABLE_WAIT, implies_not_run},
     isolation::{Unservable, check_targets},
+    leaving::attach_leaving,
     log_line::LogLine,
     messages::{Collected, Outgoing},
     scatter::scatter,
@@ -54,10 +55,14 @@
         schedule,
     };
     admit(cx, &plan)?;
-    let collected = scatter(cx, plan, &request).await;
+    let mut collected = scatter(cx, plan, &request).await;
     let line = LogLine::new(cx, entry, &request, schedule, &collected);
     let left = schedule.deadline.until(cx.clock.now());
-    let answered = build_answer(cx, entry, collected, left);
+    let leaving = std::mem::take(&mut collected.leaving);
+    let mut answered = build_answer(cx, entry, collected, left);
+    if let Ok(answer) = &mut answered {
+        attach_leaving(answer, leaving);
+    }
     line.write(cx, answered.as_ref().map_or_else(|it| it.status, |it| it.status()));
     answered
 }
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -8,7 +8,7 @@
 use base::TargetName;
 use forward::{
     Query, QueryPlan, Verdict,
-    placement::Send,
+    placement::{LeavingTarget, Send},
     query::{FinishedSend, Step},
     target::SendResult,
 };
@@ -60,6 +60,7 @@
         may_have_run: scatter.query.may_have_run(),
         extra_sends: scatter.query.extra_sends(),
         last_target: scatter.last_target(),
+        leaving: scatter.leaving(),
         notes: std::mem::take(&mut scatter.notes),
     }
 }
@@ -152,6 +153,13 @@
         targets.target(*target).map(|it| it.report.name.clone())
     }
 
+    /// Returns the targets that the query was sent to and that said that they leave.
+    fn leaving(&self) -> Vec<LeavingTarget> {
+        let (targets, now) = (self.cx.targets.borrow(), self.cx.clock.now());
+        let tried = (0..self.query.plan().shards.len()).flat_map(|it| self.query.tried(it));
+        tried.filter_map(|it| targets.stated_leaving(*it, now)).collect()
+    }
+
     fn place(&mut self, index: usize) {
         let now = self.cx.clock.now();
         let step = self.query.place(&mut self.cx.targets.borrow_mut(), index, now);
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -22,6 +22,7 @@
 use crate::{
     SharedCx,
     body::{BodyLimits, read_body},
+    leaving,
     log_line::request_id,
     messages::{Job, Outcome, TargetAnswer},
 };
@@ -162,6 +163,7 @@
     };
     if is_relayed {
         record_version(cx, job.send.target, &mut answer.headers);
+        leaving::record_leaving(cx, &mut answer.headers);
     } else {
         record_state(cx, job, &answer.headers);
         record_limit(cx, job, &answer.headers, result);
