Learn from an earlier entry of the same incarnation that it drains

Cause: an entry with a lower count than the known one was passed over. A host with a later heartbeat of a target thereby ignored a peer or reader that knows, by an answer, that the target leaves: its state holds the entry that it had then, marked as draining.

Change: such an entry of the same incarnation marks the target as draining; a target never stops to drain. Nothing else of it is used.

Measured: `an_earlier_entry_of_the_same_incarnation_that_drains_counts` failed before: "left: Send(..) right: NoTarget".

--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -34,7 +34,10 @@
             && let Some(target) = self.targets.get_mut(&key)
         {
             match compare(&target.report, &report) {
-                Relation::Older => return key,
+                Relation::Older => {
+                    target.learn_from_earlier(&report, now);
+                    return key;
+                }
                 Relation::Same => {
                     target.update_report(report, now);
                     return key;
--- a/crates/forward/src/target/leaving.rs
+++ b/crates/forward/src/target/leaving.rs
@@ -2,9 +2,18 @@
 
 use base::Time;
 
-use super::{Lifecycle, Target};
+use super::{Lifecycle, Target, TargetReport};
 
 impl Target {
+    /// Learns from an earlier report of the same incarnation, whose target never stops to
+    /// drain.
+    pub fn learn_from_earlier(&mut self, report: &TargetReport, now: Time) {
+        let is_same = self.report.born.is_some() && self.report.born == report.born;
+        if is_same && report.lifecycle == Lifecycle::Draining {
+            self.mark_draining(now);
+        }
+    }
+
     /// Records that the target itself has said since `since` that it leaves; returns
     /// whether that is new. No later report takes it back.
     pub fn mark_draining(&mut self, since: Time) -> bool {
--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -7,7 +7,7 @@
 use base::{HashSet, TargetName};
 use fixture::{Fixture, LEAVING_FOR, at, report};
 use forward::{
-    Placement, TargetReport,
+    Lifecycle, Placement, TargetReport,
     placement::{LeavingTarget, TargetKey},
     target::SendResult,
 };
@@ -112,6 +112,20 @@
     }
 }
 
+/// Guards against a host with a later entry that passes over what a peer knows: that the
+/// target drains.
+#[test]
+fn an_earlier_entry_of_the_same_incarnation_that_drains_counts() {
+    let mut it = Fixture::new(None);
+    it.targets.apply_report(later_report(), at(0));
+    let draining = TargetReport { lifecycle: Lifecycle::Draining, ..report("one", "a") };
+    it.targets.apply_late_report(TargetReport { born: Some(9), ..draining.clone() }, at(100));
+    let send = it.send(at(200));
+    it.targets.finish_send(&send, at(210), SendResult::Answered);
+    it.targets.apply_late_report(draining, at(300));
+    assert_eq!(it.place(at(LONG_AFTER_MS)), Placement::NoTarget);
+}
+
 /// Guards against memory that grows with each target that leaves.
 #[test]
 fn what_is_remembered_of_targets_that_left_is_bounded() {
