Take a target's word that it leaves from the head of its answer

Cause: the word was read after an answer had been judged usable. An answer that is encoded, unsigned, or breaks off in its body lost it, and of two fields only the first was read. A request that is misdirected was answered by another target, whose word was recorded for the one that the address had before.

Change: the head of an answer is read for it as soon as it is there, if it belongs to the request; the same over the hop between hosts, for an answer that states an outcome. Answers with another id are not believed: they may be anyone's, and no caller gets them. Nor is 421, which another target gives.

--- a/crates/front/src/leaving.rs
+++ b/crates/front/src/leaving.rs
@@ -9,7 +9,11 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 
-use crate::{SharedCx, answer::Answer, messages::relay};
+use crate::{
+    SharedCx,
+    answer::Answer,
+    messages::{RelayOutcome, relay},
+};
 
 /// Targets whose answers to a request say that they leave; kept with its answer.
 #[derive(Clone, Debug)]
@@ -42,9 +46,11 @@
     }
 }
 
-/// Records the targets that another host's answer names, and removes them there.
+/// Records the targets that another host's answer names, and removes them there. An answer
+/// that states no outcome is none of a host.
 pub(crate) fn record_leaving(cx: &SharedCx, headers: &mut HeaderMap) {
-    let Some(value) = relay::take_leaving(headers) else { return };
+    let value = relay::take_leaving(headers);
+    let Some(value) = value.filter(|_| RelayOutcome::read(headers).is_some()) else { return };
     let named: Vec<WireLeaving> = match serde_json::from_slice(value.as_bytes()) {
         Ok(named) => named,
         Err(err) => {
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -5,7 +5,7 @@
 use base::TargetName;
 use bytes::Bytes;
 use forward::target::SendResult;
-use http::{HeaderMap, HeaderValue, Request, header};
+use http::{HeaderMap, HeaderValue, Request, header, response::Parts};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Connection, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    judge::{Verdict, judge},
+    judge::{Verdict, is_answer_to, judge},
     stated::{record_leaving, record_limit, record_pause, record_state, record_version},
 };
 use crate::{
@@ -61,7 +61,7 @@
     let Some(request) = request(cx, name, job) else {
         return ended(SendResult::Cancelled, true);
     };
-    let mut call = std::pin::pin!(call(sender, request));
+    let mut call = std::pin::pin!(call(cx, job, sender, request));
     let mut give_up = std::pin::pin!(give_up(cx, job));
     let mut is_open = true;
     let result = loop {
@@ -107,6 +107,8 @@
 }
 
 async fn call(
+    cx: &SharedCx,
+    job: &Job,
     sender: &mut SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
 ) -> Result<TargetAnswer, SendError> {
@@ -116,11 +118,24 @@
     let answer = sender.try_send_request(request).await.map_err(|mut err| {
         if err.take_message().is_some() { SendError::NotSent } else { SendError::Broken }
     })?;
-    let (head, body) = answer.into_parts();
+    let (mut head, body) = answer.into_parts();
+    if is_answer_to(&cx.cfg.names, &job.request.headers, &head.headers) {
+        record_head(cx, job, &mut head);
+    }
     let body = read_body(body, ANSWER_LIMITS).await.map_err(|_| SendError::Broken)?;
     Ok(TargetAnswer { status: head.status, headers: head.headers, body })
 }
 
+/// Records what holds whatever becomes of the answer: its body may break off, or be of no
+/// use.
+fn record_head(cx: &SharedCx, job: &Job, head: &mut Parts) {
+    if job.request.relay.is_some() {
+        leaving::record_leaving(cx, &mut head.headers);
+    } else {
+        record_leaving(cx, job.send.target, head);
+    }
+}
+
 /// Completes when the exchange should be abandoned; returns the result that it
 /// counts as.
 async fn give_up(cx: &SharedCx, job: &Job) -> SendResult {
@@ -163,12 +178,10 @@
     };
     if is_relayed {
         record_version(cx, job.send.target, &mut answer.headers);
-        leaving::record_leaving(cx, &mut answer.headers);
     } else {
         record_state(cx, job, &answer.headers);
         record_limit(cx, job, &answer.headers, result);
         record_pause(cx, job, &answer);
-        record_leaving(cx, job, &answer.headers);
     }
     let is_reusable = is_open && !closes_connection(&answer.headers);
     let answer = is_kept.then_some(answer);
--- a/crates/front/src/targets/judge.rs
+++ b/crates/front/src/targets/judge.rs
@@ -36,7 +36,7 @@
     is_relayed: bool,
     answer: &TargetAnswer,
 ) -> Verdict {
-    if !is_answer_to(names, request, answer) {
+    if !is_answer_to(names, request, &answer.headers) {
         let reason = "it belongs to another request";
         return Verdict::Unusable { result: SendResult::Broken, reason };
     }
@@ -78,9 +78,9 @@
 /// Returns whether an answer belongs to the request: it echoes the request's id, and
 /// has none if the request has none, as health requests do. A late copy of another
 /// answer may arrive first on the connection.
-fn is_answer_to(names: &HeaderNames, request: &HeaderMap, answer: &TargetAnswer) -> bool {
+pub(super) fn is_answer_to(names: &HeaderNames, request: &HeaderMap, answer: &HeaderMap) -> bool {
     let name = &names.request_id;
-    let mut echoed = answer.headers.get_all(name).iter().peekable();
+    let mut echoed = answer.get_all(name).iter().peekable();
     match request.get(name) {
         Some(asked) => echoed.peek().is_some() && echoed.all(|it| it == asked),
         None => echoed.all(HeaderValue::is_empty),
--- a/crates/front/src/targets/stated.rs
+++ b/crates/front/src/targets/stated.rs
@@ -8,7 +8,7 @@
     placement::TargetKey,
     target::{ReportedLoad, SendResult},
 };
-use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header, response::Parts};
 use slog::{debug, info};
 
 use crate::{
@@ -69,14 +69,19 @@
 }
 
 /// Records whether the answer says that its target leaves. It counts as draining from
-/// then on, whatever the source lists.
-pub(super) fn record_leaving(cx: &SharedCx, job: &Job, headers: &HeaderMap) {
-    let Some(value) = headers.get(&cx.cfg.names.leaving) else { return };
-    if value.as_bytes().trim_ascii() != LEAVING {
-        debug!(cx.log, "targets: stated leave is not understood"; "value" => ?value);
+/// then on, whatever the source lists. Called with the head of an answer to a request to
+/// the target. If the request is misdirected, another target answers.
+pub(super) fn record_leaving(cx: &SharedCx, target: TargetKey, head: &Parts) {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    let (now, target) = (cx.clock.now(), job.send.target);
+    let values = head.headers.get_all(&cx.cfg.names.leaving);
+    let Some(first) = values.iter().next() else { return };
+    if !values.iter().any(|it| it.as_bytes().trim_ascii() == LEAVING) {
+        debug!(cx.log, "targets: stated leave is not understood"; "value" => ?first);
+        return;
+    }
+    let now = cx.clock.now();
     let mut targets = cx.targets.borrow_mut();
     if targets.record_leaving(target, now) {
         let name = targets.target(target).map(|it| it.report.name.clone());
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -213,3 +213,109 @@
         });
     }
 }
+
+/// Returns whether a target still gets requests long after it gave its first reply to one,
+/// and then sound ones.
+async fn is_used_after(reply: Reply) -> bool {
+    let one = target(vec![reply, Reply::Bytes(ok("s", "yes"))]).await;
+    let host = host();
+    host.list("s", "t1", &one);
+    host.get("/one/x").await;
+    assert_eq!(one.requests(), 1);
+    sleep(LEAVING_FOR + MARGIN).await;
+    host.get("/one/x").await;
+    one.requests() == 2
+}
+
+/// Guards against targets whose word that they leave is lost with an answer that no caller
+/// gets.
+#[test]
+fn answers_that_cannot_be_used_say_that_their_target_leaves() {
+    let whole = ok("s", "yes").replacen("x-id: ", "x-leaving: 1\r\nx-id: ", 1);
+    let half = whole.replace("yes", "y");
+    let replies = [
+        Reply::Bytes(whole.replace("x-stamp", "content-encoding: gzip\r\nx-stamp")),
+        Reply::Bytes(whole.replace("x-stamp", "x-other")),
+        Reply::Bytes(whole.replace("200 OK", "500 Error")),
+        Reply::Bytes(whole.replace("x-leaving", "x-leaving: 0\r\nx-leaving")),
+        Reply::Bytes(whole.replace("200 OK", "429 Many").replace("x-stamp", "x-not-run")),
+        Reply::BytesThenClose(half.clone()),
+        Reply::BytesThenReset(half.clone()),
+        // The rest never comes.
+        Reply::Bytes(half),
+    ];
+    for reply in replies {
+        run(async move { assert!(!is_used_after(reply.clone()).await, "{reply:?}") });
+    }
+}
+
+/// Guards against targets that are left out for the word of others: an answer to another
+/// request may be anyone's.
+#[test]
+fn an_answer_to_another_request_does_not_say_that_the_target_leaves() {
+    let whole = ok("s", "yes").replacen("x-id: ", "x-leaving: 1\r\nx-id: ", 1);
+    for other in [whole.replace("{id}", "q0"), whole.replace("x-id: {id}\r\n", "")] {
+        run(async move { assert!(is_used_after(Reply::Bytes(other)).await) });
+    }
+}
+
+/// Guards against a target that is left out as another one has its address, and leaves.
+#[test]
+fn a_target_at_a_reused_address_does_not_speak_for_the_one_before() {
+    run(async {
+        let other = shed().replace("503 Service Unavailable", "421 Misdirected Request");
+        let one = target(says(&other, "x-leaving: 1")).await;
+        let moved = target(vec![Reply::Bytes(ok("s", "yes"))]).await;
+        let host = host();
+        let listed = TargetReport { born: Some(7), ..report("s", "t1", one.address) };
+        host.cx.update_target(listed.clone(), Duration::ZERO);
+        assert_eq!(status(&host.get("/one/x").await), 503);
+        let listed = TargetReport { address: moved.address, sequence: 2, ..listed };
+        host.cx.update_target(listed, Duration::ZERO);
+        sleep(LEAVING_FOR + MARGIN).await;
+        get(&host, 1).await;
+        assert_eq!((one.requests(), moved.requests()), (1, 1));
+    });
+}
+
+/// The caller left before the answer came.
+#[test]
+fn a_late_answer_says_that_its_target_leaves() {
+    run(async {
+        let whole = ok("s", "yes").replacen("x-id: ", "x-leaving: 1\r\nx-id: ", 1);
+        let one = target(vec![Reply::Later(Duration::from_millis(150), whole)]).await;
+        let mut host = host();
+        host.single(Repeat::Idempotent);
+        host.list("s", "t1", &one);
+        let mut caller = host.connect().await;
+        let request = b"GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q1\r\n\r\n";
+        caller.write_all(request).await.expect("written");
+        while one.requests() == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        drop(caller);
+        sleep(LEAVING_FOR + MARGIN * 5).await;
+        assert_eq!((status(&host.get("/one/x").await), one.requests()), (503, 1));
+    });
+}
+
+#[test]
+fn the_answer_to_a_health_request_says_that_its_target_leaves() {
+    run(async {
+        let mut replies = says(&ok("s", "yes"), "x-other: 1");
+        replies.extend(says(&ok("s", "yes").replace("200 OK", "503 Unwell"), "x-leaving: 1"));
+        let one = target(replies).await;
+        let mut host = host();
+        host.warmup_rate = Some(100.0);
+        host.single(Repeat::AtMostOnce);
+        host.list("s", "t1", &one);
+        get(&host, 1).await;
+        while one.requests() == 1 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert!(one.received.borrow()[1].starts_with("GET /health "));
+        sleep(LEAVING_FOR + MARGIN).await;
+        assert_eq!(status(&host.get("/one/x").await), 503);
+        assert!(one.received.borrow()[1..].iter().all(|it| it.starts_with("GET /health ")));
+    });
+}
