Refuse all requests that wait when no target may get them

Cause: a part that waits for a connection and is woken when no target of its service may get requests any more fails, and woke no other.

Change: a part that fails when it is woken wakes the next one of its service. One that is placed or waits on does not.

--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -8,6 +8,7 @@
 use base::TargetName;
 use forward::{
     Query, QueryPlan, Verdict,
+    gather::PartState,
     placement::{LeavingTarget, Send},
     query::{FinishedSend, Step},
     target::SendResult,
@@ -114,11 +115,22 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Ended { index, send, outcome } => self.ended(index, &send, outcome),
-            Event::Place { index } if self.query.is_waiting(index) => self.place(index),
-            Event::Place { index } => self.cx.wake_waiting(self.query.plan().shards[index]),
+            Event::Place { index } if self.query.is_waiting(index) => {
+                self.place(index);
+                if self.query.part(index) == PartState::Failed {
+                    self.wake_next(index);
+                }
+            }
+            Event::Place { index } => self.wake_next(index),
         }
     }
 
+    /// Wakes the next part that waits for the same service, as this one does not use the
+    /// connection, or as no target may get either.
+    fn wake_next(&self, index: usize) {
+        self.cx.wake_waiting(self.query.plan().shards[index]);
+    }
+
     fn ended(&mut self, index: usize, send: &Send, outcome: Outcome) {
         let result = outcome.result;
         if result != SendResult::Answered {
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -319,3 +319,40 @@
         assert!(one.received.borrow()[1..].iter().all(|it| it.starts_with("GET /health ")));
     });
 }
+
+/// Guards against requests that wait for a connection to targets that get no more requests:
+/// one was refused with each sweep.
+#[test]
+fn requests_that_wait_are_refused_at_once_when_their_last_target_has_left() {
+    const WAITING: usize = 30;
+    run(async {
+        // Such requests take long, so the target is not silent before it has left.
+        let whole = ok("s", "yes").replacen("x-id: ", "x-leaving: 1\r\nx-id: ", 1);
+        let later = |times| Reply::Later(LEAVING_FOR * times, whole.clone());
+        let one = target(vec![later(1), later(4)]).await;
+        let mut host = TestHost::start();
+        host.cx.set_limits(limits());
+        host.max_connections = 1;
+        host.objective = LEAVING_FOR * 6;
+        host.single(Repeat::AtMostOnce);
+        host.list("s", "t1", &one);
+        get(&host, 1).await;
+        let said = Instant::now();
+        let mut callers = Vec::new();
+        for _ in 0..=WAITING {
+            let mut caller = host.connect().await;
+            let request = b"GET /one/x HTTP/1.1\r\nhost: h\r\nx-id: q1\r\n\r\n";
+            caller.write_all(request).await.expect("written");
+            callers.push(caller);
+            sleep(Duration::from_millis(2)).await;
+        }
+        for caller in &mut callers[1..] {
+            let answer = read_message(caller).await.expect("an answer");
+            assert_eq!(status(&answer), 503);
+            assert!(header(&answer, "retry-after").is_some(), "{answer}");
+        }
+        assert!(said.elapsed() > LEAVING_FOR, "{:?}", said.elapsed());
+        assert!(said.elapsed() < LEAVING_FOR * 2, "{:?}", said.elapsed());
+        assert_eq!(one.requests(), 2);
+    });
+}
