Mark the entry that is known now when an answer says that its target leaves

Cause: the word was recorded for the entry to which the request was sent. If that was replaced meanwhile, as the target moved to another address, the entry in use went on getting requests. An entry that no longer states when its target started counted as another incarnation. And connections were opened ahead to targets that leave.

Change: the word marks the entry of the same incarnation that is known now, and where one of two entries of a name states no start time, they count as one incarnation, as they do when entries are compared. Targets that leave get no connection ahead of requests.

Measured: two new tests failed before. `an_answer_to_a_request_to_an_earlier_address_says_that_the_target_leaves`: "left: Send(..) right: NoTarget"; `no_connection_is_opened_ahead_to_a_leaving_target`: "left: [TargetKey(1)] right: []".

--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -170,7 +170,8 @@
             }
             for key in &self.services[service.0].targets {
                 let Some(target) = self.targets.get_mut(key) else { continue };
-                let is_wanted = !target.is_gone() && !target.is_cold(now);
+                let is_leaving = target.is_gone() || target.leaving_since().is_some();
+                let is_wanted = !is_leaving && !target.is_cold(now);
                 if is_wanted && target.take_first_connection() {
                     due.push(*key);
                 }
--- a/crates/forward/src/placement/leaving.rs
+++ b/crates/forward/src/placement/leaving.rs
@@ -46,8 +46,8 @@
     /// new.
     fn record(&mut self, name: &TargetName, born: Option<u64>, since: Time) -> bool {
         if let Some(known) = self.known.get_mut(name) {
-            if known.born == born {
-                known.since = known.since.min(since);
+            if is_same(known.born, born) {
+                *known = Leave { born: known.born.or(born), since: known.since.min(since) };
                 return false;
             }
             if known.born > born {
@@ -62,7 +62,7 @@
 
     /// Returns since when the incarnation has been leaving, if it said so.
     pub(super) fn since(&self, name: &TargetName, born: Option<u64>) -> Option<Time> {
-        self.known.get(name).filter(|it| it.born == born).map(|it| it.since)
+        self.known.get(name).filter(|it| is_same(it.born, born)).map(|it| it.since)
     }
 
     /// Forgets an incarnation without a start time, as another one has its name.
@@ -84,13 +84,22 @@
     }
 }
 
+/// Returns whether two entries of the same name are of one incarnation, as far as they say.
+fn is_same(one: Option<u64>, other: Option<u64>) -> bool {
+    one.is_none() || other.is_none() || one == other
+}
+
 impl<W> Targets<W> {
     /// Records that an answer of the target says that it leaves; returns whether that is
     /// new.
     pub fn record_leaving(&mut self, target: TargetKey, now: Time) -> bool {
         let Some(it) = self.targets.get_mut(&target) else { return false };
-        self.leaving.record(&it.report.name, it.report.born, now);
-        it.mark_draining(now)
+        let is_new = it.mark_draining(now);
+        let (name, born) = (it.report.name.clone(), it.report.born);
+        self.leaving.record(&name, born, now);
+        // Its entry may have changed since the request was sent.
+        self.mark_known(&name, born, now);
+        is_new
     }
 
     /// Records that another host says that a target leaves; returns whether that is new.
@@ -98,12 +107,17 @@
         let LeavingTarget { name, born, age } = leaving;
         let since = now.ago(*age);
         let is_new = self.leaving.record(name, *born, since);
+        self.mark_known(name, *born, since);
+        is_new
+    }
+
+    /// Marks the incarnation as leaving if it is the one that is known by its name.
+    fn mark_known(&mut self, name: &TargetName, born: Option<u64>, since: Time) {
         let key = self.target_keys.get(name).filter(|it| !self.is_host(**it));
         let target = key.copied().and_then(|it| self.targets.get_mut(&it));
-        if let Some(target) = target.filter(|it| it.report.born == *born) {
+        if let Some(target) = target.filter(|it| is_same(it.report.born, born)) {
             target.mark_draining(since);
         }
-        is_new
     }
 
     /// Returns what to tell other hosts of a target that said that it leaves.
--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -78,6 +78,32 @@
     let _ = it.send(at(LONG_AFTER_MS));
 }
 
+/// Guards against a target whose address changed before the answer that says that it leaves,
+/// and one whose entry no longer states when it started.
+#[test]
+fn an_answer_to_a_request_to_an_earlier_address_says_that_the_target_leaves() {
+    let mut it = Fixture::new(None);
+    it.targets.apply_report(report("one", "a"), at(0));
+    let send = it.send(at(0));
+    let moved = TargetReport { address: ([127, 0, 0, 2], 1_000).into(), ..later_report() };
+    it.targets.apply_report(moved.clone(), at(100));
+    assert!(it.targets.record_leaving(send.target, at(200)));
+    it.targets.finish_send(&send, at(200), SendResult::Answered);
+    assert_eq!(it.place(at(2_100)), Placement::NoTarget);
+    it.targets.remove_unlisted(at(LONG_AFTER_MS));
+    it.targets.apply_report(TargetReport { born: None, ..moved }, at(LONG_AFTER_MS));
+    assert_eq!(it.place(at(LONG_AFTER_MS)), Placement::NoTarget);
+}
+
+/// Guards against connections that are opened ahead to a target that leaves.
+#[test]
+fn no_connection_is_opened_ahead_to_a_leaving_target() {
+    let mut it = Fixture::new(None);
+    let key = it.targets.apply_report(report("one", "a"), at(0));
+    it.targets.record_leaving(key, at(0));
+    assert_eq!(it.targets.due_first_connections(at(1)), []);
+}
+
 /// Guards against an incarnation without a start time that is left out for the one before.
 #[test]
 fn an_incarnation_without_a_start_time_that_counts_anew_does_not_leave() {
