Answer requests of a route whose weights are all zero

Cause: such a route sends to none of its services, so its query has no part. The last target of its first part, which the log line names, was taken by index: the task of the caller's connection panicked, and the caller got no answer.

Change: a query has tried no targets for a part that it does not have. The request is refused as not run, which is true.

Measured: before, a_route_whose_weights_are_all_zero_is_refused: "index out of bounds: the len is 0 but the index is 0", and no answer (status "left: 0, right: 503"); after, 503 and nothing sent. The tests of forward and the file's pass.

--- a/crates/forward/src/query/mod.rs
+++ b/crates/forward/src/query/mod.rs
@@ -135,9 +135,9 @@
         self.gather.part(index)
     }
 
-    /// Returns the targets that the part was sent to.
+    /// Returns the targets that the part was sent to; none if the query has no such part.
     pub fn tried(&self, index: usize) -> &[TargetKey] {
-        &self.tried[index]
+        self.tried.get(index).map_or(&[], Vec::as_slice)
     }
 
     pub fn done(&self) -> usize {
--- a/crates/front/tests/requests.rs
+++ b/crates/front/tests/requests.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use forward::Repeat;
+use forward::{Destination, Repeat};
 use support::{Reply, TestHost, body, header, ok, run, shed, status, target};
 use tokio::time::Instant;
 
@@ -235,3 +235,19 @@
         assert_eq!(header(&answer, "x-stamp").as_deref(), Some("s"));
     });
 }
+
+/// Guards against connections that are cut without an answer: a route whose services all
+/// have the weight 0 sends to none of them.
+#[test]
+fn a_route_whose_weights_are_all_zero_is_refused() {
+    run(async {
+        let one = target(always(ok("sig", "yes"))).await;
+        let mut host = TestHost::start();
+        let weights = ["s", "s2"].map(|it| (it.into(), 0.0));
+        host.route("/none/", Repeat::Idempotent, Destination::Weighted(weights.into()));
+        host.list("s", "t1", &one);
+        host.list("s2", "t2", &one);
+        assert_eq!(status(&host.get("/none/x").await), 503);
+        assert_eq!(one.requests(), 0);
+    });
+}
