Limit the hosts and the domains that a host knows of

Cause: a host kept each domain that any digest of its own domain ever named, and named all of them in its own digests; hosts were forgotten after a minute, but not limited. Without keys, a few senders of odd digests could fill the memory, and digests of more than 4 KB are read by no host.

Change: at most 8,192 hosts and 64 other domains are known. Of more domains the one that was silent for longest is forgotten; more hosts are not added.

Measured: digests_of_many_names_leave_a_host_and_its_digest_small: before "80001 domains" in one digest, after 64, with the domain of a live host among them. The tests of forward pass.

--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -47,6 +47,11 @@
 /// Readers of the own domain listed in a digest.
 const MAX_READERS: usize = 2;
 
+/// Limits of hosts and of other domains that are known, beyond those of any fleet. Of more
+/// domains, the one that was silent for longest is forgotten.
+const MAX_HOSTS: usize = 8_192;
+const MAX_DOMAINS: usize = 64;
+
 /// Time after which a silent peer is no longer counted.
 const HOST_RETENTION: Duration = Duration::from_secs(60);
 
@@ -173,13 +178,15 @@
 
     /// Records the version of the configuration that a peer named beside its digests.
     pub fn record_version(&mut self, peer: SocketAddr, version: u64, now: Time) {
-        self.versions.insert(peer, (version, now));
+        if self.versions.len() < MAX_HOSTS || self.versions.contains_key(&peer) {
+            self.versions.insert(peer, (version, now));
+        }
     }
 
     /// Learns from a peer's digest. If it asks for a reply, a digest is to be sent to
     /// its sender.
     pub fn receive(&mut self, digest: &Digest, now: Time) {
-        self.versions.insert(digest.from.address, (digest.version, now));
+        self.record_version(digest.from.address, digest.version, now);
         self.record_seen(&digest.from, now);
         self.record_domain(&digest.from.domain, now);
         if digest.from.domain == self.own.domain {
@@ -310,7 +317,7 @@
     }
 
     fn record_seen(&mut self, host: &Host, at: Time) {
-        if host.address == self.own.address {
+        if host.address == self.own.address || self.is_full(host.address) {
             return;
         }
         let known = self
@@ -329,10 +336,25 @@
         }
         match self.domains_last_seen.get_mut(domain) {
             Some(last) => *last = (*last).max(at),
-            None => {
-                self.domains_last_seen.insert(domain.clone(), at);
+            None => self.add_domain(domain, at),
+        }
+    }
+
+    /// Returns whether too many hosts are known for this one to be added.
+    fn is_full(&self, address: SocketAddr) -> bool {
+        self.known.len() >= MAX_HOSTS && !self.known.contains_key(&address)
+    }
+
+    fn add_domain(&mut self, domain: &DomainName, at: Time) {
+        if self.domains_last_seen.len() >= MAX_DOMAINS {
+            let silent = self.domains_last_seen.iter().min_by_key(|(_, last)| **last);
+            let Some((silent, last)) = silent.map(|(it, last)| (it.clone(), *last)) else { return };
+            if last >= at {
+                return;
             }
+            self.domains_last_seen.remove(&silent);
         }
+        self.domains_last_seen.insert(domain.clone(), at);
     }
 }
 
--- a/crates/forward/tests/peers.rs
+++ b/crates/forward/tests/peers.rs
@@ -4,7 +4,7 @@
 
 use base::{DomainName, Time};
 use forward::{
-    peers::{DIGEST_INTERVAL, Host, MAX_LISTED_HOSTS, Peers},
+    peers::{DIGEST_INTERVAL, Digest, Host, MAX_LISTED_HOSTS, Peers, SeenDomain},
     senders::{MAX_SENDER_AGE, Senders},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -201,3 +201,34 @@
     }
     assert!(asked.iter().all(|it| *it <= 60 / 2), "{asked:?}");
 }
+
+/// Guards against digests that grow with each domain and host that was ever named, until no
+/// host can read them.
+#[test]
+fn digests_of_many_names_leave_a_host_and_its_digest_small() {
+    let mut peers = Peers::new(host(0), Vec::new());
+    let now = Time::from_millis(60_000);
+    for round in 0..20_000 {
+        let named = |it| SeenDomain {
+            domain: DomainName::new(&format!("domain-{round}-{it}")),
+            age: Duration::from_millis(it),
+        };
+        let from = Host { address: ([10, 1, 0, 1], 1 + round).into(), ..host(0) };
+        let digest = Digest {
+            from,
+            version: 1,
+            hosts: Vec::new(),
+            domains: (0..4).map(named).collect(),
+            strikes: Vec::new(),
+            asks_for_reply: false,
+        };
+        peers.receive(&digest, now);
+        let later = now + Duration::from_millis(1);
+        peers.receive(&Digest { from: host(1), domains: Vec::new(), ..digest }, later);
+    }
+    let (digest, _) = peers.next_digest(now, 1, Vec::new());
+    assert!(digest.domains.len() <= 64, "{} domains", digest.domains.len());
+    assert!(peers.count(now) <= 10_000, "{} hosts", peers.count(now));
+    // The domain of a host that lives is not forgotten for others.
+    assert!(digest.domains.iter().any(|it| it.domain == domain(1)));
+}
