Record the pause that any 503 of the target names

Cause: a pause was recorded once an answer had been judged usable. A 503 that is not signed, is encoded or breaks off in its body is not, so the time that it names was overlooked; so was a list of several times in one field.

Change: it is recorded when the head of an answer to the own request arrives, whatever follows. Lists count as several fields do: the longest number of seconds. A field that asks for no pause is logged. The reading of pauses moves to a file of its own.

--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -17,7 +17,8 @@
 
 use super::{
     judge::{Verdict, is_answer_to, judge},
-    stated::{record_leaving, record_limit, record_pause, record_state, record_version},
+    pause::record_pause,
+    stated::{record_leaving, record_limit, record_state, record_version},
 };
 use crate::{
     SharedCx,
@@ -133,6 +134,7 @@
         leaving::record_leaving(cx, &mut head.headers);
     } else {
         record_leaving(cx, job.send.target, head);
+        record_pause(cx, job.send.target, head);
     }
 }
 
@@ -181,7 +183,6 @@
     } else {
         record_state(cx, job, &answer.headers);
         record_limit(cx, job, &answer.headers, result);
-        record_pause(cx, job, &answer);
     }
     let is_reusable = is_open && !closes_connection(&answer.headers);
     let answer = is_kept.then_some(answer);
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod health;
 mod judge;
+mod pause;
 mod stated;
 
 pub(crate) use self::health::check_health;
--- /dev/null
+++ b/crates/front/src/targets/pause.rs
@@ -0,0 +1,45 @@
+//! Pauses that targets ask for with an answer that turns a request away.
+
+use std::time::Duration;
+
+use forward::placement::TargetKey;
+use http::{HeaderMap, HeaderValue, StatusCode, header, response};
+use slog::{debug, info};
+
+use crate::SharedCx;
+
+/// Records whether the target, which turned a request away, asks for a pause. Called
+/// with the head of an answer to that request, whatever becomes of its body.
+pub(super) fn record_pause(cx: &SharedCx, target: TargetKey, head: &response::Parts) {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    let Some(pause) = stated_pause(cx, &head.headers) else { return };
+    let now = cx.clock.now();
+    let mut targets = cx.targets.borrow_mut();
+    if targets.record_pause(target, pause, now) {
+        let name = targets.target(target).map(|it| it.report.name.clone());
+        info!(cx.log, "targets: asks for a pause"; "target" => name.as_deref(),
+            "pause_ms" => pause.as_millis() as u64);
+    }
+}
+
+/// Returns the longest pause that the headers name, in seconds, if any does. A date is not
+/// understood, as clocks differ.
+fn stated_pause(cx: &SharedCx, headers: &HeaderMap) -> Option<Duration> {
+    let pause = headers.get_all(header::RETRY_AFTER).iter().filter_map(parse_pause).max();
+    if pause.is_none_or(|it| it.is_zero()) {
+        for value in headers.get_all(header::RETRY_AFTER) {
+            debug!(cx.log, "targets: a stated pause asks for none"; "value" => ?value);
+        }
+    }
+    pause.filter(|it| !it.is_zero())
+}
+
+/// Returns the longest of the pauses in a value, which may be a list, or `None` if none
+/// of them is a number of seconds.
+fn parse_pause(value: &HeaderValue) -> Option<Duration> {
+    let seconds = value.to_str().ok()?.split(',').filter_map(|it| it.trim().parse::<f64>().ok());
+    let pauses = seconds.filter(|it| *it >= 0.0);
+    pauses.map(|it| Duration::try_from_secs_f64(it).unwrap_or(Duration::MAX)).max()
+}
--- a/crates/front/src/targets/stated.rs
+++ b/crates/front/src/targets/stated.rs
@@ -1,6 +1,6 @@
 //! What targets state of themselves in the headers of their answers: load, warm-up, a
-//! limit of requests, a pause, and that they leave; and what other hosts state: the version
-//! of their configuration.
+//! limit of requests, and that they leave; and what other hosts state: the version of their
+//! configuration.
 
 use std::time::Duration;
 
@@ -8,12 +8,12 @@
     placement::TargetKey,
     target::{ReportedLoad, SendResult},
 };
-use http::{HeaderMap, HeaderValue, StatusCode, header, response::Parts};
+use http::{HeaderMap, HeaderValue, StatusCode, response::Parts};
 use slog::{debug, info};
 
 use crate::{
     SharedCx,
-    messages::{Job, TargetAnswer, relay},
+    messages::{Job, relay},
 };
 
 /// Value by which a target says that it leaves.
@@ -34,40 +34,6 @@
     }
 }
 
-/// Records whether the target, which turned the request away, asks for a pause.
-pub(super) fn record_pause(cx: &SharedCx, job: &Job, answer: &TargetAnswer) {
-    if answer.status != StatusCode::SERVICE_UNAVAILABLE {
-        return;
-    }
-    let Some(pause) = stated_pause(cx, &answer.headers) else { return };
-    let (now, target) = (cx.clock.now(), job.send.target);
-    let mut targets = cx.targets.borrow_mut();
-    if targets.record_pause(target, pause, now) {
-        let name = targets.target(target).map(|it| it.report.name.clone());
-        info!(cx.log, "targets: asks for a pause"; "target" => name.as_deref(),
-            "pause_ms" => pause.as_millis() as u64);
-    }
-}
-
-/// Returns the longest pause that the headers name, in seconds, if any does. A date is not
-/// understood, as clocks differ.
-fn stated_pause(cx: &SharedCx, headers: &HeaderMap) -> Option<Duration> {
-    let values = headers.get_all(header::RETRY_AFTER).iter();
-    let pauses = values.filter_map(|value| {
-        let pause = parse_pause(value);
-        if pause.is_none() {
-            debug!(cx.log, "targets: stated pause is no number of seconds"; "value" => ?value);
-        }
-        pause
-    });
-    pauses.max().filter(|it| !it.is_zero())
-}
-
-fn parse_pause(value: &HeaderValue) -> Option<Duration> {
-    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    (seconds >= 0.0).then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
-}
-
 /// Records whether the answer says that its target leaves. It counts as draining from
 /// then on, whatever the source lists. Called with the head of an answer to a request to
 /// the target. If the request is misdirected, another target answers.
--- a/crates/front/tests/pauses.rs
+++ b/crates/front/tests/pauses.rs
@@ -6,7 +6,7 @@
 
 use forward::Repeat;
 use support::{Reply, TestHost, header, ok, run, shed, status, target};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 fn full(field: &str) -> Vec<Reply> {
     vec![Reply::Bytes(shed().replacen("x-id: ", &format!("{field}\r\nx-id: "), 1))]
@@ -15,8 +15,13 @@
 /// Guards against requests to a target in its pause: others get them.
 #[test]
 fn a_target_in_its_pause_gets_no_requests() {
-    for field in ["retry-after: 4.5", "retry-after: 0.2\r\nretry-after: 4.5", "retry-after: 1e300"]
-    {
+    for field in [
+        "retry-after: 4.5",
+        "retry-after: 0.2\r\nretry-after: 4.5",
+        "retry-after: 4.5, 0.2",
+        "retry-after: soon, 4.5",
+        "retry-after: 1e300",
+    ] {
         run(async move {
             let one = target(full(field)).await;
             let slow = Reply::Later(Duration::from_millis(150), ok("s", "yes"));
@@ -67,6 +72,7 @@
         "retry-after: Sat, 05 Dec 2026 06:00:00 GMT",
         "retry-after: nan",
         "retry-after: ",
+        "retry-after: 0, -1, soon",
     ] {
         run(async move {
             let one = target(full(field)).await;
@@ -80,3 +86,68 @@
         });
     }
 }
+
+/// Guards against a pause that is overlooked as the answer is of no use otherwise: it is not
+/// signed, is encoded, breaks off, or is no proof that the request did not run.
+#[test]
+fn any_503_to_the_own_request_asks_for_a_pause() {
+    let head = |further: &str, length: usize| {
+        let field = "retry-after: 30\r\nx-id: {id}\r\n";
+        format!("HTTP/1.1 503 Busy\r\n{field}{further}content-length: {length}\r\n\r\n")
+    };
+    for reply in [
+        Reply::Bytes(head("", 0)),
+        Reply::Bytes(head("x-stamp: s\r\n", 0)),
+        Reply::Bytes(head("x-not-run: 1\r\ncontent-encoding: gzip\r\n", 0)),
+        Reply::Bytes(head("content-encoding: gzip\r\n", 0)),
+        Reply::BytesThenClose(head("x-not-run: 1\r\n", 9)),
+    ] {
+        run(async move {
+            let one = target(vec![reply.clone()]).await;
+            let mut host = TestHost::start();
+            host.single(Repeat::AtMostOnce);
+            host.list("s", "t1", &one);
+            for _ in 0..3 {
+                host.get("/one/x").await;
+            }
+            assert_eq!(one.requests(), 1, "{reply:?}");
+        });
+    }
+}
+
+/// Guards against a target that is left alone for what it told somebody else.
+#[test]
+fn a_503_to_another_request_asks_for_no_pause() {
+    run(async {
+        let other = full("retry-after: 30").remove(0);
+        let Reply::Bytes(other) = other else { panic!("no bytes") };
+        let other = Reply::Bytes(other.replace("{id}", "q0"));
+        let one = target(vec![other, Reply::Bytes(ok("s", "yes"))]).await;
+        let mut host = TestHost::start();
+        host.single(Repeat::AtMostOnce);
+        host.list("s", "t1", &one);
+        host.get("/one/x").await;
+        assert_eq!(status(&host.get("/one/x").await), 200);
+    });
+}
+
+/// Guards against health checks in a pause, and against one that a health check is told
+/// of and that is overlooked.
+#[test]
+fn a_health_check_is_told_of_a_pause_and_there_is_none_in_it() {
+    run(async {
+        let paused = "HTTP/1.1 503 Busy\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n";
+        let one = target(vec![Reply::Bytes(ok("s", "yes")), Reply::Bytes(paused.into())]).await;
+        let mut host = TestHost::start();
+        host.warmup_rate = Some(100.0);
+        host.single(Repeat::AtMostOnce);
+        host.list("s", "t1", &one);
+        assert_eq!(status(&host.get("/one/x").await), 200);
+        while one.requests() < 2 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(status(&host.get("/one/x").await), 503);
+        assert_eq!(one.requests(), 2, "{:?}", one.received.borrow());
+    });
+}
--- a/crates/front/tests/relays.rs
+++ b/crates/front/tests/relays.rs
@@ -120,6 +120,25 @@
     });
 }
 
+/// Guards against a sender that is left alone for what it tells callers: only targets ask
+/// for pauses.
+#[test]
+fn a_refusal_by_a_sender_is_no_pause() {
+    run(async {
+        let refusal = relayed("503 Service Unavailable", "not-run", "").replace("0.123", "30");
+        let (leaf, first) = leaf_and(Reply::Bytes(refusal.clone())).await;
+        let second = target(vec![Reply::Bytes(refusal)]).await;
+        let host = entry(Repeat::Idempotent, &[&first, &second]).await;
+        host.list("s", "t1", &leaf);
+        wait_for_senders(&host).await;
+        for sent in 1..=3 {
+            assert_eq!(status(&host.get("/one/x").await), 503);
+            let received = (first.requests(), second.requests(), leaf.requests());
+            assert_eq!(received, (sent, sent, 0));
+        }
+    });
+}
+
 /// After an answer is lost, the request may have run: it is neither run again nor
 /// called "not run", also if another sender refused it before.
 #[test]
