Keep a pause as long as the incarnation of its target

Cause: a pause was part of what is known of a target. Both went when its entry named another address or service, or expired and came back, though the process was the same and still wanted no requests; and an answer under the earlier entry told the later one nothing.

Change: pauses are remembered by the name of the target until they end, and hold for each entry of the same incarnation. A new incarnation has none.

Other states (limits, warm-up) still begin anew where an entry moves.

--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -297,6 +297,10 @@
         if let Some(since) = self.leaving.since(&target.report.name, target.report.born) {
             target.mark_draining(since);
         }
+        if let Some(pause) = self.pauses.of(&target.report, now) {
+            target.keep_pause(pause);
+            self.limited.insert(key);
+        }
         self.targets.insert(key, target);
         key
     }
--- a/crates/forward/src/placement/limits.rs
+++ b/crates/forward/src/placement/limits.rs
@@ -32,14 +32,6 @@
         it.record_limit(per_second, share, self.phase, now)
     }
 
-    /// Records that the target, which turned a request away, asks for no requests for some
-    /// time; returns whether that is new.
-    pub fn record_pause(&mut self, target: TargetKey, pause: Duration, now: Time) -> bool {
-        let Some(it) = self.targets.get_mut(&target) else { return false };
-        self.limited.insert(target);
-        it.record_pause(pause, self.phase, now)
-    }
-
     /// Records that the answer to `send`, which is still in flight, names no limit;
     /// returns whether a limit ends.
     pub fn record_no_limit(&mut self, send: &Send, now: Time) -> bool {
@@ -56,6 +48,7 @@
 
     /// Forgets limits that ended long ago.
     pub fn expire_limits(&mut self, now: Time) {
+        self.pauses.expire(now);
         let targets = &mut self.targets;
         self.limited.retain(|it| targets.get_mut(it).is_some_and(|it| it.expire_limit(now)));
     }
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod directory;
 mod leaving;
 mod limits;
+mod pauses;
 mod queue;
 mod reach;
 mod reachability;
@@ -30,6 +31,7 @@
     admission::DrainRate,
     choice::{Candidate, Purpose},
     leaving::LeavingTargets,
+    pauses::AskedPauses,
     queue::Queue,
     reach::Reach,
 };
@@ -108,6 +110,7 @@
     rotation: usize,
     /// Targets that state a limit, or did so lately.
     limited: HashSet<TargetKey>,
+    pauses: AskedPauses,
     /// This host's turn among the hosts (0 to 1), at which it begins to keep a limit.
     phase: f64,
     /// Time of the last answer from each domain.
@@ -178,6 +181,7 @@
             classes: Vec::new(),
             rotation: 0,
             limited: HashSet::default(),
+            pauses: AskedPauses::default(),
             phase: 1.0,
             domain_answers: HashMap::default(),
             reach: Reach::default(),
--- /dev/null
+++ b/crates/forward/src/placement/pauses.rs
@@ -0,0 +1,58 @@
+//! Pauses that targets asked for, by incarnation.
+//!
+//! Load pattern answered: a target that turns requests away while its entry changes: it
+//! moves to another address or service, or its entry expires and comes back. It is still
+//! the same process, which wants no requests, so a pause outlives what is known of the
+//! target. A new incarnation has asked for none.
+
+use std::time::Duration;
+
+use base::{HashMap, TargetName, Time};
+
+use super::{TargetKey, Targets};
+use crate::target::{Pause, TargetReport};
+
+/// Pauses by the names of targets, each with the report by which its target was known.
+#[derive(Debug, Default)]
+pub(super) struct AskedPauses {
+    by_name: HashMap<TargetName, (TargetReport, Pause)>,
+}
+
+impl AskedPauses {
+    /// Returns the pause that the incarnation of `report` asked for, if it is not over.
+    pub(super) fn of(&self, report: &TargetReport, now: Time) -> Option<Pause> {
+        let (known, pause) = self.by_name.get(&report.name)?;
+        (report.is_same_incarnation(known) && pause.until(now).is_some()).then_some(*pause)
+    }
+
+    pub(super) fn expire(&mut self, now: Time) {
+        self.by_name.retain(|_, (_, pause)| pause.until(now).is_some());
+    }
+}
+
+impl<W> Targets<W> {
+    /// Records that the target, which turned a request away, asks for no requests for some
+    /// time; returns whether that is new.
+    pub fn record_pause(&mut self, target: TargetKey, pause: Duration, now: Time) -> bool {
+        let Some(it) = self.targets.get_mut(&target) else { return false };
+        let is_new = it.record_pause(pause, self.phase, now);
+        self.limited.insert(target);
+        let (report, pause) = (it.report.clone(), it.pause());
+        // The entry may have changed since the request was sent.
+        let current = self.target_keys.get(&report.name).filter(|it| **it != target);
+        if let Some(key) = current
+            && let Some(it) = self.targets.get_mut(key)
+            && it.report.is_same_incarnation(&report)
+        {
+            it.keep_pause(pause);
+            self.limited.insert(*key);
+        }
+        self.pauses.by_name.insert(report.name.clone(), (report, pause));
+        is_new
+    }
+
+    /// Returns whether the target is in a pause that it asked for.
+    pub fn is_paused(&self, target: TargetKey, now: Time) -> bool {
+        self.targets.get(&target).is_some_and(|it| it.pause().until(now).is_some())
+    }
+}
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -12,13 +12,9 @@
 
 use base::Time;
 
+pub(crate) use self::pause::Pause;
 pub use self::report::{Lifecycle, ReportedLoad, SendResult, TargetReport};
-use self::{
-    pause::{Pause, SPACING},
-    probes::Probes,
-    speed::Speed,
-    stated_limit::StatedLimit,
-};
+use self::{pause::SPACING, probes::Probes, speed::Speed, stated_limit::StatedLimit};
 
 /// Time for which a reported load is used.
 const LOAD_FRESH_FOR: Duration = Duration::from_millis(250);
@@ -324,6 +320,15 @@
         self.pause.ask(pause, phase, now)
     }
 
+    pub(crate) fn pause(&self) -> Pause {
+        self.pause
+    }
+
+    /// Keeps a pause that this incarnation asked for when it was known by other reports.
+    pub(crate) fn keep_pause(&mut self, pause: Pause) {
+        self.pause = self.pause.max(pause);
+    }
+
     /// Forgets a limit that ended long ago; returns whether one is left, or a pause.
     pub fn expire_limit(&mut self, now: Time) -> bool {
         if self.stated_limit.is_some_and(|it| it.is_over(now)) {
--- a/crates/forward/src/target/pause.rs
+++ b/crates/forward/src/target/pause.rs
@@ -14,15 +14,15 @@
 /// Spacing of requests after a pause, which limits nothing itself.
 pub(super) const SPACING: Duration = Duration::from_millis(1);
 
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Pause {
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Pause {
     until: Option<Time>,
 }
 
 impl Pause {
     /// Records that the target asks for a pause; returns whether it is a new one. Hosts
     /// return one after the other, each at its own `phase` (0 to 1).
-    pub(super) fn ask(&mut self, pause: Duration, phase: f64, now: Time) -> bool {
+    pub(crate) fn ask(&mut self, pause: Duration, phase: f64, now: Time) -> bool {
         let pause = pause.min(MAX_PAUSE);
         let returning = pause.mul_f64(RETURN_SHARE).min(MAX_RETURN_TIME).mul_f64(phase);
         let is_new = self.until(now).is_none();
@@ -31,7 +31,7 @@
     }
 
     /// Returns the end of the pause, if it is not over.
-    pub(super) fn until(&self, now: Time) -> Option<Time> {
+    pub(crate) fn until(&self, now: Time) -> Option<Time> {
         self.until.filter(|it| *it > now)
     }
 }
--- a/crates/forward/src/target/report.rs
+++ b/crates/forward/src/target/report.rs
@@ -23,6 +23,19 @@
     pub cold_for: Duration,
 }
 
+impl TargetReport {
+    /// Returns whether a later report than `known`, of a target with the same name, is of
+    /// the same incarnation.
+    pub fn is_same_incarnation(&self, known: &TargetReport) -> bool {
+        match (known.born, self.born) {
+            (Some(known), Some(born)) => known == born,
+            // Sequence numbers start again at a restart.
+            (None, None) => self.sequence >= known.sequence,
+            _ => true,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lifecycle {
     Ready,
--- a/crates/forward/tests/pauses.rs
+++ b/crates/forward/tests/pauses.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use base::HashSet;
 use fixture::{Fixture, at, report};
 use forward::{
-    Placement,
+    Placement, TargetReport,
     placement::{Admission, Arrival},
     target::SendResult,
 };
@@ -95,3 +96,75 @@
     assert!(!matches!(it.place(at(5_000)), Placement::Send(_)));
     assert!(matches!(it.place(at(24 * 3_600 * 1_000)), Placement::Send(_)));
 }
+
+const PAUSE: Duration = Duration::from_secs(30);
+
+/// Guards against a pause that is lost with the entry of its target, which is the same
+/// process still: its address or service changes, or it is listed again after its expiry.
+#[test]
+fn a_pause_outlives_what_is_known_of_its_target() {
+    let same = report("one", "a");
+    let mut moved = report("one", "a");
+    moved.address = ([127, 0, 0, 1], 2_000).into();
+    let mut slower = report("one", "a");
+    (slower.slots, slower.sequence) = (1, 2);
+    for (born, expires, entry) in [
+        (Some(10), false, &moved),
+        (Some(10), false, &slower),
+        (Some(10), true, &same),
+        (Some(10), true, &moved),
+        (None, false, &moved),
+        (None, true, &same),
+    ] {
+        let mut it = Fixture::new(None);
+        let first = TargetReport { born, ..same.clone() };
+        let one = it.targets.apply_report(first, at(0));
+        it.targets.record_pause(one, PAUSE, at(100));
+        if expires {
+            it.targets.retain_listed(&HashSet::default(), at(200), at(200));
+            it.targets.remove_unlisted(at(20_000));
+            assert!(it.targets.target(one).is_none());
+        }
+        it.targets.apply_report(TargetReport { born, ..entry.clone() }, at(20_000));
+        for ms in [20_001, 30_099] {
+            it.targets.expire_limits(at(ms));
+            assert!(!matches!(it.place(at(ms)), Placement::Send(_)), "{born:?} {entry:?}");
+        }
+        it.targets.expire_limits(at(31_000));
+        assert!(matches!(it.place(at(31_000)), Placement::Send(_)));
+    }
+}
+
+/// Guards against a pause that is overlooked as the entry of its target changed while the
+/// request was under way.
+#[test]
+fn a_pause_that_is_asked_for_under_an_earlier_entry_holds() {
+    let mut it = Fixture::new(None);
+    let before = it.targets.apply_report(report("one", "a"), at(0));
+    let send = it.send(at(10));
+    let mut moved = report("one", "a");
+    moved.address = ([127, 0, 0, 1], 2_000).into();
+    it.targets.apply_report(moved, at(20));
+    it.targets.record_pause(before, PAUSE, at(30));
+    it.targets.finish_send(&send, at(30), SendResult::Shed);
+    assert!(!matches!(it.place(at(1_000)), Placement::Send(_)));
+}
+
+#[test]
+fn a_new_incarnation_has_no_pause() {
+    for expires in [false, true] {
+        for (born, sequence) in [((Some(10), Some(11)), 0), ((None, None), 0)] {
+            let mut it = Fixture::new(None);
+            let one = TargetReport { born: born.0, ..report("one", "a") };
+            let one = it.targets.apply_report(one, at(0));
+            it.targets.record_pause(one, PAUSE, at(100));
+            if expires {
+                it.targets.retain_listed(&HashSet::default(), at(200), at(200));
+                it.targets.remove_unlisted(at(20_000));
+            }
+            let restarted = TargetReport { born: born.1, sequence, ..report("one", "a") };
+            it.targets.apply_report(restarted, at(20_000));
+            assert!(matches!(it.place(at(20_001)), Placement::Send(_)));
+        }
+    }
+}
