Send nothing into a pause on a connection that opened late

Cause: a request is placed before its connection is opened, which may take up to a second. The target may have asked for a pause meanwhile; the request was written as if it had not.

Change: the pause is looked at once more before a request is written. One that is not out yet counts as not sent: it goes to another target, takes no attempt and none of the retry budget, and its connection is kept.

Measured: a_send_that_is_not_out_when_a_pause_begins_goes_elsewhere is new with `is_paused`. No test of front shows the fault from outside: on loopback a connection opens at once, or, with a full queue of connections, only after the limit of one second; such a test passed on the old code too and was left out.

--- a/crates/forward/tests/pauses.rs
+++ b/crates/forward/tests/pauses.rs
@@ -1,6 +1,7 @@
 //! Targets that turn requests away and ask for a pause, on virtual time.
 
 mod fixture;
+mod services;
 
 use std::time::Duration;
 
@@ -9,8 +10,10 @@
 use forward::{
     Placement, TargetReport,
     placement::{Admission, Arrival},
+    query::Step,
     target::SendResult,
 };
+use services::ServicesFixture;
 
 const WORK_MS: u64 = 20;
 
@@ -168,3 +171,21 @@
         }
     }
 }
+
+/// Guards against requests that reach a target in its pause, as their connections took long
+/// to open: they go to another target and take no attempt.
+#[test]
+fn a_send_that_is_not_out_when_a_pause_begins_goes_elsewhere() {
+    let mut it = ServicesFixture::new(1, 2);
+    let mut query = it.query(1, false, 900, at(0));
+    let Some(Step::Send { send, .. }) = query.place(&mut it.targets, 0, at(0)) else {
+        panic!("not sent")
+    };
+    assert!(!it.targets.is_paused(send.target, at(90)));
+    it.targets.record_pause(send.target, PAUSE, at(100));
+    assert!(it.targets.is_paused(send.target, at(700)));
+    let ended = query.finish_send(&mut it.targets, 0, &send, SendResult::NotSent, at(700));
+    let Some(Step::Send { send: next, .. }) = ended.step else { panic!("not sent again") };
+    assert_ne!(next.target, send.target);
+    assert!(!it.targets.is_paused(send.target, at(31_000)));
+}
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -59,6 +59,10 @@
     mut connection: Pin<&mut TargetConnection>,
     job: &Job,
 ) -> Ended {
+    // The connection may have taken long to open.
+    if cx.targets.borrow().is_paused(job.send.target, cx.clock.now()) {
+        return ended(SendResult::NotSent, true);
+    }
     let Some(request) = request(cx, name, job) else {
         return ended(SendResult::Cancelled, true);
     };
