Tell callers the true end of the pauses that targets ask for

Cause: a refusal on account of a pause went the way of other waits: its Retry-After was a third of the caller's time at most, or a fixed 0.3 s for the request that was turned away itself. A query over many shards, some of them in pauses and others without a target, was sent out in vain.

Change: admission tells pauses from other waits. A request is refused at once if too few of its services have a target that answers and is in no pause, and its caller is told when enough of them are back; so is one that finds that out itself. A service none of whose targets answers does not count as coming back.

Measured: failed before: without_a_target_that_takes_requests_callers_are_refused_at_once and a_query_over_many_shards_is_refused_until_enough_of_them_are_back: retry-after: 0.300 in place of 30, 20 and 40 s The first of them asserted a third of the caller's time, which is not true; it now asserts the end of the pause, to half a second.

--- a/crates/forward/src/placement/admission.rs
+++ b/crates/forward/src/placement/admission.rs
@@ -73,12 +73,22 @@
     Refuse {
         wait: Duration,
     },
+    /// Targets of too many services ask for pauses; the first are over after `wait`.
+    Paused {
+        wait: Duration,
+    },
 }
 
 impl<W> Targets<W> {
     /// Decides whether to accept a request.
     pub fn admit(&self, arrival: &Arrival<'_>, now: Time) -> Admission {
         let latency = self.expected_latency(arrival.class);
+        let Arrival { services, min_services, regions, .. } = *arrival;
+        if let Some(wait) = self.pause_wait(services, min_services, regions, now)
+            && now + wait + latency > arrival.in_time_until
+        {
+            return Admission::Paused { wait };
+        }
         // Other hosts may have a share left of the limits that targets state, so the
         // caller waits for this host's share only if the answer is still in time.
         let limit_wait = self.expected_limit_wait(arrival, now);
--- a/crates/forward/src/placement/pauses.rs
+++ b/crates/forward/src/placement/pauses.rs
@@ -7,10 +7,10 @@
 
 use std::time::Duration;
 
-use base::{HashMap, TargetName, Time};
+use base::{HashMap, RegionName, TargetName, Time};
 
-use super::{TargetKey, Targets};
-use crate::target::{Pause, TargetReport};
+use super::{ServiceKey, TargetKey, Targets, admission::nth_wait, reachability::is_unresponsive};
+use crate::target::{Pause, Target, TargetReport};
 
 /// Pauses by the names of targets, each with the report by which its target was known.
 #[derive(Debug, Default)]
@@ -51,6 +51,41 @@
         is_new
     }
 
+    /// Returns the time until `min_services` of the services have a target that answers and
+    /// is in no pause, if pauses keep them from it now.
+    pub fn pause_wait(
+        &self,
+        services: &[ServiceKey],
+        min_services: usize,
+        regions: &[RegionName],
+        now: Time,
+    ) -> Option<Duration> {
+        if self.limited.is_empty() {
+            return None;
+        }
+        let wait = |it: &ServiceKey| self.service_pause_wait(*it, regions, now);
+        // A service none of whose targets answers may not come back.
+        let waits = services.iter().map(|it| wait(it).unwrap_or(Duration::MAX)).collect();
+        let wait = nth_wait(waits, min_services);
+        (!wait.is_zero() && wait < Duration::MAX).then_some(wait)
+    }
+
+    /// Returns the time until the first target of the service that answers is in no pause;
+    /// `None` if none answers.
+    fn service_pause_wait(
+        &self,
+        service: ServiceKey,
+        regions: &[RegionName],
+        now: Time,
+    ) -> Option<Duration> {
+        let targets = self.services[service.0].targets.iter();
+        let known = targets.filter_map(|it| self.targets.get(it));
+        let answering =
+            known.filter(|it| self.is_allowed(it, regions, now) && !is_unresponsive(it, now));
+        let wait = |it: &Target| it.pause().until(now).map_or(Duration::ZERO, |at| at.until(now));
+        answering.map(wait).min()
+    }
+
     /// Returns whether the target is in a pause that it asked for.
     pub fn is_paused(&self, target: TargetKey, now: Time) -> bool {
         self.targets.get(&target).is_some_and(|it| it.pause().until(now).is_some())
--- a/crates/forward/src/placement/reachability.rs
+++ b/crates/forward/src/placement/reachability.rs
@@ -112,7 +112,7 @@
     }
 }
 
-fn is_unresponsive(target: &Target, now: Time) -> bool {
+pub(super) fn is_unresponsive(target: &Target, now: Time) -> bool {
     target.is_down()
         || target.silence_ratio(now) > UNRESPONSIVE_RATIO
             && target.silent_for(now) > UNRESPONSIVE_AFTER
--- a/crates/forward/tests/pauses.rs
+++ b/crates/forward/tests/pauses.rs
@@ -80,7 +80,7 @@
         answer_by: at(3_000),
         in_time_until: at(2_000),
     };
-    let Admission::Refuse { wait } = it.targets.admit(&arrival, at(1_500)) else {
+    let Admission::Paused { wait } = it.targets.admit(&arrival, at(1_500)) else {
         panic!("accepted")
     };
     assert!(
--- a/crates/front/src/answer/refusal.rs
+++ b/crates/front/src/answer/refusal.rs
@@ -52,6 +52,14 @@
         let retry_after = Some(retry_after(expected, left));
         Refusal { retry_after, ..Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason) }
     }
+
+    /// Returns a refusal of a request that did not run and will not, as targets ask for a
+    /// pause that is over after `wait`.
+    pub(crate) fn paused(wait: Duration) -> Refusal {
+        let retry_after = Some(wait);
+        let reason = "targets ask for a pause";
+        Refusal { retry_after, ..Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason) }
+    }
 }
 
 impl From<Refusal> for Answer {
--- a/crates/front/src/query.rs
+++ b/crates/front/src/query.rs
@@ -54,7 +54,7 @@
         is_idempotent: request.is_idempotent,
         schedule,
     };
-    admit(cx, &plan)?;
+    admit(cx, entry, &plan)?;
     let mut collected = scatter(cx, plan, &request).await;
     let line = LogLine::new(cx, entry, &request, schedule, &collected);
     let left = schedule.deadline.until(cx.clock.now());
@@ -68,7 +68,7 @@
 }
 
 /// Refuses a request that would not be answered in time.
-fn admit(cx: &SharedCx, plan: &QueryPlan) -> Result<(), Refusal> {
+fn admit(cx: &SharedCx, entry: &RouteEntry, plan: &QueryPlan) -> Result<(), Refusal> {
     let now = cx.clock.now();
     match plan.admit(&cx.targets.borrow(), now) {
         Admission::Accept => Ok(()),
@@ -78,6 +78,18 @@
                 format!("expected wait {} ms, {} ms left", wait.as_millis(), left.as_millis());
             Err(Refusal::not_run("too much is waiting", wait, left).with_inputs(inputs))
         }
+        Admission::Paused { .. } => Err(not_taken(cx, entry, plan.schedule.deadline.until(now))),
+    }
+}
+
+/// Returns a refusal of a request that no target takes. If they ask for pauses, the caller
+/// is told when enough of these are over.
+fn not_taken(cx: &SharedCx, entry: &RouteEntry, left: Duration) -> Refusal {
+    let (services, regions) = (&entry.services, &entry.route.regions);
+    let targets = cx.targets.borrow();
+    match targets.pause_wait(services, entry.min_services(), regions, cx.clock.now()) {
+        Some(wait) => Refusal::paused(wait),
+        None => Refusal::not_run("no target could take the request", UNAVAILABLE_WAIT, left),
     }
 }
 
@@ -104,7 +116,7 @@
         return Ok(answer::forwarded(failure));
     }
     if !collected.may_have_run {
-        return Err(Refusal::not_run("no target could take the request", UNAVAILABLE_WAIT, left));
+        return Err(not_taken(cx, entry, left));
     }
     if collected.verdict == Verdict::TimedOut {
         return Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
--- a/crates/front/tests/pauses.rs
+++ b/crates/front/tests/pauses.rs
@@ -12,6 +12,11 @@
     vec![Reply::Bytes(shed().replacen("x-id: ", &format!("{field}\r\nx-id: "), 1))]
 }
 
+/// Returns the time after which a refused caller is to come back, in seconds.
+fn wait(answer: &str) -> f64 {
+    header(answer, "retry-after").and_then(|it| it.parse().ok()).unwrap_or(f64::NAN)
+}
+
 /// Guards against requests to a target in its pause: others get them.
 #[test]
 fn a_target_in_its_pause_gets_no_requests() {
@@ -52,15 +57,15 @@
         let mut host = TestHost::start();
         host.single(Repeat::AtMostOnce);
         host.list("s", "t1", &one);
-        assert_eq!(status(&host.get("/one/x").await), 503);
+        let first = host.get("/one/x").await;
+        assert_eq!(status(&first), 503);
+        assert!((25.0..=30.5).contains(&wait(&first)), "{first}");
         let asked = Instant::now();
         let refused = host.get("/one/x").await;
         assert_eq!((status(&refused), one.requests()), (503, 1));
         assert!(asked.elapsed() < Duration::from_millis(200), "{:?}", asked.elapsed());
-        let wait: f64 =
-            header(&refused, "retry-after").and_then(|it| it.parse().ok()).expect("a wait");
-        // The end of the pause, but at most a third of the time that the caller has.
-        assert!((0.25..=0.3).contains(&wait), "{wait}");
+        let wait = wait(&refused);
+        assert!((25.0..=30.5).contains(&wait), "{wait}");
     });
 }
 
@@ -151,3 +156,29 @@
         assert_eq!(one.requests(), 2, "{:?}", one.received.borrow());
     });
 }
+
+/// Guards against queries over many shards that are sent in vain or told to come back too
+/// early: too few shards have a target that takes requests, or has one at all.
+#[test]
+fn a_query_over_many_shards_is_refused_until_enough_of_them_are_back() {
+    for has_third in [true, false] {
+        run(async move {
+            let one = target(full("retry-after: 40")).await;
+            let two = target(full("retry-after: 20")).await;
+            let three = target(vec![Reply::Bytes(ok("s", "yes"))]).await;
+            let mut host = TestHost::start();
+            host.gather(0.6);
+            host.list("s0", "t0", &one);
+            host.list("s1", "t1", if has_third { &two } else { &three });
+            if has_third {
+                host.list("s2", "t2", &three);
+            }
+            host.get("/all/x").await;
+            let sent = three.requests();
+            let refused = host.get("/all/x").await;
+            assert_eq!((status(&refused), one.requests(), three.requests()), (503, 1, sent));
+            let end = if has_third { 20.0 } else { 40.0 };
+            assert!((end - 5.0..=end + 0.5).contains(&wait(&refused)), "{refused}");
+        });
+    }
+}
