Refuse waiting requests once their targets ask for pauses

Cause: requests that waited for a connection when the last target of their service asked for a pause stayed in the queue until almost the end of their objective, though it was known that nothing would take them in time.

Change: a pause wakes the parts that would be late at its end. They are placed once more, which refuses them with the true time to come back. Those that are still in time at the end of the pause wait for it, as new ones do.

Stated limits let waiting requests run late, as before.

--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -230,10 +230,11 @@
     }
 
     /// Removes and returns the next waiter of the service's queue, to be placed now.
-    /// There is none while stated limits keep all targets from getting a request.
+    /// While stated limits keep all targets from getting a request, there is only one that
+    /// waits in vain.
     pub fn pop_waiting(&mut self, service: ServiceKey, now: Time) -> Option<W> {
         if self.is_limited(service, now) {
-            return None;
+            return self.pop_paused(service, now);
         }
         self.services[service.0].queue.pop(now).map(|it| it.waiter)
     }
--- a/crates/forward/src/placement/pauses.rs
+++ b/crates/forward/src/placement/pauses.rs
@@ -70,6 +70,13 @@
         (!wait.is_zero() && wait < Duration::MAX).then_some(wait)
     }
 
+    /// Removes and returns a waiter that would be late, as all targets of the service are in
+    /// pauses. Its part is to be placed, which then fails.
+    pub fn pop_paused(&mut self, service: ServiceKey, now: Time) -> Option<W> {
+        let wait = self.pause_wait(&[service], 1, &[], now)?;
+        self.services[service.0].queue.pop_late(now + wait).map(|it| it.waiter)
+    }
+
     /// Returns the time until the first target of the service that answers is in no pause;
     /// `None` if none answers.
     fn service_pause_wait(
--- a/crates/forward/src/placement/queue.rs
+++ b/crates/forward/src/placement/queue.rs
@@ -55,6 +55,12 @@
         (index < self.waiting.len()).then(|| self.waiting.remove(index))
     }
 
+    /// Removes and returns an entry that is late at `at`.
+    pub(super) fn pop_late(&mut self, at: Time) -> Option<Waiting<W>> {
+        let index = self.waiting.iter().position(|it| it.in_time_until < at)?;
+        Some(self.waiting.remove(index))
+    }
+
     /// Removes the entries for whose waiter `is_over` returns true.
     pub(super) fn remove_waiting(&mut self, is_over: impl Fn(&W) -> bool) {
         self.waiting.retain(|it| !is_over(&it.waiter));
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -237,6 +237,16 @@
         }
     }
 
+    /// Wakes the parts that wait for `service` in vain, as its targets asked for pauses.
+    pub(crate) fn wake_paused(&self, service: ServiceKey) {
+        loop {
+            let next = self.targets.borrow_mut().pop_paused(service, self.clock.now());
+            let Some(waiter) = next else { return };
+            // An error means that the query has ended.
+            let _ = waiter.tx.send(Event::Place { index: waiter.index });
+        }
+    }
+
     /// Removes expired targets and suspects, and wakes one waiting part of each
     /// service.
     pub(crate) fn sweep(&self) {
--- a/crates/front/src/targets/exchange.rs
+++ b/crates/front/src/targets/exchange.rs
@@ -138,7 +138,7 @@
         leaving::record_leaving(cx, &mut head.headers);
     } else {
         record_leaving(cx, job.send.target, head);
-        record_pause(cx, job.send.target, head);
+        record_pause(cx, &job.send, head);
     }
 }
 
--- a/crates/front/src/targets/pause.rs
+++ b/crates/front/src/targets/pause.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use forward::placement::TargetKey;
+use forward::placement::Send;
 use http::{HeaderMap, HeaderValue, StatusCode, header, response};
 use slog::{debug, info};
 
@@ -10,18 +10,19 @@
 
 /// Records whether the target, which turned a request away, asks for a pause. Called
 /// with the head of an answer to that request, whatever becomes of its body.
-pub(super) fn record_pause(cx: &SharedCx, target: TargetKey, head: &response::Parts) {
+pub(super) fn record_pause(cx: &SharedCx, send: &Send, head: &response::Parts) {
     if head.status != StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
     let Some(pause) = stated_pause(cx, &head.headers) else { return };
-    let now = cx.clock.now();
-    let mut targets = cx.targets.borrow_mut();
-    if targets.record_pause(target, pause, now) {
-        let name = targets.target(target).map(|it| it.report.name.clone());
+    let is_new = cx.targets.borrow_mut().record_pause(send.target, pause, cx.clock.now());
+    if is_new {
+        let targets = cx.targets.borrow();
+        let name = targets.target(send.target).map(|it| it.report.name.clone());
         info!(cx.log, "targets: asks for a pause"; "target" => name.as_deref(),
             "pause_ms" => pause.as_millis() as u64);
     }
+    cx.wake_paused(send.service);
 }
 
 /// Returns the longest pause that the headers name, in seconds, if any does. A date is not
--- a/crates/front/tests/pauses.rs
+++ b/crates/front/tests/pauses.rs
@@ -182,3 +182,26 @@
         });
     }
 }
+
+/// Guards against callers that wait for a target that asks for a pause meanwhile, until
+/// their time is over.
+#[test]
+fn callers_that_wait_for_a_connection_are_refused_once_there_is_a_pause() {
+    run(async {
+        let paused = shed().replacen("x-id: ", "retry-after: 30\r\nx-id: ", 1);
+        let one = target(vec![Reply::Later(Duration::from_millis(300), paused)]).await;
+        let mut host = TestHost::start();
+        host.max_connections = 1;
+        host.objective = Duration::from_secs(4);
+        host.single(Repeat::AtMostOnce);
+        host.list("s", "t1", &one);
+        let asked = Instant::now();
+        let get = || host.get("/one/x");
+        let answers: [String; 4] = tokio::join!(get(), get(), get(), get()).into();
+        for it in &answers {
+            assert!(status(it) == 503 && (25.0..=30.5).contains(&wait(it)), "{it}");
+        }
+        assert_eq!(one.requests(), 1);
+        assert!(asked.elapsed() < host.objective / 2, "{:?}", asked.elapsed());
+    });
+}
