Return to a target by degrees after its pause

Cause: hosts return from a pause one after the other, but each sent at once all that waited and came in, up to its share of connections, to a target that had just been too full.

Change: after its turn a host has one request in flight there; the number doubles five times within the time over which hosts return, and is free after that.

Measured: what_waits_for_the_end_of_a_pause_is_sent_by_degrees failed before (requests in flight 0, 99, 199, 299 and 499 ms after a pause of 3 s): left: [17, 17, 17, 17, 17], right: [1, 1, 2, 4, 16]

--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -93,7 +93,7 @@
                 }
                 continue;
             }
-            if target.sends_in_flight() >= share
+            if target.sends_in_flight() >= share.min(target.return_window(now))
                 || target.is_full(now)
                 || self.is_cold_limit_used(req, target, now)
             {
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -320,6 +320,11 @@
         self.pause.ask(pause, phase, now)
     }
 
+    /// Returns the most sends in flight while this host returns after a pause.
+    pub(crate) fn return_window(&self, now: Time) -> usize {
+        self.pause.window(now).unwrap_or(usize::MAX)
+    }
+
     pub(crate) fn pause(&self) -> Pause {
         self.pause
     }
--- a/crates/forward/tests/pauses.rs
+++ b/crates/forward/tests/pauses.rs
@@ -3,13 +3,13 @@
 mod fixture;
 mod services;
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use base::HashSet;
 use fixture::{Fixture, at, report};
 use forward::{
     Placement, TargetReport,
-    placement::{Admission, Arrival},
+    placement::{Admission, Arrival, Send},
     query::Step,
     target::SendResult,
 };
@@ -189,3 +189,25 @@
     assert_ne!(next.target, send.target);
     assert!(!it.targets.is_paused(send.target, at(31_000)));
 }
+
+/// Guards against a burst at the end of a pause: all that waited is sent at once.
+#[test]
+fn what_waits_for_the_end_of_a_pause_is_sent_by_degrees() {
+    let mut it = Fixture::new(None);
+    let one = it.targets.apply_report(report("one", "a"), at(0));
+    it.targets.set_phase(0.0);
+    it.targets.record_pause(one, Duration::from_secs(3), at(0));
+    let mut in_flight: VecDeque<(u64, Send)> = VecDeque::new();
+    let mut most = Vec::new();
+    for ms in 3_000..4_000 {
+        while let Some((_, send)) = in_flight.pop_front_if(|it| it.0 <= ms) {
+            it.targets.finish_send(&send, at(ms), SendResult::Answered);
+        }
+        while let Placement::Send(send) = it.place(at(ms)) {
+            in_flight.push_back((ms + WORK_MS, send));
+        }
+        most.push(in_flight.len());
+    }
+    assert_eq!([0, 99, 199, 299, 499].map(|ms| most[ms]), [1, 1, 2, 4, 16]);
+    assert_eq!(most[999], 17, "all that this host may have in flight");
+}
