--- a/crates/forward/tests/pauses.rs
+++ b/crates/forward/tests/pauses.rs
@@ -96,8 +96,10 @@
     let one = it.targets.apply_report(report("one", "a"), at(0));
     assert!(it.targets.record_pause(one, Duration::MAX, at(0)));
     assert!(!it.targets.record_pause(one, Duration::from_secs(1), at(10)));
-    assert!(!matches!(it.place(at(5_000)), Placement::Send(_)));
-    assert!(matches!(it.place(at(24 * 3_600 * 1_000)), Placement::Send(_)));
+    for (hour, is_sent) in [(1, false), (23, false), (25, true)] {
+        let placement = it.place(at(hour * 3_600 * 1_000));
+        assert_eq!(matches!(placement, Placement::Send(_)), is_sent, "hour {hour}");
+    }
 }
 
 const PAUSE: Duration = Duration::from_secs(30);
