Show which targets were left out at their request, since when and until when

Cause: a refusal on account of pauses named no target, a part that was missing for one only said "failed", `explain` left out what targets had stated, and the gauge of limited targets mixed limits and pauses.

Change: such a refusal lists the first targets with the age and the end of their pauses, the note on a part names the cause, and `explain` shows the last pause, limit and leave of each target that the request's lines name. New gauge front_targets_paused.

--- a/crates/forward/src/placement/pauses.rs
+++ b/crates/forward/src/placement/pauses.rs
@@ -93,6 +93,26 @@
         answering.map(wait).min()
     }
 
+    /// Returns the targets of the services that are in a pause, with the time since which
+    /// it is asked for, and its end.
+    pub fn paused(
+        &self,
+        services: &[ServiceKey],
+        now: Time,
+    ) -> impl Iterator<Item = (&TargetName, Time, Time)> {
+        let keys = services.iter().flat_map(|it| &self.services[it.0].targets);
+        let known = keys.filter_map(|it| self.targets.get(it));
+        known.filter_map(move |it| {
+            let (since, until) = it.pause().span(now)?;
+            Some((&it.report.name, since, until))
+        })
+    }
+
+    /// Returns the number of targets that are in a pause.
+    pub fn paused_count(&self, now: Time) -> usize {
+        self.limited.iter().filter(|it| self.is_paused(**it, now)).count()
+    }
+
     /// Returns whether the target is in a pause that it asked for.
     pub fn is_paused(&self, target: TargetKey, now: Time) -> bool {
         self.targets.get(&target).is_some_and(|it| it.pause().until(now).is_some())
--- a/crates/forward/src/target/pause.rs
+++ b/crates/forward/src/target/pause.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Pause {
     until: Option<Time>,
+    /// Time at which it was first asked for.
+    asked_at: Time,
     /// Time after its end in which this host returns.
     returns_in: Duration,
 }
@@ -39,8 +41,9 @@
         let returns_in = pause.mul_f64(RETURN_SHARE).min(MAX_RETURN_TIME);
         let until = Some(now + pause + returns_in.mul_f64(phase));
         let is_new = self.until(now).is_none();
+        let asked_at = if is_new { now } else { self.asked_at };
         if is_new || until > self.until {
-            *self = Pause { until, returns_in };
+            *self = Pause { until, asked_at, returns_in };
         }
         is_new
     }
@@ -50,6 +53,11 @@
         self.until.filter(|it| *it > now)
     }
 
+    /// Returns the time since which it is asked for, and its end, if it is not over.
+    pub(crate) fn span(&self, now: Time) -> Option<(Time, Time)> {
+        self.until(now).map(|until| (self.asked_at, until))
+    }
+
     /// Returns the most requests that this host may have in flight, if it has not returned
     /// in full after the pause.
     pub(super) fn window(&self, now: Time) -> Option<usize> {
--- a/crates/front/src/query.rs
+++ b/crates/front/src/query.rs
@@ -2,9 +2,12 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::always;
+use base::{Time, always};
 use forward::{
-    Destination, QueryPlan, Verdict, gather::Schedule, placement::Admission, route::RouteEntry,
+    Destination, QueryPlan, Targets, Verdict,
+    gather::Schedule,
+    placement::{Admission, ServiceKey},
+    route::RouteEntry,
 };
 use http::StatusCode;
 
@@ -22,6 +25,9 @@
 /// elsewhere only after two missed readiness checks.
 const ISOLATED_WAIT: Duration = Duration::from_secs(2);
 
+/// Limit on the targets listed in a refusal.
+const MAX_LISTED_TARGETS: usize = 5;
+
 /// Runs a request at targets that no other host took, if these can be reached.
 pub(crate) async fn run_here(
     cx: &SharedCx,
@@ -86,13 +92,25 @@
 /// is told when enough of these are over.
 fn not_taken(cx: &SharedCx, entry: &RouteEntry, left: Duration) -> Refusal {
     let (services, regions) = (&entry.services, &entry.route.regions);
-    let targets = cx.targets.borrow();
-    match targets.pause_wait(services, entry.min_services(), regions, cx.clock.now()) {
-        Some(wait) => Refusal::paused(wait),
+    let (targets, now) = (cx.targets.borrow(), cx.clock.now());
+    match targets.pause_wait(services, entry.min_services(), regions, now) {
+        Some(wait) => Refusal::paused(wait).with_inputs(paused_targets(&targets, services, now)),
         None => Refusal::not_run("no target could take the request", UNAVAILABLE_WAIT, left),
     }
 }
 
+/// Returns the first few targets that ask for a pause, for the log.
+fn paused_targets<W>(targets: &Targets<W>, services: &[ServiceKey], now: Time) -> String {
+    let paused = targets.paused(services, now).take(MAX_LISTED_TARGETS);
+    let texts: Vec<String> = paused
+        .map(|(name, since, until)| {
+            let (age, left) = (now.since(since).as_millis(), until.until(now).as_millis());
+            format!("{name} asked {age} ms ago, over in {left} ms")
+        })
+        .collect();
+    texts.join("; ")
+}
+
 /// Builds the answer from the collected parts, a target's failure or, without
 /// either, a refusal.
 fn build_answer(
--- a/crates/front/src/scatter/notes.rs
+++ b/crates/front/src/scatter/notes.rs
@@ -27,6 +27,13 @@
         self.notes.push(Note { service, target, reason, sends, after });
     }
 
+    /// Returns whether pauses that targets asked for keep the part from being sent.
+    fn is_paused(&self, index: usize) -> bool {
+        let plan = self.query.plan();
+        let (service, now) = (plan.shards[index], self.cx.clock.now());
+        self.cx.targets.borrow().pause_wait(&[service], 1, &plan.regions, now).is_some()
+    }
+
     /// Records the parts that are missing from the answer, each with a reason.
     pub(super) fn record_missing(&mut self) {
         for index in 0..self.query.plan().shards.len() {
@@ -36,6 +43,7 @@
                 PartState::Silent => "all targets silent",
                 PartState::Sent { .. } => "not answered yet",
                 PartState::Unresponsive { .. } => "its targets answer nothing",
+                PartState::Failed if self.is_paused(index) => "its targets ask for a pause",
                 PartState::Failed => "failed",
             };
             let target = self.query.tried(index).last().copied();
--- a/crates/front/tests/pauses.rs
+++ b/crates/front/tests/pauses.rs
@@ -44,6 +44,7 @@
                 tokio::join!(get(), get(), get(), get(), get(), get(), get(), get());
             }
             assert_eq!(one.requests(), 1, "{field}");
+            assert_eq!(host.gauge("front_targets_paused").await, Some(1));
         });
     }
 }
--- a/crates/godwityard/src/commands/explain/log_line.rs
+++ b/crates/godwityard/src/commands/explain/log_line.rs
@@ -55,6 +55,12 @@
         notes.filter(|it| !it.is_empty()).map(parse_part_note).collect()
     }
 
+    /// Returns whether a note is on `target`, or the values behind a refusal name it.
+    pub(super) fn names_target(&self, target: &str) -> bool {
+        let inputs = self.str_field("inputs").unwrap_or_default();
+        inputs.split([' ', ';']).any(|it| it == target) || self.has_note_on(target)
+    }
+
     /// Returns whether one of the notes is on `target`.
     pub(super) fn has_note_on(&self, target: &str) -> bool {
         self.part_notes().iter().any(|it| it.target.as_deref() == Some(target))
--- a/crates/godwityard/src/commands/explain/trace.rs
+++ b/crates/godwityard/src/commands/explain/trace.rs
@@ -31,6 +31,14 @@
     &["front: number of hosts changed"],
 ];
 
+/// Messages that log what a target states of itself. Of each kind the last one on a
+/// target that the request's lines name is shown.
+const TARGET_MESSAGES: [&str; 3] = [
+    "targets: asks for a pause",
+    "targets: leaving, by an answer",
+    "targets: stated limit changed",
+];
+
 /// Messages that a host logs when it ends as planned.
 const PLANNED_END_MESSAGES: [&str; 2] = ["front: stopping", "host: ended"];
 
@@ -156,7 +164,7 @@
             lines: request_lines.iter().map(|it| Event::from(*it)).collect(),
             parts: parts.collect(),
             later_versions: later_versions(&request_lines, lines),
-            state_before: state_before(&host_lines[..first]),
+            state_before: state_before(&host_lines[..first], &request_lines),
             changes_after: state_changes(&host_lines[first..], FOLLOWING_LINES),
         }
     }
@@ -214,8 +222,9 @@
 }
 
 /// Returns the last message of each kind in [`STATE_MESSAGES`] since the last start
-/// of the host, oldest first.
-fn state_before(before: &[&LogLine]) -> Vec<Event> {
+/// of the host, and of each kind in [`TARGET_MESSAGES`] on a target that `request_lines`
+/// name, oldest first.
+fn state_before(before: &[&LogLine], request_lines: &[&LogLine]) -> Vec<Event> {
     // State from before the last start of the process no longer holds.
     let is_start = |it: &&LogLine| it.msg == "host: starting";
     let start = before.iter().rposition(is_start).unwrap_or(0);
@@ -224,10 +233,27 @@
         before.iter().rposition(|it| kinds.iter().any(|kind| it.msg.starts_with(kind)))
     };
     let mut found: Vec<usize> = STATE_MESSAGES.iter().filter_map(last).collect();
+    found.extend(target_states(before, request_lines));
     found.sort_unstable();
     found.into_iter().map(|index| Event::from(before[index])).collect()
 }
 
+/// Returns the index of the last line of each kind in [`TARGET_MESSAGES`] on each target
+/// that `request_lines` name.
+fn target_states(before: &[&LogLine], request_lines: &[&LogLine]) -> Vec<usize> {
+    let mut last: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    for (index, line) in before.iter().enumerate() {
+        let kind = TARGET_MESSAGES.iter().find(|it| line.msg == **it);
+        if let Some(kind) = kind
+            && let Some(target) = line.str_field("target")
+            && request_lines.iter().any(|it| it.names_target(target))
+        {
+            last.insert((kind, target), index);
+        }
+    }
+    last.into_values().collect()
+}
+
 /// Returns the versions that are later than those of `request_lines` and were in force
 /// elsewhere before.
 fn later_versions(request_lines: &[&LogLine], lines: &[LogLine]) -> Vec<VersionTrace> {
--- a/crates/godwityard/tests/explain_logs.rs
+++ b/crates/godwityard/tests/explain_logs.rs
@@ -22,6 +22,11 @@
 {"msg":"front: configuration in force","level":"INFO","ts":"T10.75Z","host":"h5","version":6,"origin":"source"}
 {"msg":"request: refused","level":"INFO","ts":"T12.1Z","host":"h3","version":4,"version_age_ms":9200,"version_from":"reader 10.0.0.4:7380","inputs":"2 routes, 1 of this host name","reason":"no route matches","status":404,"id":"q4"}
 {"msg":"front: configuration in force","level":"INFO","ts":"T12.15Z","host":"h4","version":7,"origin":"source"}
+{"msg":"targets: asks for a pause","level":"INFO","ts":"T20","host":"h6","target":"t1","pause_ms":100}
+{"msg":"targets: asks for a pause","level":"INFO","ts":"T21","host":"h6","target":"t1","pause_ms":9000}
+{"msg":"targets: asks for a pause","level":"INFO","ts":"T22","host":"h6","target":"t2","pause_ms":9000}
+{"msg":"targets: stated limit changed","level":"INFO","ts":"T23","host":"h6","target":"t1","requests_per_s":5}
+{"msg":"request: refused","level":"INFO","ts":"T24","host":"h6","inputs":"t1 asked 3000 ms ago, over in 6000 ms","reason":"targets ask for a pause","status":503,"id":"q5","retry_after_ms":6000}
 not a line of a host
 "#;
 
@@ -109,3 +114,18 @@
     assert_eq!(ran.code, 2);
     assert!(ran.err.contains("no log line of a host"), "{}", ran.err);
 }
+
+#[test]
+fn a_target_that_was_left_out_is_shown_with_what_it_stated() {
+    let ran = explain("paused", &["q5"]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    let lines: Vec<&str> = ran.out.lines().collect();
+    let wanted = [
+        "h6",
+        "  T24 request: refused, inputs t1 asked 3000 ms ago, over in 6000 ms, reason targets ask for a pause, retry_after_ms 6000, status 503",
+        "  state of the host before the request:",
+        "  T21 targets: asks for a pause, pause_ms 9000, target t1",
+        "  T23 targets: stated limit changed, requests_per_s 5, target t1",
+    ];
+    assert_eq!(lines, wanted);
+}
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -42,6 +42,7 @@
     Targets,
     TargetsDown,
     TargetsLimited,
+    TargetsPaused,
     HasLostTargets,
     RequestsInProgress,
     PartsWaiting,
@@ -54,7 +55,7 @@
 }
 
 /// Gauge, metric name without `front_`, and description.
-const GAUGES: [(FrontGauge, &str, &str); 15] = [
+const GAUGES: [(FrontGauge, &str, &str); 16] = [
     (FrontGauge::ConfigurationVersion, "configuration_version", "Version in force"),
     (
         FrontGauge::ConfigurationAge,
@@ -69,6 +70,7 @@
         "Targets that get no requests until a trial succeeds",
     ),
     (FrontGauge::TargetsLimited, "targets_limited", "Targets that state a limit of requests"),
+    (FrontGauge::TargetsPaused, "targets_paused", "Targets that asked for no requests for now"),
     (FrontGauge::HasLostTargets, "has_lost_targets", "1 if no target answers this host"),
     (FrontGauge::RequestsInProgress, "requests_in_progress", "Requests in progress"),
     (FrontGauge::PartsWaiting, "parts_waiting", "Sends that wait for a connection"),
