Expect the names of all headers between hosts in one field

Cause: `a_sender_names_the_targets_that_said_that_they_leave` looked for a line of `Connection` that names its header alone. Since the version is named there too, the line is "connection: relay-leaving, relay-version", and the test fails.

Change: the test looks for the name among those of the field.

Measured: failed before beside the headers that are kept to the hop, passes after.

Conclusion: kept; as strict as before.

--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -158,7 +158,8 @@
         assert!(named.starts_with(r#"[{"name":"t, \"1\"","born":7,"age_ms":"#), "{named}");
         assert!(!named.contains("t2"), "{named}");
         // Hosts that don't know the field remove it for this.
-        assert!(answer.contains("connection: relay-leaving\r\n"), "{answer}");
+        let for_hop = header(&answer, "connection").expect("named");
+        assert!(for_hop.split(", ").any(|it| it == "relay-leaving"), "{answer}");
     });
 }
 
