Tell other hosts of targets that said that they leave

Cause: that a target leaves, by its own answer, was known to the host that got the answer and to one that had passed the request on. All others, and a host that starts, send to the target as long as the source lists it as sound.

Change: digests tell of targets that said in the last 60 s that they leave, 16 at a time in turn, with the start time of the incarnation and the time since it said so; so do the replies that a host which starts asks for. Hosts tell on what they were told. The field stands in the tail of a digest (kind 1), which hosts of earlier builds ignore, and takes a kilobyte at most, so that a digest fits into its datagram. `LeavingTarget` moves to `target`, as digests and placement both use it.

Measured: `hosts_tell_each_other_of_targets_that_leave`, with what is told not taken, as before: "left: 200 right: 503"; the request of the second host reached the target.

--- a/crates/forward/src/peers/digest.rs
+++ b/crates/forward/src/peers/digest.rs
@@ -4,7 +4,7 @@
 
 use base::DomainName;
 
-use crate::suspects::Strike;
+use crate::{suspects::Strike, target::LeavingTarget};
 
 /// A host of the tier.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,6 +48,8 @@
     pub domains: Vec<SeenDomain>,
     /// Recent strikes against requests that crashed targets.
     pub strikes: Vec<Strike>,
+    /// Some of the targets that said lately that they leave, in turn.
+    pub leaving: Vec<LeavingTarget>,
     /// The sender wants a digest in return.
     pub asks_for_reply: bool,
 }
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -241,6 +241,7 @@
             hosts: self.next_listed_hosts(now, max_hosts),
             domains,
             strikes: Vec::new(),
+            leaving: Vec::new(),
             asks_for_reply: false,
         }
     }
--- a/crates/forward/src/placement/leaving.rs
+++ b/crates/forward/src/placement/leaving.rs
@@ -10,6 +10,7 @@
 use base::{HashMap, TargetName, Time};
 
 use super::{TargetKey, Targets};
+use crate::target::LeavingTarget;
 
 /// Time for which it is remembered that an incarnation leaves. It has ended by then.
 const RETENTION: Duration = Duration::from_secs(3_600);
@@ -17,15 +18,9 @@
 /// Limit of incarnations that are remembered.
 const MAX_REMEMBERED: usize = 4_096;
 
-/// An incarnation of a target that says that it leaves, as hosts tell each other.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeavingTarget {
-    pub name: TargetName,
-    /// Start time of the incarnation, if it states one.
-    pub born: Option<u64>,
-    /// Time since an answer first said so.
-    pub age: Duration,
-}
+/// Time for which other hosts are told of an incarnation, and limit of those in one digest.
+const SHARED_FOR: Duration = Duration::from_secs(60);
+const MAX_SHARED: usize = 16;
 
 /// The incarnations that said that they leave, whether or not their targets are known.
 #[derive(Debug)]
@@ -33,6 +28,8 @@
 pub(super) struct LeavingTargets {
     /// The latest such incarnation of each name.
     known: HashMap<TargetName, Leave>,
+    /// Index of the next one to tell other hosts of, before wrapping.
+    next_shared: usize,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -72,6 +69,27 @@
         }
     }
 
+    /// Returns some of those that said so lately, in turn.
+    fn next_shared(&mut self, now: Time) -> Vec<LeavingTarget> {
+        let recent = self.known.iter().filter(|(_, it)| now.since(it.since) < SHARED_FOR);
+        let mut recent: Vec<LeavingTarget> = recent
+            .map(|(name, it)| LeavingTarget {
+                name: name.clone(),
+                born: it.born,
+                age: now.since(it.since),
+            })
+            .collect();
+        recent.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        let count = recent.len().min(MAX_SHARED);
+        if count > 0 {
+            let start = self.next_shared % recent.len();
+            recent.rotate_left(start);
+        }
+        recent.truncate(count);
+        self.next_shared = self.next_shared.wrapping_add(count);
+        recent
+    }
+
     pub(super) fn remove_expired(&mut self, now: Time) {
         self.known.retain(|_, it| now.since(it.since) < RETENTION);
     }
@@ -120,6 +138,12 @@
         }
     }
 
+    /// Returns what to tell other hosts of targets that said lately that they leave: some of
+    /// them, in turn.
+    pub fn next_shared_leaving(&mut self, now: Time) -> Vec<LeavingTarget> {
+        self.leaving.next_shared(now)
+    }
+
     /// Returns what to tell other hosts of a target that said that it leaves.
     pub fn stated_leaving(&self, target: TargetKey, now: Time) -> Option<LeavingTarget> {
         let report = &self.targets.get(&target)?.report;
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -38,7 +38,6 @@
 pub use self::{
     admission::{Admission, Arrival},
     choice::Placement,
-    leaving::LeavingTarget,
     queue::Waiting,
     senders::SenderRole,
 };
--- a/crates/forward/src/target/leaving.rs
+++ b/crates/forward/src/target/leaving.rs
@@ -1,9 +1,21 @@
 //! Word of a target itself that it leaves, which no report takes back.
 
-use base::Time;
+use std::time::Duration;
+
+use base::{TargetName, Time};
 
 use super::{Lifecycle, Target, TargetReport};
 
+/// An incarnation of a target that says that it leaves, as hosts tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingTarget {
+    pub name: TargetName,
+    /// Start time of the incarnation, if it states one.
+    pub born: Option<u64>,
+    /// Time since an answer first said so.
+    pub age: Duration,
+}
+
 impl Target {
     /// Learns from an earlier report of the same incarnation, whose target never stops to
     /// drain.
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -12,6 +12,7 @@
 
 use base::Time;
 
+pub use self::leaving::LeavingTarget;
 pub(crate) use self::pause::Pause;
 pub use self::report::{Lifecycle, ReportedLoad, SendResult, TargetReport};
 use self::{pause::SPACING, probes::Probes, speed::Speed, stated_limit::StatedLimit};
--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -8,8 +8,8 @@
 use fixture::{Fixture, LEAVING_FOR, at, report};
 use forward::{
     Lifecycle, Placement, TargetReport,
-    placement::{LeavingTarget, TargetKey},
-    target::SendResult,
+    placement::TargetKey,
+    target::{LeavingTarget, SendResult},
 };
 
 type Targets = forward::Targets<u32>;
@@ -169,3 +169,25 @@
     assert!(!is_leaving(&mut it, "t0"));
     assert!(is_leaving(&mut it, "t5999"));
 }
+
+/// Guards against targets of which nobody is told, while many leave at once.
+#[test]
+fn other_hosts_are_told_of_all_targets_that_leave_in_turn() {
+    let mut it = Fixture::new(None);
+    for i in 0..40 {
+        let name = TargetName::new(&format!("t{i}"));
+        let leaving = LeavingTarget { name, born: Some(i), age: Duration::from_millis(i) };
+        it.targets.learn_leaving(&leaving, at(1_000));
+    }
+    let mut told = HashSet::default();
+    for _ in 0..3 {
+        let shared = it.targets.next_shared_leaving(at(1_500));
+        assert!(shared.len() <= 16);
+        for it in shared {
+            assert_eq!(it.age.as_millis(), 500 + u128::from(it.born.expect("stated")));
+            told.insert(it.name);
+        }
+    }
+    assert_eq!(told.len(), 40);
+    assert_eq!(it.targets.next_shared_leaving(at(2 * LONG_AFTER_MS)), []);
+}
--- a/crates/forward/tests/peers.rs
+++ b/crates/forward/tests/peers.rs
@@ -220,6 +220,7 @@
             hosts: Vec::new(),
             domains: (0..4).map(named).collect(),
             strikes: Vec::new(),
+            leaving: Vec::new(),
             asks_for_reply: false,
         };
         peers.receive(&digest, now);
--- a/crates/front/src/format.rs
+++ b/crates/front/src/format.rs
@@ -6,7 +6,7 @@
 //! fields of a kind that they don't know.
 
 use http::HeaderName;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// Version of what hosts tell each other. It rises only with a format that hosts which skip
 /// what they don't know would misread; a host sends that one only to hosts that state it.
@@ -62,6 +62,27 @@
         Tail { format: FORMAT, fields: Vec::new() }
     }
 
+    /// Adds a field. No other one may have its kind.
+    pub(crate) fn insert(
+        &mut self,
+        kind: u32,
+        value: &impl Serialize,
+    ) -> Result<(), postcard::Error> {
+        self.fields.push(Field { kind, bytes: postcard::to_stdvec(value)? });
+        Ok(())
+    }
+
+    /// Removes a field and returns its value, if there is one of the kind.
+    pub(crate) fn take<T: DeserializeOwned>(
+        &mut self,
+        kind: u32,
+    ) -> Result<Option<T>, FormatError> {
+        let Some(index) = self.fields.iter().position(|it| it.kind == kind) else {
+            return Ok(None);
+        };
+        Ok(Some(postcard::from_bytes(&self.fields.swap_remove(index).bytes)?))
+    }
+
     /// Decodes what follows a message; a host of an older build sends nothing.
     pub(crate) fn decode(bytes: &[u8]) -> Result<Tail, FormatError> {
         if bytes.is_empty() {
--- a/crates/front/src/leaving.rs
+++ b/crates/front/src/leaving.rs
@@ -1,10 +1,10 @@
-//! Targets that said that they leave, named in the answer to a request passed on: the host
-//! that gets it may send to them itself.
+//! Targets that said that they leave, as hosts tell each other: in digests, and in the answer
+//! to a request passed on, as the host that gets it may send to them itself.
 
 use std::time::Duration;
 
 use base::TargetName;
-use forward::placement::LeavingTarget;
+use forward::target::LeavingTarget;
 use http::{HeaderMap, HeaderValue};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -19,10 +19,10 @@
 #[derive(Clone, Debug)]
 struct Leaving(Vec<LeavingTarget>);
 
-/// Wire format of a [`LeavingTarget`]. Unknown fields are skipped.
+/// Wire format of a [`LeavingTarget`]. It is fixed: hosts of other builds read it.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
-struct WireLeaving {
+pub(crate) struct WireLeaving {
     name: String,
     born: Option<u64>,
     age_ms: u64,
@@ -59,9 +59,15 @@
             return;
         }
     };
+    let named: Vec<LeavingTarget> = named.into_iter().map(LeavingTarget::from).collect();
+    learn(cx, &named);
+}
+
+/// Records targets of which another host says that they leave.
+pub(crate) fn learn(cx: &SharedCx, leaving: &[LeavingTarget]) {
     let now = cx.clock.now();
-    for it in named.into_iter().map(LeavingTarget::from) {
-        if cx.targets.borrow_mut().learn_leaving(&it, now) {
+    for it in leaving {
+        if cx.targets.borrow_mut().learn_leaving(it, now) {
             info!(cx.log, "targets: leaving, by another host"; "target" => it.name.as_str(),
                 "for_ms" => it.age.as_millis() as u64);
         }
--- a/crates/front/src/messages/event.rs
+++ b/crates/front/src/messages/event.rs
@@ -4,8 +4,8 @@
 use bytes::Bytes;
 use forward::{
     Verdict,
-    placement::{LeavingTarget, Send},
-    target::SendResult,
+    placement::Send,
+    target::{LeavingTarget, SendResult},
 };
 use http::{HeaderMap, StatusCode};
 use tokio::sync::mpsc;
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -14,7 +14,7 @@
     time::{MissedTickBehavior, interval},
 };
 
-use crate::{MessageKind, SharedCx};
+use crate::{MessageKind, SharedCx, leaving};
 
 /// Size of the receive buffer; longer datagrams are truncated.
 const MAX_DATAGRAM_BYTES: usize = 4 * 1024;
@@ -65,7 +65,8 @@
 async fn send(cx: &SharedCx, socket: &UdpSocket) {
     let now = cx.clock.now();
     let strikes = cx.suspects.borrow().recent_strikes(now);
-    let (digest, to) = cx.peers.borrow_mut().next_digest(now, cx.version(), strikes);
+    let (mut digest, to) = cx.peers.borrow_mut().next_digest(now, cx.version(), strikes);
+    digest.leaving = cx.targets.borrow_mut().next_shared_leaving(now);
     for peer in to {
         send_digest(cx, socket, &digest, peer).await;
     }
@@ -106,7 +107,12 @@
     }
     let now = cx.clock.now();
     cx.suspects.borrow_mut().merge(&digest.strikes, now);
+    leaving::learn(cx, &digest.leaving);
     let mut peers = cx.peers.borrow_mut();
     peers.receive(&digest, now);
-    digest.asks_for_reply.then(|| (peers.reply(now, cx.version()), digest.from.address))
+    digest.asks_for_reply.then(|| {
+        let leaving = cx.targets.borrow_mut().next_shared_leaving(now);
+        let reply = Digest { leaving, ..peers.reply(now, cx.version()) };
+        (reply, digest.from.address)
+    })
 }
--- a/crates/front/src/peers/tests.rs
+++ b/crates/front/src/peers/tests.rs
@@ -1,6 +1,8 @@
-use std::iter;
+use std::{iter, time::Duration};
 
 use assert_matches::assert_matches;
+use base::TargetName;
+use forward::{peers::Digest, target::LeavingTarget};
 
 use super::wire;
 use crate::{
@@ -35,6 +37,35 @@
     }
 }
 
+/// Guards against targets that leave and are not told of, or that earlier builds stumble on.
+#[test]
+fn a_digest_tells_of_targets_that_leave_behind_what_earlier_builds_read() {
+    let age = Duration::from_millis(300);
+    let it = LeavingTarget { name: TargetName::new("t1"), born: Some(7), age };
+    let digest = Digest { leaving: vec![it], ..samples::digest() };
+    let encoded = wire::encode(&digest).expect("encoded");
+    assert!(encoded.starts_with(&bytes(FFD147A.digest)));
+    // Format, one field of kind 1, and in it one target: its name, start time and age.
+    let tail = [1, 1, 1, 8, 1, 2, b't', b'1', 1, 7, 172, 2];
+    assert_eq!(encoded[bytes(FFD147A.digest).len()..], tail);
+    let (decoded, tail) = wire::decode(&encoded).expect("decoded");
+    assert_eq!((decoded, tail.unknown_kinds().count()), (digest, 0));
+}
+
+/// Guards against digests that don't fit into a datagram, of which hosts get nothing.
+#[test]
+fn targets_with_long_names_that_leave_do_not_make_a_digest_too_long() {
+    let named = |i: u64| {
+        let name = TargetName::new(&format!("{i:0200}"));
+        LeavingTarget { name, born: Some(u64::MAX), age: Duration::ZERO }
+    };
+    let digest = Digest { leaving: (0..16).map(named).collect(), ..samples::digest() };
+    let encoded = wire::encode(&digest).expect("encoded");
+    assert!(encoded.len() < bytes(FORMAT_1.digest).len() + 1_100, "{}", encoded.len());
+    let (decoded, _) = wire::decode(&encoded).expect("decoded");
+    assert_eq!(decoded.leaving, digest.leaving[..4]);
+}
+
 #[test]
 fn fields_that_a_later_build_adds_to_a_digest_are_skipped() {
     let later = [&bytes(C916687.digest)[..], &TAIL_OF_A_LATER_BUILD].concat();
--- a/crates/front/src/peers/wire.rs
+++ b/crates/front/src/peers/wire.rs
@@ -7,10 +7,20 @@
 use forward::{
     peers::{Digest, Host, ListedHost, SeenDomain},
     suspects::Strike,
+    target::LeavingTarget,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::format::{FormatError, Tail};
+use crate::{
+    format::{FormatError, Tail},
+    leaving::WireLeaving,
+};
+
+/// Kind of the field with targets that said that they leave.
+const LEAVING: u32 = 1;
+
+/// Limit on the size of that field. Digests have to fit into one datagram.
+const MAX_LEAVING_BYTES: usize = 1_024;
 
 /// Wire format of a [`Digest`]. It is fixed: hosts of other builds read it.
 #[derive(Debug)]
@@ -49,13 +59,34 @@
 
 pub(super) fn encode(digest: &Digest) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_stdvec(&WireDigest::from(digest))?;
-    Tail::own().append_to(bytes)
+    let mut tail = Tail::own();
+    let leaving = leaving_that_fit(&digest.leaving)?;
+    if !leaving.is_empty() {
+        tail.insert(LEAVING, &leaving)?;
+    }
+    tail.append_to(bytes)
+}
+
+fn leaving_that_fit(leaving: &[LeavingTarget]) -> Result<Vec<WireLeaving>, postcard::Error> {
+    let mut left = MAX_LEAVING_BYTES;
+    let mut fitting = Vec::new();
+    for it in leaving.iter().map(WireLeaving::from) {
+        let size = postcard::to_stdvec(&it)?.len();
+        if size <= left {
+            left -= size;
+            fitting.push(it);
+        }
+    }
+    Ok(fitting)
 }
 
 pub(super) fn decode(bytes: &[u8]) -> Result<(Digest, Tail), FormatError> {
     let (wire, rest) = postcard::take_from_bytes::<WireDigest>(bytes)?;
-    let tail = Tail::decode(rest)?;
-    Ok((wire.try_into()?, tail))
+    let mut tail = Tail::decode(rest)?;
+    let leaving: Vec<WireLeaving> = tail.take(LEAVING)?.unwrap_or_default();
+    let leaving = leaving.into_iter().map(LeavingTarget::from).collect();
+    let digest = Digest { leaving, ..wire.try_into()? };
+    Ok((digest, tail))
 }
 
 impl From<&Digest> for WireDigest {
@@ -127,6 +158,7 @@
             hosts: hosts.collect::<Result<_, _>>()?,
             domains: heard.collect::<Result<_, _>>()?,
             strikes: strikes.collect(),
+            leaving: Vec::new(),
             asks_for_reply: wire.asks_for_reply,
         })
     }
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -9,9 +9,9 @@
 use forward::{
     Query, QueryPlan, Verdict,
     gather::PartState,
-    placement::{LeavingTarget, Send},
+    placement::Send,
     query::{FinishedSend, Step},
-    target::SendResult,
+    target::{LeavingTarget, SendResult},
 };
 use tokio::{sync::mpsc, time::sleep_until};
 
--- a/crates/front/src/tests/samples.rs
+++ b/crates/front/src/tests/samples.rs
@@ -33,6 +33,7 @@
             age: Duration::from_millis(400),
         }],
         strikes: vec![Strike { request: 0xfedc_ba98_7654_3210, age: Duration::from_millis(1_500) }],
+        leaving: Vec::new(),
         asks_for_reply: true,
     }
 }
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -357,3 +357,34 @@
         assert_eq!(one.requests(), 2);
     });
 }
+
+/// Guards against hosts that learn of a leave from their own requests alone: others, and one
+/// that starts later, send to a target that the source lists as sound.
+#[test]
+fn hosts_tell_each_other_of_targets_that_leave() {
+    run(async {
+        let one = target(leaving()).await;
+        let first = host();
+        let second = TestHost::start_with_seeds(own_address(), vec![first.peers]);
+        let mut hosts = vec![first, second];
+        for host in &mut hosts[1..] {
+            host.cx.set_limits(limits());
+            host.single(Repeat::AtMostOnce);
+        }
+        for host in &hosts {
+            host.wait_for_hosts(2).await;
+            host.list("s", "t1", &one);
+        }
+        get(&hosts[0], 1).await;
+        sleep(LEAVING_FOR * 2).await;
+        let mut later = TestHost::start_with_seeds(own_address(), vec![hosts[0].peers]);
+        later.cx.set_limits(limits());
+        later.single(Repeat::AtMostOnce);
+        later.wait_for_hosts(3).await;
+        later.list("s", "t1", &one);
+        for host in [&hosts[1], &later] {
+            assert_eq!(status(&host.get("/one/x").await), 503);
+        }
+        assert_eq!(one.requests(), 1);
+    });
+}
