Play fleets of two builds, in which hosts are replaced one after the other

Cause: nothing of ours ran hosts of two builds beside each other; the soak played one program only, so an upgrade and a rollback were never tried.

The judge is the soak's; cases are counted by the program that the host ran. `--connections` lets targets accept fewer connections than there are hosts, so that requests are passed on between the builds.

Conclusion: upgrades can be tried before they are made.

--- a/xtask/src/soak/configuration.rs
+++ b/xtask/src/soak/configuration.rs
@@ -7,9 +7,6 @@
 /// Name of the host that clients ask for.
 pub const HOST_NAME: &str = "pupu76.example";
 
-/// Connections that a target accepts.
-const MAX_CONNECTIONS: u32 = 96;
-
 /// A route of a configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -68,12 +65,13 @@
     number: u64,
     routes: &[Route],
     services: &[String],
+    connections: u32,
     idle_timeout_ms: u64,
 ) -> String {
     let routes: Vec<Value> = routes.iter().map(route_document).collect();
     let service = |name: &String| {
         json!({
-            "name": name, "health_path": "/healthz", "max_conns": MAX_CONNECTIONS,
+            "name": name, "health_path": "/healthz", "max_conns": connections,
             "proto": "h1", "tls": false, "warmup_s": 3.0, "warmup_per_s": 0.0,
         })
     };
--- a/xtask/src/soak/hosts.rs
+++ b/xtask/src/soak/hosts.rs
@@ -13,6 +13,7 @@
 
 use super::{
     addresses,
+    programs::{Program, Programs},
     record::{HostEvent, HostIndex, Place, Recorder, Signal},
     settings::{self, Bounds},
 };
@@ -33,7 +34,7 @@
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
-    program: PathBuf,
+    programs: Programs,
     settings: PathBuf,
     log: PathBuf,
     recorder: Recorder,
@@ -45,6 +46,8 @@
     process: Option<Process>,
     /// How often it is frozen; a quota must not wake it.
     frozen: u32,
+    /// Whether it runs the next program from its next start on.
+    is_replaced: bool,
     /// Whether an action that stops the process is under way.
     is_ending: bool,
     /// Whether the run is over, so that nothing may start any more.
@@ -56,7 +59,7 @@
         index: HostIndex,
         domain: &str,
         hosts: usize,
-        program: &Path,
+        programs: &Programs,
         folder: &Path,
         recorder: &Recorder,
     ) -> eyre::Result<Arc<Host>> {
@@ -70,7 +73,7 @@
             callers: SocketAddr::new(ip, addresses::CALLERS_PORT),
             ready: SocketAddr::new(ip, addresses::READY_PORT),
             metrics: SocketAddr::new(ip, addresses::METRICS_PORT),
-            program: program.to_owned(),
+            programs: programs.clone(),
             log: folder.join(format!("{name}.log")),
             settings,
             name,
@@ -80,20 +83,32 @@
     }
 
     pub fn start(&self) -> eyre::Result<()> {
-        let mut command = Command::new(&self.program);
-        command
-            .args(["--metrics-port", &addresses::METRICS_PORT.to_string()])
-            .env("GODWITYARD_NODE_FILE", &self.settings);
         let mut state = self.lock();
         if state.is_over {
             return Ok(());
         }
+        let program = self.program(&state);
+        let mut command = Command::new(&program.path);
+        command
+            .args(["--metrics-port", &addresses::METRICS_PORT.to_string()])
+            .env("GODWITYARD_NODE_FILE", &self.settings);
         state.process = Some(Process::spawn(&self.name, &mut command, &self.log)?);
         drop(state);
-        self.recorder.host_event(self.index, HostEvent::Started);
+        self.recorder.host_started(self.index, &program.name);
         Ok(())
     }
 
+    fn program(&self, state: &State) -> &Program {
+        let next = self.programs.next.as_ref().filter(|_| state.is_replaced);
+        next.unwrap_or(&self.programs.first)
+    }
+
+    /// Same as `stop_and_start`, and the host runs the next program from then on.
+    pub async fn replace(&self) -> eyre::Result<()> {
+        self.lock().is_replaced = true;
+        self.stop_and_start().await
+    }
+
     /// Sends SIGTERM, kills the process after the grace period, and starts it again.
     pub async fn stop_and_start(&self) -> eyre::Result<()> {
         if !self.begin_ending() {
--- a/xtask/src/soak/ingress.rs
+++ b/xtask/src/soak/ingress.rs
@@ -16,9 +16,13 @@
     time,
 };
 
-use super::{hosts::Host, record::Recorder};
+use super::{
+    hosts::Host,
+    record::{HostIndex, Recorder},
+};
 
-const PERIOD: Duration = Duration::from_secs(1);
+/// Time between two readiness checks of a host.
+pub const PERIOD: Duration = Duration::from_secs(1);
 /// Misses after which a host gets no new connections.
 const MAX_MISSES: u32 = 2;
 /// Limit on an answer to the readiness check, in bytes.
@@ -68,6 +72,11 @@
         self.entries.iter().all(|it| it.misses.load(Ordering::Relaxed) == 0)
     }
 
+    /// Returns whether a host answered its last readiness check.
+    pub fn is_ready(&self, host: HostIndex) -> bool {
+        self.entries[host].misses.load(Ordering::Relaxed) == 0
+    }
+
     /// Returns the hosts that answered the last readiness check.
     pub fn ready(&self) -> Vec<Arc<Host>> {
         let ready = self.entries.iter().filter(|it| it.misses.load(Ordering::Relaxed) == 0);
--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -15,6 +15,7 @@
 mod operator;
 mod plan;
 mod play;
+mod programs;
 mod quota;
 mod record;
 mod settings;
@@ -24,7 +25,7 @@
 mod tests;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs,
     io::Write,
     ops::RangeInclusive,
@@ -41,7 +42,11 @@
 };
 use crate::deployment::workspace_folder;
 
-pub use self::{plan::Days, play::LoadSize};
+pub use self::{
+    plan::Days,
+    play::{CONNECTIONS, LoadSize},
+    programs::{Program, Programs},
+};
 
 /// Hosts of a run, which the loopback addresses and the machine bear.
 const HOSTS: RangeInclusive<usize> = 1..=90;
@@ -58,21 +63,58 @@
 const PRINTED: usize = 3;
 
 pub struct Options {
-    pub program: PathBuf,
+    pub programs: Programs,
+    pub settings: Settings,
+}
+
+/// Settings of runs, whichever programs play.
+#[derive(Clone, Debug)]
+pub struct Settings {
     pub seeds: Vec<u64>,
     pub hosts: usize,
     pub seconds: u64,
     pub days: Days,
     pub cpu_share: Option<f64>,
     pub load: LoadSize,
-    /// Folder for logs and records, also of runs that broke no rule.
-    pub keep: Option<PathBuf>,
+    pub logs: Logs,
+}
+
+/// Where logs and records of runs are.
+#[derive(Clone, Debug)]
+pub struct Logs {
+    pub folder: PathBuf,
+    /// Whether those of runs without a finding stay.
+    pub keeps_all: bool,
+}
+
+impl Logs {
+    /// Returns the folder that the caller names for all runs, or the usual one.
+    pub fn new(keep: Option<PathBuf>) -> Logs {
+        let keeps_all = keep.is_some();
+        let folder = keep.unwrap_or_else(|| workspace_folder().join("target/soak"));
+        Logs { folder, keeps_all }
+    }
 }
 
 impl Options {
     fn check(&self) -> eyre::Result<()> {
-        let program = self.program.display();
-        eyre::ensure!(self.program.is_file(), "--program: {program} is not a file");
+        self.programs.first.check()?;
+        self.programs.next.iter().try_for_each(Program::check)?;
+        let has_next = self.programs.next.is_some();
+        let replaces = self.settings.days == Days::Upgrade;
+        eyre::ensure!(has_next == replaces, "--next-program goes with --days upgrade");
+        self.settings.check()
+    }
+}
+
+impl Settings {
+    /// Returns the same settings with a folder of its own below the folder of logs.
+    pub fn in_folder(&self, name: &str) -> Settings {
+        let logs = Logs { folder: self.logs.folder.join(name), ..self.logs };
+        Settings { logs, ..self.clone() }
+    }
+
+    fn check(&self) -> eyre::Result<()> {
         eyre::ensure!(HOSTS.contains(&self.hosts), "--hosts must be within {HOSTS:?}");
         eyre::ensure!(SECONDS.contains(&self.seconds), "--seconds must be within {SECONDS:?}");
         eyre::ensure!(!self.seeds.is_empty(), "name a seed or a range of seeds");
@@ -81,6 +123,7 @@
         eyre::ensure!(is_share, "--cpu-share must be above 0 and at most 1");
         let LoadSize { per_s, shards, .. } = self.load;
         eyre::ensure!(per_s > 0.0 && per_s <= MAX_PER_S, "--rate must be at most {MAX_PER_S}");
+        eyre::ensure!(self.load.connections > 0, "--connections must be above 0");
         let is_count = (1..=MAX_SHARDS).contains(&shards);
         eyre::ensure!(is_count, "--shards must be within 1..={MAX_SHARDS}");
         eyre::ensure!(self.load.long_one_in > 0, "--long-one-in must be above 0");
@@ -102,34 +145,41 @@
 
 /// Plays all seeds; fails if a rule was broken.
 pub fn run(options: &Options) -> eyre::Result<ExitCode> {
+    let broken = play_all(options)?;
+    Ok(if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Plays all seeds; returns those whose run broke a rule.
+pub fn play_all(options: &Options) -> eyre::Result<Vec<u64>> {
     options.check()?;
-    let root = options.keep.clone().unwrap_or_else(|| workspace_folder().join("target/soak"));
+    let settings = &options.settings;
     let mut broken = Vec::new();
-    for &seed in &options.seeds {
-        let folder = play::folder(&root, options.days, seed);
+    for &seed in &settings.seeds {
+        let folder = play::folder(&settings.logs.folder, settings.days, seed);
         if !run_seed(options, seed, &folder)? {
             broken.push(seed);
         }
     }
-    println!("{} of {} runs broke a rule; seeds {broken:?}", broken.len(), options.seeds.len());
-    Ok(if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    println!("{} of {} runs broke a rule; seeds {broken:?}", broken.len(), settings.seeds.len());
+    Ok(broken)
 }
 
 /// Plays one seed; returns whether all rules held.
 fn run_seed(options: &Options, seed: u64, folder: &Path) -> eyre::Result<bool> {
+    let Options { programs, settings } = options;
     if folder.exists() {
         fs::remove_dir_all(folder)?;
     }
     fs::create_dir_all(folder).wrap_err_with(|| format!("cannot make {}", folder.display()))?;
     let run = play::Run {
-        program: &options.program,
+        programs,
         folder,
         seed,
-        hosts: options.hosts,
-        time: Duration::from_secs(options.seconds),
-        days: options.days,
-        cpu_share: options.cpu_share,
-        load: options.load,
+        hosts: settings.hosts,
+        time: Duration::from_secs(settings.seconds),
+        days: settings.days,
+        cpu_share: settings.cpu_share,
+        load: settings.load,
     };
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(WORKERS).enable_all().build()?;
@@ -137,10 +187,10 @@
     runtime.shutdown_background();
     let findings = judge::judge(&record);
     let holds = !findings.iter().any(|it| it.certainty == Certainty::Shown);
-    println!("seed {seed}, {:?}, {} hosts, {} s:", options.days, options.hosts, options.seconds);
+    println!("seed {seed}, {:?}, {} hosts, {} s:", settings.days, settings.hosts, settings.seconds);
     print(&record, &findings);
     write_record(&record, &names, &findings, folder)?;
-    if holds && options.keep.is_none() && findings.is_empty() {
+    if holds && !settings.logs.keeps_all && findings.is_empty() {
         fs::remove_dir_all(folder)?;
     } else {
         println!("  logs and record: {}", folder.display());
@@ -171,13 +221,26 @@
     }
     for ((rule, is_suspected), findings) in by_rule {
         let suspected = if is_suspected { " (suspected)" } else { "" };
-        println!("  {rule}{suspected}: {} cases", findings.len());
+        println!("  {rule}{suspected}: {} cases{}", findings.len(), by_program(record, &findings));
         for finding in findings.iter().take(PRINTED) {
             println!("    {finding}");
         }
     }
 }
 
+/// Returns how many cases each program had, if hosts ran more than one.
+fn by_program(record: &Record, findings: &[&Finding]) -> String {
+    let names: BTreeSet<_> = record.program_starts.iter().map(|it| &it.program).collect();
+    if names.len() < 2 {
+        return String::new();
+    }
+    let count = |name| {
+        let cases = findings.iter().filter(|it| record.program(it.host, it.at) == Some(name));
+        format!("{} by {name}", cases.count())
+    };
+    format!(" ({})", names.into_iter().map(count).collect::<Vec<_>>().join(", "))
+}
+
 /// Writes what was seen into the folder, in the order of time.
 fn write_record(
     record: &Record,
--- a/xtask/src/soak/operator.rs
+++ b/xtask/src/soak/operator.rs
@@ -55,6 +55,8 @@
     recorder: Recorder,
     ingress: Ingress,
     shards: ShardSets,
+    /// Connections that each target accepts.
+    connections: u32,
     state: Arc<Mutex<State>>,
 }
 
@@ -140,6 +142,7 @@
         recorder: Recorder,
         ingress: Ingress,
         shards: ShardSets,
+        connections: u32,
         seed: u64,
     ) -> Self {
         let state = State {
@@ -149,7 +152,8 @@
             idle_timeout_ms: IDLE_TIMEOUTS_MS[0],
             added: 0,
         };
-        Operator { store, recorder, ingress, shards, state: Arc::new(Mutex::new(state)) }
+        let state = Arc::new(Mutex::new(state));
+        Operator { store, recorder, ingress, shards, connections, state }
     }
 
     /// Writes the version with which the run begins.
@@ -177,7 +181,9 @@
         state.number += state.rng.random_range(1..5);
         let single = SERVICES.iter().map(|it| (*it).to_owned());
         let services: Vec<String> = single.chain(self.shards.names().cloned()).collect();
-        let text = document(state.number, &state.routes, &services, state.idle_timeout_ms);
+        let idle_timeout_ms = state.idle_timeout_ms;
+        let text =
+            document(state.number, &state.routes, &services, self.connections, idle_timeout_ms);
         let sent = self.recorder.now();
         let index = {
             let mut record = self.recorder.lock();
--- a/xtask/src/soak/plan/draft.rs
+++ b/xtask/src/soak/plan/draft.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rand::{Rng, SeedableRng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 
 use super::{Action, CALM, Size, Timed};
 use crate::soak::{
@@ -225,6 +225,14 @@
         (first..self.size.targets).take(count).collect()
     }
 
+    /// All hosts are replaced, in an order of their own.
+    pub fn replacement(&mut self) {
+        let mut order: Vec<usize> = (0..self.size.hosts).collect();
+        order.shuffle(&mut self.rng);
+        let pause_at_half = self.millis(6_000, 12_000);
+        self.add(CALM, Action::ReplaceHosts { order, pause_at_half });
+    }
+
     fn add(&mut self, at: Duration, action: Action) {
         self.actions.push((at, action));
     }
--- a/xtask/src/soak/plan/mod.rs
+++ b/xtask/src/soak/plan/mod.rs
@@ -32,6 +32,9 @@
     /// Targets say in their answers that they leave or want a pause, while the
     /// configuration changes and the store fails.
     Stated,
+    /// Hosts are replaced by others with the next program, one after the other, while the
+    /// configuration and targets change, and targets say that they leave or want a pause.
+    Upgrade,
     /// Everything overlaps.
     Mixed,
 }
@@ -47,9 +50,11 @@
             "readers" => Ok(Days::Readers),
             "stops" => Ok(Days::Stops),
             "stated" => Ok(Days::Stated),
+            "upgrade" => Ok(Days::Upgrade),
             "mixed" => Ok(Days::Mixed),
             _ => Err(format!(
-                "`{text}` is none of changes, silence, late, readers, stops, stated, mixed"
+                "`{text}` is none of changes, silence, late, readers, stops, stated, upgrade, \
+                 mixed"
             )),
         }
     }
@@ -82,6 +87,12 @@
     KillHost(HostIndex, Duration),
     FreezeHost(HostIndex, Duration),
     HangUpHost(HostIndex),
+    /// The hosts are replaced one after the other, each once the one before is ready; all
+    /// wait when half of them are.
+    ReplaceHosts {
+        order: Vec<HostIndex>,
+        pause_at_half: Duration,
+    },
     /// So many of the hosts that read the store then are frozen.
     FreezeReaders(usize, Duration),
     /// So many of the hosts that read the store then are killed.
@@ -149,6 +160,12 @@
             draft.changes();
             draft.store_faults();
         }
+        Days::Upgrade => {
+            draft.replacement();
+            draft.stated();
+            draft.changes();
+            draft.target_changes();
+        }
         Days::Mixed => {
             draft.changes();
             draft.target_changes();
--- a/xtask/src/soak/play/mod.rs
+++ b/xtask/src/soak/play/mod.rs
@@ -25,6 +25,7 @@
     ingress::Ingress,
     operator::{self, Operator, SERVICES, ShardSets},
     plan::{self, Days, Size},
+    programs::Programs,
     quota,
     record::{Record, Recorder},
     settings::{self, Bounds, DOMAINS},
@@ -36,6 +37,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between the start of the hosts and that of the clients, after all are ready.
 const SETTLE: Duration = Duration::from_secs(3);
+/// Connections that each target accepts if nothing else is asked for.
+pub const CONNECTIONS: u32 = 96;
 /// Number of clients.
 const CLIENTS: usize = 60;
 /// Targets of each single service and of each shard.
@@ -47,7 +50,7 @@
 
 /// One run of a program.
 pub struct Run<'a> {
-    pub program: &'a Path,
+    pub programs: &'a Programs,
     pub folder: &'a Path,
     pub seed: u64,
     pub hosts: usize,
@@ -69,6 +72,20 @@
     pub gather_weight: u32,
     /// One request of a single route in so many takes long.
     pub long_one_in: u64,
+    /// Connections that each target accepts; with fewer than hosts, requests are passed on.
+    pub connections: u32,
+}
+
+impl Default for LoadSize {
+    fn default() -> LoadSize {
+        LoadSize {
+            per_s: 100.0,
+            shards: 6,
+            gather_weight: 2,
+            long_one_in: 10,
+            connections: CONNECTIONS,
+        }
+    }
 }
 
 impl Run<'_> {
@@ -106,7 +123,7 @@
                     it,
                     settings::domain(it),
                     self.hosts,
-                    self.program,
+                    self.programs,
                     self.folder,
                     &recorder,
                 )
@@ -114,8 +131,14 @@
             .collect();
         let hosts = hosts?;
         let ingress = Ingress::start(&hosts, &recorder);
-        let operator =
-            Operator::new(store.clone(), recorder.clone(), ingress.clone(), shards, self.seed);
+        let operator = Operator::new(
+            store.clone(),
+            recorder.clone(),
+            ingress.clone(),
+            shards,
+            self.load.connections,
+            self.seed,
+        );
         let stop = Arc::new(AtomicBool::new(false));
         let rng = Mutex::new(StdRng::seed_from_u64(self.seed));
         Ok(Stage { store, targets, hosts, recorder, ingress, operator, rng, stop })
--- a/xtask/src/soak/play/stage.rs
+++ b/xtask/src/soak/play/stage.rs
@@ -81,6 +81,9 @@
             Action::KillHost(host, down) => self.hosts[host].kill_and_start(down).await?,
             Action::FreezeHost(host, time) => self.hosts[host].freeze(time).await,
             Action::HangUpHost(host) => self.hosts[host].hang_up(),
+            Action::ReplaceHosts { order, pause_at_half } => {
+                self.replace_hosts(&order, pause_at_half).await?;
+            }
             Action::FreezeReaders(count, time) => {
                 let readers = self.readers(count).await;
                 futures::future::join_all(readers.iter().map(|it| it.freeze(time))).await;
@@ -108,6 +111,32 @@
         Ok(())
     }
 
+    async fn replace_hosts(
+        &self,
+        order: &[HostIndex],
+        pause_at_half: Duration,
+    ) -> eyre::Result<()> {
+        for (count, &host) in order.iter().enumerate() {
+            if count == order.len() / 2 {
+                self.recorder.note("half of the hosts are replaced".to_owned());
+                time::sleep(pause_at_half).await;
+            }
+            self.hosts[host].replace().await?;
+            self.wait_host_ready(host).await;
+        }
+        self.recorder.note("all hosts are replaced".to_owned());
+        Ok(())
+    }
+
+    async fn wait_host_ready(&self, host: HostIndex) {
+        let until = time::Instant::now() + START_TIMEOUT;
+        // It may count as ready by its last answer before it was stopped.
+        time::sleep(ingress::PERIOD * 2).await;
+        while !self.ingress.is_ready(host) && time::Instant::now() < until {
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     async fn disrupt_store(
         &self,
         what: &'static str,
--- a/xtask/src/soak/record.rs
+++ b/xtask/src/soak/record.rs
@@ -8,7 +8,7 @@
 
 use base::HashSet;
 
-use super::configuration::Version;
+use super::{configuration::Version, programs::ProgramName};
 
 /// Index of a host among those of the run.
 pub type HostIndex = usize;
@@ -141,6 +141,14 @@
     EndedByItself,
 }
 
+/// A process of a host that began.
+#[derive(Clone, Debug)]
+pub struct ProgramStart {
+    pub host: HostIndex,
+    pub at: Duration,
+    pub program: ProgramName,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Record {
     pub attempts: Vec<Attempt>,
@@ -152,10 +160,19 @@
     pub leaves: Vec<Leave>,
     pub disruptions: Vec<Disruption>,
     pub host_events: Vec<(HostIndex, Duration, HostEvent)>,
+    pub program_starts: Vec<ProgramStart>,
     /// Lines for a person who reads the run.
     pub notes: Vec<(Duration, String)>,
 }
 
+impl Record {
+    /// Returns which program a host ran at a time.
+    pub fn program(&self, host: HostIndex, at: Duration) -> Option<&ProgramName> {
+        let starts = self.program_starts.iter().filter(|it| it.host == host && it.at <= at);
+        starts.max_by_key(|it| it.at).map(|it| &it.program)
+    }
+}
+
 /// Takes down what happens.
 #[derive(Clone)]
 pub struct Recorder {
@@ -186,6 +203,12 @@
         self.lock().host_events.push((host, now, event));
     }
 
+    pub fn host_started(&self, host: HostIndex, program: &ProgramName) {
+        self.host_event(host, HostEvent::Started);
+        let at = self.now();
+        self.lock().program_starts.push(ProgramStart { host, at, program: program.clone() });
+    }
+
     /// Records that a disruption begins; `end_disruption` takes the result.
     pub fn begin_disruption(&self, place: Place, what: &'static str, is_planned: bool) -> usize {
         let from = self.now();
--- a/xtask/src/soak/tests.rs
+++ b/xtask/src/soak/tests.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
 use super::{
-    Days, parse_seeds,
-    plan::{self, Size},
+    Days, LoadSize, Logs, Options, Program, Programs, Settings, parse_seeds,
+    plan::{self, Action, Size},
+    record::{Record, Recorder},
 };
 
 const SIZE: Size = Size { hosts: 30, targets: 40, time: Duration::from_secs(120) };
@@ -16,6 +17,7 @@
         Days::Readers,
         Days::Stops,
         Days::Stated,
+        Days::Upgrade,
         Days::Mixed,
     ] {
         let drawn = plan::draw(days, 7, SIZE);
@@ -46,3 +48,51 @@
     let err = "storm".parse::<Days>().unwrap_err();
     assert!(err.contains("storm") && err.contains("silence"), "{err}");
 }
+
+#[test]
+fn an_upgrade_replaces_each_host_once() {
+    let drawn = plan::draw(Days::Upgrade, 5, SIZE);
+    let orders = drawn.iter().filter_map(|(_, it)| match it {
+        Action::ReplaceHosts { order, .. } => Some(order),
+        _ => None,
+    });
+    let mut replaced: Vec<usize> = orders.flatten().copied().collect();
+    replaced.sort_unstable();
+    assert_eq!(replaced, (0..SIZE.hosts).collect::<Vec<_>>());
+}
+
+/// Guards against cases of an earlier build that count as those of the one under test.
+#[test]
+fn a_host_runs_the_program_of_its_last_start() {
+    let [old, new] = ["old", "new"].map(|it| Program::new(it, "".into()).name);
+    let recorder = Recorder::new();
+    recorder.host_started(0, &old);
+    let first = recorder.now();
+    std::thread::sleep(Duration::from_millis(5));
+    recorder.host_started(0, &new);
+    recorder.host_started(1, &old);
+    let record: Record = recorder.snapshot();
+    assert_eq!(record.program(0, first), Some(&old));
+    assert_eq!(record.program(0, recorder.now()), Some(&new));
+    assert_eq!(record.program(1, recorder.now()), Some(&old));
+    assert_eq!(record.program(2, first), None);
+}
+
+#[test]
+fn a_second_program_goes_with_an_upgrade_only() {
+    let program = Program::new("first", std::env::current_exe().expect("this program"));
+    for (days, has_next) in [(Days::Upgrade, false), (Days::Mixed, true)] {
+        let programs = Programs { first: program.clone(), next: has_next.then(|| program.clone()) };
+        let settings = Settings {
+            seeds: vec![1],
+            hosts: 6,
+            seconds: 60,
+            days,
+            cpu_share: None,
+            load: LoadSize::default(),
+            logs: Logs::new(None),
+        };
+        let err = Options { programs, settings }.check().expect_err("refused");
+        assert!(err.to_string().contains("--days upgrade"), "{err}");
+    }
+}
