Decide in one place whether a target gets a request now

Cause: what a cold target takes, the limits that targets state and the pauses that they ask for were kept in three places of a target's state and asked for one after the other, each at several places of placement.

Change: `target::allowance` holds the three and answers when the next request may go and why none goes now; `Targets::shares` is this host's part of what a target takes. No behaviour changes.

Estimates of how long requests wait still leave out cold rates.

--- a/crates/forward/src/placement/choice.rs
+++ b/crates/forward/src/placement/choice.rs
@@ -5,7 +5,7 @@
 use base::{RegionName, Time};
 
 use super::{PlacementRequest, Send, TargetKey, Targets};
-use crate::target::Target;
+use crate::target::{Hold, Target};
 
 /// Result of placing a send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,11 +49,6 @@
 /// flight there.
 const CROSS_DOMAIN_SHARE: f64 = 0.5;
 
-/// Minimum rate of one host's requests to a cold target, and the longest time
-/// between two, in seconds.
-const MIN_COLD_REQUESTS_PER_S: f64 = 0.01;
-const MAX_COLD_SPACING_S: f64 = 60.0;
-
 impl From<Candidate> for Placement {
     fn from(candidate: Candidate) -> Placement {
         match candidate {
@@ -76,7 +71,7 @@
         now: Time,
     ) -> Candidate {
         let expected = self.expected_latency(req.class);
-        let share = self.connection_share(req.service);
+        let (share, shares) = (self.connection_share(req.service), self.shares(req.service));
         self.rotation = self.rotation.wrapping_add(1);
         let targets = &self.services[req.service.0].targets;
         let mut fallback = Candidate::NoTarget;
@@ -93,18 +88,19 @@
                 }
                 continue;
             }
-            if target.sends_in_flight() >= share.min(target.return_window(now))
-                || target.is_full(now)
-                || self.is_cold_limit_used(req, target, now)
-            {
-                fallback = Candidate::Busy;
-                continue;
-            }
-            if self.is_limit_used(req.service, key, purpose, now) {
-                if fallback != Candidate::Busy {
-                    fallback = Candidate::Limited;
+            let is_in_use = target.sends_in_flight() >= share || target.is_full(now);
+            match target.hold(&shares, purpose == Purpose::Hedge, now) {
+                None if !is_in_use => {}
+                Some(Hold::Stated) if !is_in_use => {
+                    if fallback != Candidate::Busy {
+                        fallback = Candidate::Limited;
+                    }
+                    continue;
+                }
+                _ => {
+                    fallback = Candidate::Busy;
+                    continue;
                 }
-                continue;
             }
             let is_leaving = target.leaving_since().is_some();
             let cost = self.expected_time(target, expected, now);
@@ -128,33 +124,6 @@
         regions.is_empty() || self.regions.get(domain).is_some_and(|it| regions.contains(it))
     }
 
-    /// Returns whether this host has used up its share of a cold target's limit.
-    fn is_cold_limit_used(&self, req: &PlacementRequest<'_>, target: &Target, now: Time) -> bool {
-        if !target.is_cold(now) {
-            return false;
-        }
-        let settings = self.services[req.service.0].settings.as_ref();
-        let Some(rate) = settings.and_then(|it| it.warmup_rate) else { return false };
-        let share = if self.needs_senders(req.service) {
-            self.limit_share(req.service)
-        } else {
-            // Allows for hosts that start while those that they replace still count.
-            1.0 / (self.hosts + self.hosts.div_ceil(3)) as f64
-        };
-        let total = rate * self.limits.cold_ratio + self.limits.cold_slack;
-        // Any second over which the limit is checked can overlap two seconds of
-        // this host's counter.
-        let own = total * share / 2.0;
-        if own >= 1.0 {
-            return f64::from(target.sends_this_second(now)) >= own.floor();
-        }
-        // Less than one request per second: one every few seconds.
-        let spacing = Duration::from_secs_f64(
-            (1.0 / own.max(MIN_COLD_REQUESTS_PER_S)).min(MAX_COLD_SPACING_S),
-        );
-        target.last_send().is_some_and(|at| now.since(at) < spacing)
-    }
-
     /// Returns the expected time until the target answers.
     fn expected_time(&self, target: &Target, expected: Duration, now: Time) -> Duration {
         let slots = f64::from(target.report.slots.max(1));
--- a/crates/forward/src/placement/directory.rs
+++ b/crates/forward/src/placement/directory.rs
@@ -139,7 +139,7 @@
     /// Returns the reports of listed targets, with the remaining cold time.
     pub fn listed_reports(&self, now: Time) -> impl Iterator<Item = TargetReport> {
         self.listed().map(move |it| {
-            let cold_for = it.cold_until.until(now);
+            let cold_for = it.cold_until().until(now);
             TargetReport { cold_for, ..it.report.clone() }
         })
     }
@@ -299,7 +299,7 @@
             target.mark_draining(since);
         }
         if let Some(pause) = self.pauses.of(&target.report, now) {
-            target.keep_pause(pause);
+            target.allowance.keep_pause(pause);
             self.limited.insert(key);
         }
         self.targets.insert(key, target);
--- a/crates/forward/src/placement/limits.rs
+++ b/crates/forward/src/placement/limits.rs
@@ -9,7 +9,8 @@
 
 use base::{RegionName, Time};
 
-use super::{Arrival, Send, ServiceKey, TargetKey, Targets, choice::Purpose};
+use super::{Arrival, Send, ServiceKey, TargetKey, Targets};
+use crate::target::Shares;
 
 /// Health checks of a target that states a limit are apart by this many of this
 /// host's requests to it, as they count as requests.
@@ -29,7 +30,7 @@
         let share = self.limit_share(service);
         let Some(it) = self.targets.get_mut(&target) else { return false };
         self.limited.insert(target);
-        it.record_limit(per_second, share, self.phase, now)
+        it.allowance.record_limit(per_second, share, self.phase, now)
     }
 
     /// Records that the answer to `send`, which is still in flight, names no limit;
@@ -50,19 +51,23 @@
     pub fn expire_limits(&mut self, now: Time) {
         self.pauses.expire(now);
         let targets = &mut self.targets;
-        self.limited.retain(|it| targets.get_mut(it).is_some_and(|it| it.expire_limit(now)));
+        self.limited.retain(|it| targets.get_mut(it).is_some_and(|it| it.allowance.expire(now)));
     }
 
-    /// Returns whether a stated limit keeps the target from getting a request now.
-    pub(super) fn is_limit_used(
-        &self,
-        service: ServiceKey,
-        target: TargetKey,
-        purpose: Purpose,
-        now: Time,
-    ) -> bool {
-        let next = self.next_limited_send(service, target, now);
-        next.is_some_and(|(next, _)| purpose == Purpose::Hedge || next > now)
+    /// Returns this host's part of what a target of the service takes.
+    pub(super) fn shares(&self, service: ServiceKey) -> Shares {
+        let (stated, state) = (self.limit_share(service), &self.services[service.0]);
+        let cold_share = if self.needs_senders(service) {
+            stated
+        } else {
+            // Allows for hosts that start while those that they replace still count.
+            1.0 / (self.hosts + self.hosts.div_ceil(3)) as f64
+        };
+        let rate = state.settings.as_ref().and_then(|it| it.warmup_rate);
+        let total = rate.map(|it| it * self.limits.cold_ratio + self.limits.cold_slack);
+        // Any second over which the limit is checked can overlap two seconds of
+        // this host's counter.
+        Shares { cold_per_second: total.map(|it| it * cold_share / 2.0), stated }
     }
 
     /// Takes a request to the target from this host's share of a stated limit for a
@@ -78,7 +83,7 @@
         if next > now || is_early {
             return false;
         }
-        it.use_limit(share, now);
+        it.allowance.use_limit(share, now);
         true
     }
 
@@ -145,6 +150,6 @@
         if !self.limited.contains(&target) {
             return None;
         }
-        self.targets.get(&target)?.next_limited_send(self.limit_share(service), now)
+        self.targets.get(&target)?.allowance.next_stated(self.limit_share(service), now)
     }
 }
--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -290,7 +290,7 @@
         let id = self.next_send;
         if let Some(it) = self.targets.get_mut(&target) {
             it.start_send(id, now, expected);
-            it.use_limit(share, now);
+            it.allowance.use_limit(share, now);
         }
         Send { id, target, service: req.service, class: req.class }
     }
@@ -349,7 +349,7 @@
     /// Records that the target is cold for at least `cold_for`.
     pub fn record_cold(&mut self, target: TargetKey, now: Time, cold_for: Duration) {
         if let Some(it) = self.targets.get_mut(&target) {
-            it.cold_until = it.cold_until.max(now + cold_for);
+            it.extend_cold(now + cold_for);
         }
     }
 
--- a/crates/forward/src/placement/pauses.rs
+++ b/crates/forward/src/placement/pauses.rs
@@ -35,16 +35,16 @@
     /// time; returns whether that is new.
     pub fn record_pause(&mut self, target: TargetKey, pause: Duration, now: Time) -> bool {
         let Some(it) = self.targets.get_mut(&target) else { return false };
-        let is_new = it.record_pause(pause, self.phase, now);
+        let is_new = it.allowance.record_pause(pause, self.phase, now);
         self.limited.insert(target);
-        let (report, pause) = (it.report.clone(), it.pause());
+        let (report, pause) = (it.report.clone(), it.allowance.pause());
         // The entry may have changed since the request was sent.
         let current = self.target_keys.get(&report.name).filter(|it| **it != target);
         if let Some(key) = current
             && let Some(it) = self.targets.get_mut(key)
             && it.report.is_same_incarnation(&report)
         {
-            it.keep_pause(pause);
+            it.allowance.keep_pause(pause);
             self.limited.insert(*key);
         }
         self.pauses.by_name.insert(report.name.clone(), (report, pause));
@@ -89,7 +89,9 @@
         let known = targets.filter_map(|it| self.targets.get(it));
         let answering =
             known.filter(|it| self.is_allowed(it, regions, now) && !is_unresponsive(it, now));
-        let wait = |it: &Target| it.pause().until(now).map_or(Duration::ZERO, |at| at.until(now));
+        let wait = |it: &Target| {
+            it.allowance.pause().until(now).map_or(Duration::ZERO, |at| at.until(now))
+        };
         answering.map(wait).min()
     }
 
@@ -103,7 +105,7 @@
         let keys = services.iter().flat_map(|it| &self.services[it.0].targets);
         let known = keys.filter_map(|it| self.targets.get(it));
         known.filter_map(move |it| {
-            let (since, until) = it.pause().span(now)?;
+            let (since, until) = it.allowance.pause().span(now)?;
             Some((&it.report.name, since, until))
         })
     }
@@ -115,6 +117,6 @@
 
     /// Returns whether the target is in a pause that it asked for.
     pub fn is_paused(&self, target: TargetKey, now: Time) -> bool {
-        self.targets.get(&target).is_some_and(|it| it.pause().until(now).is_some())
+        self.targets.get(&target).is_some_and(|it| it.allowance.pause().until(now).is_some())
     }
 }
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -1,21 +1,20 @@
 //! State of one target: its latest report, the sends in flight, its speed, and
 //! whether it may get more sends.
 
+mod allowance;
 mod leaving;
-mod pause;
 mod probes;
 mod report;
 mod speed;
-mod stated_limit;
 
 use std::time::Duration;
 
 use base::Time;
 
+pub(crate) use self::allowance::{Hold, Pause, Shares};
 pub use self::leaving::LeavingTarget;
-pub(crate) use self::pause::Pause;
 pub use self::report::{Lifecycle, ReportedLoad, SendResult, TargetReport};
-use self::{pause::SPACING, probes::Probes, speed::Speed, stated_limit::StatedLimit};
+use self::{allowance::Allowance, probes::Probes, speed::Speed};
 
 /// Time for which a reported load is used.
 const LOAD_FRESH_FOR: Duration = Duration::from_millis(250);
@@ -45,7 +44,6 @@
 pub struct Target {
     pub report: TargetReport,
     in_flight: Vec<InFlight>,
-    last_send: Option<Time>,
     /// Time of the last answer, including those that report a failure or that the
     /// request was shed.
     last_answer: Option<Time>,
@@ -56,13 +54,7 @@
     health_checked_at: Option<Time>,
     probes: Probes,
     pub load: Option<ReportedLoad>,
-    pub cold_until: Time,
-    /// Limit of requests from all hosts, while the target states one.
-    stated_limit: Option<StatedLimit>,
-    /// Pause that the target asked for.
-    pause: Pause,
-    /// Start of the current second, and the number of sends in it.
-    cold_second: (Time, u32),
+    pub(crate) allowance: Allowance,
     /// Since when the target is draining or no longer listed.
     leaving_since: Option<Time>,
     /// Draining since an unknown time.
@@ -75,11 +67,10 @@
 
 impl Target {
     pub fn new(report: TargetReport, now: Time) -> Target {
-        let cold_until = now + report.cold_for;
+        let allowance = Allowance::new(now + report.cold_for, now);
         Target {
             report,
             in_flight: Vec::new(),
-            last_send: None,
             last_answer: None,
             speed: Speed::new(now),
             failure_share: 0.0,
@@ -88,10 +79,7 @@
             health_checked_at: None,
             probes: Probes::new(),
             load: None,
-            cold_until,
-            stated_limit: None,
-            pause: Pause::default(),
-            cold_second: (now, 0),
+            allowance,
             leaving_since: None,
             has_unknown_leave_time: false,
             is_replaced: false,
@@ -102,7 +90,7 @@
     /// Applies a report of the same incarnation. A target that drains stays
     /// draining.
     pub fn update_report(&mut self, report: TargetReport, now: Time) {
-        self.cold_until = self.cold_until.max(now + report.cold_for);
+        self.extend_cold(now + report.cold_for);
         let was_draining = self.report.lifecycle == Lifecycle::Draining;
         self.report = report;
         if was_draining || self.report.lifecycle == Lifecycle::Draining {
@@ -185,12 +173,8 @@
 
     pub fn start_send(&mut self, send: u64, now: Time, expected: Duration) {
         self.has_connected = true;
-        self.last_send = Some(now);
         self.in_flight.push(InFlight { send, at: now, expected });
-        if now.since(self.cold_second.0) >= Duration::from_secs(1) {
-            self.cold_second = (now, 0);
-        }
-        self.cold_second.1 += 1;
+        self.allowance.record_send(now);
     }
 
     /// Records the end of a send; returns how long the send took.
@@ -292,85 +276,27 @@
     }
 
     pub fn is_cold(&self, now: Time) -> bool {
-        now < self.cold_until
-    }
-
-    /// Records that an answer names how many requests per second the target takes from
-    /// all hosts. `share` is this host's part of them, `phase` its turn among the
-    /// hosts. Returns whether the limit is new.
-    pub fn record_limit(&mut self, per_second: f64, share: f64, phase: f64, now: Time) -> bool {
-        match &mut self.stated_limit {
-            Some(limit) => limit.name(per_second, share, now),
-            None => {
-                self.stated_limit = Some(StatedLimit::new(per_second, share, phase, now));
-                true
-            }
-        }
-    }
-
-    /// Records that the answer to `send` names no limit; returns whether one ends.
-    pub fn record_no_limit(&mut self, send: u64, now: Time) -> bool {
-        let sent_at = self.in_flight.iter().find(|it| it.send == send).map(|it| it.at);
-        let limit = self.stated_limit.as_mut().zip(sent_at);
-        limit.is_some_and(|(limit, sent_at)| limit.end(sent_at, now))
-    }
-
-    /// Records that the target asks for no requests for some time; returns whether that
-    /// is new. `phase` is this host's turn among the hosts.
-    pub fn record_pause(&mut self, pause: Duration, phase: f64, now: Time) -> bool {
-        self.pause.ask(pause, phase, now)
-    }
-
-    /// Returns the most sends in flight while this host returns after a pause.
-    pub(crate) fn return_window(&self, now: Time) -> usize {
-        self.pause.window(now).unwrap_or(usize::MAX)
-    }
-
-    pub(crate) fn pause(&self) -> Pause {
-        self.pause
-    }
-
-    /// Keeps a pause that this incarnation asked for when it was known by other reports.
-    pub(crate) fn keep_pause(&mut self, pause: Pause) {
-        self.pause = self.pause.max(pause);
+        now < self.cold_until()
     }
 
-    /// Forgets a limit that ended long ago; returns whether one is left, or a pause.
-    pub fn expire_limit(&mut self, now: Time) -> bool {
-        if self.stated_limit.is_some_and(|it| it.is_over(now)) {
-            self.stated_limit = None;
-        }
-        self.stated_limit.is_some() || self.pause.until(now).is_some()
-    }
-
-    /// Returns the time from which this host may send its next request, and the time
-    /// between two of them, if the target states a limit or asks for a pause. `share` is
-    /// this host's part of the limit.
-    pub fn next_limited_send(&self, share: f64, now: Time) -> Option<(Time, Duration)> {
-        let limit = self.stated_limit.filter(|it| !it.is_over(now));
-        let limited = limit.map(|it| it.next_send(share, now));
-        match (limited, self.pause.until(now)) {
-            (Some((next, spacing)), Some(until)) => Some((next.max(until), spacing)),
-            (None, Some(until)) => Some((until, SPACING)),
-            (limited, None) => limited,
-        }
+    pub(crate) fn cold_until(&self) -> Time {
+        self.allowance.cold_until()
     }
 
-    /// Counts a request against the stated limit, if there is one.
-    pub fn use_limit(&mut self, share: f64, now: Time) {
-        if let Some(limit) = &mut self.stated_limit {
-            limit.record_send(share, now);
-        }
+    /// Records that the target is cold until `until` at least.
+    pub(crate) fn extend_cold(&mut self, until: Time) {
+        self.allowance.extend_cold(until);
     }
 
-    pub fn last_send(&self) -> Option<Time> {
-        self.last_send
+    /// Records that the answer to `send` names no limit; returns whether one ends.
+    pub(crate) fn record_no_limit(&mut self, send: u64, now: Time) -> bool {
+        let sent_at = self.in_flight.iter().find(|it| it.send == send).map(|it| it.at);
+        sent_at.is_some_and(|it| self.allowance.record_no_limit(it, now))
     }
 
-    /// Returns the number of sends in the current second, for the limit on cold
-    /// targets.
-    pub fn sends_this_second(&self, now: Time) -> u32 {
-        if now.since(self.cold_second.0) >= Duration::from_secs(1) { 0 } else { self.cold_second.1 }
+    /// Returns why the target gets no request now.
+    pub(crate) fn hold(&self, shares: &Shares, is_extra: bool, now: Time) -> Option<Hold> {
+        self.allowance.hold(shares, self.in_flight.len(), is_extra, now)
     }
 
     /// Estimates the number of requests at the target: its reported load, weighted by
