Let the stand-in targets name a time with their 503

The stand-in targets could not.

Change: knob retry-after-ms.

Measured: a_target_that_turns_a_request_away_names_a_time_if_told_to is new with the knob.

Conclusion: kept. The tier with owners, which the stand-ins serve, does not read the field yet.

--- a/crates/standins/src/targets/knobs.rs
+++ b/crates/standins/src/targets/knobs.rs
@@ -44,6 +44,8 @@
     pub max_queue: u32,
     /// Rejects the request with status 503.
     pub shed_probability: f64,
+    /// Time for which a response with status 503 asks for no requests; 0 asks for none.
+    pub retry_after_ms: u64,
     /// Announces to callers that the target is leaving.
     pub leaving: bool,
     /// Rejects requests with status 410 while leaving.
@@ -135,6 +137,7 @@
             fall_ms: 2_000,
             max_queue: 64,
             shed_probability: 0.0,
+            retry_after_ms: 0,
             leaving: false,
             leaving_refuses: false,
             crossed_probability: 0.0,
--- a/crates/standins/src/targets/reply.rs
+++ b/crates/standins/src/targets/reply.rs
@@ -1,5 +1,7 @@
 //! Answers and refusals of a target, including faulty answers.
 
+use std::time::Duration;
+
 use base::Outcome;
 
 use super::{query::Query, state::State, target::Target};
@@ -58,6 +60,10 @@
     response.headers.push(("godwityard-attempt", query.attempt.to_string()));
     response.headers.push(("godwityard-shard", query.shard.to_string()));
     response.headers.push(("godwityard-outcome", outcome.to_string()));
+    let retry_after = Duration::from_millis(state.knobs.retry_after_ms);
+    if status == 503 && !retry_after.is_zero() {
+        response.headers.push(("retry-after", retry_after.as_secs_f64().to_string()));
+    }
     Reply::Complete(response)
 }
 
--- a/crates/standins/tests/targets.rs
+++ b/crates/standins/tests/targets.rs
@@ -279,3 +279,19 @@
     let change = TargetChange { set: Some(json!({"slotz": 1})), ..TargetChange::default() };
     assert_matches!(set.apply(&change), Err(detail) if detail.contains("slotz"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_turns_a_request_away_names_a_time_if_told_to() {
+    let (set, address) = start();
+    for (retry_after_ms, wanted) in [(0, None), (4_500, Some("retry-after: 4.5"))] {
+        set_knobs(&set, json!({"shed-probability": 1.0, "retry-after-ms": retry_after_ms}));
+        let asked = tokio::task::spawn_blocking(move || {
+            let mut stream = connect(address);
+            send(&mut stream, "1.0", 1_000, "x");
+            receive(&mut stream)
+        });
+        let response = asked.await.unwrap();
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert_eq!(response.lines().find(|it| it.starts_with("retry-after")), wanted);
+    }
+}
