--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -93,6 +93,7 @@
     regions: Regions,
     hosts: usize,
     is_host_count_known: bool,
+    started_at: Option<Time>,
     sender_role: SenderRole,
     /// Services of queries that are too wide for some hosts to send.
     wide_services: HashSet<ServiceKey>,
@@ -166,6 +167,7 @@
             regions,
             hosts: 1,
             is_host_count_known: false,
+            started_at: None,
             sender_role: SenderRole::default(),
             wide_services: HashSet::default(),
             service_keys: HashMap::default(),
@@ -197,6 +199,12 @@
         self.limits.leaving_for
     }
 
+    /// Sets the time at which this host started. In its first window of the retry budget, a
+    /// host that it replaces may have used the slack.
+    pub fn set_started(&mut self, now: Time) {
+        self.started_at = Some(now);
+    }
+
     /// Sets the number of hosts that share each target's limits, including this one.
     /// Until this is called, a single connection to each target is used.
     pub fn set_hosts(&mut self, hosts: usize) {
@@ -247,7 +255,11 @@
     /// Takes one extra send to `service` from its budget; returns false if there is
     /// none left.
     pub fn take_retry(&mut self, service: ServiceKey, now: Time) -> bool {
-        let (limits, share) = (self.limits.retry, self.limit_share(service));
+        let limits = self.limits.retry;
+        let mut share = self.limit_share(service);
+        if self.started_at.is_some_and(|at| now.since(at) <= limits.window) {
+            share = limits.first_slack_share(share);
+        }
         self.services[service.0].budget.try_take(now, &limits, share)
     }
 
--- a/crates/forward/tests/budgets.rs
+++ b/crates/forward/tests/budgets.rs
@@ -1,10 +1,14 @@
 //! Budgets of extra sends, and requests that crash targets.
 
+mod fixture;
+
 use std::time::Duration;
 
 use base::Time;
+use fixture::{Fixture, at, limits};
 use forward::{
     budget::{RetryBudget, RetryLimits},
+    placement::Limits,
     suspects::Suspects,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -12,6 +16,8 @@
 const LIMITS: RetryLimits =
     RetryLimits { ratio: 0.2, window: Duration::from_secs(10), slack: 52.0 };
 
+const HOSTS: usize = 6;
+
 /// Each host knows only its own requests. The sum of their extra sends in any
 /// window must still stay within the ratio and the slack.
 #[test]
@@ -43,6 +49,77 @@
     }
 }
 
+/// A fleet of hosts that are replaced one after the other while targets turn requests away.
+struct ReplacedHosts {
+    hosts: Vec<Fixture>,
+    requests: Vec<u64>,
+    extra: Vec<u64>,
+}
+
+/// Time in which a host is gone.
+const GONE_MS: u64 = 3_600;
+
+impl ReplacedHosts {
+    fn host(now: Time) -> Fixture {
+        let mut it = Fixture::new(None);
+        it.targets.set_limits(Limits { retry: LIMITS, ..limits() });
+        it.targets.set_hosts(HOSTS);
+        it.targets.set_started(now);
+        it
+    }
+
+    /// Sends requests of all callers, which go to the hosts that are there, and as many extra
+    /// sends as hosts allow.
+    fn play(rng: &mut SmallRng) -> ReplacedHosts {
+        let hosts = (0..HOSTS).map(|_| ReplacedHosts::host(at(0))).collect();
+        let mut world = ReplacedHosts { hosts, requests: Vec::new(), extra: Vec::new() };
+        let gone_at: Vec<u64> = (0..HOSTS as u64 / 2).map(|it| 36_000 + it * 1_300).collect();
+        for ms in 0..60_000 {
+            for (host, gone) in gone_at.iter().enumerate() {
+                if ms == gone + GONE_MS {
+                    world.hosts[host] = ReplacedHosts::host(at(ms));
+                }
+            }
+            let is_there = |host: usize| {
+                gone_at.get(host).is_none_or(|gone| !(*gone..gone + GONE_MS).contains(&ms))
+            };
+            let there: Vec<usize> = (0..HOSTS).filter(|it| is_there(*it)).collect();
+            if rng.random_bool(0.095) {
+                let it = &mut world.hosts[there[rng.random_range(0..there.len())]];
+                it.targets.record_request(it.service, at(ms));
+                world.requests.push(ms);
+            }
+            // Targets turn requests away from then on.
+            for host in there.iter().filter(|_| ms >= 35_000) {
+                let it = &mut world.hosts[*host];
+                if rng.random_bool(0.05) && it.targets.take_retry(it.service, at(ms)) {
+                    world.extra.push(ms);
+                }
+            }
+        }
+        world
+    }
+}
+
+/// Guards against a budget that is spent twice: by a host that goes, and by those that have
+/// its callers and its place after it.
+#[test]
+fn hosts_that_are_replaced_stay_within_the_budget_of_every_window() {
+    for seed in 0..10 {
+        let world = ReplacedHosts::play(&mut SmallRng::seed_from_u64(seed));
+        let count = |times: &[u64], from: u64| {
+            times.iter().filter(|it| (from..from + 10_000).contains(*it)).count() as f64
+        };
+        for start in (10_000..50_000).step_by(250) {
+            let windows = [start, start - 5_000, start - 10_000];
+            let requests = windows.map(|it| count(&world.requests, it));
+            let allowed = 0.2 * requests.into_iter().fold(0.0, f64::max) + 52.0;
+            let taken = count(&world.extra, start);
+            assert!(taken <= allowed, "seed {seed} at {start} ms: {taken} of {allowed}");
+        }
+    }
+}
+
 #[test]
 fn an_idle_service_has_its_share_of_the_slack() {
     let mut budget = RetryBudget::default();
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -95,6 +95,8 @@
         let metrics = FrontMetrics::new(&SendResult::NAMES)?;
         let mut targets = Targets::new(cfg.limits.clone(), cfg.domain.clone(), cfg.regions.clone());
         targets.set_phase(phase(cfg.peers));
+        let clock = Clock::start();
+        targets.set_started(clock.now());
         let own = Host {
             address: cfg.peers,
             domain: cfg.domain.clone(),
@@ -106,7 +108,7 @@
         Ok(Rc::new(Cx {
             cfg,
             metrics,
-            clock: Clock::start(),
+            clock,
             log,
             targets: RefCell::new(targets),
             configuration: RefCell::new(None),
