Test that hedges and retries leave a target in its pause alone

Cause: the rule on pauses names hedges and retries, and only the tests of stated limits covered the former.

Change: a test on virtual time.

--- a/crates/forward/tests/pauses.rs
+++ b/crates/forward/tests/pauses.rs
@@ -9,7 +9,7 @@
 use fixture::{Fixture, at, report};
 use forward::{
     Placement, TargetReport,
-    placement::{Admission, Arrival, Send},
+    placement::{Admission, Arrival, PlacementRequest, Send},
     query::Step,
     target::SendResult,
 };
@@ -213,3 +213,21 @@
     assert_eq!([0, 99, 199, 299, 499].map(|ms| most[ms]), [1, 1, 2, 4, 16]);
     assert_eq!(most[999], 17, "all that this host may have in flight");
 }
+
+/// Guards against extra sends to a target in its pause: hedges, and retries of what another
+/// target turned away.
+#[test]
+fn hedges_and_retries_leave_a_target_in_its_pause_alone() {
+    let mut it = Fixture::new(None);
+    let one = it.targets.apply_report(report("one", "a"), at(0));
+    let mut two = report("two", "a");
+    two.address = ([127, 0, 0, 1], 2_000).into();
+    let two = it.targets.apply_report(two, at(0));
+    it.targets.record_pause(one, PAUSE, at(0));
+    let req =
+        PlacementRequest { service: it.service, class: it.class, tried: &[two], regions: &[] };
+    for ms in [1, 600, 29_999] {
+        assert_eq!(it.targets.place_hedge(&req, at(ms)), None);
+        assert_eq!(it.targets.place(&req, at(ms)), Placement::Limited);
+    }
+}
