Only suspect a sender in the soak where hosts pass requests on

Cause: the judge takes the host that sent a request to a target from the requests on its connection. Where hosts pass requests on, a connection with requests of clients of one host so far may be that of another host, so that what two senders did counted as done by one. Change: once a connection has requests of clients of several hosts, cases of pauses and of targets that said that they leave are suspected in this run. The targets of the soak accept more connections than it has hosts, so that none is a sender for others; with the option `--connections` some are.

--- a/xtask/src/soak/judge/pauses.rs
+++ b/xtask/src/soak/judge/pauses.rs
@@ -57,9 +57,10 @@
         at.as_secs_f64(),
         ids.join(" ")
     );
+    let is_suspected = evidence.senders.are_passed_on();
     Some(Finding {
         rule: Rule::Pause,
-        certainty: Certainty::Shown,
+        certainty: if is_suspected { Certainty::Suspected } else { Certainty::Shown },
         at: beyond.at,
         host,
         request: beyond.id.clone().unwrap_or_else(|| "health".to_owned()),
--- a/xtask/src/soak/judge/senders.rs
+++ b/xtask/src/soak/judge/senders.rs
@@ -1,5 +1,5 @@
 //! Which host sent what reached a target. A connection belongs to one host, which the
-//! requests on it tell; so also health checks have a sender.
+//! requests on it tell, unless hosts pass requests on; so also health checks have a sender.
 
 use base::HashMap;
 
@@ -27,6 +27,12 @@
         Senders { attempts, connections }
     }
 
+    /// Returns whether hosts pass requests on to each other: then a connection with requests
+    /// of clients of one host may still be that of another.
+    pub fn are_passed_on(&self) -> bool {
+        self.connections.values().any(|it| it.len() > 1)
+    }
+
     /// Returns the attempt to which an arrival belongs; none for a health check.
     pub fn attempt(&self, arrival: &Arrival) -> Option<&'a Attempt> {
         self.attempts.get(arrival.id.as_deref()?).copied()
--- a/xtask/src/soak/judge/tests/stated.rs
+++ b/xtask/src/soak/judge/tests/stated.rs
@@ -133,3 +133,31 @@
     record.attempts[1].host = 1;
     assert_eq!(count(&record, Rule::Leaving), 0);
 }
+
+/// Two senders that served a host each may both count as this host.
+#[test]
+fn what_targets_state_is_suspected_where_hosts_pass_requests_on() {
+    let mut record = record();
+    for (id, sent) in [("a", 20_000), ("b", 24_000)] {
+        add_told(&mut record, id, sent);
+    }
+    add_rejected(&mut record, "c", 25_000, Some(2_000));
+    for (id, sent) in [("d", 25_600), ("e", 25_700), ("f", 25_800)] {
+        add_rejected(&mut record, id, sent, None);
+    }
+    let shown = |record: &Record| {
+        let findings = judge(record).into_iter();
+        findings.filter(|it| it.certainty == Certainty::Shown).map(|it| it.rule).collect::<Vec<_>>()
+    };
+    let pause_and_leave =
+        |rules: &[Rule]| rules.contains(&Rule::Pause) && rules.contains(&Rule::Leaving);
+    assert!(pause_and_leave(&shown(&record)));
+    // A connection that carries the requests of two hosts.
+    for (id, host) in [("x", 0), ("y", 1)] {
+        add_rejected(&mut record, id, 30_000, None);
+        record.attempts.last_mut().unwrap().host = host;
+        record.arrivals.last_mut().unwrap().connection += 1;
+    }
+    assert_eq!(shown(&record), []);
+    assert!(count(&record, Rule::Pause) > 0 && count(&record, Rule::Leaving) > 0);
+}
