Prove nothing by a reader that does not say how far it may be behind

Such a reader waits for up to 30 s for a source that has fallen silent, and its followers of this build took its word for proof that their configuration is the newest one: they ended requests on routes that had been added with 404.

--- a/crates/front/src/feeds/change_log.rs
+++ b/crates/front/src/feeds/change_log.rs
@@ -158,7 +158,7 @@
             items: newer.iter().flat_map(|it| it.items.iter().cloned()).collect(),
             revision: state.revision,
             age: Some(now.since(since)),
-            behind: Duration::ZERO,
+            behind: Some(Duration::ZERO),
         })
     }
 }
--- a/crates/front/src/feeds/mod.rs
+++ b/crates/front/src/feeds/mod.rs
@@ -52,9 +52,9 @@
     pub revision: u64,
     /// Largest age of the changes, if the source states it.
     pub age: Option<Duration>,
-    /// Time by which changes may be missing that are known at their origin: none for the
-    /// origin itself.
-    pub behind: Duration,
+    /// Time by which changes may be missing that are known at their origin, zero for the
+    /// origin itself; `None` if a reader doesn't say.
+    pub behind: Option<Duration>,
 }
 
 #[derive(Debug)]
--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -11,15 +11,21 @@
     feeds::{Batch, Feed, Item, Means, Received},
 };
 
+/// By how much a reader may be behind that doesn't say so. Those of earlier builds wait so
+/// long for an answer of the source before they take it for lost.
+const UNSTATED_LAG: Duration = Duration::from_secs(30);
+
 /// Applies an answer unless a later one was; returns whether it did.
 pub(super) fn take(cx: &SharedCx, feed: Feed, origin: Origin, answer: Answer) -> bool {
     let log = cx.change_logs.of(feed);
     let now = cx.clock.now();
     match answer.call {
         Call::Read => {
-            let known_until = answer.called.ago(answer.batch.behind);
+            let called = answer.called;
+            let known_until = called.ago(answer.batch.behind.unwrap_or(UNSTATED_LAG));
             let revision = answer.batch.revision;
-            let reach = Reach { revision: Some(revision), known_until: Some(known_until) };
+            let stated_until = answer.batch.behind.map(|it| called.ago(it));
+            let reach = Reach { revision: Some(revision), known_until: stated_until };
             if !log.progress().is_news(reach) {
                 return false;
             }
@@ -45,7 +51,7 @@
             let made = when_made(cx, &changes, log.progress(), now);
             let age = made.age.or_else(|| log.progress().age(now));
             let received = Received { from: origin.into(), by: Means::Changes, age };
-            let known_until = proven_at.ago(changes.behind);
+            let known_until = proven_at.ago(changes.behind.unwrap_or(UNSTATED_LAG));
             log.update_progress(|it| {
                 it.record_complete(known_until, origin.into());
                 it.record_revision(next);
--- a/crates/front/src/follow/serve.rs
+++ b/crates/front/src/follow/serve.rs
@@ -55,7 +55,7 @@
             cfg.into_iter().chain(evacuated).collect()
         }
     };
-    Ok(Batch { items, revision: log.revision(), age: None, behind: behind(cx, feed) })
+    Ok(Batch { items, revision: log.revision(), age: None, behind: Some(behind(cx, feed)) })
 }
 
 /// Returns the changes after `revision` as soon as there are any, or an empty batch
@@ -74,14 +74,14 @@
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
         match log.after(revision, cx.clock.now()) {
-            Changes::Some(batch) => return Ok(Batch { behind: behind(cx, feed), ..batch }),
+            Changes::Some(batch) => return Ok(Batch { behind: Some(behind(cx, feed)), ..batch }),
             Changes::Gone => return Err(StatusCode::GONE),
             Changes::None => {}
         }
         tokio::select! {
             () = changed => {}
             () = sleep_until(until) => {
-                let behind = behind(cx, feed);
+                let behind = Some(behind(cx, feed));
                 return Ok(Batch { items: Vec::new(), revision, age: None, behind });
             }
         }
--- a/crates/front/src/follow/tests.rs
+++ b/crates/front/src/follow/tests.rs
@@ -32,7 +32,7 @@
 }
 
 fn batch(items: Vec<Item>) -> Batch {
-    let (age, behind) = (Some(Duration::from_millis(40)), Duration::from_millis(1_700));
+    let (age, behind) = (Some(Duration::from_millis(40)), Some(Duration::from_millis(1_700)));
     Batch { items, revision: 41, age, behind }
 }
 
@@ -59,7 +59,7 @@
     for (batch, recorded) in batches() {
         let (read, _) = wire::decode(&bytes(recorded(&C916687))).expect("decoded");
         assert_same(&read, &batch);
-        assert_eq!(read.behind, Duration::ZERO);
+        assert_eq!(read.behind, None);
     }
 }
 
--- a/crates/front/src/follow/wire.rs
+++ b/crates/front/src/follow/wire.rs
@@ -35,16 +35,18 @@
 
 pub(super) fn encode(batch: &Batch) -> Result<Vec<u8>, postcard::Error> {
     let bytes = postcard::to_stdvec(&WireBatch::from(batch))?;
-    let bytes = postcard::to_extend(&(batch.behind.as_millis() as u64), bytes)?;
+    let bytes = postcard::to_extend(&(batch.behind.unwrap_or_default().as_millis() as u64), bytes)?;
     Tail::own().append_to(bytes)
 }
 
 pub(super) fn decode(bytes: &[u8]) -> Result<(Batch, Tail), FormatError> {
     let (wire, rest) = postcard::take_from_bytes::<WireBatch>(bytes)?;
-    let (behind_ms, rest) =
-        if rest.is_empty() { (0, rest) } else { postcard::take_from_bytes(rest)? };
+    if rest.is_empty() {
+        return Ok((Batch { behind: None, ..wire.into() }, Tail::decode(rest)?));
+    }
+    let (behind_ms, rest) = postcard::take_from_bytes(rest)?;
     let tail = Tail::decode(rest)?;
-    Ok((Batch { behind: Duration::from_millis(behind_ms), ..wire.into() }, tail))
+    Ok((Batch { behind: Some(Duration::from_millis(behind_ms)), ..wire.into() }, tail))
 }
 
 impl From<&Batch> for WireBatch {
@@ -63,7 +65,7 @@
             items: wire.items.into_iter().map(Item::from).collect(),
             revision: wire.revision,
             age: Some(Duration::from_millis(wire.age_ms)),
-            behind: Duration::ZERO,
+            behind: None,
         }
     }
 }
--- a/crates/front/tests/builds.rs
+++ b/crates/front/tests/builds.rs
@@ -132,24 +132,37 @@
             scripted_host(reader, answers).await;
             let host = TestHost::start_with_seeds(own, Vec::new());
             host.wait_for_hosts(1).await;
-            let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-            let others: Vec<SocketAddr> = (0..4).map(|_| own_address()).collect();
             let source = Rc::new(ScriptedSource::default());
             source.set_unreachable(true);
             host.follow_configuration(&source);
-            let digest = digest_from(&recorded, reader);
-            while host.cx.configuration_provenance() != Provenance::Reader(reader) {
-                socket.send_to(&digest, own).await.expect("sent");
-                for it in &others {
-                    announce(own, *it).await;
-                }
-                sleep(Duration::from_millis(50)).await;
-            }
+            follow(&host, &recorded, reader).await;
             assert_eq!(host.cx.version(), 7, "{}", recorded.build);
         });
     }
 }
 
+/// Guards against a 404 by the table of a reader that may be cut off from the source, and is
+/// of a build that doesn't say how long it has been.
+#[test]
+fn a_host_that_follows_a_reader_which_states_no_lag_calls_no_route_unknown() {
+    for (recorded, expected) in ALL.iter().zip([503, 404, 404]) {
+        run(async move {
+            let (own, reader) = (own_address(), own_address());
+            let answers = vec![("/items/operations", bytes(recorded.operations))];
+            scripted_host(reader, answers).await;
+            let host = TestHost::start_with(own, Vec::new(), |it| {
+                it.configuration_due(Duration::from_secs(20))
+            });
+            host.wait_for_hosts(1).await;
+            let source = Rc::new(ScriptedSource::default());
+            source.set_unreachable(true);
+            host.follow_configuration(&source);
+            follow(&host, recorded, reader).await;
+            assert_eq!(status(&host.get("/never/x").await), expected, "{}", recorded.build);
+        });
+    }
+}
+
 /// Guards against requests that are lost, or run twice, between hosts of two builds.
 #[test]
 fn a_sender_serves_requests_of_hosts_of_all_builds() {
@@ -278,6 +291,20 @@
     });
 }
 
+/// Tells the host of a domain with this reader until it has its configuration from there.
+async fn follow(host: &TestHost, recorded: &Recorded, reader: SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let others: Vec<SocketAddr> = (0..4).map(|_| own_address()).collect();
+    let digest = digest_from(recorded, reader);
+    while host.cx.configuration_provenance() != Provenance::Reader(reader) {
+        socket.send_to(&digest, host.peers).await.expect("sent");
+        for it in &others {
+            announce(host.peers, *it).await;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Returns a host that serves requests for the service `s`, and listens.
 async fn sender(leaf: &Target) -> TestHost {
     let mut sender = TestHost::start();
--- a/crates/godwityardd/src/forwarding.rs
+++ b/crates/godwityardd/src/forwarding.rs
@@ -124,7 +124,7 @@
                 out.chain([Item::Configuration(file.configuration)]).collect()
             }
         };
-        Ok(Batch { items, revision, age: None, behind: Duration::ZERO })
+        Ok(Batch { items, revision, age: None, behind: Some(Duration::ZERO) })
     }
 
     /// Returns `HistoryGone` when the file has changed, so that the whole file is
@@ -142,7 +142,12 @@
                 return Err(SourceError::HistoryGone);
             }
         }
-        Ok(Batch { items: Vec::new(), revision: revision_read, age: None, behind: Duration::ZERO })
+        Ok(Batch {
+            items: Vec::new(),
+            revision: revision_read,
+            age: None,
+            behind: Some(Duration::ZERO),
+        })
     }
 }
 
