--- a/crates/forward/src/budget.rs
+++ b/crates/forward/src/budget.rs
@@ -24,7 +24,7 @@
 /// Part of the window whose requests an extra send is taken from.
 const RECENT_PARTS: u32 = 4;
 
-/// Slack of a host in its first window.
+/// Slack of a host in its first window: one extra send, given [`USABLE_SHARE`].
 const FIRST_SLACK: f64 = 1.2;
 
 /// Configured limits of extra sends.
