Log the pause that is kept, not one beyond what a number holds

Cause: a pause of 1e300 s was logged as its milliseconds cut to 64 bits, some other number.

Change: pauses are limited where they are read, so the line names what is kept.

Measured: by reading; no test sees log lines of front.

--- a/crates/forward/src/target/allowance/mod.rs
+++ b/crates/forward/src/target/allowance/mod.rs
@@ -13,6 +13,7 @@
 
 use base::Time;
 
+pub use self::pause::MAX_PAUSE;
 pub(crate) use self::pause::Pause;
 use self::{cold::ColdRate, pause::SPACING, stated_limit::StatedLimit};
 
--- a/crates/forward/src/target/allowance/pause.rs
+++ b/crates/forward/src/target/allowance/pause.rs
@@ -11,7 +11,7 @@
 
 /// Limit on the time for which a target is left alone at its own request, so that one that
 /// names a time by mistake is asked again some day.
-const MAX_PAUSE: Duration = Duration::from_secs(24 * 3_600);
+pub const MAX_PAUSE: Duration = Duration::from_secs(24 * 3_600);
 
 /// Time after a pause over which hosts return in turn, and then the time in which each of
 /// them returns to all that it has to send: a share of the pause, up to a limit.
--- a/crates/forward/src/target/mod.rs
+++ b/crates/forward/src/target/mod.rs
@@ -11,6 +11,7 @@
 
 use base::Time;
 
+pub use self::allowance::MAX_PAUSE;
 pub(crate) use self::allowance::{Hold, Pause, Shares};
 pub use self::leaving::LeavingTarget;
 pub use self::report::{Lifecycle, ReportedLoad, SendResult, TargetReport};
--- a/crates/front/src/targets/pause.rs
+++ b/crates/front/src/targets/pause.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use forward::placement::Send;
+use forward::{placement::Send, target::MAX_PAUSE};
 use http::{HeaderMap, HeaderValue, StatusCode, header, response};
 use slog::{debug, info};
 
@@ -37,10 +37,10 @@
     pause.filter(|it| !it.is_zero())
 }
 
-/// Returns the longest of the pauses in a value, which may be a list, or `None` if none
-/// of them is a number of seconds.
+/// Returns the longest of the pauses in a value, which may be a list, up to the limit;
+/// `None` if none of them is a number of seconds.
 fn parse_pause(value: &HeaderValue) -> Option<Duration> {
     let seconds = value.to_str().ok()?.split(',').filter_map(|it| it.trim().parse::<f64>().ok());
     let pauses = seconds.filter(|it| *it >= 0.0);
-    pauses.map(|it| Duration::try_from_secs_f64(it).unwrap_or(Duration::MAX)).max()
+    pauses.map(|it| Duration::try_from_secs_f64(it).map_or(MAX_PAUSE, |it| it.min(MAX_PAUSE))).max()
 }
