Give a route that a peer tells of at least one attempt

Cause: the decoder of the store's configuration makes an attempt of none; that of a peer's configuration, by state or by a feed, took the number as it came. The first send of such a route broke the invariant `attempts-of-a-part`.

Change: the decoder of peers does the same.

--- a/crates/front/src/state/tests/damaged.rs
+++ b/crates/front/src/state/tests/damaged.rs
@@ -94,6 +94,18 @@
     }
 }
 
+/// Guards against requests that a host sends though its own count says it may not.
+#[test]
+fn a_route_of_a_peer_without_attempts_gets_one() {
+    let cx = cx();
+    let mut state = state();
+    for route in state["configuration"]["routes"].as_array_mut().expect("routes") {
+        route["attempts"] = 0.into();
+    }
+    learn(&cx, &serde_json::to_vec(&state).expect("encoded"));
+    request_each_route(&cx);
+}
+
 #[test]
 fn a_valid_state_is_learned() {
     let cx = cx();
--- a/crates/front/src/state/wire.rs
+++ b/crates/front/src/state/wire.rs
@@ -197,7 +197,7 @@
             repeat: if wire.is_idempotent { Repeat::Idempotent } else { Repeat::AtMostOnce },
             timeout: Duration::from_millis(wire.timeout_ms),
             objective: Duration::from_millis(wire.objective_ms),
-            attempts: wire.attempts,
+            attempts: wire.attempts.max(1),
             priority: wire.priority,
             destination: wire.destination.into(),
             regions: wire.regions.into_iter().map(RegionName::from).collect(),
