--- a/crates/documents/tests/forwarding.rs
+++ b/crates/documents/tests/forwarding.rs
@@ -4,7 +4,10 @@
 use assert_matches::assert_matches;
 use documents::{parse_file, parse_forwarding};
 use forward::{Destination, Repeat};
-use proptest::prelude::*;
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
 
 const EXAMPLE: &str = include_str!("../../../examples/forwarding.yaml");
 
@@ -72,7 +75,13 @@
     assert!(messages(&text).len() >= 3);
 }
 
+fn fixed_seed() -> Config {
+    Config { rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..Config::default() }
+}
+
 proptest! {
+    #![proptest_config(fixed_seed())]
+
     #[test]
     fn damaged_files_are_read_or_refused(at in 0usize..4_000, with in "[ -~\n]{0,3}", cut in 0usize..4) {
         let at = at % EXAMPLE.len();
--- a/crates/documents/tests/mutations.rs
+++ b/crates/documents/tests/mutations.rs
@@ -133,7 +133,8 @@
 
 fn config() -> Config {
     let rng_seed = RngSeed::Fixed(SEED);
-    Config { cases: CASES, rng_seed, failure_persistence: None, ..Config::default() }
+    let cases = Config::default().cases.max(CASES);
+    Config { cases, rng_seed, failure_persistence: None, ..Config::default() }
 }
 
 proptest! {
