Keep the pause of a later incarnation when an earlier one's answer comes late

Cause: pauses are kept by name with the incarnation that asked. A late 503 of an earlier incarnation replaced that of the one in use, so that a change of address lost its pause. Change: what an earlier incarnation asks for doesn't replace it. Measured: a_late_answer_of_an_earlier_incarnation_takes_no_pause_away (found in review) failed before at `!matches!(it.place(at(1_000)), Placement::Send(_))`, passes after.

--- a/crates/forward/src/placement/pauses.rs
+++ b/crates/forward/src/placement/pauses.rs
@@ -25,6 +25,16 @@
         (report.is_same_incarnation(known) && pause.until(now).is_some()).then_some(*pause)
     }
 
+    /// Records a pause, unless a later incarnation asked for one.
+    fn record(&mut self, report: TargetReport, pause: Pause) {
+        let known = self.by_name.get(&report.name).map(|(it, _)| it);
+        let is_later = |it: &TargetReport| !report.is_same_incarnation(it) && it.born > report.born;
+        if known.is_some_and(is_later) {
+            return;
+        }
+        self.by_name.insert(report.name.clone(), (report, pause));
+    }
+
     pub(super) fn expire(&mut self, now: Time) {
         self.by_name.retain(|_, (_, pause)| pause.until(now).is_some());
     }
@@ -47,7 +57,7 @@
             it.allowance.keep_pause(pause);
             self.limited.insert(*key);
         }
-        self.pauses.by_name.insert(report.name.clone(), (report, pause));
+        self.pauses.record(report, pause);
         is_new
     }
 
--- a/crates/forward/tests/pauses.rs
+++ b/crates/forward/tests/pauses.rs
@@ -231,3 +231,20 @@
         assert_eq!(it.targets.place(&req, at(ms)), Placement::Limited);
     }
 }
+
+/// Guards against a late answer of an earlier incarnation that ends the memory of the pause
+/// for which the later one asked.
+#[test]
+fn a_late_answer_of_an_earlier_incarnation_takes_no_pause_away() {
+    let mut it = Fixture::new(None);
+    let before = it.targets.apply_report(report("one", "a"), at(0));
+    let send = it.send(at(10));
+    let later = TargetReport { born: Some(11), ..report("one", "a") };
+    let one = it.targets.apply_report(later.clone(), at(20));
+    it.targets.record_pause(one, PAUSE, at(30));
+    it.targets.record_pause(before, Duration::from_secs(1), at(40));
+    it.targets.finish_send(&send, at(40), SendResult::Shed);
+    let moved = TargetReport { address: ([127, 0, 0, 1], 2_000).into(), ..later };
+    it.targets.apply_report(moved, at(50));
+    assert!(!matches!(it.place(at(1_000)), Placement::Send(_)));
+}
