Let the stand-in targets say in all answers that they leave

Cause: the stand-ins stated that they leave in the form of the owner tier alone, which the forwarding tier does not read.

Change: with the knob `leaving`, all their answers have `godwityard-leaving: 1` too.

Measured: `work_after_leaving_is_recorded` asserts it.

--- a/crates/standins/src/targets/reply.rs
+++ b/crates/standins/src/targets/reply.rs
@@ -68,10 +68,14 @@
 }
 
 fn status_headers(state: &State) -> Vec<(&'static str, String)> {
-    vec![
+    let mut headers = vec![
         ("godwityard-incarnation", state.incarnation.to_string()),
         ("godwityard-state", state.state_text().to_owned()),
         ("godwityard-snapshots", state.snapshot_list().join(",")),
         ("godwityard-load", format!("{}/{}", state.in_flight(), state.knobs.slots)),
-    ]
+    ];
+    if state.knobs.leaving {
+        headers.push(("godwityard-leaving", "1".to_owned()));
+    }
+    headers
 }
--- a/crates/standins/tests/targets.rs
+++ b/crates/standins/tests/targets.rs
@@ -268,6 +268,7 @@
     tokio::time::sleep(Duration::from_millis(30)).await;
     let text = tokio::task::spawn_blocking(move || query(address, "k")).await.unwrap();
     assert!(text.contains("godwityard-state: leaving"), "{text}");
+    assert!(text.contains("godwityard-leaving: 1"), "{text}");
     assert!(set.records()[0].work_after_leaving_ms_max >= 30);
 }
 
