Show the targets that leave in refusals, notes, metrics and explain

Cause: a refusal for want of targets that all leave named none of them, the note on such a part only said "failed", `explain` left out what another host told, and no metric counted targets that leave.

Change: the values behind such a refusal name the first targets that leave, each with the time for which it has done so; the note says "its targets have left"; `explain` shows who said so; gauge front_targets_leaving. Digests tell of a leave for 20 s in place of 60 s: by then most of such targets have ended.

--- a/crates/forward/src/placement/leaving.rs
+++ b/crates/forward/src/placement/leaving.rs
@@ -9,8 +9,8 @@
 
 use base::{HashMap, TargetName, Time};
 
-use super::{TargetKey, Targets};
-use crate::target::LeavingTarget;
+use super::{ServiceKey, TargetKey, Targets};
+use crate::target::{LeavingTarget, Lifecycle, Target};
 
 /// Time for which it is remembered that an incarnation leaves. It has ended by then.
 const RETENTION: Duration = Duration::from_secs(3_600);
@@ -19,7 +19,7 @@
 const MAX_REMEMBERED: usize = 4_096;
 
 /// Time for which other hosts are told of an incarnation, and limit of those in one digest.
-const SHARED_FOR: Duration = Duration::from_secs(60);
+const SHARED_FOR: Duration = Duration::from_secs(20);
 const MAX_SHARED: usize = 16;
 
 /// The incarnations that said that they leave, whether or not their targets are known.
@@ -144,6 +144,24 @@
         self.leaving.next_shared(now)
     }
 
+    /// Returns the targets of the services that leave or are no longer listed, with the time
+    /// for which they have done so.
+    pub fn leaving(
+        &self,
+        services: &[ServiceKey],
+        now: Time,
+    ) -> impl Iterator<Item = (&TargetName, Duration)> {
+        let keys = services.iter().flat_map(|it| &self.services[it.0].targets);
+        let known = keys.filter_map(|it| self.targets.get(it));
+        known.filter_map(move |it| Some((&it.report.name, now.since(it.leaving_since()?))))
+    }
+
+    /// Returns the number of targets that leave, by their entries or by their own word.
+    pub fn leaving_count(&self) -> usize {
+        let draining = |it: &Target| it.report.lifecycle == Lifecycle::Draining;
+        self.used_targets().filter(|(_, it)| draining(it)).count()
+    }
+
     /// Returns what to tell other hosts of a target that said that it leaves.
     pub fn stated_leaving(&self, target: TargetKey, now: Time) -> Option<LeavingTarget> {
         let report = &self.targets.get(&target)?.report;
--- a/crates/forward/tests/leaving.rs
+++ b/crates/forward/tests/leaving.rs
@@ -2,13 +2,13 @@
 
 mod fixture;
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use base::{HashSet, TargetName};
 use fixture::{Fixture, LEAVING_FOR, at, report};
 use forward::{
     Lifecycle, Placement, TargetReport,
-    placement::TargetKey,
+    placement::{Send, TargetKey},
     target::{LeavingTarget, SendResult},
 };
 
@@ -191,3 +191,36 @@
     assert_eq!(told.len(), 40);
     assert_eq!(it.targets.next_shared_leaving(at(2 * LONG_AFTER_MS)), []);
 }
+
+/// Guards against a rush of new connections when a busy target leaves: its work spreads over
+/// the others, and none of it waits.
+#[test]
+fn the_work_of_a_target_that_leaves_spreads_evenly() {
+    const IN_FLIGHT: usize = 10;
+    const TOOK_MS: u64 = 10;
+    let mut it = Fixture::new(None);
+    let keys: Vec<TargetKey> = ["one", "two", "three", "four", "five"]
+        .map(|name| it.targets.apply_report(report(name, "a"), at(0)))
+        .into();
+    let mut running: VecDeque<(u64, Send)> = VecDeque::new();
+    let mut most = 0;
+    for ms in 0..2_000 {
+        while let Some((sent_at, send)) = running.front().copied()
+            && sent_at + TOOK_MS <= ms
+        {
+            running.pop_front();
+            it.targets.finish_send(&send, at(ms), SendResult::Answered);
+        }
+        if ms == 1_000 {
+            it.targets.record_leaving(keys[0], at(ms));
+        }
+        while running.len() < IN_FLIGHT {
+            let send = it.send(at(ms));
+            assert!(ms < 1_000 || send.target != keys[0]);
+            running.push_back((ms, send));
+        }
+        let of = |key: &TargetKey| running.iter().filter(|(_, it)| it.target == *key).count();
+        most = most.max(keys[1..].iter().map(of).max().unwrap_or_default());
+    }
+    assert_eq!(most, IN_FLIGHT.div_ceil(keys.len() - 1));
+}
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -5,7 +5,7 @@
 
 use base::{ServiceName, Time};
 use forward::{
-    Destination,
+    Destination, Targets,
     isolation::{partitioned_domains, separated_domains},
     placement::{PlacementRequest, ServiceKey},
     route::RouteEntry,
@@ -17,6 +17,9 @@
 /// Limit on the services listed when a route cannot be served.
 const MAX_LISTED_SERVICES: usize = 5;
 
+/// Limit on the leaving targets listed then.
+const MAX_LISTED_TARGETS: usize = 5;
+
 /// Evaluates which domains are reachable, and updates whether this host counts
 /// as isolated.
 pub(crate) fn update(cx: &SharedCx) {
@@ -71,6 +74,8 @@
     needed: usize,
     /// The first few services without a reachable target.
     unreachable: Vec<ServiceName>,
+    /// Targets of these services that leave.
+    leaving: String,
 }
 
 impl fmt::Display for Unservable {
@@ -81,10 +86,23 @@
             f,
             "{reachable} of {needed} needed services reachable; unreachable: {}",
             names.join(" ")
-        )
+        )?;
+        if self.leaving.is_empty() { Ok(()) } else { write!(f, "; {}", self.leaving) }
     }
 }
 
+/// Returns the first few targets of the services that leave, each with the time for which it
+/// has done so.
+pub(crate) fn leaving_targets<W>(
+    targets: &Targets<W>,
+    services: &[ServiceKey],
+    now: Time,
+) -> String {
+    let leaving = targets.leaving(services, now).take(MAX_LISTED_TARGETS);
+    let texts = leaving.map(|(name, age)| format!("{name} leaving for {} ms", age.as_millis()));
+    texts.collect::<Vec<String>>().join("; ")
+}
+
 /// Checks that enough services of a route are reachable for an answer.
 pub(crate) fn check_servable(
     cx: &SharedCx,
@@ -122,12 +140,13 @@
     if reachable >= needed {
         return Ok(());
     }
+    let leaving = leaving_targets(&targets, &unreachable, now);
     let names = unreachable
         .into_iter()
         .take(MAX_LISTED_SERVICES)
         .map(|it| targets.service_name(it).clone());
     let unreachable = names.collect();
-    Err(Unservable { reachable, needed, unreachable })
+    Err(Unservable { reachable, needed, unreachable, leaving })
 }
 
 /// Returns the helpers that a request should be passed on to, as this host cannot serve
@@ -163,5 +182,5 @@
         return Ok(());
     }
     let unreachable = vec![targets.service_name(senders).clone()];
-    Err(Unservable { reachable: 0, needed: 1, unreachable })
+    Err(Unservable { reachable: 0, needed: 1, unreachable, leaving: String::new() })
 }
--- a/crates/front/src/pages.rs
+++ b/crates/front/src/pages.rs
@@ -77,6 +77,7 @@
     cx.metrics.set_gauge(FrontGauge::TargetsLimited, targets.limited_count() as u64);
     let paused = targets.paused_count(cx.clock.now());
     cx.metrics.set_gauge(FrontGauge::TargetsPaused, paused as u64);
+    cx.metrics.set_gauge(FrontGauge::TargetsLeaving, targets.leaving_count() as u64);
     let has_lost_targets = u64::from(targets.has_lost_targets());
     cx.metrics.set_gauge(FrontGauge::HasLostTargets, has_lost_targets);
     cx.metrics.set_gauge(FrontGauge::RequestsInProgress, cx.in_progress.count() as u64);
--- a/crates/front/src/query.rs
+++ b/crates/front/src/query.rs
@@ -14,7 +14,7 @@
 use crate::{
     SharedCx,
     answer::{self, Answer, Refusal, UNAVAILABLE_WAIT, implies_not_run},
-    isolation::{Unservable, check_targets},
+    isolation::{Unservable, check_targets, leaving_targets},
     leaving::attach_leaving,
     log_line::LogLine,
     messages::{Collected, Outgoing},
@@ -95,7 +95,11 @@
     let (targets, now) = (cx.targets.borrow(), cx.clock.now());
     match targets.pause_wait(services, entry.min_services(), regions, now) {
         Some(wait) => Refusal::paused(wait).with_inputs(paused_targets(&targets, services, now)),
-        None => Refusal::not_run("no target could take the request", UNAVAILABLE_WAIT, left),
+        None => {
+            let refusal =
+                Refusal::not_run("no target could take the request", UNAVAILABLE_WAIT, left);
+            refusal.with_inputs(leaving_targets(&targets, services, now))
+        }
     }
 }
 
--- a/crates/front/src/scatter/notes.rs
+++ b/crates/front/src/scatter/notes.rs
@@ -1,6 +1,10 @@
 //! Notes on failed sends and missing parts, for the log line of a request.
 
-use forward::{gather::PartState, placement::TargetKey};
+use base::HashSet;
+use forward::{
+    gather::PartState,
+    placement::{PlacementRequest, TargetKey},
+};
 
 use super::Scatter;
 use crate::messages::Note;
@@ -34,6 +38,18 @@
         self.cx.targets.borrow().pause_wait(&[service], 1, &plan.regions, now).is_some()
     }
 
+    /// Returns whether all targets that the part could be sent to have been leaving for too
+    /// long.
+    fn has_left(&self, index: usize) -> bool {
+        let plan = self.query.plan();
+        let (service, now) = (plan.shards[index], self.cx.clock.now());
+        let request =
+            PlacementRequest { service, class: plan.class, tried: &[], regions: &plan.regions };
+        let targets = self.cx.targets.borrow();
+        let is_leaving = targets.leaving(&[service], now).next().is_some();
+        is_leaving && !targets.has_allowed_target(&request, &HashSet::default(), now)
+    }
+
     /// Records the parts that are missing from the answer, each with a reason.
     pub(super) fn record_missing(&mut self) {
         for index in 0..self.query.plan().shards.len() {
@@ -44,6 +60,7 @@
                 PartState::Sent { .. } => "not answered yet",
                 PartState::Unresponsive { .. } => "its targets answer nothing",
                 PartState::Failed if self.is_paused(index) => "its targets ask for a pause",
+                PartState::Failed if self.has_left(index) => "its targets have left",
                 PartState::Failed => "failed",
             };
             let target = self.query.tried(index).last().copied();
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -67,6 +67,7 @@
             host.cx.update_target(listed, Duration::ZERO);
             get(&host, 6).await;
             assert_eq!(one.requests(), 1);
+            assert_eq!(host.gauge("front_targets_leaving").await, Some(1));
         });
     }
 }
--- a/crates/godwityard/src/commands/explain/trace.rs
+++ b/crates/godwityard/src/commands/explain/trace.rs
@@ -33,9 +33,10 @@
 
 /// Messages that log what a target states of itself. Of each kind the last one on a
 /// target that the request's lines name is shown.
-const TARGET_MESSAGES: [&str; 3] = [
+const TARGET_MESSAGES: [&str; 4] = [
     "targets: asks for a pause",
     "targets: leaving, by an answer",
+    "targets: leaving, by another host",
     "targets: stated limit changed",
 ];
 
--- a/crates/godwityard/tests/explain_logs.rs
+++ b/crates/godwityard/tests/explain_logs.rs
@@ -27,6 +27,10 @@
 {"msg":"targets: asks for a pause","level":"INFO","ts":"T22","host":"h6","target":"t2","pause_ms":9000}
 {"msg":"targets: stated limit changed","level":"INFO","ts":"T23","host":"h6","target":"t1","requests_per_s":5}
 {"msg":"request: refused","level":"INFO","ts":"T24","host":"h6","inputs":"t1 asked 3000 ms ago, over in 6000 ms","reason":"targets ask for a pause","status":503,"id":"q5","retry_after_ms":6000}
+{"msg":"targets: leaving, by another host","level":"INFO","ts":"T30","host":"h7","target":"t3","for_ms":40}
+{"msg":"targets: leaving, by an answer","level":"INFO","ts":"T31","host":"h7","target":"t4"}
+{"msg":"targets: leaving, by an answer","level":"INFO","ts":"T32","host":"h7","target":"t5"}
+{"msg":"request: refused","level":"INFO","ts":"T33","host":"h7","inputs":"0 of 1 needed services reachable; unreachable: s1; t3 leaving for 2500 ms; t4 leaving for 2400 ms","reason":"too few targets can be reached","status":503,"id":"q6","retry_after_ms":300}
 not a line of a host
 "#;
 
@@ -87,6 +91,21 @@
     assert!(!ran.out.contains("version 7"), "{}", ran.out);
 }
 
+/// Guards against refusals that don't show that their targets left.
+#[test]
+fn a_target_that_leaves_is_shown_with_who_said_so() {
+    let ran = explain("leaving", &["q6"]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    for wanted in [
+        "t3 leaving for 2500 ms; t4 leaving for 2400 ms",
+        "  T30 targets: leaving, by another host, for_ms 40, target t3",
+        "  T31 targets: leaving, by an answer, target t4",
+    ] {
+        assert!(ran.out.contains(wanted), "{wanted}: {}", ran.out);
+    }
+    assert!(!ran.out.contains("T32"), "{}", ran.out);
+}
+
 #[test]
 fn unknown_request_lists_unplanned_starts() {
     let ran = explain("lost", &["q3"]);
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -43,6 +43,7 @@
     TargetsDown,
     TargetsLimited,
     TargetsPaused,
+    TargetsLeaving,
     HasLostTargets,
     RequestsInProgress,
     PartsWaiting,
@@ -55,7 +56,7 @@
 }
 
 /// Gauge, metric name without `front_`, and description.
-const GAUGES: [(FrontGauge, &str, &str); 16] = [
+const GAUGES: [(FrontGauge, &str, &str); 17] = [
     (FrontGauge::ConfigurationVersion, "configuration_version", "Version in force"),
     (
         FrontGauge::ConfigurationAge,
@@ -71,6 +72,7 @@
     ),
     (FrontGauge::TargetsLimited, "targets_limited", "Targets that state a limit of requests"),
     (FrontGauge::TargetsPaused, "targets_paused", "Targets that asked for no requests for now"),
+    (FrontGauge::TargetsLeaving, "targets_leaving", "Targets that leave"),
     (FrontGauge::HasLostTargets, "has_lost_targets", "1 if no target answers this host"),
     (FrontGauge::RequestsInProgress, "requests_in_progress", "Requests in progress"),
     (FrontGauge::PartsWaiting, "parts_waiting", "Sends that wait for a connection"),
