--- a/crates/forward/tests/allowances.rs
+++ b/crates/forward/tests/allowances.rs
@@ -10,8 +10,8 @@
 
 const HOSTS: usize = 3;
 
-/// Requests per second that a cold target bears; the fixture allows 1.5 times as many and
-/// five more.
+/// Requests per second of a cold target; the fixture allows 1.5 times as many and five
+/// more.
 const WARMUP_RATE: f64 = 6.0;
 const COLD_BOUND: usize = 14;
 
--- a/crates/forward/tests/pauses.rs
+++ b/crates/forward/tests/pauses.rs
@@ -215,7 +215,7 @@
 }
 
 /// Guards against extra sends to a target in its pause: hedges, and retries of what another
-/// target turned away.
+/// target rejected.
 #[test]
 fn hedges_and_retries_leave_a_target_in_its_pause_alone() {
     let mut it = Fixture::new(None);
