--- a/xtask/src/soak/mod.rs
+++ b/xtask/src/soak/mod.rs
@@ -48,7 +48,7 @@
     programs::{Program, Programs},
 };
 
-/// Hosts of a run, which the loopback addresses and the machine bear.
+/// Hosts of a run, which the loopback addresses and the machine allow.
 const HOSTS: RangeInclusive<usize> = 1..=90;
 /// Length of a run in seconds.
 const SECONDS: RangeInclusive<u64> = 15..=600;
@@ -56,7 +56,7 @@
 const MAX_SEEDS: usize = 500;
 /// Threads of the platform's side.
 const WORKERS: usize = 2;
-/// Requests per second, and shards, that a run bears.
+/// Requests per second, and shards, that a run allows.
 const MAX_PER_S: f64 = 400.0;
 const MAX_SHARDS: usize = 40;
 /// Findings of a rule that are printed.
