--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -960,13 +960,18 @@
         leaf
     }
 
-    /// Writes the entry of a leaf.
+    /// Writes the entry of a leaf that is warm.
     pub fn register(&self, leaf: &Leaf, state: &str, slots: u32) {
+        self.register_cold(leaf, state, slots, 0);
+    }
+
+    /// Writes the entry of a leaf that stays cold for so long.
+    pub fn register_cold(&self, leaf: &Leaf, state: &str, slots: u32, cold_ms: u64) {
         let seq = leaf.seq.fetch_add(1, SeqCst);
         let entry = format!(
             "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"1\",\
-             \"slots\":{slots},\"state\":\"{state}\",\"warmup_left_ms\":0,\"born\":{},\
-             \"seq\":{seq}}}",
+             \"slots\":{slots},\"state\":\"{state}\",\"warmup_left_ms\":{cold_ms},\
+             \"born\":{},\"seq\":{seq}}}",
             leaf.service, leaf.addr, leaf.zone, leaf.born
         );
         self.store.put(&format!("servers/{}", leaf.id), &entry);
@@ -978,14 +983,15 @@
         self.record.line(format!("store: leaf {} is gone", leaf.id));
     }
 
-    /// Writes a configuration with these routes and services.
+    /// Writes a configuration with these routes and services, none of whose leafs limits
+    /// requests while it is cold.
     pub fn configure(&self, version: u64, routes: &[String], services: &[(&str, u32)]) {
-        let services: Vec<String> = services
-            .iter()
-            .map(|(name, max)| {
-                format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_conns\":{max}}}")
-            })
-            .collect();
+        let services: Vec<String> = services.iter().map(|(name, max)| service(name, *max, "")).collect();
+        self.configure_with(version, routes, &services);
+    }
+
+    /// Same as `configure`, with services as [`service`] returns them.
+    pub fn configure_with(&self, version: u64, routes: &[String], services: &[String]) {
         let text = format!(
             "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\
              \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\
@@ -998,6 +1004,13 @@
     }
 }
 
+/// Returns a service; `more` are further fields.
+pub fn service(name: &str, max_conns: u32, more: &str) -> String {
+    format!(
+        "{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_conns\":{max_conns}{more}}}"
+    )
+}
+
 /// Returns a route to one service.
 pub fn route(prefix: &str, service: &str, kind: &str, attempts: u32, timeout_ms: u64) -> String {
     format!(
