Show that a machine goes back to an old configuration through a stale sender

Cause: a machine learns a sender's later version only from its answer, and passes further requests to a sender that is as old as itself meanwhile.

--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -236,9 +236,9 @@
     }
 }
 
-/// Addresses of leafs as some machines see them.
+/// The store as some machines see it: the addresses of leafs, and whether it answers them.
 #[derive(Clone, Default)]
-pub struct View(Arc<Mutex<Vec<(String, String)>>>);
+pub struct View(Arc<Mutex<Vec<(String, String)>>>, Arc<AtomicBool>);
 
 impl View {
     /// Replaces an address of a leaf, which is not yet in the store.
@@ -246,6 +246,15 @@
         lock(&self.0).push((format!("\"{leaf}\""), format!("\"{proxy}\"")));
     }
 
+    /// Has the store give these machines no response, or answer them again.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.1.store(is_silent, SeqCst);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.1.load(SeqCst)
+    }
+
     fn apply(&self, value: &[u8]) -> Vec<u8> {
         let text = String::from_utf8_lossy(value).into_owned();
         lock(&self.0).iter().fold(text, |text, (from, to)| text.replace(from, to)).into_bytes()
@@ -463,6 +472,13 @@
                 "/v1/kv-watch" => self.watch(&call, view),
                 _ => None,
             };
+            // What was not answered in time is never answered.
+            if view.is_silent() {
+                while view.is_silent() {
+                    sleep(ms(20));
+                }
+                return;
+            }
             let (status, body) = match body {
                 Some(body) => ("200 OK", body),
                 None => ("404 Not Found", "{}".to_owned()),
@@ -798,10 +814,17 @@
         }
     }
 
+    /// Returns whether a host logged that it is one of the senders, by its last such line.
+    pub fn is_sender(&self, index: usize) -> bool {
+        let log = fs::read_to_string(&self.hosts[index].log).unwrap_or_default();
+        let last = log.lines().rev().find(|it| it.contains("front: senders changed"));
+        last.is_some_and(|it| it.contains("\"is_sender\":true"))
+    }
+
     /// Starts a host in each of these zones, and waits until all are ready.
     pub fn start_hosts(&mut self, zones: &[&str], bounds: &str) {
         let store = self.store.addr;
-        self.start_hosts_at(zones, bounds, |_| store);
+        self.start_hosts_at(zones, bounds, |_, _| store);
     }
 
     /// Same as `start_hosts`, where `store` returns the store's address for a zone.
@@ -809,13 +832,13 @@
         &mut self,
         zones: &[&str],
         bounds: &str,
-        store: impl Fn(&str) -> SocketAddr,
+        store: impl Fn(usize, &str) -> SocketAddr,
     ) {
         let ips: Vec<Ipv4Addr> = (0..zones.len()).map(|i| self.net.ip(10 + i as u8)).collect();
         let seeds: Vec<String> = ips.iter().take(3).map(|it| format!("\"{it}:8106\"")).collect();
         for (i, zone) in zones.iter().enumerate() {
             let seeds = seeds.join(",");
-            let text = self.settings(i, ips[i], zone, &seeds, bounds, store(zone));
+            let text = self.settings(i, ips[i], zone, &seeds, bounds, store(i, zone));
             let settings = self.folder.join(format!("host-{i}.toml"));
             fs::write(&settings, text).expect("a settings file");
             let log = self.folder.join(format!("host-{i}.log"));
--- a/review/standins-2/partition.rs
+++ b/review/standins-2/partition.rs
@@ -59,7 +59,7 @@
         of.extend(vec![*zone; count - 1]);
     }
     let near = fleet.store.addr;
-    fleet.start_hosts_at(&of, "", |zone| if zone == "c" { far } else { near });
+    fleet.start_hosts_at(&of, "", |_, zone| if zone == "c" { far } else { near });
     fleet.start_watchdog();
     sleep(ms(3_000));
 
