--- a/review/standins-2/lib.rs
+++ b/review/standins-2/lib.rs
@@ -892,12 +892,6 @@
     }
 
     pub fn end(&mut self, code: i32) -> ! {
-        if std::env::var("KEEP_LOGS").is_ok() {
-            for host in &self.hosts {
-                let name = host.log.file_name().expect("a file");
-                let _ = fs::copy(&host.log, Path::new("/tmp").join(name));
-            }
-        }
         self.hosts.clear();
         let _ = fs::remove_dir_all(&self.folder);
         std::process::exit(code)
