Log and count complete reads of a feed that are ignored

Cause: when a host reads a feed and ignores the answer as older than what it knows, neither log nor metrics show it, so the hypotheses on the restored store can't be told apart. Change: an info line with both revisions, the own revision in the line on reading again, and the counter front_feed_reads.

--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use base::{HashSet, TargetName, Time};
-use forward::{FeedProgress, Reach, customers::StatedProof, readers::Origin};
+use forward::{FeedProgress, Provenance, Reach, customers::StatedProof, readers::Origin};
+use slog::info;
 
 use super::calls::{Answer, Call};
 use crate::{
@@ -28,8 +29,10 @@
             let stated_until = answer.batch.behind.map(|it| called.ago(it));
             let reach = Reach { revision: Some(revision), known_until: stated_until };
             if !log.progress().is_news(reach) {
+                record_older(cx, feed, origin, revision);
                 return false;
             }
+            cx.metrics.record_feed_read(feed.as_str(), "applied");
             log.update_progress(|it| it.record_revision(revision));
             log.restart(revision);
             apply_all(cx, feed, origin, answer.batch);
@@ -67,6 +70,15 @@
     true
 }
 
+/// Records that a complete read was not applied, as later state is known.
+fn record_older(cx: &SharedCx, feed: Feed, origin: Origin, revision: u64) {
+    cx.metrics.record_feed_read(feed.as_str(), "older");
+    let progress = cx.change_logs.of(feed).progress();
+    info!(cx.log, "follow: ignored a complete read that is older than what is known";
+        "feed" => ?feed, "origin" => %Provenance::from(origin), "revision" => progress.revision(),
+        "offered" => revision);
+}
+
 /// What an answer proves of the configuration in force, once its items are applied.
 #[derive(Clone, Copy, Debug)]
 enum Proves {
--- a/crates/front/src/follow/origin.rs
+++ b/crates/front/src/follow/origin.rs
@@ -134,7 +134,8 @@
         err: &SourceError,
     ) {
         if matches!(err, SourceError::HistoryGone) {
-            info!(cx.log, "follow: reading the feed again"; "feed" => ?feed, "error" => %err);
+            info!(cx.log, "follow: reading the feed again"; "feed" => ?feed, "error" => %err,
+                "revision" => cx.change_logs.of(feed).progress().revision());
             self.must_read = true;
             sleep(self.calls.first_backoff.mul_f64(self.jitter)).await;
             return;
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -32,6 +32,7 @@
     rejected_digests: Counter<u64>,
     rejected_messages: Counter<u64>,
     skipped_fields: Counter<u64>,
+    feed_reads: Counter<u64>,
     customer_tokens: Counter<u64>,
     sends: Arc<[AtomicU64]>,
     gauges: Arc<[AtomicU64; GAUGES.len()]>,
@@ -137,6 +138,7 @@
             rejected_digests: meter.u64_counter("front_rejected_digests").build(),
             rejected_messages: meter.u64_counter("front_rejected_messages").build(),
             skipped_fields: meter.u64_counter("front_skipped_fields").build(),
+            feed_reads: meter.u64_counter("front_feed_reads").build(),
             customer_tokens: meter.u64_counter("front_customer_tokens").build(),
             sends,
             gauges,
@@ -195,6 +197,12 @@
         self.skipped_fields.add(1, &[KeyValue::new("message", message)]);
     }
 
+    /// Counts a complete read of a feed by what became of it.
+    pub fn record_feed_read(&self, feed: &'static str, result: &'static str) {
+        let labels = [KeyValue::new("feed", feed), KeyValue::new("result", result)];
+        self.feed_reads.add(1, &labels);
+    }
+
     /// Counts tokens for customers' requests by what becomes of them.
     pub fn record_tokens(&self, event: &'static str, count: u64) {
         self.customer_tokens.add(count, &[KeyValue::new("event", event)]);
