Follow a store that was restored from an older copy

What callers saw: requests reached targets that had left, 3 s and more after the store acknowledged it (DRAIN), on hosts in touch. Cause: a host took revisions of the store for a count that never falls. After a restore it ignored the complete read, as its revision was below its own, and the watch from its own revision got 410: a loop, in which it claimed to follow the store, until the revision was as high again. If it was as high at once, the host went on from its own revision and missed what was written before that. Followers waited for a reader's revision to pass theirs. The class: a number compared without the history that it belongs to. Positions of different epochs don't compare by revision: changes of another epoch are none that follow, and the feed is read anew; pages of two epochs are no list; readers state the epoch to followers, in a field that earlier builds skip, and refuse calls from another one. What the store answers to a read now is its state, also if it fell back and states no epoch, as a file does that an older one replaces.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -4,7 +4,8 @@
 //! that tells of it.
 //!
 //! Load pattern answered: targets that leave while a host has lost the source for
-//! moments, and entries that lapse while the source is away for all.
+//! moments, entries that lapse while the source is away for all, and a source that is
+//! restored from an older copy, so that it gives out revisions for the second time.
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
@@ -64,11 +65,56 @@
     delay: Duration,
 }
 
+/// A place in the history of a source.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    /// Rises each time that the source is restored from an older copy. `None` if the source,
+    /// or a host of an earlier build, doesn't state it.
+    pub epoch: Option<u64>,
+    /// Rises with each change, but falls when the source is restored.
+    pub revision: u64,
+}
+
+impl Position {
+    /// Returns whether this is earlier than `other`.
+    fn is_before(self, other: Position) -> bool {
+        match (self.epoch, other.epoch) {
+            (Some(own), Some(other)) if own != other => own < other,
+            // The source began to state it.
+            (Some(_), None) => false,
+            _ => self.revision < other.revision,
+        }
+    }
+
+    /// Returns whether the source was restored from an older copy since it was at `earlier`.
+    pub fn is_restored_since(self, earlier: Position) -> bool {
+        match (earlier.epoch, self.epoch) {
+            (Some(before), Some(after)) => before != after,
+            _ => self.revision < earlier.revision,
+        }
+    }
+
+    /// Returns whether changes that lead to `next` are all those after this position: none
+    /// was lost in between, as far as their origin says.
+    pub fn leads_to(self, next: Position) -> bool {
+        next.epoch.is_none() || next.epoch == self.epoch
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.epoch {
+            Some(epoch) => write!(f, "{} of epoch {epoch}", self.revision),
+            None => write!(f, "{}", self.revision),
+        }
+    }
+}
+
 /// How far a complete state of a feed reaches, as far as its origin says so.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reach {
-    /// Revision of the source that the state includes.
-    pub revision: Option<u64>,
+    /// Position of the source that the state includes.
+    pub position: Option<Position>,
     /// Time until which the state includes all changes.
     pub known_until: Option<Time>,
 }
@@ -76,8 +122,8 @@
 /// Progress of a host in a feed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FeedProgress {
-    /// Revision of the source from which on changes lead to its state.
-    revision: Option<u64>,
+    /// Position of the source from which on changes lead to its state.
+    position: Option<Position>,
     /// All changes until then are known. An answer is needed to know: a call that waits
     /// may be one that is never answered.
     proven_until: Option<Time>,
@@ -157,29 +203,29 @@
         self.proven_until.map(|it| now.since(it))
     }
 
-    /// Returns the revision from which on changes are to be followed; `None` if the feed has
+    /// Returns the position from which on changes are to be followed; `None` if the feed has
     /// to be read as a whole.
-    pub fn revision(&self) -> Option<u64> {
-        self.revision
+    pub fn position(&self) -> Option<Position> {
+        self.position
     }
 
-    /// Records the revision that is known now.
-    pub fn record_revision(&mut self, revision: u64) {
-        self.revision = Some(revision);
+    /// Records the position that is known now.
+    pub fn record_position(&mut self, position: Position) {
+        self.position = Some(position);
     }
 
-    /// Records that changes after the own revision no longer lead to the source's state, or
+    /// Records that changes after the own position no longer lead to the source's state, or
     /// are not to be had.
-    pub fn forget_revision(&mut self) {
-        self.revision = None;
+    pub fn forget_position(&mut self) {
+        self.position = None;
     }
 
     /// Returns whether state that reaches so far may be later than what is known here. Times
-    /// are compared only if a revision is missing: an origin proves progress in steps, and
+    /// are compared only if a position is missing: an origin proves progress in steps, and
     /// one that knows the same may have proved it somewhat earlier.
     pub fn is_news(&self, state: Reach) -> bool {
-        match (self.revision, state.revision) {
-            (Some(own), Some(other)) => other >= own,
+        match (self.position, state.position) {
+            (Some(own), Some(other)) => !other.is_before(own),
             _ => state.known_until.is_none() || state.known_until >= self.proven_until,
         }
     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,7 +30,7 @@
 
 pub use crate::{
     budget::RetryBudget,
-    feed::{FeedProgress, Provenance, Reach},
+    feed::{FeedProgress, Position, Provenance, Reach},
     gather::{Gather, Verdict},
     latency::LatencyQuantile,
     placement::{Placement, Targets},
--- a/crates/forward/tests/feeds.rs
+++ b/crates/forward/tests/feeds.rs
@@ -6,7 +6,7 @@
 
 use base::{HashSet, ServiceName, TargetName};
 use fixture::{Fixture, LEAVING_FOR, at, report};
-use forward::{FeedProgress, Placement, Provenance, Reach, TargetReport};
+use forward::{FeedProgress, Placement, Position, Provenance, Reach, TargetReport};
 
 /// Time for which calls are held.
 const WAIT: Duration = Duration::from_secs(2);
@@ -98,21 +98,51 @@
 /// Guards against hosts that leave all readers, as these proved the same state earlier.
 #[test]
 fn state_of_the_same_revision_is_no_older() {
-    let reach = |revision| Reach { revision: Some(revision), known_until: Some(at(500)) };
+    let reach = |revision| reach(None, revision);
     let mut it = FeedProgress::default();
     it.record_complete(at(1_000), Provenance::Source);
     assert!(!it.is_news(reach(7)));
-    it.record_revision(7);
+    it.record_position(Position { epoch: None, revision: 7 });
     assert!(it.is_news(reach(7)) && it.is_news(reach(8)));
     assert!(!it.is_news(reach(6)));
     // Also if it was asked for later: its answer was overtaken.
     let overtaken = Reach { known_until: Some(at(1_500)), ..reach(6) };
     assert!(!it.is_news(overtaken));
     // State of a peer was applied, of an unknown revision.
-    it.forget_revision();
+    it.forget_position();
     assert!(!it.is_news(reach(8)));
 }
 
+fn reach(epoch: Option<u64>, revision: u64) -> Reach {
+    let position = Some(Position { epoch, revision });
+    Reach { position, known_until: Some(at(500)) }
+}
+
+/// Guards against hosts that take revisions of a source from before and after it was restored
+/// for one count.
+#[test]
+fn state_of_a_later_epoch_is_news_whatever_its_revision() {
+    let mut it = FeedProgress::default();
+    it.record_position(Position { epoch: Some(3), revision: 70 });
+    assert!(it.is_news(reach(Some(4), 60)) && it.is_news(reach(Some(3), 70)));
+    assert!(!it.is_news(reach(Some(2), 80)) && !it.is_news(reach(Some(3), 69)));
+    // A reader of an earlier build.
+    assert!(it.is_news(reach(None, 70)) && !it.is_news(reach(None, 69)));
+    // A source that began to state its epoch.
+    it.record_position(Position { epoch: None, revision: 70 });
+    assert!(it.is_news(reach(Some(1), 60)));
+}
+
+/// Guards against changes that are taken for all since the known ones, though what came in
+/// between was lost or written anew.
+#[test]
+fn changes_of_another_epoch_do_not_follow_on_known_ones() {
+    let at = |epoch, revision| Position { epoch, revision };
+    let known = at(Some(3), 70);
+    assert!(known.leads_to(at(Some(3), 71)) && known.leads_to(at(None, 71)));
+    assert!(!known.leads_to(at(Some(4), 71)) && !at(None, 70).leads_to(at(Some(1), 71)));
+}
+
 #[test]
 fn a_target_missing_from_a_list_is_used_no_longer_than_one_that_was_seen_to_leave() {
     let mut it = Fixture::new(None);
--- a/crates/front/src/feeds/change_log.rs
+++ b/crates/front/src/feeds/change_log.rs
@@ -8,7 +8,7 @@
 };
 
 use base::Time;
-use forward::{FeedProgress, Provenance};
+use forward::{FeedProgress, Position, Provenance};
 use tokio::sync::{Notify, futures::Notified};
 
 use super::{Batch, Feed, Item};
@@ -39,7 +39,7 @@
 struct State {
     /// All changes after this revision are kept.
     start: u64,
-    revision: u64,
+    position: Position,
     entries: VecDeque<Entry>,
     items: usize,
 }
@@ -84,16 +84,16 @@
 }
 
 impl ChangeLog {
-    /// Drops all changes; the feed was read completely at `revision`.
-    pub(crate) fn restart(&self, revision: u64) {
-        *self.state.borrow_mut() = State { start: revision, revision, ..State::default() };
+    /// Drops all changes; the feed was read completely at `position`.
+    pub(crate) fn restart(&self, position: Position) {
+        *self.state.borrow_mut() = State { start: position.revision, position, ..State::default() };
         self.changed.notify_waiters();
     }
 
     /// Adds changes that lead to `revision` and are at most `age` old.
     pub(crate) fn push(&self, revision: u64, items: &[Item], age: Duration, now: Time) {
         let mut state = self.state.borrow_mut();
-        state.revision = state.revision.max(revision);
+        state.position.revision = state.position.revision.max(revision);
         if items.is_empty() {
             return;
         }
@@ -131,14 +131,14 @@
     /// Records that state of a `peer` was applied, whose changes are known until
     /// `known_until` if it says so.
     pub(crate) fn record_replaced(&self, peer: SocketAddr, known_until: Option<Time>) {
-        self.update_progress(FeedProgress::forget_revision);
+        self.update_progress(FeedProgress::forget_position);
         if let Some(until) = known_until {
             self.update_progress(|it| it.record_complete(until, Provenance::Peer(peer)));
         }
     }
 
-    pub(crate) fn revision(&self) -> u64 {
-        self.state.borrow().revision
+    pub(crate) fn position(&self) -> Position {
+        self.state.borrow().position
     }
 
     /// Completes at the next change of this log.
@@ -146,17 +146,20 @@
         self.changed.notified()
     }
 
-    /// Returns the changes after `revision`.
-    pub(crate) fn after(&self, revision: u64, now: Time) -> Changes {
+    /// Returns the changes after a position, whose epoch a host of an earlier build doesn't
+    /// state.
+    pub(crate) fn after(&self, position: Position, now: Time) -> Changes {
         let state = self.state.borrow();
-        if revision < state.start {
+        let is_of_epoch = position.epoch.is_none() || position.epoch == state.position.epoch;
+        if !is_of_epoch || position.revision < state.start {
             return Changes::Gone;
         }
-        let newer: Vec<&Entry> = state.entries.iter().filter(|it| it.revision > revision).collect();
+        let is_newer = |it: &&Entry| it.revision > position.revision;
+        let newer: Vec<&Entry> = state.entries.iter().filter(is_newer).collect();
         let Some(since) = newer.iter().map(|it| it.since).min() else { return Changes::None };
         Changes::Some(Batch {
             items: newer.iter().flat_map(|it| it.items.iter().cloned()).collect(),
-            revision: state.revision,
+            position: state.position,
             age: Some(now.since(since)),
             behind: Some(Duration::ZERO),
             proof: None,
--- a/crates/front/src/feeds/mod.rs
+++ b/crates/front/src/feeds/mod.rs
@@ -6,7 +6,7 @@
 use std::{future::Future, time::Duration};
 
 use base::{DomainName, TargetName};
-use forward::{Configuration, TargetReport, customers::StatedProof};
+use forward::{Configuration, Position, TargetReport, customers::StatedProof};
 
 pub(crate) use self::{
     change_log::{ChangeLogs, Changes},
@@ -44,12 +44,12 @@
     EvacuationEnded(DomainName),
 }
 
-/// Items of a feed, all of them or those that changed, and the revision that
+/// Items of a feed, all of them or those that changed, and the position that
 /// includes them.
 #[derive(Clone, Debug)]
 pub struct Batch {
     pub items: Vec<Item>,
-    pub revision: u64,
+    pub position: Position,
     /// Largest age of the changes, if the source states it.
     pub age: Option<Duration>,
     /// Time by which changes may be missing that are known at their origin, zero for the
@@ -65,23 +65,26 @@
 pub enum SourceError {
     #[error("the source no longer holds the requested history")]
     HistoryGone,
+    #[error("the source was restored from an older copy")]
+    Restored,
     #[error("the source is unavailable: {0}")]
     Unavailable(String),
     #[error("cannot read the source's data: {0}")]
     Unreadable(String),
 }
 
-/// Publisher of the feeds. Implementations do not retry calls.
+/// Publisher of the feeds. Implementations do not retry calls, and answer each by a state
+/// that is no older than that of any answer before the call, unless they were restored.
 pub trait Source {
     /// Returns all items of a feed.
     fn read(&self, feed: Feed) -> impl Future<Output = Result<Batch, SourceError>>;
 
-    /// Returns the items that changed after `revision` as soon as there are
+    /// Returns the items that changed after a position as soon as there are
     /// any, or an empty batch after `wait`.
     fn changes(
         &self,
         feed: Feed,
-        revision: u64,
+        after: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Batch, SourceError>>;
 }
--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -3,21 +3,27 @@
 use std::time::Duration;
 
 use base::{HashSet, TargetName, Time};
-use forward::{FeedProgress, Provenance, Reach, customers::StatedProof, readers::Origin};
-use slog::info;
+use forward::{FeedProgress, Position, Provenance, Reach, customers::StatedProof, readers::Origin};
+use slog::{info, warn};
 
 use super::calls::{Answer, Call};
 use crate::{
     SharedCx,
-    feeds::{Batch, Feed, Item, Means, Received},
+    feeds::{Batch, Feed, Item, Means, Received, SourceError},
 };
 
 /// By how much a reader may be behind that doesn't say so. Those of earlier builds wait so
 /// long for an answer of the source before they take it for lost.
 const UNSTATED_LAG: Duration = Duration::from_secs(30);
 
-/// Applies an answer unless a later one was; returns whether it did.
-pub(super) fn take(cx: &SharedCx, feed: Feed, origin: Origin, answer: Answer) -> bool {
+/// Applies an answer unless a later one was; returns whether it did. Fails if changes don't
+/// follow on the known ones, as the source was restored.
+pub(super) fn take(
+    cx: &SharedCx,
+    feed: Feed,
+    origin: Origin,
+    answer: Answer,
+) -> Result<bool, SourceError> {
     let log = cx.change_logs.of(feed);
     let now = cx.clock.now();
     match answer.call {
@@ -25,27 +31,33 @@
             let called = answer.called;
             let proves = Proves::by_read(cx, origin, &answer.batch);
             let known_until = called.ago(answer.batch.behind.unwrap_or(UNSTATED_LAG));
-            let revision = answer.batch.revision;
+            let position = answer.batch.position;
             let stated_until = answer.batch.behind.map(|it| called.ago(it));
-            let reach = Reach { revision: Some(revision), known_until: stated_until };
-            if !log.progress().is_news(reach) {
-                record_older(cx, feed, origin, revision);
-                return false;
+            let reach = Reach { position: Some(position), known_until: stated_until };
+            let own = log.progress().position();
+            // What the source answers now is its state, also where it has fallen back.
+            let is_latest = origin == Origin::Source && !answer.is_late && own.is_some();
+            if !is_latest && !log.progress().is_news(reach) {
+                record_older(cx, feed, origin, position);
+                return Ok(false);
             }
-            cx.metrics.record_feed_read(feed.as_str(), "applied");
-            log.update_progress(|it| it.record_revision(revision));
-            log.restart(revision);
+            record_read(cx, feed, own, position);
+            log.update_progress(|it| it.record_position(position));
+            log.restart(position);
             apply_all(cx, feed, origin, answer.batch);
             log.update_progress(|it| it.record_complete(known_until, origin.into()));
             record_proof(cx, feed, called, proves);
         }
         Call::Changes { after, .. } => {
-            if log.progress().revision() != Some(after) {
-                return false;
+            if log.progress().position() != Some(after) {
+                return Ok(false);
+            }
+            if !after.leads_to(answer.batch.position) {
+                return Err(SourceError::Restored);
             }
             let age = answer.batch.age.map(|it| it + answer.delay);
             let changes = Batch { age, ..answer.batch };
-            let proves = Proves::by_changes(origin, after, &changes);
+            let proves = Proves::by_changes(origin, after.revision, &changes);
             let sent_after = log.progress().sent_after(now).min(now.ago(answer.delay));
             let mut proven_at = sent_after.max(answer.called);
             if answer.is_late {
@@ -53,30 +65,42 @@
                 log.update_progress(|it| it.record_end());
                 proven_at = answer.called;
             }
-            let next = after.max(changes.revision);
+            let revision = after.revision.max(changes.position.revision);
+            let next = Position { revision, ..after };
             let made = when_made(cx, &changes, log.progress(), now);
             let age = made.age.or_else(|| log.progress().age(now));
             let received = Received { from: origin.into(), by: Means::Changes, age };
             let known_until = proven_at.ago(changes.behind.unwrap_or(UNSTATED_LAG));
             log.update_progress(|it| {
                 it.record_complete(known_until, origin.into());
-                it.record_revision(next);
+                it.record_position(next);
             });
-            log.push(next, &changes.items, now.since(made.removed_since), now);
+            log.push(revision, &changes.items, now.since(made.removed_since), now);
             changes.items.into_iter().for_each(|it| apply(cx, it, made, received));
             record_proof(cx, feed, answer.called, proves);
         }
     }
-    true
+    Ok(true)
+}
+
+/// Records that a complete read leads from the own position to another one.
+fn record_read(cx: &SharedCx, feed: Feed, own: Option<Position>, read: Position) {
+    let Some(own) = own.filter(|it| read.is_restored_since(*it)) else {
+        cx.metrics.record_feed_read(feed.as_str(), "applied");
+        return;
+    };
+    cx.metrics.record_feed_read(feed.as_str(), "restored");
+    warn!(cx.log, "follow: the source was restored from an older copy";
+        "feed" => ?feed, "known" => %own, "restored" => %read);
 }
 
 /// Records that a complete read was not applied, as later state is known.
-fn record_older(cx: &SharedCx, feed: Feed, origin: Origin, revision: u64) {
+fn record_older(cx: &SharedCx, feed: Feed, origin: Origin, offered: Position) {
     cx.metrics.record_feed_read(feed.as_str(), "older");
-    let progress = cx.change_logs.of(feed).progress();
+    let known = cx.change_logs.of(feed).progress().position();
     info!(cx.log, "follow: ignored a complete read that is older than what is known";
-        "feed" => ?feed, "origin" => %Provenance::from(origin), "revision" => progress.revision(),
-        "offered" => revision);
+        "feed" => ?feed, "origin" => %Provenance::from(origin),
+        "known" => known.map(|it| it.to_string()), "offered" => %offered);
 }
 
 /// What an answer proves of the configuration in force, once its items are applied.
@@ -105,7 +129,7 @@
 
     fn by_changes(origin: Origin, after: u64, batch: &Batch) -> Proves {
         match origin {
-            Origin::Source if batch.revision >= after => Proves::InForce,
+            Origin::Source if batch.position.revision >= after => Proves::InForce,
             Origin::Host(_) => Proves::by_reader(batch),
             Origin::Source | Origin::None => Proves::Nothing,
         }
--- a/crates/front/src/follow/calls.rs
+++ b/crates/front/src/follow/calls.rs
@@ -7,7 +7,7 @@
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 
 use base::Time;
-use forward::source_calls::AnswerDelay;
+use forward::{Position, source_calls::AnswerDelay};
 use tokio::{
     task::{AbortHandle, Id, JoinSet},
     time::{Instant, timeout, timeout_at},
@@ -24,7 +24,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Call {
     Read,
-    Changes { after: u64, wait: Duration },
+    Changes { after: Position, wait: Duration },
 }
 
 /// Answer to the last call, or to an earlier one.
--- a/crates/front/src/follow/host.rs
+++ b/crates/front/src/follow/host.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use forward::Position;
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Empty;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -100,10 +101,13 @@
     async fn changes(
         &self,
         feed: Feed,
-        revision: u64,
+        after: Position,
         wait: Duration,
     ) -> Result<Batch, SourceError> {
+        let Position { epoch, revision } = after;
         let wait_ms = wait.as_millis();
-        self.call(format!("/changes/{}/{revision}/{wait_ms}", feed.as_str())).await
+        let path = format!("/changes/{}/{revision}/{wait_ms}", feed.as_str());
+        // Readers of earlier builds don't read the epoch.
+        self.call(epoch.map_or(path.clone(), |it| format!("{path}/{it}"))).await
     }
 }
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -126,7 +126,7 @@
     state: &mut FollowState,
 ) -> Ended {
     let feed = calls.feed;
-    if state.must_read || cx.change_logs.of(feed).progress().revision().is_none() {
+    if state.must_read || cx.change_logs.of(feed).progress().position().is_none() {
         if let Err(err) = read(cx, calls, origin).await {
             return Ended::Failed(err);
         }
@@ -179,17 +179,19 @@
     loop {
         let answer = calls.next(until).await?;
         let is_late = answer.is_late;
-        if take(cx, calls.feed, origin, answer) {
+        let offered = answer.batch.position;
+        if take(cx, calls.feed, origin, answer)? {
             calls.abandon();
             return Ok(());
         }
         if is_late {
             continue;
         }
-        // The reader's state is older. Its changes are followed from the own revision on.
-        let has_revision = cx.change_logs.of(calls.feed).progress().revision().is_some();
+        // The reader's state is older. Its changes are followed from the own position on,
+        // unless the reader doesn't know yet that the source was restored.
+        let own = cx.change_logs.of(calls.feed).progress().position();
         let is_behind = || SourceError::Unavailable("the reader is behind".to_owned());
-        return if has_revision { Ok(()) } else { Err(is_behind()) };
+        return if own.is_some_and(|it| it.leads_to(offered)) { Ok(()) } else { Err(is_behind()) };
     }
 }
 
@@ -205,7 +207,7 @@
         let delay = calls.delay();
         let wait = delay.hold(wait, limit);
         let log = cx.change_logs.of(feed);
-        let Some(after) = log.progress().revision() else { return SourceError::HistoryGone };
+        let Some(after) = log.progress().position() else { return SourceError::HistoryGone };
         log.update_progress(|it| it.record_call(cx.clock.now(), wait, delay.get()));
         calls.make(Call::Changes { after, wait });
         let until = Instant::now() + limit;
@@ -215,12 +217,14 @@
                 Err(err) => return err,
             };
             let is_late = answer.is_late;
-            if take(cx, feed, origin, answer) {
-                calls.abandon();
-                break;
-            }
-            if !is_late {
-                break;
+            match take(cx, feed, origin, answer) {
+                Ok(true) => {
+                    calls.abandon();
+                    break;
+                }
+                Ok(false) if is_late => {}
+                Ok(false) => break,
+                Err(err) => return err,
             }
         }
         if origin == Origin::Source {
--- a/crates/front/src/follow/origin.rs
+++ b/crates/front/src/follow/origin.rs
@@ -45,6 +45,11 @@
     hosts: HashMap<SocketAddr, Instant>,
 }
 
+/// Returns the revision of the feed that this host knows, for log lines.
+fn revision(cx: &SharedCx, feed: Feed) -> Option<u64> {
+    cx.change_logs.of(feed).progress().position().map(|it| it.revision)
+}
+
 /// Returns the live hosts of the own domain, including this one.
 pub(super) fn local_hosts(cx: &SharedCx) -> Vec<Host> {
     let peers = cx.peers.borrow();
@@ -97,7 +102,7 @@
                 Origin::Source | Origin::None => None,
             };
             info!(cx.log, "follow: origin changed"; "feed" => ?feed, "reader" => reader,
-                "revision" => cx.change_logs.of(feed).progress().revision());
+                "revision" => revision(cx, feed));
         }
         if let Some(since) = self.lost_since.take() {
             info!(cx.log, "follow: the source is back"; "feed" => ?feed,
@@ -133,9 +138,9 @@
         origin: Origin,
         err: &SourceError,
     ) {
-        if matches!(err, SourceError::HistoryGone) {
+        if matches!(err, SourceError::HistoryGone | SourceError::Restored) {
             info!(cx.log, "follow: reading the feed again"; "feed" => ?feed, "error" => %err,
-                "revision" => cx.change_logs.of(feed).progress().revision());
+                "revision" => revision(cx, feed));
             self.must_read = true;
             sleep(self.calls.first_backoff.mul_f64(self.jitter)).await;
             return;
--- a/crates/front/src/follow/serve.rs
+++ b/crates/front/src/follow/serve.rs
@@ -4,6 +4,7 @@
 
 use base::Time;
 use bytes::Bytes;
+use forward::Position;
 use http::{Response, StatusCode};
 use slog::warn;
 use tokio::time::{Instant, sleep_until};
@@ -28,7 +29,8 @@
         "changes" => {
             let revision = parts.next()?.parse().ok()?;
             let wait = Duration::from_millis(parts.next()?.parse().ok()?).min(MAX_WAIT);
-            changes(cx, feed, revision, wait).await
+            let epoch = parts.next().map(str::parse).transpose().ok()?;
+            changes(cx, feed, Position { epoch, revision }, wait).await
         }
         _ => return None,
     };
@@ -55,16 +57,16 @@
             cfg.into_iter().chain(evacuated).collect()
         }
     };
-    let batch = Batch { items, revision: log.revision(), age: None, behind: None, proof: None };
+    let batch = Batch { items, position: log.position(), age: None, behind: None, proof: None };
     Ok(with_progress(cx, feed, batch, asked))
 }
 
-/// Returns the changes after `revision` as soon as there are any, or an empty batch
+/// Returns the changes after `position` as soon as there are any, or an empty batch
 /// after `wait`.
 async fn changes(
     cx: &SharedCx,
     feed: Feed,
-    revision: u64,
+    position: Position,
     wait: Duration,
 ) -> Result<Batch, StatusCode> {
     let log = cx.change_logs.of(feed);
@@ -75,7 +77,7 @@
         if !log.is_live() {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
-        match log.after(revision, cx.clock.now()) {
+        match log.after(position, cx.clock.now()) {
             Changes::Some(batch) => return Ok(with_progress(cx, feed, batch, asked)),
             Changes::Gone => return Err(StatusCode::GONE),
             Changes::None => {}
@@ -84,7 +86,7 @@
             () = changed => {}
             () = sleep_until(until) => {
                 let items = Vec::new();
-                let batch = Batch { items, revision, age: None, behind: None, proof: None };
+                let batch = Batch { items, position, age: None, behind: None, proof: None };
                 return Ok(with_progress(cx, feed, batch, asked));
             }
         }
--- a/crates/front/src/follow/tests/damaged.rs
+++ b/crates/front/src/follow/tests/damaged.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use forward::{customers::StatedProof, readers::Origin};
+use forward::{Position, customers::StatedProof, readers::Origin};
 use proptest::{collection::vec, prelude::*};
 
 use crate::{
@@ -28,17 +28,19 @@
     ];
     let (age, behind) = (Some(Duration::from_millis(40)), Duration::from_millis(1_700));
     let proof = Some(StatedProof { age: Duration::from_millis(2_000), version: 7 });
-    let of = |items| Batch { items, revision: 7, age, behind: Some(behind), proof };
+    let position = Position { epoch: Some(2), revision: 7 };
+    let of = |items| Batch { items, position, age, behind: Some(behind), proof };
     [(Feed::Targets, of(targets)), (Feed::Operations, of(operations))]
 }
 
 /// Applies a batch to what this host has: as a complete read first, then as changes.
 fn take(cx: &SharedCx, feed: Feed, batch: &Batch, delay: Duration) {
-    let after = cx.change_logs.of(feed).progress().revision();
-    for call in [Call::Read, Call::Changes { after: after.unwrap_or(0), wait: Duration::ZERO }] {
+    let after = cx.change_logs.of(feed).progress().position().unwrap_or_default();
+    for call in [Call::Read, Call::Changes { after, wait: Duration::ZERO }] {
         let called = cx.clock.now();
         let answer = Answer { call, called, is_late: false, delay, batch: batch.clone() };
-        crate::follow::take(cx, feed, Origin::Host(address(10)), answer);
+        // A damaged batch may be of another epoch.
+        let _ = crate::follow::take(cx, feed, Origin::Host(address(10)), answer);
     }
 }
 
@@ -64,11 +66,13 @@
         let cx = cx();
         for (feed, batch) in full_batches() {
             let ms = |it| Duration::from_millis(numbers[it]);
-            let batch = Batch { revision: numbers[0], age: Some(ms(1)), behind: Some(ms(2)), ..batch };
+            let position = Position { revision: numbers[0], ..batch.position };
+            let batch = Batch { position, age: Some(ms(1)), behind: Some(ms(2)), ..batch };
             let bytes = wire::encode(&batch).expect("encoded");
             let (read, _) = wire::decode(&bytes).expect("decoded");
             take(&cx, feed, &read, ms(3));
-            take(&cx, feed, &Batch { revision: numbers[4], ..read }, Duration::ZERO);
+            let position = Position { revision: numbers[4], ..read.position };
+            take(&cx, feed, &Batch { position, ..read }, Duration::ZERO);
         }
         use_state(&cx);
     }
--- a/crates/front/src/follow/tests/mod.rs
+++ b/crates/front/src/follow/tests/mod.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 use base::{DomainName, TargetName};
-use forward::{Configuration, customers::StatedProof};
+use forward::{Configuration, Position, customers::StatedProof};
 
 use super::{Batch, Item, wire};
 use crate::{
@@ -36,12 +36,13 @@
 
 fn batch(items: Vec<Item>) -> Batch {
     let (age, behind) = (Some(Duration::from_millis(40)), Some(Duration::from_millis(1_700)));
-    Batch { items, revision: 41, age, behind, proof: None }
+    let position = Position { epoch: None, revision: 41 };
+    Batch { items, position, age, behind, proof: None }
 }
 
 fn assert_same(one: &Batch, other: &Batch) {
     assert_eq!(format!("{:?}", one.items), format!("{:?}", other.items));
-    assert_eq!((one.revision, one.age), (other.revision, other.age));
+    assert_eq!((one.position, one.age), (other.position, other.age));
 }
 
 #[test]
@@ -115,6 +116,18 @@
     assert_eq!(read.proof, None);
 }
 
+/// Guards against followers that can't tell a reader's revisions from those that the source
+/// gave out before it was restored.
+#[test]
+fn a_batch_states_the_epoch_of_its_revision() {
+    let position = Position { epoch: Some(3), revision: 41 };
+    let stated = Batch { position, ..batch(Vec::new()) };
+    let (read, tail) = wire::decode(&wire::encode(&stated).expect("encoded")).expect("decoded");
+    assert_eq!((read.position, tail.unknown_kinds().count()), (position, 0));
+    let (read, _) = wire::decode(&bytes(FORMAT_1.nothing)).expect("decoded");
+    assert_eq!(read.position.epoch, None);
+}
+
 #[test]
 fn fields_that_a_later_build_adds_to_a_batch_are_skipped() {
     for (batch, recorded) in batches() {
--- a/crates/front/src/follow/wire.rs
+++ b/crates/front/src/follow/wire.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use base::{DomainName, TargetName};
-use forward::{Configuration, TargetReport, customers::StatedProof};
+use forward::{Configuration, Position, TargetReport, customers::StatedProof};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -22,6 +22,9 @@
 /// version that it is for.
 const PROOF: u32 = 2;
 
+/// Kind of the field with the epoch of the revision.
+const EPOCH: u32 = 3;
+
 /// Wire format of a [`Batch`]. It is fixed: hosts of other builds read it.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -52,6 +55,9 @@
     if let Some(proof) = batch.proof {
         tail.insert(PROOF, &(rounded_up(proof.age), proof.version))?;
     }
+    if let Some(epoch) = batch.position.epoch {
+        tail.insert(EPOCH, &epoch)?;
+    }
     tail.append_to(bytes)
 }
 
@@ -88,6 +94,7 @@
     let proof: Option<(u64, u64)> = tail.take(PROOF)?;
     let proof = proof.map(|(ms, version)| StatedProof { age: Duration::from_millis(ms), version });
     let mut batch = Batch { behind, proof, ..wire.into() };
+    batch.position.epoch = tail.take(EPOCH)?;
     add_customers(&mut batch, tail.take(CUSTOMERS)?.unwrap_or_default());
     Ok((batch, tail))
 }
@@ -96,7 +103,7 @@
     fn from(batch: &Batch) -> Self {
         WireBatch {
             items: batch.items.iter().map(WireItem::from).collect(),
-            revision: batch.revision,
+            revision: batch.position.revision,
             age_ms: batch.age.unwrap_or_default().as_millis() as u64,
         }
     }
@@ -106,7 +113,7 @@
     fn from(wire: WireBatch) -> Self {
         Batch {
             items: wire.items.into_iter().map(Item::from).collect(),
-            revision: wire.revision,
+            position: Position { epoch: None, revision: wire.revision },
             age: Some(Duration::from_millis(wire.age_ms)),
             behind: None,
             proof: None,
--- a/crates/front/tests/gaps.rs
+++ b/crates/front/tests/gaps.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use forward::{Configuration, Repeat, budget::RetryLimits, placement::Limits};
+use forward::{Configuration, Position, Repeat, budget::RetryLimits, placement::Limits};
 use front::follow::{Batch, Feed, Source, SourceError, follow};
 use support::{
     Reply, Target, TestHost, ok, own_address, report, run, source::ScriptedSource, status, target,
@@ -174,6 +174,34 @@
     });
 }
 
+/// Guards against hosts that read a source again and again without taking what it says, as it
+/// fell back to an older state: a file that an older one replaced, or a source that states no
+/// epoch.
+#[test]
+fn a_source_that_falls_back_without_saying_so_is_followed() {
+    run(async {
+        let one = target(vec![Reply::Bytes(ok("sig", "yes"))]).await;
+        let source = Rc::new(ScriptedSource::default());
+        source.list(report("s", "t1", one.address));
+        source.list(report("other", "t2", one.address));
+        source.list(report("other", "t3", one.address));
+        for port in 1..9 {
+            source.list(report("other", "t4", ([127, 0, 0, 1], port).into()));
+        }
+        let mut host = TestHost::start();
+        host.cx.set_limits(limits());
+        host.single(Repeat::Idempotent);
+        host.follow_targets(&source);
+        while status(&host.get("/one/x").await) != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        source.restore(8, false);
+        source.remove("t1");
+        sleep(LEAVING_FOR + RECOVERY + MARGIN).await;
+        assert_ne!(status(&host.get("/one/x").await), 200);
+    });
+}
+
 /// A source whose answers the host reads late, as it gets no processor meanwhile.
 #[derive(Debug)]
 #[derive(Default)]
@@ -190,10 +218,10 @@
     async fn changes(
         &self,
         feed: Feed,
-        revision: u64,
+        after: Position,
         wait: Duration,
     ) -> Result<Batch, SourceError> {
-        let answer = self.source.changes(feed, revision, wait).await;
+        let answer = self.source.changes(feed, after, wait).await;
         thread::sleep(self.delay.get());
         answer
     }
--- a/crates/front/tests/support/source.rs
+++ b/crates/front/tests/support/source.rs
@@ -8,7 +8,7 @@
 };
 
 use base::TargetName;
-use forward::{Configuration, TargetReport};
+use forward::{Configuration, Position, TargetReport};
 use front::follow::{Batch, Feed, Item, Source, SourceError};
 use tokio::{
     sync::Notify,
@@ -18,6 +18,8 @@
 #[derive(Debug)]
 #[derive(Default)]
 pub struct ScriptedSource {
+    /// Rises each time that the source is restored, if it states it.
+    epoch: Cell<Option<u64>>,
     targets: RefCell<Vec<TargetReport>>,
     configuration: RefCell<Configuration>,
     /// The change of each revision.
@@ -95,6 +97,26 @@
         self.dropped.set(self.revision());
     }
 
+    /// Restores a copy of the source from which the last `lost` changes are missing, and states
+    /// a new epoch if `states_epoch`.
+    pub fn restore(&self, lost: usize, states_epoch: bool) {
+        if states_epoch {
+            self.epoch.set(Some(self.epoch.get().unwrap_or(0) + 1));
+        }
+        let kept = self.changes.borrow().len() - lost;
+        self.changes.borrow_mut().truncate(kept);
+        self.targets.borrow_mut().clear();
+        for item in self.changes.borrow().iter() {
+            match item {
+                Item::Target(it) => self.targets.borrow_mut().push(it.clone()),
+                Item::TargetRemoved(it) => self.targets.borrow_mut().retain(|t| t.name != *it),
+                Item::Configuration(it) => *self.configuration.borrow_mut() = it.clone(),
+                Item::Evacuated(_) | Item::EvacuationEnded(_) => {}
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
     /// Returns the number of calls answered.
     pub fn answers(&self) -> usize {
         self.answers.get()
@@ -109,6 +131,12 @@
         self.changes.borrow().len() as u64
     }
 
+    /// Returns items with the position of now.
+    fn batch(&self, items: Vec<Item>) -> Batch {
+        let position = Position { epoch: self.epoch.get(), revision: self.revision() };
+        Batch { items, position, age: None, behind: Some(Duration::ZERO), proof: None }
+    }
+
     async fn accept(&self) {
         if self.is_silent.get() {
             pending::<()>().await;
@@ -124,10 +152,6 @@
     }
 }
 
-fn batch(items: Vec<Item>, revision: u64) -> Batch {
-    Batch { items, revision, age: None, behind: Some(Duration::ZERO), proof: None }
-}
-
 impl Source for ScriptedSource {
     async fn read(&self, feed: Feed) -> Result<Batch, SourceError> {
         self.accept().await;
@@ -136,7 +160,7 @@
             Feed::Targets => self.targets.borrow().iter().cloned().map(Item::Target).collect(),
             Feed::Operations => vec![Item::Configuration(self.configuration.borrow().clone())],
         };
-        let batch = batch(items, self.revision());
+        let batch = self.batch(items);
         self.lists.set(self.lists.get() + 1);
         sleep(self.delay.get() + self.list_delay.get()).await;
         Ok(batch)
@@ -145,9 +169,10 @@
     async fn changes(
         &self,
         _feed: Feed,
-        revision: u64,
+        after: Position,
         wait: Duration,
     ) -> Result<Batch, SourceError> {
+        let revision = after.revision;
         self.accept().await;
         sleep(self.hold.take()).await;
         let changed = self.changed.notified();
@@ -158,11 +183,11 @@
             pending::<()>().await;
         }
         self.check_reachable()?;
-        if revision < self.dropped.get() {
+        if revision < self.dropped.get() || revision > self.revision() {
             return Err(SourceError::HistoryGone);
         }
         let items = self.changes.borrow()[revision as usize..].to_vec();
-        let batch = batch(items, self.revision());
+        let batch = self.batch(items);
         sleep(self.delay.get()).await;
         Ok(batch)
     }
--- a/crates/godwityardd/src/forwarding.rs
+++ b/crates/godwityardd/src/forwarding.rs
@@ -9,7 +9,7 @@
 
 use documents::{Forwarding, parse_forwarding};
 use eyre::WrapErr;
-use forward::{budget::RetryLimits, placement::Limits};
+use forward::{Position, budget::RetryLimits, placement::Limits};
 use front::{
     Cx, FrontSettings, FrontSettingsBuilder, HeaderNames, PeerKeys,
     follow::{Batch, Feed, Item, Source, SourceError},
@@ -116,7 +116,7 @@
 
 impl Source for FileSource {
     async fn read(&self, feed: Feed) -> Result<Batch, SourceError> {
-        let revision = revision(self.modified()?);
+        let position = position(self.modified()?);
         let file = read(&self.path).map_err(|err| SourceError::Unreadable(format!("{err:#}")))?;
         let items = match feed {
             Feed::Targets => file.targets.into_iter().map(Item::Target).collect(),
@@ -125,7 +125,7 @@
                 out.chain([Item::Configuration(file.configuration)]).collect()
             }
         };
-        Ok(Batch { items, revision, age: None, behind: Some(Duration::ZERO), proof: None })
+        Ok(Batch { items, position, age: None, behind: Some(Duration::ZERO), proof: None })
     }
 
     /// Returns `HistoryGone` when the file has changed, so that the whole file is
@@ -133,19 +133,19 @@
     async fn changes(
         &self,
         _feed: Feed,
-        revision_read: u64,
+        after: Position,
         wait: Duration,
     ) -> Result<Batch, SourceError> {
         let deadline = Instant::now() + wait;
         while Instant::now() < deadline {
             sleep(POLL_INTERVAL).await;
-            if revision(self.modified()?) != revision_read {
+            if position(self.modified()?) != after {
                 return Err(SourceError::HistoryGone);
             }
         }
         Ok(Batch {
             items: Vec::new(),
-            revision: revision_read,
+            position: after,
             age: None,
             behind: Some(Duration::ZERO),
             proof: None,
@@ -153,9 +153,9 @@
     }
 }
 
-/// Returns a number derived from the modification time, which differs whenever
+/// Returns a position derived from the modification time, which differs whenever
 /// the file was written.
-fn revision(modified: SystemTime) -> u64 {
+fn position(modified: SystemTime) -> Position {
     let since = modified.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_nanos()).unwrap_or(u64::MAX)
+    Position { epoch: None, revision: u64::try_from(since.as_nanos()).unwrap_or(u64::MAX) }
 }
