Take changes of a restored platform in the tier with owners

What operators saw: after the platform came back from an older copy, hosts took no published document until its count had passed the one they held, and missed those numbered below it. Change: the platform states an epoch, that of the whole and that in which each document was written; the adapter puts it before the number of a Revision, so all that compares, keeps or passes on revisions goes on as before. What was in force doesn't revert: a document that the copy has in an older state keeps its old epoch. The stand-in begins an epoch when it is restored and still gives out its numbers again; the test on that now also checks the epoch. Conclusion: mended where the platform states epochs; without them the finding in the status and the operators' way stay as they were.

--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -19,9 +19,35 @@
 pub struct Incarnation(pub u64);
 
 /// Revision of a document or of the whole configuration; never decreases.
+///
+/// The platform counts changes. When it is restored from an older copy, it begins a new epoch
+/// and counts on from the copy, so the epoch stands in the high bits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Revision(pub u64);
 
+/// Low bits of a revision, which hold the platform's count of changes.
+const NUMBER_BITS: u32 = 40;
+const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
+
+impl Revision {
+    /// Returns the revision of change `number` as counted in `epoch`, unless one of them is
+    /// out of range.
+    pub fn in_epoch(epoch: u64, number: u64) -> Option<Revision> {
+        let is_in_range = number <= MAX_NUMBER && epoch <= u64::MAX >> NUMBER_BITS;
+        is_in_range.then_some(Revision(epoch << NUMBER_BITS | number))
+    }
+
+    /// Returns how often the platform had been restored.
+    pub fn epoch(self) -> u64 {
+        self.0 >> NUMBER_BITS
+    }
+
+    /// Returns the platform's count of changes.
+    pub fn number(self) -> u64 {
+        self.0 & MAX_NUMBER
+    }
+}
+
 /// Version of the data that a query reads: a partition map and an index version.
 ///
 /// Ordered by map first, then by index. Its text form is `map.index`.
--- a/crates/config-client/src/client.rs
+++ b/crates/config-client/src/client.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Index, ListedHost, Platform, PlatformError, StoredDocument,
-    wire::{WireHosts, WireIndex},
+    wire::{WireHosts, WireIndex, revision},
 };
 
 /// Timeout of a request, in addition to the requested wait.
@@ -22,6 +22,9 @@
 
 const REVISION_HEADER: &str = "godwityard-revision";
 
+/// Header with the epoch of the revision; absent until the platform is first restored.
+const EPOCH_HEADER: &str = "godwityard-epoch";
+
 /// Client of one replica of the platform's service.
 #[derive(Clone)]
 pub struct HttpPlatform {
@@ -64,9 +67,11 @@
 
 impl Platform for HttpPlatform {
     async fn read_index(&self, after: Revision, wait: Duration) -> Result<Index, PlatformError> {
-        let path = format!("/v1/documents?after={after}&wait_ms={}", wait.as_millis());
+        let (epoch, number) = (after.epoch(), after.number());
+        let wait_ms = wait.as_millis();
+        let path = format!("/v1/documents?after={number}&epoch={epoch}&wait_ms={wait_ms}");
         let wire: WireIndex = self.get_json(&path, wait + RESPONSE_TIMEOUT).await?;
-        Ok(wire.into())
+        wire.try_into()
     }
 
     async fn read_document(&self, key: &str) -> Result<Option<StoredDocument>, PlatformError> {
@@ -90,10 +95,20 @@
 }
 
 fn revision_of(response: &Response) -> Result<Revision, PlatformError> {
-    let header = response.headers().get(REVISION_HEADER).and_then(|it| it.to_str().ok());
-    header
-        .and_then(|it| it.parse().ok())
-        .ok_or_else(|| PlatformError::Malformed(format!("no valid {REVISION_HEADER} header")))
+    let epoch = number(response, EPOCH_HEADER)?.unwrap_or(0);
+    let number = number(response, REVISION_HEADER)?.ok_or_else(|| malformed(REVISION_HEADER))?;
+    revision(epoch, number)
+}
+
+/// Returns the number in a header, if there is one.
+fn number(response: &Response, header: &str) -> Result<Option<u64>, PlatformError> {
+    let Some(value) = response.headers().get(header) else { return Ok(None) };
+    let number = value.to_str().ok().and_then(|it| it.parse().ok());
+    number.map(Some).ok_or_else(|| malformed(header))
+}
+
+fn malformed(header: &str) -> PlatformError {
+    PlatformError::Malformed(format!("no valid {header} header"))
 }
 
 /// Reads a body chunk by chunk, so that an oversized one cannot exhaust memory.
--- a/crates/config-client/src/wire.rs
+++ b/crates/config-client/src/wire.rs
@@ -8,6 +8,9 @@
 #[derive(Debug)]
 #[derive(Deserialize)]
 pub(crate) struct WireIndex {
+    /// Epoch of `revision`.
+    #[serde(default)]
+    epoch: u64,
     revision: u64,
     documents: Vec<WireEntry>,
 }
@@ -16,6 +19,8 @@
 #[derive(Deserialize)]
 struct WireEntry {
     key: String,
+    #[serde(default)]
+    epoch: u64,
     revision: u64,
     #[serde(default)]
     deleted: bool,
@@ -44,23 +49,32 @@
     Leaving,
 }
 
-impl From<WireIndex> for Index {
-    fn from(wire: WireIndex) -> Self {
-        let entries = wire.documents.into_iter().map(IndexEntry::from).collect();
-        Index { revision: Revision(wire.revision), entries }
+impl TryFrom<WireIndex> for Index {
+    type Error = PlatformError;
+
+    fn try_from(wire: WireIndex) -> Result<Self, PlatformError> {
+        let revision = revision(wire.epoch, wire.revision)?;
+        let entries = wire.documents.into_iter().map(IndexEntry::try_from);
+        Ok(Index { revision, entries: entries.collect::<Result<_, _>>()? })
     }
 }
 
-impl From<WireEntry> for IndexEntry {
-    fn from(wire: WireEntry) -> Self {
-        IndexEntry {
-            key: wire.key.into(),
-            revision: Revision(wire.revision),
-            deleted: wire.deleted,
-        }
+impl TryFrom<WireEntry> for IndexEntry {
+    type Error = PlatformError;
+
+    fn try_from(wire: WireEntry) -> Result<Self, PlatformError> {
+        let revision = revision(wire.epoch, wire.revision)?;
+        Ok(IndexEntry { key: wire.key.into(), revision, deleted: wire.deleted })
     }
 }
 
+/// Returns the revision that the platform counts as `number` in `epoch`.
+pub(crate) fn revision(epoch: u64, number: u64) -> Result<Revision, PlatformError> {
+    Revision::in_epoch(epoch, number).ok_or_else(|| {
+        PlatformError::Malformed(format!("revision {number} of epoch {epoch} is out of range"))
+    })
+}
+
 impl TryFrom<WireHosts> for Vec<ListedHost> {
     type Error = PlatformError;
 
--- a/crates/config-client/tests/client.rs
+++ b/crates/config-client/tests/client.rs
@@ -52,6 +52,32 @@
     assert_eq!((document.revision, &*document.text), (Revision(5), "kind: domain"));
 }
 
+/// Guards against a restored platform whose changes are taken for older ones.
+#[tokio::test]
+async fn revisions_of_a_later_epoch_are_later() {
+    let body = r#"{"epoch":2,"revision":5,"documents":[
+        {"key":"service/a","epoch":2,"revision":5},{"key":"pool/b","epoch":1,"revision":4}]}"#;
+    let client = client_with_response(http_response("200 OK", "", body)).await;
+    let index = client.read_index(Revision(90), Duration::ZERO).await.unwrap();
+    let parts = |it: Revision| (it.epoch(), it.number());
+    assert_eq!(parts(index.revision), (2, 5));
+    let entries: Vec<_> = index.entries.iter().map(|it| parts(it.revision)).collect();
+    assert_eq!(entries, [(2, 5), (1, 4)]);
+    assert!(index.entries.iter().all(|it| it.revision > Revision(90)));
+    let headers = "godwityard-revision: 5\r\ngodwityard-epoch: 2\r\n";
+    let client = client_with_response(http_response("200 OK", headers, "kind: domain")).await;
+    let document = client.read_document("domain/a").await.unwrap().unwrap();
+    assert_eq!(document.revision, index.revision);
+}
+
+#[tokio::test]
+async fn a_revision_that_is_out_of_range_is_refused() {
+    let body = r#"{"epoch":1,"revision":1099511627776,"documents":[]}"#;
+    let client = client_with_response(http_response("200 OK", "", body)).await;
+    let index = client.read_index(Revision(7), Duration::ZERO).await;
+    assert_matches!(index, Err(PlatformError::Malformed(_)));
+}
+
 #[tokio::test]
 async fn absent_document_is_none() {
     let client = client_with_response(http_response("404 Not Found", "", "")).await;
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -139,6 +139,48 @@
     assert!(findings.into_iter().any(|it| it.to_string().contains("newest revision 2 is below")));
 }
 
+/// Guards against hosts that take no change of a restored platform until it has numbered
+/// above what they hold, and then miss all below.
+#[test]
+fn changes_of_a_restored_platform_come_into_force() {
+    let mut sim = started(6, &[2, 2]);
+    for weight in 6..16 {
+        sim.platform.publish_service(weight);
+    }
+    sim.run_for(SETTLE_TIME);
+    assert_weights(&sim, Some(15));
+    sim.platform.restore(9);
+    sim.run_for(SETTLE_TIME);
+    // What was in force doesn't revert by itself.
+    assert_weights(&sim, Some(15));
+    sim.platform.publish_service(20);
+    sim.run_for(SETTLE_TIME);
+    assert_weights(&sim, Some(20));
+    let findings: Vec<_> = sim.running().flat_map(|(_, _, node)| node.findings()).collect();
+    assert!(findings.is_empty(), "{findings:?}");
+}
+
+/// Same as above, if the platform is as far as before when hosts read it again.
+#[test]
+fn changes_of_a_restored_platform_are_not_missed_once_it_is_as_far_as_before() {
+    let mut sim = started(7, &[2, 2]);
+    for weight in 6..16 {
+        sim.platform.publish_service(weight);
+    }
+    sim.run_for(SETTLE_TIME);
+    sim.platform.is_down = true;
+    sim.run_for(SETTLE_TIME);
+    sim.platform.restore(9);
+    sim.platform.publish_service(20);
+    let domain = "kind: domain\nname: d0\nregion: r0\nstate: in\n";
+    for _ in 0..12 {
+        sim.platform.publish("domain/d0", Some(domain));
+    }
+    sim.platform.is_down = false;
+    sim.run_for(SETTLE_TIME);
+    assert_weights(&sim, Some(20));
+}
+
 #[test]
 fn domain_without_the_platform_learns_from_other_domains() {
     let mut sim = started(7, &[3, 3, 3]);
--- a/crates/fleet/tests/simulation/platform.rs
+++ b/crates/fleet/tests/simulation/platform.rs
@@ -17,13 +17,29 @@
     /// Revision at which the platform is frozen, if any.
     pub stale_at: Option<Revision>,
     pub calls: u64,
-    changes: Vec<(Arc<str>, Option<Arc<str>>)>,
+    /// Times that the platform was restored.
+    epoch: u64,
+    changes: Vec<Change>,
+}
+
+struct Change {
+    revision: Revision,
+    key: Arc<str>,
+    text: Option<Arc<str>>,
 }
 
 impl Platform {
     pub fn publish(&mut self, key: &str, text: Option<&str>) -> Revision {
-        self.changes.push((key.into(), text.map(Arc::from)));
-        Revision(self.changes.len() as u64)
+        let number = self.changes.len() as u64 + 1;
+        let revision = Revision::in_epoch(self.epoch, number).expect("in range");
+        self.changes.push(Change { revision, key: key.into(), text: text.map(Arc::from) });
+        revision
+    }
+
+    /// Restores a copy that lacks the last `lost` changes, and gives out their numbers again.
+    pub fn restore(&mut self, lost: usize) {
+        self.epoch += 1;
+        self.changes.truncate(self.changes.len() - lost);
     }
 
     /// Publishes a document for every domain, a pool over all of them and a
@@ -45,7 +61,7 @@
     }
 
     pub fn newest(&self) -> Revision {
-        Revision(self.changes.len() as u64)
+        Revision::in_epoch(self.epoch, self.changes.len() as u64).expect("in range")
     }
 
     fn shown(&self) -> Revision {
@@ -65,12 +81,11 @@
         let revision = self.shown();
         let delay = if revision > after { CALL_DELAY } else { POLL_HOLD.min(wait) + CALL_DELAY };
         let mut entries: Vec<IndexEntry> = Vec::new();
-        for (i, (key, text)) in self.changes.iter().enumerate().take(revision.0 as usize) {
-            let at = Revision(i as u64 + 1);
-            entries.retain(|it| it.key != *key);
-            if at > after {
-                let is_deleted = text.is_none();
-                entries.push(IndexEntry { key: Arc::clone(key), revision: at, is_deleted });
+        for it in self.changes.iter().filter(|it| it.revision <= revision) {
+            entries.retain(|entry| entry.key != it.key);
+            if it.revision > after {
+                let (key, is_deleted) = (Arc::clone(&it.key), it.text.is_none());
+                entries.push(IndexEntry { key, revision: it.revision, is_deleted });
             }
         }
         (delay, Input::PlatformIndex { revision, entries })
@@ -81,15 +96,13 @@
         if self.is_down {
             return Input::PlatformFailed;
         }
-        let shown = self.changes[..self.shown().0 as usize].iter().enumerate();
-        let newest = shown.rev().find(|(_, (it, _))| it == key);
+        let shown = self.shown();
+        let newest = self.changes.iter().rfind(|it| it.revision <= shown && it.key == *key);
         let key = Arc::clone(key);
         match newest {
-            Some((i, (_, Some(text)))) => Input::PlatformDocument {
-                key,
-                revision: Revision(i as u64 + 1),
-                text: Arc::clone(text),
-            },
+            Some(Change { revision, text: Some(text), .. }) => {
+                Input::PlatformDocument { key, revision: *revision, text: Arc::clone(text) }
+            }
             _ => Input::PlatformDocumentMissing { key },
         }
     }
--- a/crates/standins/src/platform/api.rs
+++ b/crates/standins/src/platform/api.rs
@@ -12,6 +12,8 @@
     serde::json::Json,
 };
 
+use base::Revision;
+
 use super::store::{Host, Index, Outage, ReplicaFaults, Store};
 use crate::server::new_rocket;
 
@@ -35,7 +37,7 @@
 
 struct DocumentText {
     text: String,
-    revision: u64,
+    revision: Revision,
 }
 
 pub fn rocket(store: Store, replica: usize, address: SocketAddr) -> Rocket<Build> {
@@ -47,10 +49,17 @@
         .mount("/control", routes![set_hosts, set_replica_faults, calls, revision])
 }
 
-#[get("/documents?<after>&<wait_ms>")]
-async fn documents(read: ReplicaRead, after: Option<u64>, wait_ms: Option<u64>) -> Json<Index> {
+#[get("/documents?<after>&<epoch>&<wait_ms>")]
+async fn documents(
+    read: ReplicaRead,
+    after: Option<u64>,
+    epoch: Option<u64>,
+    wait_ms: Option<u64>,
+) -> Result<Json<Index>, Status> {
     let wait = Duration::from_millis(wait_ms.unwrap_or(0)).min(MAX_WATCH_WAIT);
-    Json(read.store.watch(read.replica, after.unwrap_or(0), wait).await)
+    let after = Revision::in_epoch(epoch.unwrap_or(0), after.unwrap_or(0));
+    let after = after.ok_or(Status::BadRequest)?;
+    Ok(Json(read.store.watch(read.replica, after, wait).await))
 }
 
 #[get("/documents/<kind>/<name>")]
@@ -74,7 +83,7 @@
     store.write(&key.to_string_lossy(), None).to_string()
 }
 
-/// Discards all revisions after the given one.
+/// Discards all revisions after the given one and begins a new epoch.
 #[post("/restore/<revision>")]
 fn restore(store: &State<Store>, revision: u64) -> Status {
     store.restore(revision);
@@ -130,7 +139,8 @@
     fn respond_to(self, req: &'r Request<'_>) -> rocket::response::Result<'static> {
         Response::build_from(self.text.respond_to(req)?)
             .header(ContentType::new("application", "yaml"))
-            .header(Header::new("godwityard-revision", self.revision.to_string()))
+            .header(Header::new("godwityard-revision", self.revision.number().to_string()))
+            .header(Header::new("godwityard-epoch", self.revision.epoch().to_string()))
             .ok()
     }
 }
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -15,6 +15,8 @@
 #[derive(Serialize, Deserialize)]
 pub struct IndexEntry {
     pub key: String,
+    #[serde(default)]
+    pub epoch: u64,
     pub revision: u64,
     pub deleted: bool,
 }
@@ -22,6 +24,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Index {
+    /// Epoch of `revision`.
+    #[serde(default)]
+    pub epoch: u64,
     pub revision: u64,
     pub documents: Vec<IndexEntry>,
 }
@@ -69,12 +74,14 @@
 #[derive(Clone, Debug)]
 struct LogEntry {
     key: String,
-    revision: u64,
+    revision: Revision,
     text: Option<Arc<str>>,
 }
 
 #[derive(Default)]
 struct State {
+    /// Times that the platform was restored.
+    epoch: u64,
     log: Vec<LogEntry>,
     replicas: BTreeMap<usize, ReplicaFaults>,
     /// Lists of hosts, each with the time from which it is visible.
@@ -100,23 +107,26 @@
     /// the write.
     pub fn write(&self, key: &str, text: Option<&str>) -> Revision {
         let mut state = self.lock();
-        let revision = state.revision() + 1;
+        let revision = state.at(state.revision().number() + 1);
         let text = text.map(Arc::from);
         state.log.push(LogEntry { key: key.to_owned(), revision, text });
         drop(state);
         self.notify();
-        Revision(revision)
+        revision
     }
 
-    /// Discards all writes after a revision, as restoring a backup does. Later
-    /// writes use the discarded revisions again.
+    /// Discards all writes after a revision, as restoring a backup does, and begins a new
+    /// epoch. Later writes use the discarded numbers again.
     pub fn restore(&self, revision: u64) {
-        self.lock().log.retain(|it| it.revision <= revision);
+        let mut state = self.lock();
+        state.log.retain(|it| it.revision.0 <= revision);
+        state.epoch += 1;
+        drop(state);
         self.notify();
     }
 
     pub fn revision(&self) -> u64 {
-        self.lock().revision()
+        self.lock().revision().0
     }
 
     pub fn set_replica_faults(&self, replica: usize, faults: ReplicaFaults) {
@@ -149,24 +159,27 @@
     }
 
     /// Returns the entries that are newer than `after`, as one replica shows them.
-    pub fn index(&self, replica: usize, after: u64) -> Index {
+    pub fn index(&self, replica: usize, after: Revision) -> Index {
         let state = self.lock();
         let latest_entries = state.latest_entries(replica);
         let entries = latest_entries.values().filter(|it| it.revision > after);
         let entry = |it: &LogEntry| IndexEntry {
             key: it.key.clone(),
-            revision: it.revision,
+            epoch: it.revision.epoch(),
+            revision: it.revision.number(),
             deleted: it.text.is_none(),
         };
+        let revision = state.shown_revision(replica);
         Index {
-            revision: latest_entries.values().map(|it| it.revision).max().unwrap_or(0),
+            epoch: revision.epoch(),
+            revision: revision.number(),
             documents: entries.map(|it| entry(it)).collect(),
         }
     }
 
     /// Returns the index as [`Store::index`] does, as soon as it has an entry or
     /// `wait` has passed.
-    pub async fn watch(&self, replica: usize, after: u64, wait: Duration) -> Index {
+    pub async fn watch(&self, replica: usize, after: Revision, wait: Duration) -> Index {
         let mut changed = self.changed.subscribe();
         let deadline = time::Instant::now() + wait;
         loop {
@@ -183,7 +196,7 @@
 
     /// Returns the newest text of a document and its revision, as one replica shows
     /// them; none if the document is deleted or unknown.
-    pub fn document(&self, replica: usize, key: &str) -> Option<(Arc<str>, u64)> {
+    pub fn document(&self, replica: usize, key: &str) -> Option<(Arc<str>, Revision)> {
         let state = self.lock();
         let latest_entries = state.latest_entries(replica);
         let entry = latest_entries.get(key)?;
@@ -200,8 +213,23 @@
 }
 
 impl State {
-    fn revision(&self) -> u64 {
-        self.log.last().map_or(0, |it| it.revision)
+    fn revision(&self) -> Revision {
+        self.at(self.log.last().map_or(0, |it| it.revision.number()))
+    }
+
+    /// Returns the revision of change `number` of this epoch. No stand-in runs for so long
+    /// that it is out of range.
+    fn at(&self, number: u64) -> Revision {
+        Revision::in_epoch(self.epoch, number).unwrap_or_default()
+    }
+
+    /// Returns the newest revision that a replica shows.
+    fn shown_revision(&self, replica: usize) -> Revision {
+        if self.replica(replica).stale_at.is_none() {
+            return self.revision();
+        }
+        let shown = self.latest_entries(replica);
+        shown.values().map(|it| it.revision).max().unwrap_or_default()
     }
 
     fn replica(&self, replica: usize) -> ReplicaFaults {
@@ -210,7 +238,7 @@
 
     fn latest_entries(&self, replica: usize) -> BTreeMap<&str, &LogEntry> {
         let limit = self.replica(replica).stale_at.unwrap_or(u64::MAX);
-        let visible = self.log.iter().filter(|it| it.revision <= limit);
+        let visible = self.log.iter().filter(|it| it.revision.0 <= limit);
         visible.map(|it| (it.key.as_str(), it)).collect()
     }
 }
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use assert_matches::assert_matches;
+use base::Revision;
 use rocket::{http::Status, local::blocking::Client};
 use standins::platform::{Host, HostState, Index, Outage, ReplicaFaults, Store, api};
 
@@ -55,18 +56,27 @@
     store.write("service/a", Some("two"));
     store.restore(1);
     assert_eq!(store.document(0, "service/a").unwrap().0.as_ref(), "one");
-    assert_eq!(store.write("service/a", Some("three")).0, 2);
+    let client = client(&store, 0);
+    let restored = index(&client, 2);
+    assert_eq!((restored.epoch, restored.revision, restored.documents.len()), (1, 1, 0));
+    let written = store.write("service/a", Some("three"));
+    assert_eq!((written.epoch(), written.number()), (1, 2));
+    // Also for those who know the number 2 of before.
+    let later = index(&client, 2);
+    assert_matches!(later.documents.as_slice(), [it] if it.epoch == 1 && it.revision == 2);
+    let text = client.get("/v1/documents/service/a").dispatch();
+    assert_eq!(text.headers().get_one("godwityard-epoch"), Some("1"));
 }
 
 #[tokio::test]
 async fn watch_ends_on_change_or_timeout() {
     let store = Store::default();
-    let watch = store.watch(0, 0, Duration::from_secs(30));
+    let watch = store.watch(0, Revision(0), Duration::from_secs(30));
     let writer = store.clone();
     let write = async move { writer.write("service/a", Some("one")) };
     let (index, _) = tokio::join!(watch, write);
     assert_eq!(index.revision, 1);
-    let index = store.watch(0, 1, Duration::from_millis(1)).await;
+    let index = store.watch(0, Revision(1), Duration::from_millis(1)).await;
     assert!(index.documents.is_empty());
 }
 
