--- a/xtask/src/soak/plan/draft.rs
+++ b/xtask/src/soak/plan/draft.rs
@@ -11,7 +11,10 @@
     targets::{Departure, Pause},
 };
 
-/// Targets that leave after each silence of the store.
+/// Changes that are made before the store loses them.
+const LOST_CHANGES: u32 = 16;
+
+/// Targets that leave after each silence or loss of the store.
 const LEAVING_TARGETS: usize = 4;
 
 /// Targets that say at once that they leave, at most: as many as a shard has.
@@ -140,6 +143,45 @@
         }
     }
 
+    /// Restores of the store, at times two in a row.
+    pub fn restores(&mut self) {
+        let mut at = CALM + self.millis(0, 10_000);
+        while at < self.size.time {
+            let restore = self.restore();
+            self.add(at, restore);
+            let gap = if self.rng.random_bool(0.25) { (3_000, 8_000) } else { (12_000, 30_000) };
+            at += self.millis(gap.0, gap.1);
+        }
+    }
+
+    /// Every 28 s many changes that the store loses, and after its return targets that leave and
+    /// a change, before its revision is as high again.
+    pub fn lost_changes(&mut self) {
+        let mut at = CALM;
+        while at < self.size.time {
+            for number in 0..LOST_CHANGES {
+                let change = Change::AddsRoutes(1);
+                self.add(at + Duration::from_millis(200) * number, Action::Configure(change));
+            }
+            let restore = self.restore();
+            let away = at + self.millis(4_000, 6_000);
+            self.add(away, restore);
+            let later = at + self.millis(14_000, 20_000);
+            for _ in 0..LEAVING_TARGETS {
+                let place = self.rng.random_range(0..self.size.targets);
+                let how = Departure::Withdraws;
+                self.add(later, Action::ReplaceTarget { place, how, reuses_address: false });
+            }
+            self.add(later, Action::Configure(Change::MovesAll));
+            at += Duration::from_secs(28);
+        }
+    }
+
+    fn restore(&mut self) -> Action {
+        let (age, away) = (self.millis(2_000, 14_000), self.millis(300, 4_000));
+        Action::RestoreStore { age, away, until_written: self.millis(50, 1_800) }
+    }
+
     pub fn readers(&mut self) {
         let mut at = CALM;
         while at < self.size.time {
--- a/xtask/src/soak/plan/mod.rs
+++ b/xtask/src/soak/plan/mod.rs
@@ -38,6 +38,8 @@
     /// Customers send with keys: these are revoked and added, limits change, and one customer
     /// sends too much, beside faults of the store and of hosts.
     Keys,
+    /// The store is restored from older copies that lack many changes, and targets leave.
+    Restored,
     /// Everything overlaps.
     Mixed,
 }
@@ -55,10 +57,11 @@
             "stated" => Ok(Days::Stated),
             "upgrade" => Ok(Days::Upgrade),
             "keys" => Ok(Days::Keys),
+            "restored" => Ok(Days::Restored),
             "mixed" => Ok(Days::Mixed),
             _ => Err(format!(
                 "`{text}` is none of changes, silence, late, readers, stops, stated, upgrade, \
-                 keys, mixed"
+                 keys, restored, mixed"
             )),
         }
     }
@@ -81,6 +84,13 @@
         time: Duration,
     },
     DropHistory,
+    /// The store gives no answer, and then it is as it was `age` before. What was lost is
+    /// written again a little later.
+    RestoreStore {
+        age: Duration,
+        away: Duration,
+        until_written: Duration,
+    },
     /// The store treats some hosts badly.
     ShutOut {
         hosts: Vec<HostIndex>,
@@ -181,12 +191,14 @@
             draft.store_faults();
             draft.host_faults();
         }
+        Days::Restored => draft.lost_changes(),
         Days::Mixed => {
             draft.changes();
             draft.target_changes();
             draft.store_faults();
             draft.host_faults();
             draft.stated();
+            draft.restores();
         }
     }
     draft.finish()
--- a/xtask/src/soak/play/stage.rs
+++ b/xtask/src/soak/play/stage.rs
@@ -5,7 +5,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use rand::{rngs::StdRng, seq::IndexedRandom};
@@ -81,6 +81,9 @@
                 self.store.drop_history();
                 self.recorder.end_disruption(index);
             }
+            Action::RestoreStore { age, away, until_written } => {
+                self.restore_store(age, away, until_written).await;
+            }
             Action::ShutOut { hosts, fault, time } => self.shut_out(&hosts, fault, time).await,
             Action::StopHost(host) => self.hosts[host].stop_and_start().await?,
             Action::KillHost(host, down) => self.hosts[host].kill_and_start(down).await?,
@@ -160,6 +163,18 @@
         self.recorder.end_disruption(index);
     }
 
+    async fn restore_store(&self, age: Duration, away: Duration, until_written: Duration) {
+        let index = self.recorder.begin_disruption(Place::Store, "store restored", false);
+        self.store.change_faults(store::Faults::begin_silence);
+        time::sleep(away).await;
+        let now = Instant::now();
+        let lost = self.store.restore(now.checked_sub(age).unwrap_or(now));
+        self.store.change_faults(store::Faults::end_silence);
+        self.recorder.end_disruption(index);
+        time::sleep(until_written).await;
+        self.store.write_again(lost);
+    }
+
     async fn shut_out(&self, hosts: &[HostIndex], fault: HostFault, time: Duration) {
         let mut begun: Vec<usize> = hosts
             .iter()
--- a/xtask/src/soak/store/mod.rs
+++ b/xtask/src/soak/store/mod.rs
@@ -35,8 +35,12 @@
 }
 
 struct State {
+    /// Rises each time that the store is restored.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
+    /// All changes, from which older copies are made.
+    log: Vec<Event>,
     history: VecDeque<Event>,
     /// Revision up to which the history is no longer held.
     dropped: u64,
@@ -60,6 +64,14 @@
     item: Option<Item>,
 }
 
+/// Changes that the store lost.
+pub struct Lost {
+    /// Revision of the copy from which it was restored.
+    copy: u64,
+    /// What each key held last, unless it was removed.
+    values: BTreeMap<String, Option<Arc<str>>>,
+}
+
 /// Reading calls that may be made now.
 struct Reads {
     left: f64,
@@ -76,8 +88,10 @@
 impl Store {
     pub fn new(hosts: usize) -> Self {
         let state = State {
+            era: 1,
             revision: 1,
             items: BTreeMap::new(),
+            log: Vec::new(),
             history: VecDeque::new(),
             dropped: 0,
             faults: Faults::new(hosts),
@@ -121,6 +135,44 @@
         self.wake();
     }
 
+    /// Restores the store from a copy made at `copied_at`; its revisions since are given out
+    /// again. Returns what was lost.
+    pub fn restore(&self, copied_at: Instant) -> Lost {
+        let mut state = self.lock();
+        let kept = state.log.partition_point(|it| it.at <= copied_at);
+        let lost = state.log.split_off(kept);
+        let value = |it: Event| (it.key, it.item.map(|it| it.value));
+        let values = lost.into_iter().map(value).collect();
+        state.era += 1;
+        state.revision = state.log.last().map_or(1, |it| it.rev);
+        state.history = state.log.iter().cloned().collect();
+        state.dropped = 0;
+        let mut items = BTreeMap::new();
+        for Event { key, item, .. } in &state.log {
+            match item {
+                Some(item) => items.insert(key.clone(), item.clone()),
+                None => items.remove(key),
+            };
+        }
+        state.items = items;
+        let copy = state.revision;
+        drop(state);
+        self.wake();
+        Lost { copy, values }
+    }
+
+    /// Writes again what was lost, but for keys that were written since.
+    pub fn write_again(&self, lost: Lost) {
+        for (key, value) in lost.values {
+            let is_written = self.lock().log.iter().any(|it| it.rev > lost.copy && it.key == key);
+            match value {
+                _ if is_written => {}
+                Some(value) => self.put(&key, &value),
+                None => self.remove(&key),
+            }
+        }
+    }
+
     /// Changes the faults that are in effect.
     pub fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
         change(&mut self.lock().faults);
@@ -139,7 +191,9 @@
 impl State {
     fn add_event(&mut self, rev: u64, key: &str, item: Option<Item>) {
         let at = Instant::now();
-        self.history.push_back(Event { at, rev, key: key.to_owned(), item });
+        let event = Event { at, rev, key: key.to_owned(), item };
+        self.log.push(event.clone());
+        self.history.push_back(event);
         while let Some(oldest) = self.history.front()
             && at.duration_since(oldest.at) > HISTORY
         {
@@ -171,7 +225,7 @@
 
     /// Returns the changes after a revision, or `None` if the history is gone.
     fn changes(&self, prefix: &str, after: u64) -> Option<Page> {
-        if after < self.dropped {
+        if after < self.dropped || after > self.revision {
             return None;
         }
         let start = self.history.partition_point(|it| it.rev <= after);
--- a/xtask/src/soak/store/server.rs
+++ b/xtask/src/soak/store/server.rs
@@ -157,9 +157,10 @@
             return hold(reader).await;
         }
         let (code, reason) = status;
+        let (era, length) = (self.store.lock().era, body.len());
         let head = format!(
-            "HTTP/1.1 {code} {reason}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
-            body.len()
+            "HTTP/1.1 {code} {reason}\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
+             Content-Length: {length}\r\n\r\n"
         );
         write.write_all((head + &body).as_bytes()).await.is_ok()
     }
--- a/xtask/src/soak/store/tests.rs
+++ b/xtask/src/soak/store/tests.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::{Faults, HostFault, PAGE_ITEMS, READS_PER_S, Store, faults::Reaction};
 
@@ -47,6 +47,29 @@
     assert_eq!(state.changes("op/", dropped).expect("a page").entries.len(), 1);
 }
 
+/// Guards against days `restored` on which nothing is lost, or what was lost stays lost.
+#[test]
+fn a_restored_store_gives_revisions_out_again_and_gets_back_what_it_lost() {
+    let store = Store::new(1);
+    store.put("servers/a", "1");
+    let copied_at = Instant::now();
+    store.put("servers/b", "1");
+    store.remove("servers/a");
+    store.put("op/config", "2");
+    let seen = store.lock().revision;
+    let lost = store.restore(copied_at);
+    assert_eq!(store.lock().era, 2);
+    assert!(store.lock().revision < seen);
+    assert!(store.lock().items.contains_key("servers/a"));
+    assert!(store.lock().changes("op/", seen).is_none());
+    store.put("op/config", "3");
+    store.write_again(lost);
+    let state = store.lock();
+    let items: Vec<_> = state.items.iter().map(|(key, it)| (key.as_str(), &*it.value)).collect();
+    assert_eq!(items, [("op/config", "3"), ("servers/b", "1")]);
+    assert_eq!(state.revision, seen);
+}
+
 #[test]
 fn reads_beyond_the_limit_are_refused() {
     let store = Store::new(1);
--- a/xtask/src/soak/tests.rs
+++ b/xtask/src/soak/tests.rs
@@ -19,6 +19,7 @@
         Days::Stated,
         Days::Upgrade,
         Days::Keys,
+        Days::Restored,
         Days::Mixed,
     ] {
         let drawn = plan::draw(days, 7, SIZE);
