--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -2,12 +2,12 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use forward::{Destination, Repeat, TargetReport, budget::RetryLimits, placement::Limits};
 use support::{
     Reply, Target, TestHost, announce, header, not_run, ok, own_address, read_message, relayed,
-    report, run, shed, status, target,
+    report, run, shed, source::ScriptedSource, status, target,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -111,6 +111,36 @@
     });
 }
 
+/// Guards against requests to a target that said that it leaves, and whose entry is back as it
+/// was before, as the source was restored after the host had forgotten the entry.
+#[test]
+fn a_restored_source_does_not_take_back_what_a_target_said() {
+    run(async {
+        let one = target(leaving()).await;
+        let source = Rc::new(ScriptedSource::default());
+        source.list(report("s", "t1", one.address));
+        for (name, port) in [("t2", 1), ("t3", 2)] {
+            source.list(report("other", name, ([127, 0, 0, 1], port).into()));
+        }
+        let host = host();
+        host.follow_targets(&source);
+        while status(&host.get("/one/x").await) != 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        source.remove("t1");
+        while host.gauge("front_targets").await != Some(2) {
+            sleep(Duration::from_millis(50)).await;
+        }
+        let sent = one.requests();
+        source.restore(1, true);
+        while host.gauge("front_targets").await != Some(3) {
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(status(&host.get("/one/x").await), 503);
+        assert_eq!(one.requests(), sent);
+    });
+}
+
 #[test]
 fn a_value_that_is_not_understood_says_nothing() {
     for field in ["x-leaving: 0", "x-leaving: soon", "x-leaving: "] {
