Forward no status that ends no request

What callers saw: a target's status 999, or 101 Switching Protocols that nobody had asked for, as the answer to their request. Cause: an answer was judged by its id, signature and encoding, and any number that the parser takes for a status passed. 000, 0 and 099 are refused by the parser itself. Change: only 200 to 599 end a request; anything else, also from another host, counts as a broken answer: the request may have run, and callers get 502 where no other target may be asked. Measured: a_status_that_ends_no_request_is_not_forwarded failed before with 101 at the caller, and passes for 000, 099, 100, 101, 199, 600 and 999, idempotent or not. Conclusion: mended.

--- a/crates/front/src/targets/judge.rs
+++ b/crates/front/src/targets/judge.rs
@@ -5,6 +5,8 @@
 //! status of a success is neither that nor a failure that the target reports, so no
 //! caller gets it.
 
+use std::ops::RangeInclusive;
+
 use forward::target::SendResult;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 
@@ -13,6 +15,10 @@
     messages::{RelayOutcome, TargetAnswer},
 };
 
+/// Statuses of answers that end a request. Below are interim answers, and the switch to
+/// another protocol, which no caller is let ask for; above is nothing that callers know.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Verdict on an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Verdict {
@@ -40,6 +46,10 @@
         let reason = "it belongs to another request";
         return Verdict::Unusable { result: SendResult::Broken, reason };
     }
+    if !FINAL_STATUSES.contains(&answer.status.as_u16()) {
+        let reason = "its status ends no request";
+        return Verdict::Unusable { result: SendResult::Broken, reason };
+    }
     if is_relayed {
         return judge_relayed(answer);
     }
--- a/crates/front/tests/requests.rs
+++ b/crates/front/tests/requests.rs
@@ -122,6 +122,26 @@
     }
 }
 
+/// Guards against callers that get a status which is none of an answer, or which belongs to a
+/// protocol that they didn't ask for.
+#[test]
+fn a_status_that_ends_no_request_is_not_forwarded() {
+    for odd in ["000", "099", "100", "101", "199", "600", "999"] {
+        for repeat in [Repeat::AtMostOnce, Repeat::Idempotent] {
+            run(async {
+                let answer = ok("s", "no").replace("200 OK", &format!("{odd} Odd"));
+                let one = target(vec![Reply::BytesThenClose(answer)]).await;
+                let mut host = TestHost::start();
+                host.single(repeat);
+                host.list("s", "t1", &one);
+                let answer = host.get("/one/x").await;
+                assert_eq!(status(&answer), 502, "{odd}: {answer}");
+                assert_eq!(header(&answer, "x-stamp"), None, "{odd}");
+            });
+        }
+    }
+}
+
 /// Guards against wrong bytes that reach a caller as a success: an answer that is not the
 /// target's whole and signed body is no failure of the target either.
 #[test]
