Bound what a target may send to a call beside queries

What would be seen: a process of the tier with owners that ran out of memory, with all its callers' requests. Cause: the answers to load reports and to cancellations were read whole, without a limit. The time limit on these calls bounds nothing: on loopback a target sends gigabytes within it. Change: they are read piece by piece, up to 64 KB. The tests of the forwarding tier also play interim answers, a chunk's extension and fields behind a body without end. Conclusion: mended for these calls. An answer to a query of the tier with owners may still state up to 64 MB, and many of them at once are not bounded together.

--- a/crates/front/tests/endless.rs
+++ b/crates/front/tests/endless.rs
@@ -33,7 +33,14 @@
             format!("{head}transfer-encoding: chunked\r\n\r\n"),
             format!("{:032x}\r\na\r\n", 1).repeat(1_000),
         ),
-        Reply::Endless(format!("{head}content-length: 999999999999\r\n\r\n"), piece),
+        Reply::Endless(format!("{head}content-length: 999999999999\r\n\r\n"), piece.clone()),
+        // Interim answers one after the other, a chunk's extension, and fields behind a body.
+        Reply::Endless(String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000)),
+        Reply::Endless(format!("{head}transfer-encoding: chunked\r\n\r\n1;x="), piece),
+        Reply::Endless(
+            format!("{head}transfer-encoding: chunked\r\n\r\n0\r\n"),
+            "x-more: yes\r\n".repeat(1_000),
+        ),
     ]
 }
 
--- a/crates/owner/src/protocol/http.rs
+++ b/crates/owner/src/protocol/http.rs
@@ -29,6 +29,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum length of an answer's body. Longer ones count as truncated.
 const MAX_ANSWER_BYTES: u64 = 64 << 20;
+/// Maximum length of the answer to a call that is no query.
+const MAX_CONTROL_BYTES: usize = 64 << 10;
 /// Host name used in URLs for the target of a connection.
 const TARGET_HOST: &str = "target";
 
@@ -107,7 +109,9 @@
         if res.status() != StatusCode::OK {
             return Err(ProtocolError::Status(res.status().as_u16()));
         }
-        let wire = res.json::<LoadReportWire>().await.map_err(call_error)?;
+        let body = read_control_body(res).await?;
+        let wire: LoadReportWire =
+            serde_json::from_slice(&body).map_err(|err| ProtocolError::Report(err.to_string()))?;
         LoadReport::try_from(wire)
     }
 
@@ -143,7 +147,7 @@
         let url = format!("{}/attempts/{attempt}", connection.base_url);
         let res = connection.client.delete(url).send().await.map_err(call_error)?;
         // The connection can be reused only after the body was read.
-        res.bytes().await.map_err(call_error)?;
+        read_control_body(res).await?;
         Ok(())
     }
 }
@@ -177,6 +181,19 @@
     }
 }
 
+/// Reads the answer to a call that is no query, piece by piece, so that one without end fills
+/// no memory.
+async fn read_control_body(mut res: Response) -> Result<Vec<u8>, ProtocolError> {
+    let mut body = Vec::new();
+    while let Some(piece) = res.chunk().await.map_err(call_error)? {
+        if body.len() + piece.len() > MAX_CONTROL_BYTES {
+            return Err(ProtocolError::TooLong(MAX_CONTROL_BYTES));
+        }
+        body.extend_from_slice(&piece);
+    }
+    Ok(body)
+}
+
 async fn read_result(res: Response) -> AttemptResult {
     let status = res.status();
     let head = read_head(res.headers());
--- a/crates/owner/src/protocol/mod.rs
+++ b/crates/owner/src/protocol/mod.rs
@@ -26,6 +26,8 @@
     Call(String),
     #[error("expected status 200 from the target, got {0}")]
     Status(u16),
+    #[error("the target's answer is longer than {0} bytes")]
+    TooLong(usize),
     #[error("malformed load report from the target: {0}")]
     Report(String),
 }
