Split the taking of answers of a feed, and what they prove, into steps of their own

Cause: one function took complete reads and changes, and grew with the epochs; the setup of hosts in tests stood several times. No behaviour changes.

--- a/crates/front/src/follow/apply.rs
+++ b/crates/front/src/follow/apply.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use base::{HashSet, TargetName, Time};
-use forward::{FeedProgress, Position, Provenance, Reach, customers::StatedProof, readers::Origin};
+use forward::{FeedProgress, Position, Provenance, Reach, readers::Origin};
 use slog::{info, warn};
 
-use super::calls::{Answer, Call};
+use super::{
+    calls::{Answer, Call},
+    proof::{Proves, record_proof},
+};
 use crate::{
     SharedCx,
     feeds::{Batch, Feed, Item, Means, Received, SourceError},
@@ -23,63 +26,74 @@
     feed: Feed,
     origin: Origin,
     answer: Answer,
+) -> Result<bool, SourceError> {
+    match answer.call {
+        Call::Read => Ok(take_read(cx, feed, origin, answer)),
+        Call::Changes { after, .. } => take_changes(cx, feed, origin, answer, after),
+    }
+}
+
+fn take_read(cx: &SharedCx, feed: Feed, origin: Origin, answer: Answer) -> bool {
+    let log = cx.change_logs.of(feed);
+    let called = answer.called;
+    let proves = Proves::by_read(cx, origin, &answer.batch);
+    let known_until = called.ago(answer.batch.behind.unwrap_or(UNSTATED_LAG));
+    let position = answer.batch.position;
+    let stated_until = answer.batch.behind.map(|it| called.ago(it));
+    let reach = Reach { position: Some(position), known_until: stated_until };
+    let own = log.progress().position();
+    // What the source answers now is its state, also where it has fallen back.
+    let is_latest = origin == Origin::Source && !answer.is_late && own.is_some();
+    if !is_latest && !log.progress().is_news(reach) {
+        record_older(cx, feed, origin, position);
+        return false;
+    }
+    record_read(cx, feed, own, position);
+    log.update_progress(|it| it.record_position(position));
+    log.restart(position);
+    apply_all(cx, feed, origin, answer.batch);
+    log.update_progress(|it| it.record_complete(known_until, origin.into()));
+    record_proof(cx, feed, called, proves);
+    true
+}
+
+fn take_changes(
+    cx: &SharedCx,
+    feed: Feed,
+    origin: Origin,
+    answer: Answer,
+    after: Position,
 ) -> Result<bool, SourceError> {
     let log = cx.change_logs.of(feed);
     let now = cx.clock.now();
-    match answer.call {
-        Call::Read => {
-            let called = answer.called;
-            let proves = Proves::by_read(cx, origin, &answer.batch);
-            let known_until = called.ago(answer.batch.behind.unwrap_or(UNSTATED_LAG));
-            let position = answer.batch.position;
-            let stated_until = answer.batch.behind.map(|it| called.ago(it));
-            let reach = Reach { position: Some(position), known_until: stated_until };
-            let own = log.progress().position();
-            // What the source answers now is its state, also where it has fallen back.
-            let is_latest = origin == Origin::Source && !answer.is_late && own.is_some();
-            if !is_latest && !log.progress().is_news(reach) {
-                record_older(cx, feed, origin, position);
-                return Ok(false);
-            }
-            record_read(cx, feed, own, position);
-            log.update_progress(|it| it.record_position(position));
-            log.restart(position);
-            apply_all(cx, feed, origin, answer.batch);
-            log.update_progress(|it| it.record_complete(known_until, origin.into()));
-            record_proof(cx, feed, called, proves);
-        }
-        Call::Changes { after, .. } => {
-            if log.progress().position() != Some(after) {
-                return Ok(false);
-            }
-            if !after.leads_to(answer.batch.position) {
-                return Err(SourceError::Restored);
-            }
-            let age = answer.batch.age.map(|it| it + answer.delay);
-            let changes = Batch { age, ..answer.batch };
-            let proves = Proves::by_changes(origin, after.revision, &changes);
-            let sent_after = log.progress().sent_after(now).min(now.ago(answer.delay));
-            let mut proven_at = sent_after.max(answer.called);
-            if answer.is_late {
-                // The last call doesn't show when they were made.
-                log.update_progress(|it| it.record_end());
-                proven_at = answer.called;
-            }
-            let revision = after.revision.max(changes.position.revision);
-            let next = Position { revision, ..after };
-            let made = when_made(cx, &changes, log.progress(), now);
-            let age = made.age.or_else(|| log.progress().age(now));
-            let received = Received { from: origin.into(), by: Means::Changes, age };
-            let known_until = proven_at.ago(changes.behind.unwrap_or(UNSTATED_LAG));
-            log.update_progress(|it| {
-                it.record_complete(known_until, origin.into());
-                it.record_position(next);
-            });
-            log.push(revision, &changes.items, now.since(made.removed_since), now);
-            changes.items.into_iter().for_each(|it| apply(cx, it, made, received));
-            record_proof(cx, feed, answer.called, proves);
-        }
+    if log.progress().position() != Some(after) {
+        return Ok(false);
+    }
+    if !after.leads_to(answer.batch.position) {
+        return Err(SourceError::Restored);
+    }
+    let age = answer.batch.age.map(|it| it + answer.delay);
+    let changes = Batch { age, ..answer.batch };
+    let proves = Proves::by_changes(origin, after, &changes);
+    let sent_after = log.progress().sent_after(now).min(now.ago(answer.delay));
+    let mut proven_at = sent_after.max(answer.called);
+    if answer.is_late {
+        // The last call doesn't show when they were made.
+        log.update_progress(|it| it.record_end());
+        proven_at = answer.called;
     }
+    let revision = after.revision.max(changes.position.revision);
+    let made = when_made(cx, &changes, log.progress(), now);
+    let age = made.age.or_else(|| log.progress().age(now));
+    let received = Received { from: origin.into(), by: Means::Changes, age };
+    let known_until = proven_at.ago(changes.behind.unwrap_or(UNSTATED_LAG));
+    log.update_progress(|it| {
+        it.record_complete(known_until, origin.into());
+        it.record_position(Position { revision, ..after });
+    });
+    log.push(revision, &changes.items, now.since(made.removed_since), now);
+    changes.items.into_iter().for_each(|it| apply(cx, it, made, received));
+    record_proof(cx, feed, answer.called, proves);
     Ok(true)
 }
 
@@ -103,58 +117,6 @@
         "known" => known.map(|it| it.to_string()), "offered" => %offered);
 }
 
-/// What an answer proves of the configuration in force, once its items are applied.
-#[derive(Clone, Copy, Debug)]
-enum Proves {
-    /// A source that answers by an old state, or a reader that states no proof.
-    Nothing,
-    /// At the time of the call, no later version than this was published.
-    Version(StatedProof),
-    /// At the time of the call, no later version than the one in force was published.
-    InForce,
-}
-
-impl Proves {
-    fn by_read(cx: &SharedCx, origin: Origin, batch: &Batch) -> Proves {
-        let versions = batch.items.iter().filter_map(|it| match it {
-            Item::Configuration(cfg) => Some(cfg.version),
-            _ => None,
-        });
-        match origin {
-            Origin::Source if versions.max().unwrap_or(0) >= cx.version() => Proves::InForce,
-            Origin::Host(_) => Proves::by_reader(batch),
-            Origin::Source | Origin::None => Proves::Nothing,
-        }
-    }
-
-    fn by_changes(origin: Origin, after: u64, batch: &Batch) -> Proves {
-        match origin {
-            Origin::Source if batch.position.revision >= after => Proves::InForce,
-            Origin::Host(_) => Proves::by_reader(batch),
-            Origin::Source | Origin::None => Proves::Nothing,
-        }
-    }
-
-    fn by_reader(batch: &Batch) -> Proves {
-        batch.proof.map_or(Proves::Nothing, Proves::Version)
-    }
-}
-
-/// Records what an answer proves to a call that was made at `called`. If another host has a
-/// later version, the answer came from a state that lacks it.
-fn record_proof(cx: &SharedCx, feed: Feed, called: Time, proves: Proves) {
-    let newest = cx.peers.borrow().peer_with_newest_version(cx.clock.now());
-    let is_superseded = newest.is_some_and(|(_, version)| version > cx.version());
-    if feed != Feed::Operations || is_superseded {
-        return;
-    }
-    match proves {
-        Proves::Nothing => {}
-        Proves::Version(stated) => cx.take_over_proof(called, Some(stated)),
-        Proves::InForce => cx.record_proof(called, Duration::ZERO),
-    }
-}
-
 /// When changes were made.
 #[derive(Clone, Copy, Debug)]
 struct Made {
--- a/crates/front/src/follow/host.rs
+++ b/crates/front/src/follow/host.rs
@@ -105,9 +105,11 @@
         wait: Duration,
     ) -> Result<Batch, SourceError> {
         let Position { epoch, revision } = after;
-        let wait_ms = wait.as_millis();
-        let path = format!("/changes/{}/{revision}/{wait_ms}", feed.as_str());
+        let mut path = format!("/changes/{}/{revision}/{}", feed.as_str(), wait.as_millis());
         // Readers of earlier builds don't read the epoch.
-        self.call(epoch.map_or(path.clone(), |it| format!("{path}/{it}"))).await
+        if let Some(epoch) = epoch {
+            path += &format!("/{epoch}");
+        }
+        self.call(path).await
     }
 }
--- a/crates/front/src/follow/mod.rs
+++ b/crates/front/src/follow/mod.rs
@@ -15,6 +15,7 @@
 mod feed;
 mod host;
 mod origin;
+mod proof;
 mod serve;
 #[cfg(test)]
 mod tests;
--- a/crates/front/src/follow/origin.rs
+++ b/crates/front/src/follow/origin.rs
@@ -45,11 +45,6 @@
     hosts: HashMap<SocketAddr, Instant>,
 }
 
-/// Returns the revision of the feed that this host knows, for log lines.
-fn revision(cx: &SharedCx, feed: Feed) -> Option<u64> {
-    cx.change_logs.of(feed).progress().position().map(|it| it.revision)
-}
-
 /// Returns the live hosts of the own domain, including this one.
 pub(super) fn local_hosts(cx: &SharedCx) -> Vec<Host> {
     let peers = cx.peers.borrow();
@@ -160,3 +155,8 @@
         self.backoff = (self.backoff * 2).min(self.calls.max_backoff);
     }
 }
+
+/// Returns the revision of the feed that this host knows, for log lines.
+fn revision(cx: &SharedCx, feed: Feed) -> Option<u64> {
+    cx.change_logs.of(feed).progress().position().map(|it| it.revision)
+}
--- a/crates/front/tests/gaps.rs
+++ b/crates/front/tests/gaps.rs
@@ -39,6 +39,16 @@
     }
 }
 
+/// Has a host follow the source, and waits until it serves a request.
+async fn serve_by(host: &mut TestHost, source: &Rc<ScriptedSource>) {
+    host.cx.set_limits(limits());
+    host.single(Repeat::Idempotent);
+    host.follow_targets(source);
+    while status(&host.get("/one/x").await) != 200 {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Gap in which an age of changes is known, and one that is too long for that.
 const SHORT_GAP: Duration = Duration::from_millis(700);
 const LONG_GAP: Duration = Duration::from_millis(3_500);
@@ -136,12 +146,7 @@
         source.list(report("other", "t2", one.address));
         let mut host =
             TestHost::start_with(own_address(), Vec::new(), |it| it.source_recovery(RECOVERY));
-        host.cx.set_limits(limits());
-        host.single(Repeat::Idempotent);
-        host.follow_targets(&source);
-        while status(&host.get("/one/x").await) != 200 {
-            sleep(Duration::from_millis(20)).await;
-        }
+        serve_by(&mut host, &source).await;
         source.list(report("other", "t3", one.address));
         lose_call(&source).await;
         source.remove("t1");
@@ -189,12 +194,7 @@
             source.list(report("other", "t4", ([127, 0, 0, 1], port).into()));
         }
         let mut host = TestHost::start();
-        host.cx.set_limits(limits());
-        host.single(Repeat::Idempotent);
-        host.follow_targets(&source);
-        while status(&host.get("/one/x").await) != 200 {
-            sleep(Duration::from_millis(20)).await;
-        }
+        serve_by(&mut host, &source).await;
         source.restore(8, false);
         source.remove("t1");
         sleep(LEAVING_FOR + RECOVERY + MARGIN).await;
@@ -292,12 +292,7 @@
         source.list(report("other", "t3", one.address));
         let mut host =
             TestHost::start_with(own_address(), Vec::new(), |it| it.source_recovery(RECOVERY));
-        host.cx.set_limits(limits());
-        host.single(Repeat::Idempotent);
-        host.follow_targets(&source);
-        while status(&host.get("/one/x").await) != 200 {
-            sleep(Duration::from_millis(20)).await;
-        }
+        serve_by(&mut host, &source).await;
         // Calls made now are answered after later ones, with what was true before.
         source.set_delay(RECOVERY * 3);
         sleep(RECOVERY * 2).await;
@@ -413,12 +408,7 @@
         source.list(report("other", "t3", one.address));
         let mut host =
             TestHost::start_with(own_address(), Vec::new(), |it| it.source_recovery(RECOVERY * 4));
-        host.cx.set_limits(limits());
-        host.single(Repeat::Idempotent);
-        host.follow_targets(&source);
-        while status(&host.get("/one/x").await) != 200 {
-            sleep(Duration::from_millis(20)).await;
-        }
+        serve_by(&mut host, &source).await;
         // A call waits.
         sleep(Duration::from_millis(500)).await;
         source.set_delay(Duration::from_millis(1_700));
--- a/crates/owner/tests/endless.rs
+++ b/crates/owner/tests/endless.rs
@@ -42,10 +42,8 @@
     HttpProtocol.connection(address).expect("a connection")
 }
 
-const HEADS: [&str; 2] = [
-    "HTTP/1.1 200 OK\r\n\r\n",
-    "HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\n",
-];
+const HEADS: [&str; 2] =
+    ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\n"];
 
 /// Guards against processes that keep what a faulty target sends until memory runs out.
 #[tokio::test]
