Wait in a test for a state that lasts

The product did what the test asks for. Change: another target is listed after the restore, and the test waits until it is known; what is checked stays: 503, and no request reaches the target.

--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -133,7 +133,9 @@
         }
         let sent = one.requests();
         source.restore(1, true);
-        while host.gauge("front_targets").await != Some(3) {
+        // The entry of the first target is dropped again soon; this one stays.
+        source.list(report("other", "t4", ([127, 0, 0, 1], 3).into()));
+        while host.gauge("front_targets").await < Some(3) {
             sleep(Duration::from_millis(50)).await;
         }
         assert_eq!(status(&host.get("/one/x").await), 503);
