Check reach from hosts that have no sign of any target

Cause: a host took "nothing was heard to the contrary" for "targets are in reach". Only sends of its own told it otherwise, three of which had to hang, each until its deadline. Change: a host that sends to targets and had no sign of any for 1 s (0.4 s while a send is overdue) opens a connection to one, and if that is not made within 0.3 s to eight in different domains. If none is made it has lost its targets, which is gossiped and passed on as before. Targets that hang accept connections, so checks also keep them from being taken for a cut. Connections of checks carry no request and close at once. A log field and a counter show them.

--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -22,6 +22,7 @@
 mod pauses;
 mod queue;
 mod reach;
+mod reach_checks;
 mod reachability;
 mod senders;
 mod slow_targets;
@@ -123,6 +124,8 @@
     /// Time of the last answer from each domain.
     domain_answers: HashMap<DomainName, Time>,
     reach: Reach,
+    /// Target that the last check of reach ended with.
+    last_checked: Option<TargetKey>,
     /// Hosts that requests are passed on to while this host cannot serve them.
     helpers: Option<ServiceKey>,
     crossing_cost: CrossingCost,
@@ -195,6 +198,7 @@
             phase: 1.0,
             domain_answers: HashMap::default(),
             reach: Reach::default(),
+            last_checked: None,
             helpers: None,
             crossing_cost: CrossingCost::default(),
         }
--- a/crates/forward/src/placement/reach.rs
+++ b/crates/forward/src/placement/reach.rs
@@ -3,19 +3,20 @@
 //! Load pattern answered: a host that is cut off from all targets, while callers and
 //! other hosts still reach it. Its connections hang, are reset, or live on while new
 //! ones are refused. Targets that are all in trouble look the same from here; what
-//! other hosts say tells them apart.
+//! other hosts say tells them apart. Sends that hang tell a host with many requests;
+//! checks ([`super::reach_checks`]) tell one with few.
 
 use std::time::Duration;
 
 use base::Time;
 
-use super::{SendResult, Target, TargetKey, Targets};
+use super::{SendResult, Target, TargetKey, Targets, reach_checks::ReachCheck};
 
 /// Silent targets that are needed, if there are as many.
 const MIN_SILENT_TARGETS: usize = 3;
 
 /// No target answered for so long.
-const SILENT_FOR: Duration = Duration::from_millis(400);
+pub(super) const SILENT_FOR: Duration = Duration::from_millis(400);
 
 /// Time for which this must hold: a host that was frozen has answers to read first.
 const CONFIRMED_AFTER: Duration = Duration::from_millis(150);
@@ -29,14 +30,29 @@
 pub(super) struct Reach {
     /// Time of the last sign of any target: an answer, or a connection that was made.
     last_sign: Option<Time>,
+    /// Since when a host that starts has waited for its first sign.
+    waits_since: Option<Time>,
     /// Since when no target seems to answer.
     silent_since: Option<Time>,
-    is_lost: bool,
+    pub(super) is_lost: bool,
+    /// Check in progress, or the last one of a host that lost its targets.
+    pub(super) check: Option<ReachCheck>,
 }
 
 impl Reach {
     pub(super) fn record_sign(&mut self, now: Time) {
-        *self = Reach { last_sign: Some(now), silent_since: None, is_lost: false };
+        *self = Reach { last_sign: Some(now), ..Reach::default() };
+    }
+
+    /// Returns whether there was a sign of a target within `time`.
+    pub(super) fn has_sign_within(&self, time: Duration, now: Time) -> bool {
+        self.last_sign.is_some_and(|at| now.since(at) <= time)
+    }
+
+    /// Returns whether there was no sign of a target for longer than `time`.
+    pub(super) fn is_sign_overdue(&mut self, time: Duration, now: Time) -> bool {
+        let waits_since = *self.waits_since.get_or_insert(now);
+        now.since(self.last_sign.unwrap_or(waits_since)) > time
     }
 
     pub(super) fn record_result(&mut self, result: SendResult, now: Time) {
@@ -71,8 +87,9 @@
         if self.reach.is_lost {
             return false;
         }
-        let is_recent = self.reach.last_sign.is_some_and(|at| now.since(at) <= SILENT_FOR);
-        if is_recent || !self.are_targets_silent(now) {
+        let is_unanswered = self.reach.check.is_some_and(|it| it.is_unanswered(now));
+        let is_silent = is_unanswered || self.are_targets_silent(now);
+        if self.reach.has_sign_within(SILENT_FOR, now) || !is_silent {
             self.reach.silent_since = None;
             return false;
         }
--- a/crates/forward/tests/services/mod.rs
+++ b/crates/forward/tests/services/mod.rs
@@ -122,6 +122,10 @@
         }
     }
 
+    pub fn target_keys(&self) -> &[TargetKey] {
+        &self.target_keys
+    }
+
     pub fn other_target(&self, target: TargetKey) -> TargetKey {
         *self.target_keys.iter().find(|it| **it != target).expect("two targets")
     }
--- a/crates/front/src/targets/connection.rs
+++ b/crates/front/src/targets/connection.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::{net::TcpStream, sync::mpsc};
 
 use super::{exchange::exchange, finish};
@@ -50,18 +50,40 @@
     let cx = cx.clone();
     tokio::task::spawn_local(async move {
         let Ok(stream) = socket::connect_target(remote.address).await else { return };
-        let was_down = cx.targets.borrow().target(target).is_some_and(|it| it.is_down());
-        let service = cx.targets.borrow_mut().probe_succeeded(target, cx.clock.now());
-        if was_down {
-            info!(cx.log, "targets: reachable again"; "target" => %remote.name);
-        }
-        if let Some(service) = service {
-            cx.wake_waiting(service);
-        }
+        record_reached(&cx, &remote);
         run(&cx, &remote, stream, None).await;
     });
 }
 
+/// Opens a connection to learn whether the target is in reach, and closes it.
+pub(super) fn check_reach(cx: &SharedCx, target: TargetKey) {
+    let Some(remote) = remote(cx, target) else { return };
+    let cx = cx.clone();
+    tokio::task::spawn_local(async move {
+        let connected = socket::connect_target(remote.address).await;
+        cx.metrics.record_reach_check(connected.is_ok());
+        match connected {
+            Ok(_) => record_reached(&cx, &remote),
+            Err(err) => {
+                debug!(cx.log, "targets: a check of reach failed"; "target" => %remote.name,
+                    "error" => %err);
+            }
+        }
+    });
+}
+
+/// Records that a connection to the target was made without a request.
+fn record_reached(cx: &SharedCx, remote: &Remote) {
+    let was_down = cx.targets.borrow().target(remote.target).is_some_and(|it| it.is_down());
+    let service = cx.targets.borrow_mut().probe_succeeded(remote.target, cx.clock.now());
+    if was_down {
+        info!(cx.log, "targets: reachable again"; "target" => %remote.name);
+    }
+    if let Some(service) = service {
+        cx.wake_waiting(service);
+    }
+}
+
 /// Checks for a crash after a connection broke with a request in flight. If the
 /// target refuses a new connection, it crashed, possibly because of the
 /// request, which becomes a suspect.
--- a/crates/front/src/targets/mod.rs
+++ b/crates/front/src/targets/mod.rs
@@ -26,7 +26,7 @@
 }
 
 /// Opens connections independently of requests: probes of targets that are down,
-/// and first connections to new targets.
+/// first connections to new targets, and checks of reach.
 pub(crate) fn connect_ahead(cx: &SharedCx) {
     let now = cx.clock.now();
     let probes = cx.targets.borrow_mut().due_probes(now);
@@ -34,6 +34,10 @@
     for target in probes.into_iter().chain(first) {
         connection::probe(cx, target);
     }
+    let checks = cx.targets.borrow_mut().due_reach_checks(now);
+    for target in checks {
+        connection::check_reach(cx, target);
+    }
 }
 
 /// Reports the outcome of a send to placement, then to its query.
--- a/crates/front/tests/lost_targets.rs
+++ b/crates/front/tests/lost_targets.rs
@@ -120,6 +120,36 @@
     }
 }
 
+/// RECOVER: a host without requests did not learn of a cut, so that its first callers after it
+/// waited in vain.
+#[test]
+fn a_host_without_requests_passes_on_the_first_one_after_a_cut() {
+    for cut in [Cut::Refuses, Cut::Hangs] {
+        run(async {
+            let it = fleet(cut, Repeat::AtMostOnce, done("yes")).await;
+            sleep(CONTACT).await;
+            let (one, all) = tokio::join!(it.host.get("/one/x"), it.host.get("/all/x"));
+            assert_eq!([status(&one), status(&all)], [200, 200], "{cut:?}");
+        });
+    }
+}
+
+#[test]
+fn targets_that_hang_are_not_taken_for_a_cut() {
+    run(async {
+        let mut host = TestHost::start();
+        host.single(Repeat::Idempotent);
+        for name in ["t-1", "t-2", "t-3", "t-4"] {
+            host.list("s", name, &target(vec![Reply::Silence]).await);
+        }
+        let started = Instant::now();
+        while started.elapsed() < CONTACT {
+            host.get("/one/x").await;
+            assert_ne!(host.gauge("front_has_lost_targets").await, Some(1));
+        }
+    });
+}
+
 /// Sends requests until the host knows that it lost its targets.
 async fn lose_targets(it: &Fleet) {
     while it.host.gauge("front_has_lost_targets").await != Some(1) {
--- a/crates/telemetry/src/front_metrics.rs
+++ b/crates/telemetry/src/front_metrics.rs
@@ -34,6 +34,7 @@
     skipped_fields: Counter<u64>,
     feed_reads: Counter<u64>,
     customer_tokens: Counter<u64>,
+    reach_checks: Counter<u64>,
     sends: Arc<[AtomicU64]>,
     gauges: Arc<[AtomicU64; GAUGES.len()]>,
     outbound: OutboundShares,
@@ -140,6 +141,7 @@
             skipped_fields: meter.u64_counter("front_skipped_fields").build(),
             feed_reads: meter.u64_counter("front_feed_reads").build(),
             customer_tokens: meter.u64_counter("front_customer_tokens").build(),
+            reach_checks: meter.u64_counter("front_reach_checks").build(),
             sends,
             gauges,
             outbound,
@@ -192,6 +194,12 @@
         self.rejected_messages.add(1, &labels);
     }
 
+    /// Counts a connection that was opened to learn whether a target is in reach.
+    pub fn record_reach_check(&self, is_connected: bool) {
+        let result = if is_connected { "connected" } else { "failed" };
+        self.reach_checks.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a field of another host's message that this build doesn't know.
     pub fn record_skipped_field(&self, message: &'static str) {
         self.skipped_fields.add(1, &[KeyValue::new("message", message)]);
