Check reach from hosts that pass their requests on

Cause: a host that passes its requests on sends nothing to targets, so it could not know that it is cut off, and the choice of senders takes for sound whoever has not told of a loss. Two hosts after the other became senders, hung and told of it. Change: all hosts check their reach, those that pass requests on after 2 s without a sign. A host that lost its targets passes requests on to other domains if senders are there, as it knows of its neighbours' loss by gossip only, later. Evidence: each host logged its loss 0.5 to 1.4 s after it had become a sender, none before; 22 of 32 hosts never knew. Conclusion: each host knows its own reach, whatever it sends. One variation without a cut, with six of nine targets lost, shows another fault: a quiet host took that for a cut.

--- a/crates/forward/src/placement/reach_checks.rs
+++ b/crates/forward/src/placement/reach_checks.rs
@@ -18,8 +18,10 @@
     reach::{Reach, SILENT_FOR},
 };
 
-/// Time without a sign of any target after which a host checks its reach.
+/// Time without a sign of any target after which a host checks its reach, and the same for one
+/// that passes its requests on. That one has to know in case it becomes a sender.
 const CHECK_AFTER: Duration = Duration::from_secs(1);
+const CHECK_AFTER_IF_PASSING_ON: Duration = Duration::from_secs(2);
 
 /// Time in which a connection is made if the target is in reach, in any region.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
@@ -78,13 +80,11 @@
         if self.reach.has_sign_within(SILENT_FOR, now) {
             return Vec::new();
         }
-        if !self.sends_itself() {
+        if self.used_targets().next().is_none() {
             self.reach.check = None;
             return Vec::new();
         }
-        let is_overdue = self.used_targets().any(|(_, it)| self.is_silent(it, now));
-        let wait = if is_overdue { SILENT_FOR } else { CHECK_AFTER };
-        let count = self.reach.due_targets(wait, now);
+        let count = self.reach.due_targets(self.check_after(now), now);
         if count == 0 {
             return Vec::new();
         }
@@ -99,6 +99,17 @@
         self.reach.is_lost && self.reach.check.is_some_and(|it| it.is_wide)
     }
 
+    /// Returns the time without a sign of any target after which a check is due.
+    fn check_after(&self, now: Time) -> Duration {
+        if self.used_targets().any(|(_, it)| self.is_silent(it, now)) {
+            SILENT_FOR
+        } else if self.sends_itself() {
+            CHECK_AFTER
+        } else {
+            CHECK_AFTER_IF_PASSING_ON
+        }
+    }
+
     /// Returns whether this host sends requests to the targets of any service.
     fn sends_itself(&self) -> bool {
         let has_targets = |it: &ServiceKey| {
