Ask several targets before targets that are down count as a cut

Cause: three targets that are down and 0.4 s without a sign made a host take itself for cut off. A quiet host has no sign of the others, and the check under way by then asked only one of them. Change: while a send is overdue or several targets are down, a check begins with eight targets. Conclusion: targets in trouble are told from a cut by those that are not.

--- a/crates/forward/src/placement/reach.rs
+++ b/crates/forward/src/placement/reach.rs
@@ -10,7 +10,7 @@
 
 use base::Time;
 
-use super::{SendResult, Target, TargetKey, Targets, reach_checks::ReachCheck};
+use super::{SILENT_RATIO, SendResult, Target, TargetKey, Targets, reach_checks::ReachCheck};
 
 /// Silent targets that are needed, if there are as many.
 const MIN_SILENT_TARGETS: usize = 3;
@@ -119,8 +119,13 @@
         all.filter(|(key, it)| !it.is_gone() && !self.is_host(*key))
     }
 
+    /// Returns whether a send to any target is overdue.
+    pub(super) fn has_overdue_send(&self, now: Time) -> bool {
+        self.used_targets().any(|(_, it)| it.silence_ratio(now) > SILENT_RATIO)
+    }
+
     /// Returns whether several targets are silent, or all of them.
-    fn are_targets_silent(&self, now: Time) -> bool {
+    pub(super) fn are_targets_silent(&self, now: Time) -> bool {
         let known = self.used_targets().count();
         let silent = self.silent_targets(now).count();
         known > 0 && silent >= MIN_SILENT_TARGETS.min(known)
--- a/crates/forward/src/placement/reach_checks.rs
+++ b/crates/forward/src/placement/reach_checks.rs
@@ -5,9 +5,10 @@
 //! targets, by links that drop what is sent. Its own requests would tell it so only
 //! once several of them hang. So a host without a sign of any target for some time
 //! opens a connection to one of them and, if that is not made, to several in different
-//! domains. A target that hangs accepts connections all the same, so it is not taken
-//! for a cut. A host with many requests has a sign of a target at any time, and checks
-//! nothing.
+//! domains. It begins with several if sends are overdue or targets are down, as these may
+//! be in trouble themselves. A target that hangs accepts connections all the same, so it
+//! is not taken for a cut. A host with many requests has a sign of a target at any time,
+//! and checks nothing.
 
 use std::time::Duration;
 
@@ -54,20 +55,29 @@
     }
 }
 
+/// When a check begins, and with how many targets.
+#[derive(Clone, Copy, Debug)]
+struct CheckPlan {
+    /// Time without a sign of any target.
+    after: Duration,
+    targets: usize,
+}
+
 impl Reach {
-    /// Returns the number of targets to connect to now; 0 if no check is due. `wait` is the
-    /// time without a sign after which the first one is.
-    fn due_targets(&mut self, wait: Duration, now: Time) -> usize {
+    /// Returns the number of targets to connect to now; 0 if no check is due.
+    fn due_targets(&mut self, plan: CheckPlan, now: Time) -> usize {
         if self.is_lost {
             let is_due = self.check.is_none_or(|it| now.since(it.at) >= LOST_CHECK_INTERVAL);
             return if is_due { LOST_CHECK_TARGETS } else { 0 };
         }
-        if !self.is_sign_overdue(wait, now) {
+        if !self.is_sign_overdue(plan.after, now) {
             return 0;
         }
         match self.check {
-            None => FIRST_CHECK_TARGETS,
-            Some(check) if !check.is_wide && check.is_over(now) => WIDE_CHECK_TARGETS,
+            None => plan.targets,
+            Some(check) if check.is_wide => 0,
+            Some(check) if check.is_over(now) => WIDE_CHECK_TARGETS,
+            Some(_) if plan.targets == WIDE_CHECK_TARGETS => WIDE_CHECK_TARGETS,
             Some(_) => 0,
         }
     }
@@ -84,7 +94,7 @@
             self.reach.check = None;
             return Vec::new();
         }
-        let count = self.reach.due_targets(self.check_after(now), now);
+        let count = self.reach.due_targets(self.check_plan(now), now);
         if count == 0 {
             return Vec::new();
         }
@@ -99,15 +109,12 @@
         self.reach.is_lost && self.reach.check.is_some_and(|it| it.is_wide)
     }
 
-    /// Returns the time without a sign of any target after which a check is due.
-    fn check_after(&self, now: Time) -> Duration {
-        if self.used_targets().any(|(_, it)| self.is_silent(it, now)) {
-            SILENT_FOR
-        } else if self.sends_itself() {
-            CHECK_AFTER
-        } else {
-            CHECK_AFTER_IF_PASSING_ON
+    fn check_plan(&self, now: Time) -> CheckPlan {
+        if self.has_overdue_send(now) || self.are_targets_silent(now) {
+            return CheckPlan { after: SILENT_FOR, targets: WIDE_CHECK_TARGETS };
         }
+        let after = if self.sends_itself() { CHECK_AFTER } else { CHECK_AFTER_IF_PASSING_ON };
+        CheckPlan { after, targets: FIRST_CHECK_TARGETS }
     }
 
     /// Returns whether this host sends requests to the targets of any service.
--- a/crates/forward/tests/reach.rs
+++ b/crates/forward/tests/reach.rs
@@ -157,6 +157,25 @@
     }
 }
 
+/// Guards against a quiet host that takes targets in trouble for a cut of its own: it counted
+/// those that are down as silent, and did not ask enough of the others.
+#[test]
+fn targets_that_are_down_are_not_taken_for_a_cut_while_others_are_in_reach() {
+    let mut it = ServicesFixture::new(1, 9);
+    check_reach(&mut it, 0, 5_000, |_| true);
+    let keys: Vec<TargetKey> = it.target_keys().to_vec();
+    // The sixth target is lost too, which this host does not know yet.
+    let (down, lost) = (&keys[..5], &keys[..6]);
+    for key in down {
+        let send = it.send_to(*key, at(5_050));
+        it.targets.finish_send(&send, at(5_060), SendResult::Unreachable);
+    }
+    for ms in (5_100..20_000).step_by(100) {
+        check_reach(&mut it, ms, ms, |key| !lost.contains(&key));
+        assert!(!it.targets.has_lost_targets(), "at {ms} ms");
+    }
+}
+
 /// Connections of checks cost the targets of a quiet fleet something, so they are few.
 #[test]
 fn an_idle_host_opens_one_connection_a_second_and_a_busy_one_none() {
