Ask only hosts that would know of the same cut

What callers saw: in a zone cut off from all targets, requests were refused at once though other zones could serve them: all of the first 4 s, and some later in a zone of 42. Which hosts lost their targets is known by gossip only, late in a large domain, and those that had not told of it were asked. Change: while a host has lost its targets, others of its domain count once they were seen 2 s after that or later, if there are other domains; this replaces the rule that no sender of the own domain is asked. Evidence: the refused requests' log lines name three hosts of the same zone each, which refused with "no target answers this host". Conclusion: a host asks for help where it is known to be found. What was sent before the cut is known still ends with an error.

--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -59,6 +59,9 @@
 /// long enough that several datagrams in a row must be lost for it.
 pub(crate) const UNREACHABLE_AFTER: Duration = Duration::from_millis(900);
 
+/// Time after a host lost its targets by which others that lost theirs at the same moment know.
+const LOSS_KNOWN_AFTER: Duration = Duration::from_secs(2);
+
 /// Time after a start within which most hosts discover each other.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 
@@ -69,6 +72,8 @@
 #[derive(Debug)]
 pub struct Peers {
     own: Host,
+    /// Since when no target answers this host.
+    lost_since: Option<Time>,
     seeds: Vec<SocketAddr>,
     is_seed: bool,
     known: HashMap<SocketAddr, KnownHost>,
@@ -113,6 +118,7 @@
         let first_turn = rank(own.address) as usize;
         Peers {
             own,
+            lost_since: None,
             seeds,
             is_seed,
             known: HashMap::default(),
@@ -137,8 +143,9 @@
     }
 
     /// Sets whether no target answers this host, which is gossiped.
-    pub fn set_has_lost_targets(&mut self, has_lost_targets: bool) {
+    pub fn set_has_lost_targets(&mut self, has_lost_targets: bool, now: Time) {
         self.own.has_lost_targets = has_lost_targets;
+        self.lost_since = has_lost_targets.then(|| self.lost_since.unwrap_or(now));
     }
 
     /// Returns whether any other host was heard of.
@@ -184,6 +191,24 @@
         std::iter::once(self.own.clone()).chain(others).collect()
     }
 
+    /// Same as [`Peers::live_hosts`], for hosts that requests may be passed on to.
+    ///
+    /// While this host has lost its targets, others of its domain may have lost theirs by the
+    /// same cut, without its having heard so. They count once they were seen so late that they
+    /// would know of it, unless there are hosts of this domain only.
+    pub fn usable_hosts(&self, now: Time, max_age: Duration) -> Vec<Host> {
+        let live = self.live_hosts(now, max_age);
+        let is_remote = |it: &Host| it.domain != self.own.domain;
+        let Some(since) = self.lost_since.filter(|_| live.iter().any(is_remote)) else {
+            return live;
+        };
+        let is_known_sound = |it: &Host| {
+            let seen = self.known.get(&it.address).map(|it| it.last_seen);
+            seen.is_none_or(|at| at >= since + LOSS_KNOWN_AFTER)
+        };
+        live.into_iter().filter(|it| is_remote(it) || is_known_sound(it)).collect()
+    }
+
     /// Returns the number of other domains that ever sent a digest, and those of
     /// them that are unreachable now.
     pub fn other_domains(&self, now: Time) -> (usize, HashSet<DomainName>) {
--- a/crates/forward/src/placement/reach_checks.rs
+++ b/crates/forward/src/placement/reach_checks.rs
@@ -12,12 +12,13 @@
 
 use std::time::Duration;
 
-use base::{DomainName, HashMap, Time};
+use base::Time;
 
 use super::{
     ServiceKey, ServiceKind, Target, TargetKey, Targets,
     reach::{Reach, SILENT_FOR},
 };
+use crate::helpers::spread_over_domains;
 
 /// Time without a sign of any target after which a host checks its reach, and the same for one
 /// that passes its requests on. That one has to know in case it becomes a sender.
@@ -131,16 +132,13 @@
     /// many. Targets of the own domain come first, those that are down last.
     fn targets_to_check(&self, count: usize) -> Vec<TargetKey> {
         let mut known: Vec<(TargetKey, &Target)> = self.used_targets().collect();
-        known.sort_unstable_by_key(|(key, _)| (Some(*key) <= self.last_checked, *key));
-        let mut counts: HashMap<&DomainName, usize> = HashMap::default();
-        let mut ranked: Vec<(bool, usize, bool, TargetKey)> = Vec::with_capacity(known.len());
-        for (key, it) in known {
-            let domain = &it.report.domain;
-            let place = counts.entry(domain).or_default();
-            *place += 1;
-            ranked.push((it.is_down(), *place, *domain != self.home, key));
-        }
-        ranked.sort_by_key(|(is_down, place, is_remote, _)| (*is_down, *place, *is_remote));
-        ranked.into_iter().take(count).map(|(.., key)| key).collect()
+        known.sort_unstable_by_key(|(key, it)| {
+            let (is_away, had_its_turn) =
+                (it.report.domain != self.home, Some(*key) <= self.last_checked);
+            (is_away, had_its_turn, *key)
+        });
+        let mut known = spread_over_domains(known, |(_, it)| &it.report.domain);
+        known.sort_by_key(|(_, it)| it.is_down());
+        known.into_iter().take(count).map(|(key, _)| key).collect()
     }
 }
--- a/crates/forward/src/placement/senders.rs
+++ b/crates/forward/src/placement/senders.rs
@@ -141,10 +141,6 @@
             .filter(|(it, count)| is_chosen(it, *count))
             .map(|(it, _)| it.clone())
             .collect();
-        // A cut rarely concerns one host of a domain alone, and gossip tells of the others late.
-        if own.has_lost_targets && domains.len() > 1 {
-            domains.retain(|it| *it != own.domain);
-        }
         let serves_itself = domains.contains(&own.domain) && senders.contains(own);
         if serves_itself || domains.is_empty() {
             return None;
--- a/crates/forward/tests/cut_domain.rs
+++ b/crates/forward/tests/cut_domain.rs
@@ -1,5 +1,5 @@
-//! A fleet with senders, on virtual time, of which a domain or a part of it is cut off from all
-//! targets while no host gets requests.
+//! Fleets on virtual time of which a domain or a part of it is cut off from all targets, while no
+//! host gets requests.
 
 mod fixture;
 
@@ -76,7 +76,7 @@
 }
 
 impl FleetHost {
-    fn new(own: Host, seeds: Vec<SocketAddr>, is_cut: bool) -> FleetHost {
+    fn new(own: Host, seeds: Vec<SocketAddr>, is_cut: bool, connections: u32) -> FleetHost {
         let limits = Limits {
             retry: RetryLimits { ratio: 0.2, window: Duration::from_secs(10), slack: 50.0 },
             cold_ratio: 1.5,
@@ -85,7 +85,7 @@
             leaving_for: LEAVING_FOR,
         };
         let mut targets = Targets::new(limits, own.domain.clone(), Default::default());
-        let cfg = configuration(20);
+        let cfg = configuration(connections);
         targets.configure(&cfg);
         let table = RouteTable::new(&cfg, &mut targets);
         for domain in DOMAINS {
@@ -99,7 +99,7 @@
     }
 
     fn update_senders(&mut self, now: Time) {
-        let hosts = self.peers.live_hosts(now, MAX_SENDER_AGE);
+        let hosts = self.peers.usable_hosts(now, MAX_SENDER_AGE);
         let routes: Vec<Rc<RouteEntry>> = self.table.routes().cloned().collect();
         self.targets.set_hosts(self.peers.count(now));
         self.targets.update_senders(self.peers.own(), &hosts, &routes, now);
@@ -112,14 +112,15 @@
             }
         }
         self.targets.update_reach(now);
-        self.peers.set_has_lost_targets(self.targets.has_lost_targets());
+        self.peers.set_has_lost_targets(self.targets.has_lost_targets(), now);
     }
 
-    /// Returns the addresses of the senders that requests are passed on to, the preferred one
-    /// first; `None` if this host sends itself.
+    /// Returns the addresses of the hosts that requests are passed on to, the preferred one
+    /// first; `None` if this host sends to targets itself.
     fn senders(&mut self, now: Time) -> Option<Vec<SocketAddr>> {
         let entry = self.table.find("h", "/q/x").expect("the route").clone();
-        let service = entry.senders()?;
+        let helpers = self.targets.helpers().filter(|_| self.targets.has_lost_targets());
+        let service = entry.senders().or(helpers)?;
         let (mut tried, mut addresses) = (Vec::new(), Vec::new());
         loop {
             let class = entry.relay_class;
@@ -136,7 +137,8 @@
 
 impl Fleet {
     /// Creates hosts in each domain, of which `cut` percent of the last one's are cut off.
-    fn new(sizes: [usize; 3], cut: usize) -> Fleet {
+    /// Targets accept so many connections.
+    fn new(sizes: [usize; 3], cut: usize, connections: u32) -> Fleet {
         let domains = DOMAINS.iter().zip(sizes);
         let hosts =
             domains.flat_map(|(it, size)| (0..size).map(move |i| (*it, i * 100 < size * cut)));
@@ -153,7 +155,9 @@
         let last = own.len() - 1;
         let seeds: Vec<SocketAddr> = [0, sizes[0], last].map(|it| own[it].0.address).to_vec();
         let index_of = own.iter().enumerate().map(|(i, it)| (it.0.address, i)).collect();
-        let hosts = own.into_iter().map(|(own, is_cut)| FleetHost::new(own, seeds.clone(), is_cut));
+        let hosts = own
+            .into_iter()
+            .map(|(own, is_cut)| FleetHost::new(own, seeds.clone(), is_cut, connections));
         Fleet { hosts: hosts.collect(), index_of, rng: SmallRng::seed_from_u64(7) }
     }
 
@@ -215,10 +219,22 @@
 fn requests_in_a_domain_that_is_cut_off_reach_senders_elsewhere() {
     let fleets = [([4, 4, 32], 100), ([12, 12, 12], 100), ([8, 8, 40], 50), ([60, 60, 60], 100)];
     for (sizes, cut) in fleets {
-        let mut fleet = Fleet::new(sizes, cut);
+        let mut fleet = Fleet::new(sizes, cut, 20);
         let failures = fleet.play();
         assert!(failures.is_empty(), "{sizes:?}, {cut}% cut: (ms, hosts) {failures:?}");
         let is_right = |it: &FleetHost| it.targets.has_lost_targets() == it.is_cut;
         assert!(fleet.hosts.iter().all(is_right), "{sizes:?}, {cut}% cut");
     }
 }
+
+/// RECOVER: a host that lost its targets asks hosts of its own domain for help, of whose loss it has
+/// not heard yet.
+#[test]
+fn helpers_of_a_domain_that_is_cut_off_are_elsewhere() {
+    let fleets = [([4, 4, 16], 100), ([8, 8, 100], 100), ([4, 4, 40], 50), ([60, 60, 60], 100)];
+    for (sizes, cut) in fleets {
+        let mut fleet = Fleet::new(sizes, cut, 1_000);
+        let failures = fleet.play();
+        assert!(failures.is_empty(), "{sizes:?}, {cut}% cut: (ms, hosts) {failures:?}");
+    }
+}
--- a/crates/front/src/cx.rs
+++ b/crates/front/src/cx.rs
@@ -163,7 +163,7 @@
         let Some(table) = self.table.borrow().clone() else { return };
         let routes: Vec<Rc<RouteEntry>> = table.routes().cloned().collect();
         let (now, peers) = (self.clock.now(), self.peers.borrow());
-        let hosts = peers.live_hosts(now, MAX_SENDER_AGE);
+        let hosts = peers.usable_hosts(now, MAX_SENDER_AGE);
         let mut targets = self.targets.borrow_mut();
         let before = targets.sender_role();
         targets.update_senders(peers.own(), &hosts, &routes, now);
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -47,7 +47,7 @@
     if cx.has_lost_targets.replace(has_lost_targets) == has_lost_targets {
         return;
     }
-    cx.peers.borrow_mut().set_has_lost_targets(has_lost_targets);
+    cx.peers.borrow_mut().set_has_lost_targets(has_lost_targets, now);
     cx.update_senders();
     let targets = cx.targets.borrow();
     warn!(cx.log, "front: reach of targets changed"; "no_target_answers" => has_lost_targets,
