Count no connection to another host as a sign of targets

What callers saw: in a zone cut off from all targets, while hosts elsewhere restarted, requests went to targets in vain again and failed. Cause: hosts that requests are passed on to are kept and probed like targets. A probe that connected to one ended the loss of the host that was cut off. Answers of hosts were left out there, probes not. Change: a connection to a host is no sign of a target. A log line is wrapped. Measured: connections_to_other_hosts_are_no_sign_of_targets failed before and passes. Conclusion: only targets end a loss of targets.

--- a/crates/forward/src/placement/mod.rs
+++ b/crates/forward/src/placement/mod.rs
@@ -418,8 +418,11 @@
 
     /// Records that a probe connected to the target; returns its service.
     pub fn probe_succeeded(&mut self, target: TargetKey, now: Time) -> Option<ServiceKey> {
+        let is_host = self.is_host(target);
         let it = self.targets.get_mut(&target)?;
-        self.reach.record_sign(now);
+        if !is_host {
+            self.reach.record_sign(now);
+        }
         if it.is_down() {
             it.probe_succeeded(now);
             // The target may have restarted.
--- a/crates/forward/tests/reach.rs
+++ b/crates/forward/tests/reach.rs
@@ -316,3 +316,22 @@
     }
     assert!(it.targets.has_lost_targets());
 }
+
+/// RECOVER: a host that was cut off took a connection to another host for one to a target, so that
+/// its loss ended and its requests went to targets in vain.
+#[test]
+fn connections_to_other_hosts_are_no_sign_of_targets() {
+    let (mut it, _) = waiting_host();
+    let (own, other) = (host(1, "a", false), host(2, "a", false));
+    it.targets.update_senders(&own, &[own.clone(), other], &[], at(1_000));
+    assert!(is_lost(&mut it, 1_100, 2_000));
+    let helpers = it.targets.helpers().expect("a group");
+    let send = it.send_to_group(helpers, at(2_000));
+    it.targets.finish_send(&send, at(2_050), SendResult::Unreachable);
+    let due: Vec<TargetKey> = (2_100..4_000).flat_map(|ms| it.targets.due_probes(at(ms))).collect();
+    assert!(due.contains(&send.target));
+    it.targets.probe_succeeded(send.target, at(4_000));
+    assert!(it.targets.has_lost_targets());
+    let down = it.targets.target(send.target).map(|it| it.is_down());
+    assert_eq!(down, Some(false), "the host is asked again");
+}
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -51,7 +51,8 @@
     cx.update_senders();
     let targets = cx.targets.borrow();
     warn!(cx.log, "front: reach of targets changed"; "no_target_answers" => has_lost_targets,
-        "found_by_check" => targets.is_loss_found_by_check(), "down" => targets.down_count(), "targets" => targets.target_count());
+        "found_by_check" => targets.is_loss_found_by_check(), "down" => targets.down_count(),
+        "targets" => targets.target_count());
 }
 
 fn has_unservable_route(cx: &SharedCx, now: Time) -> bool {
