Test targets for silence before looking up their services

Change: the cheap test, which is false for nearly all targets, comes first; the number of targets in use is counted only where one or two are silent. The conditions are the same.

--- a/crates/forward/src/placement/reach.rs
+++ b/crates/forward/src/placement/reach.rs
@@ -110,24 +110,30 @@
 
     /// Returns the targets that are silent, of those in use.
     fn silent_targets(&self, now: Time) -> impl Iterator<Item = TargetKey> {
-        self.used_targets().filter(move |(_, it)| self.is_silent(it, now)).map(|(key, _)| key)
+        let silent = self.targets.iter().filter(move |(_, it)| self.is_silent(it, now));
+        silent.filter(|(key, it)| self.is_used(**key, it)).map(|(key, _)| *key)
     }
 
     /// Returns all targets that are neither hosts nor gone.
     pub(super) fn used_targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
         let all = self.targets.iter().map(|(key, it)| (*key, it));
-        all.filter(|(key, it)| !it.is_gone() && !self.is_host(*key))
+        all.filter(|(key, it)| self.is_used(*key, it))
+    }
+
+    fn is_used(&self, key: TargetKey, target: &Target) -> bool {
+        !target.is_gone() && !self.is_host(key)
     }
 
     /// Returns whether a send to any target is overdue.
     pub(super) fn has_overdue_send(&self, now: Time) -> bool {
-        self.used_targets().any(|(_, it)| it.silence_ratio(now) > SILENT_RATIO)
+        let mut overdue =
+            self.targets.iter().filter(|(_, it)| it.silence_ratio(now) > SILENT_RATIO);
+        overdue.any(|(key, it)| self.is_used(*key, it))
     }
 
     /// Returns whether several targets are silent, or all of them.
     pub(super) fn are_targets_silent(&self, now: Time) -> bool {
-        let known = self.used_targets().count();
         let silent = self.silent_targets(now).count();
-        known > 0 && silent >= MIN_SILENT_TARGETS.min(known)
+        silent >= MIN_SILENT_TARGETS || silent > 0 && silent == self.used_targets().count()
     }
 }
