--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -25,7 +25,8 @@
 };
 
 /// Passes a request on to one of `senders` and returns its answer. If none can be
-/// reached or none answers, this host runs the request itself.
+/// reached, this host runs the request itself, or passes it on to helpers if it lost its
+/// targets.
 pub(crate) async fn pass_on(
     cx: &SharedCx,
     entry: &RouteEntry,
@@ -34,16 +35,29 @@
     schedule: Schedule,
 ) -> Result<Answer, Refusal> {
     if !has_responsive_host(cx, entry, senders) {
-        return run_here(cx, entry, request, schedule).await;
+        return serve_without_senders(cx, entry, request, schedule).await;
     }
     let (answered, request) = ask(cx, entry, senders, request, schedule).await;
     match answered {
         Some(answered) => answered,
-        None => run_here(cx, entry, request.without_relay(), schedule).await,
+        None => serve_without_senders(cx, entry, request.without_relay(), schedule).await,
+    }
+}
+
+async fn serve_without_senders(
+    cx: &SharedCx,
+    entry: &RouteEntry,
+    request: Outgoing,
+    schedule: Schedule,
+) -> Result<Answer, Refusal> {
+    let helpers = cx.targets.borrow().helpers().filter(|_| cx.has_lost_targets.get());
+    match helpers.filter(|it| has_responsive_host(cx, entry, *it)) {
+        Some(helpers) => pass_on_to_helpers(cx, entry, helpers, request, schedule).await,
+        None => run_here(cx, entry, request, schedule).await,
     }
 }
 
-/// Same as [`pass_on`] for a request that this host cannot serve itself.
+/// Passes a request that this host cannot serve itself on to one of `helpers`.
 pub(crate) async fn pass_on_to_helpers(
     cx: &SharedCx,
     entry: &RouteEntry,
--- a/crates/front/tests/lost_targets.rs
+++ b/crates/front/tests/lost_targets.rs
@@ -4,11 +4,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use forward::Repeat;
+use base::DomainName;
+use forward::{Repeat, peers::Host, senders::Senders};
 use socket2::{Domain, Protocol, Socket, Type};
 use support::{
     Reply, Target, TestHost, announce_as, done, header, not_run, ok, own_address, read_message,
-    relayed, run, status, target,
+    relayed, run, status, target, target_at,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -150,6 +151,56 @@
     });
 }
 
+/// RECOVER: a host that was cut off sent to its targets in vain where the senders of other hosts
+/// were lost too.
+#[test]
+fn a_host_that_lost_its_targets_asks_others_if_no_sender_is_left() {
+    run(async {
+        let mut host = TestHost::start();
+        host.max_connections = 1;
+        host.wait_for_hosts(1).await;
+        host.single(Repeat::AtMostOnce);
+        let (address, _sockets) = unreachable(Cut::Hangs);
+        host.list_at("s", "t-s", address);
+        // Nobody listens where the senders are.
+        let others = [own_address(), own_address(), own_address()];
+        let helper = target_at(no_sender(&others), vec![done("yes")]).await;
+        let to = host.peers;
+        spawn_local(async move {
+            loop {
+                for it in others {
+                    announce_as(to, it, false).await;
+                }
+                sleep(DIGEST_INTERVAL).await;
+            }
+        });
+        host.wait_for_hosts(4).await;
+        while host.gauge("front_has_lost_targets").await != Some(1) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        for _ in 0..3 {
+            assert_eq!(status(&host.get("/one/x").await), 200);
+        }
+        assert_eq!(helper.requests(), 3);
+    });
+}
+
+/// Returns the host that is no sender.
+fn no_sender(addresses: &[SocketAddr]) -> SocketAddr {
+    let domain = DomainName::new("local");
+    let host = |address: &SocketAddr| Host {
+        address: *address,
+        domain: domain.clone(),
+        capacity: 1_000,
+        reads_source: false,
+        has_lost_targets: false,
+    };
+    let hosts: Vec<Host> = addresses.iter().map(host).collect();
+    let senders = Senders::choose(&hosts, &[domain], 1.0);
+    let found = hosts.iter().find(|it| !senders.contains(it));
+    found.expect("two senders of three hosts").address
+}
+
 /// Sends requests until the host knows that it lost its targets.
 async fn lose_targets(it: &Fleet) {
     while it.host.gauge("front_has_lost_targets").await != Some(1) {
--- a/crates/front/tests/support/mod.rs
+++ b/crates/front/tests/support/mod.rs
@@ -101,7 +101,12 @@
 /// Starts a target that gives its replies in order and then repeats the last
 /// one.
 pub async fn target(replies: Vec<Reply>) -> Target {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    target_at(([127, 0, 0, 1], 0).into(), replies).await
+}
+
+/// Same as `target`, at an address.
+pub async fn target_at(address: SocketAddr, replies: Vec<Reply>) -> Target {
+    let listener = TcpListener::bind(address).await.expect("a free port");
     let address = listener.local_addr().expect("bound");
     let received = Rc::new(RefCell::new(Vec::new()));
     let abandoned = Rc::new(RefCell::new(0));
