--- a/crates/forward/tests/cut_domain.rs
+++ b/crates/forward/tests/cut_domain.rs
@@ -22,10 +22,10 @@
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 const TARGETS_PER_DOMAIN: usize = 3;
 
-/// Time after which hosts that are cut off are to serve callers again.
-const CONTACT: u64 = 4_000;
+/// Time after which hosts that are cut off are to serve callers again, in milliseconds as below.
+const CONTACT_MS: u64 = 4_000;
 
-/// Senders that a request is passed on to at most.
+/// Hosts that a request is passed on to at most.
 const MAX_HOSTS_TRIED: usize = 3;
 
 const SWEEP_MS: u64 = 100;
@@ -117,7 +117,7 @@
 
     /// Returns the addresses of the hosts that requests are passed on to, the preferred one
     /// first; `None` if this host sends to targets itself.
-    fn senders(&mut self, now: Time) -> Option<Vec<SocketAddr>> {
+    fn hosts_asked(&mut self, now: Time) -> Option<Vec<SocketAddr>> {
         let entry = self.table.find("h", "/q/x").expect("the route").clone();
         let helpers = self.targets.helpers().filter(|_| self.targets.has_lost_targets());
         let service = entry.senders().or(helpers)?;
@@ -137,7 +137,7 @@
 
 impl Fleet {
     /// Creates hosts in each domain, of which `cut` percent of the last one's are cut off.
-    /// Targets accept so many connections.
+    /// Each target accepts this many `connections`.
     fn new(sizes: [usize; 3], cut: usize, connections: u32) -> Fleet {
         let domains = DOMAINS.iter().zip(sizes);
         let hosts =
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Runs all hosts; returns the times, `CONTACT` after the cut or later, at which some hosts
+    /// Runs all hosts; returns the times, `CONTACT_MS` after the cut or later, at which some hosts
     /// cannot have a request served, and how many.
     fn play(&mut self) -> Vec<(u64, usize)> {
         let mut failures = Vec::new();
@@ -192,7 +192,7 @@
                     it.update_senders(now);
                 }
             }
-            if ms >= CUT_AT + CONTACT {
+            if ms >= CUT_AT + CONTACT_MS {
                 let count = (0..self.hosts.len()).filter(|it| !self.is_served(*it, now)).count();
                 failures.extend((count > 0).then_some((ms, count)));
             }
@@ -200,14 +200,14 @@
         failures
     }
 
-    /// Returns whether a request at the host is served: by itself, or by a sender after those
+    /// Returns whether a request at the host is served: by itself, or by a host after those
     /// that refuse it at once, as they know of the cut.
     fn is_served(&mut self, host: usize, now: Time) -> bool {
-        let Some(senders) = self.hosts[host].senders(now) else {
+        let Some(asked) = self.hosts[host].hosts_asked(now) else {
             return !self.hosts[host].is_cut;
         };
-        let senders = senders.iter().map(|it| &self.hosts[self.index_of[it]]);
-        let mut tried = senders.take(MAX_HOSTS_TRIED);
+        let asked = asked.iter().map(|it| &self.hosts[self.index_of[it]]);
+        let mut tried = asked.take(MAX_HOSTS_TRIED);
         let answers = tried.find(|it| !it.is_cut || !it.targets.has_lost_targets());
         answers.is_some_and(|it| !it.is_cut)
     }
